Add design page, workspace, schema and network plumbing

Cause: the project needs a shared description of processes, state and messages before its parts can be built side by side. Change: docs/design.md; crate skeletons; JSON Schema files and the generator task; HTTP server and client with verdicts, framing, authentication and settings loading. Conclusion: the pure crates can be written independently against the generated types.

--- /dev/null
+++ b/crates/oriolecrank-bench/src/arguments.rs
@@ -0,0 +1,62 @@
+//! Command-line arguments.
+
+use std::ffi::OsString;
+
+use lexopt::prelude::{Long, Value, ValueExt as _};
+
+/// Arguments shared by all measurements.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BenchArguments {
+    /// First word: which measurement to run.
+    pub measure: String,
+    /// Seed of the random numbers.
+    pub seed: u64,
+    /// Number of seeds to run, counted up from `seed`.
+    pub seeds: u64,
+    /// Scenario; all if absent.
+    pub scenario: Option<String>,
+    /// Scenario variant; all if absent.
+    pub variant: Option<String>,
+    /// Runs smaller sizes, to check that a measurement works.
+    pub quick: bool,
+    /// Input files of `report`.
+    pub files: Vec<OsString>,
+}
+
+impl Default for BenchArguments {
+    fn default() -> Self {
+        Self {
+            measure: String::new(),
+            seed: 1,
+            seeds: 1,
+            scenario: None,
+            variant: None,
+            quick: false,
+            files: Vec::new(),
+        }
+    }
+}
+
+impl BenchArguments {
+    /// Parses the arguments of the process.
+    pub fn parse(mut parser: lexopt::Parser) -> Result<Self, lexopt::Error> {
+        let mut arguments = Self::default();
+        while let Some(argument) = parser.next()? {
+            match argument {
+                Long("seed") => arguments.seed = parser.value()?.parse()?,
+                Long("seeds") => arguments.seeds = parser.value()?.parse()?,
+                Long("scenario") => arguments.scenario = Some(parser.value()?.string()?),
+                Long("variant") => arguments.variant = Some(parser.value()?.string()?),
+                Long("quick") => arguments.quick = true,
+                // Every measurement prints JSON lines, so the flag changes nothing.
+                Long("json") => {}
+                Value(value) if arguments.measure.is_empty() => {
+                    arguments.measure = value.string()?;
+                }
+                Value(value) => arguments.files.push(value),
+                other => return Err(other.unexpected()),
+            }
+        }
+        Ok(arguments)
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -0,0 +1,10 @@
+//! Measurements of oriolecrank.
+//!
+//! Each measurement is one module with a function `run`, which takes [`BenchArguments`], prints one
+//! [`Measurement`] a line and returns whether all targets are met.
+//!
+//! [`BenchArguments`]: arguments::BenchArguments
+//! [`Measurement`]: measurement::Measurement
+
+pub mod arguments;
+pub mod measurement;
--- /dev/null
+++ b/crates/oriolecrank-bench/src/main.rs
@@ -0,0 +1,59 @@
+//! Measurements of oriolecrank, one JSON object a line.
+//!
+//! `oriolecrank-bench MEASURE [--seed N] [--seeds N] [--scenario NAME] [--variant NAME] [--quick]`
+//! exits with 0 if all targets are met, 1 if one is missed and 2 for wrong arguments. Each
+//! measurement is a module of the library with a function `run` that prints its lines.
+
+use std::process::ExitCode;
+
+use oriolecrank_bench::arguments::BenchArguments;
+use oriolecrank_bench::measurement::{Measurement, Target, size};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Text for wrong arguments.
+const USAGE: &str = "usage: oriolecrank-bench codec [--seed N] [--seeds N] [--scenario NAME] \
+                     [--variant NAME] [--quick] [--json]";
+
+fn main() -> ExitCode {
+    let arguments = match BenchArguments::parse(lexopt::Parser::from_env()) {
+        Ok(arguments) => arguments,
+        Err(error) => {
+            eprintln!("oriolecrank-bench: {error}\n{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    let passed = match arguments.measure.as_str() {
+        "codec" => codec_size(&arguments),
+        _ => {
+            eprintln!("{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    if passed {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+/// Size of one freshness ping without demand, of which each subscriber sends one a second.
+fn codec_size(arguments: &BenchArguments) -> bool {
+    let ping = oriolecrank_schema::control::PingRequest {
+        subscriber: "entry-1".to_owned(),
+        ping: 1,
+        revision: 1,
+        demand: Vec::new(),
+    };
+    let value = oriolecrank_schema::codec::encode(&ping).len() as f64;
+    let measurement = Measurement {
+        measure: "ping_bytes".to_owned(),
+        size: size([("demand_entries", 0)]),
+        value,
+        unit: "bytes",
+        target: Some(Target::AtMost(3_000.0)),
+        seed: arguments.seed,
+    };
+    measurement.print()
+}
--- /dev/null
+++ b/crates/oriolecrank-bench/src/measurement.rs
@@ -0,0 +1,59 @@
+//! One measurement, printed as one line of JSON.
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+/// A measured value and its target.
+#[derive(Debug, Clone, Serialize)]
+pub struct Measurement {
+    /// What was measured.
+    pub measure: String,
+    /// Numbers the measurement was taken at.
+    pub size: Map<String, Value>,
+    /// Measured value.
+    pub value: f64,
+    /// Unit of value and target.
+    pub unit: &'static str,
+    /// Stated target, if there is one.
+    pub target: Option<Target>,
+    /// Seed of the random numbers.
+    pub seed: u64,
+}
+
+/// Bound that a value has to keep.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Target {
+    /// The value must not be larger.
+    AtMost(f64),
+    /// The value must not be smaller.
+    AtLeast(f64),
+}
+
+impl Measurement {
+    /// Whether the target is met; true without a target.
+    pub fn passed(&self) -> bool {
+        match self.target {
+            None => true,
+            Some(Target::AtMost(bound)) => self.value <= bound,
+            Some(Target::AtLeast(bound)) => self.value >= bound,
+        }
+    }
+
+    /// Prints the line and returns whether the target is met.
+    pub fn print(&self) -> bool {
+        println!(
+            "{}",
+            serde_json::to_string(self).expect("measurements encode as JSON")
+        );
+        self.passed()
+    }
+}
+
+/// Builds the `size` object of a measurement.
+pub fn size<const N: usize>(entries: [(&str, u64); N]) -> Map<String, Value> {
+    entries
+        .into_iter()
+        .map(|(name, value)| (name.to_owned(), Value::from(value)))
+        .collect()
+}
--- /dev/null
+++ b/crates/oriolecrank-control/src/main.rs
@@ -0,0 +1,2 @@
+//! Part of oriolecrank.
+fn main() {}
--- /dev/null
+++ b/crates/oriolecrank-net/src/answer_body.rs
@@ -0,0 +1,76 @@
+//! Bodies of HTTP answers.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use snafu::Snafu;
+use tokio::sync::mpsc;
+
+/// Messages that a streamed body buffers before the sender waits.
+const STREAM_BUFFER: usize = 16;
+
+/// The producer of a streamed body stopped before the end.
+///
+/// The connection is closed without the final chunk, so that the receiver sees a broken answer and
+/// never a silently short one.
+#[derive(Debug, Clone, Copy, Snafu)]
+#[snafu(display("the answer was aborted before its end"))]
+pub struct BodyAborted;
+
+/// Sending half of a streamed body.
+pub type BodySender = mpsc::Sender<Result<Bytes, BodyAborted>>;
+
+/// Body of an HTTP answer.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// Complete body; `None` once it is sent or if it is empty.
+    Full(Option<Bytes>),
+    /// Body that is produced while it is sent. It ends when the sender is dropped.
+    Stream(mpsc::Receiver<Result<Bytes, BodyAborted>>),
+}
+
+impl AnswerBody {
+    /// A complete body.
+    pub fn full(bytes: impl Into<Bytes>) -> Self {
+        let bytes = bytes.into();
+        Self::Full((!bytes.is_empty()).then_some(bytes))
+    }
+
+    /// A streamed body and its sender.
+    pub fn stream() -> (BodySender, Self) {
+        let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
+        (sender, Self::Stream(receiver))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+        match &mut *self {
+            Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(receiver) => receiver
+                .poll_recv(context)
+                .map(|item| item.map(|result| result.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Full(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Full(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-net/src/frame.rs
@@ -0,0 +1,142 @@
+//! Framing of long answers: `u32` header length, `u32` payload length (both big-endian), a
+//! `MessagePack` header and a raw payload.
+
+use std::time::Duration;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use http_body_util::BodyExt;
+use oriolecrank_schema::codec::{self, CodecError};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu, ensure};
+use tokio::time::timeout;
+
+use crate::http_client::ClientResponse;
+
+/// Largest header or payload of a frame, in bytes.
+pub const MAX_FRAME_PART: usize = 64 * 1024 * 1024;
+
+/// Bytes before the header.
+const PREFIX_BYTES: usize = 8;
+
+/// A frame stream that cannot be read further.
+#[derive(Debug, Snafu)]
+pub enum FrameError {
+    /// Nothing arrived within the bound, not even a heartbeat.
+    #[snafu(display("nothing arrived for {} ms", bound.as_millis()))]
+    Silent {
+        /// Longest allowed silence.
+        bound: Duration,
+    },
+    /// The connection broke.
+    #[snafu(display("the connection broke: {source}"))]
+    Broken {
+        /// Cause.
+        source: hyper::Error,
+    },
+    /// The stream ended inside a frame.
+    #[snafu(display("the stream ended inside a frame"))]
+    Truncated,
+    /// A frame is larger than allowed.
+    #[snafu(display("a frame part of {size} bytes exceeds the limit"))]
+    TooLarge {
+        /// Announced size in bytes.
+        size: usize,
+    },
+    /// A header cannot be decoded.
+    #[snafu(display("{source}"))]
+    BadHeader {
+        /// Cause.
+        source: CodecError,
+    },
+}
+
+/// One decoded frame.
+#[derive(Debug, Clone, PartialEq)]
+pub struct DataFrame<T> {
+    /// Decoded header.
+    pub header: T,
+    /// Raw payload.
+    pub payload: Bytes,
+}
+
+/// Encodes one frame.
+pub fn encode_frame<T: Serialize>(header: &T, payload: &[u8]) -> Bytes {
+    let header = codec::encode(header);
+    let mut buffer = BytesMut::with_capacity(PREFIX_BYTES + header.len() + payload.len());
+    buffer.put_u32(header.len() as u32);
+    buffer.put_u32(payload.len() as u32);
+    buffer.put_slice(&header);
+    buffer.put_slice(payload);
+    buffer.freeze()
+}
+
+/// Takes one frame off the front of `buffer`; `None` if it is not complete yet.
+pub fn decode_frame<T: DeserializeOwned>(
+    buffer: &mut BytesMut,
+) -> Result<Option<DataFrame<T>>, FrameError> {
+    if buffer.len() < PREFIX_BYTES {
+        return Ok(None);
+    }
+    let mut prefix = &buffer[..PREFIX_BYTES];
+    let header_len = prefix.get_u32() as usize;
+    let payload_len = prefix.get_u32() as usize;
+    let largest = header_len.max(payload_len);
+    ensure!(largest <= MAX_FRAME_PART, TooLargeSnafu { size: largest });
+    if buffer.len() < PREFIX_BYTES + header_len + payload_len {
+        return Ok(None);
+    }
+    buffer.advance(PREFIX_BYTES);
+    let header = codec::decode(&buffer.split_to(header_len)).context(BadHeaderSnafu)?;
+    let payload = buffer.split_to(payload_len).freeze();
+    Ok(Some(DataFrame { header, payload }))
+}
+
+/// Reads the frames of a response.
+#[derive(Debug)]
+pub struct FrameReader {
+    response: ClientResponse,
+    buffer: BytesMut,
+}
+
+impl FrameReader {
+    /// Reads frames from the body of `response`.
+    pub fn new(response: ClientResponse) -> Self {
+        Self {
+            response,
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Next frame; `None` at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FrameError::Silent`] if no byte arrives within `bound`, and other variants if the
+    /// connection breaks or a frame is malformed.
+    pub async fn next<T: DeserializeOwned>(
+        &mut self,
+        bound: Duration,
+    ) -> Result<Option<DataFrame<T>>, FrameError> {
+        loop {
+            if let Some(frame) = decode_frame(&mut self.buffer)? {
+                return Ok(Some(frame));
+            }
+            let Ok(received) = timeout(bound, self.response.body_mut().frame()).await else {
+                return SilentSnafu { bound }.fail();
+            };
+            let Some(received) = received else {
+                ensure!(self.buffer.is_empty(), TruncatedSnafu);
+                return Ok(None);
+            };
+            if let Ok(data) = received.context(BrokenSnafu)?.into_data() {
+                self.buffer.extend_from_slice(&data);
+            }
+        }
+    }
+
+    /// Returns the connection to the pool after the last frame was read.
+    pub fn recycle(self) {
+        self.response.recycle();
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-net/src/http_server.rs
@@ -0,0 +1,172 @@
+//! HTTP/1.1 server loop.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use oriolecrank_schema::codec;
+use oriolecrank_schema::event::LogEvent;
+use oriolecrank_schema::protocol::{PROTOCOL_HEADER, ProtocolVersion};
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+use crate::answer_body::AnswerBody;
+use crate::cluster_secret::ClusterSecret;
+use crate::shutdown::ShutdownSignal;
+
+/// Longest time to receive the head of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Wait after a failed accept, for example when file descriptors are exhausted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Answers the requests of a listener.
+pub trait HttpHandler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> impl Future<Output = Response<AnswerBody>> + Send;
+}
+
+/// Accepts connections until shutdown, then waits until the running requests are answered.
+pub async fn serve<H: HttpHandler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    mut shutdown: ShutdownSignal,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = shutdown.triggered() => break,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => {
+                    let handler = Arc::clone(&handler);
+                    connections.spawn(serve_connection(stream, peer, handler, shutdown.clone()));
+                }
+                Err(error) => {
+                    let event = LogEvent::ConnectionFailed.number();
+                    tracing::warn!(event, %error, "cannot accept a connection");
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve_connection<H: HttpHandler>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: Arc<H>,
+    mut shutdown: ShutdownSignal,
+) {
+    // Failure only costs latency, so the result is not needed.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler.handle(request, peer).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut stopping = false;
+    loop {
+        tokio::select! {
+            ended = connection.as_mut() => {
+                if let Err(error) = ended {
+                    let event = LogEvent::ConnectionFailed.number();
+                    tracing::debug!(event, %peer, %error, "connection ended with an error");
+                }
+                return;
+            }
+            () = shutdown.triggered(), if !stopping => {
+                stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+}
+
+/// Checks that a request comes from a process of this cluster.
+#[derive(Debug, Clone)]
+pub struct PeerGuard {
+    secret: ClusterSecret,
+}
+
+impl PeerGuard {
+    /// Admits requests that carry `secret`.
+    pub const fn new(secret: ClusterSecret) -> Self {
+        Self { secret }
+    }
+
+    /// Refusal for a request without the secret or with a newer major protocol version.
+    pub fn refusal(&self, headers: &HeaderMap) -> Option<Response<AnswerBody>> {
+        if !self.secret.admits(headers) {
+            let event = LogEvent::PeerUnauthorised.number();
+            tracing::warn!(event, "refused a message without the cluster secret");
+            return Some(empty_answer(StatusCode::UNAUTHORIZED));
+        }
+        let version = headers.get(PROTOCOL_HEADER)?.to_str().unwrap_or_default();
+        let error = version.parse().and_then(ProtocolVersion::check).err()?;
+        let event = LogEvent::PeerVersionRefused.number();
+        tracing::warn!(event, %error, "refused a message");
+        Some(text_answer(StatusCode::UPGRADE_REQUIRED, error.to_string()))
+    }
+}
+
+/// Reads a request body of at most `limit` bytes; `None` if it is larger or breaks off.
+pub async fn read_body(body: Incoming, limit: usize) -> Option<Bytes> {
+    Limited::new(body, limit)
+        .collect()
+        .await
+        .ok()
+        .map(http_body_util::Collected::to_bytes)
+}
+
+/// An answer without body.
+pub fn empty_answer(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Full(None));
+    *response.status_mut() = status;
+    response
+}
+
+/// An answer with a text body.
+pub fn text_answer(status: StatusCode, text: String) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::full(text));
+    *response.status_mut() = status;
+    response.headers_mut().insert(
+        CONTENT_TYPE,
+        HeaderValue::from_static("text/plain; charset=utf-8"),
+    );
+    response
+}
+
+/// An answer with a `MessagePack` body.
+pub fn message_answer<T: Serialize>(message: &T) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::full(codec::encode(message)));
+    response.headers_mut().insert(
+        CONTENT_TYPE,
+        HeaderValue::from_static("application/msgpack"),
+    );
+    response
+}
--- /dev/null
+++ b/crates/oriolecrank-net/src/operator_listener.rs
@@ -0,0 +1,71 @@
+//! Listener for operators: health, readiness and metrics.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::registry::Registry;
+
+use crate::answer_body::AnswerBody;
+use crate::http_server::{HttpHandler, PeerGuard, empty_answer, text_answer};
+
+/// Whether a process wants new work; shared between the process and its operator listener.
+#[derive(Debug, Clone, Default)]
+pub struct ReadyFlag(Arc<AtomicBool>);
+
+impl ReadyFlag {
+    /// Sets the flag.
+    pub fn set(&self, ready: bool) {
+        self.0.store(ready, Ordering::Release);
+    }
+
+    /// Present value.
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+/// Answers `/healthz` and `/readyz` to everyone and `/metrics` to holders of the cluster secret.
+#[derive(Debug)]
+pub struct OperatorListener {
+    registry: Registry,
+    ready: ReadyFlag,
+    guard: PeerGuard,
+}
+
+impl OperatorListener {
+    /// A listener that shows the metrics of `registry`.
+    pub const fn new(registry: Registry, ready: ReadyFlag, guard: PeerGuard) -> Self {
+        Self {
+            registry,
+            ready,
+            guard,
+        }
+    }
+
+    fn metrics(&self) -> Response<AnswerBody> {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text_answer(StatusCode::OK, text),
+            Err(_) => empty_answer(StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
+}
+
+impl HttpHandler for OperatorListener {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
+        match request.uri().path() {
+            "/healthz" => text_answer(StatusCode::OK, "ok\n".to_owned()),
+            "/readyz" if self.ready.get() => text_answer(StatusCode::OK, "ready\n".to_owned()),
+            "/readyz" => text_answer(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+            "/metrics" => match self.guard.refusal(request.headers()) {
+                Some(refusal) => refusal,
+                None => self.metrics(),
+            },
+            _ => empty_answer(StatusCode::NOT_FOUND),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-net/src/settings_file.rs
@@ -0,0 +1,63 @@
+//! Settings files in TOML.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu};
+
+/// A settings file that cannot be used. The message names file, key and reason.
+#[derive(Debug, Snafu)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[snafu(display("{}: cannot be read: {source}", path.display()))]
+    ReadFile {
+        /// Settings file.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The file is not valid TOML, or a field is unknown, missing or of the wrong type.
+    #[snafu(display("{}: {source}", path.display()))]
+    ParseFile {
+        /// Settings file.
+        path: PathBuf,
+        /// Cause, with line and key.
+        source: Box<toml::de::Error>,
+    },
+    /// A value is out of range or in conflict with another one.
+    #[snafu(display("{key}: {reason}"))]
+    BadValue {
+        /// Key of the value.
+        key: &'static str,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// Reads a settings file.
+pub fn load<T: DeserializeOwned>(path: &Path) -> Result<T, SettingsError> {
+    let text = std::fs::read_to_string(path).context(ReadFileSnafu { path })?;
+    toml::from_str(&text)
+        .map_err(Box::new)
+        .context(ParseFileSnafu { path })
+}
+
+/// Parses an address of the form `IP:port`.
+pub fn address(key: &'static str, text: &str) -> Result<SocketAddr, SettingsError> {
+    text.parse().map_err(|_| {
+        bad_value(
+            key,
+            format!("{text:?} is not an address of the form IP:port"),
+        )
+    })
+}
+
+/// An error for the value of `key`.
+pub fn bad_value(key: &'static str, reason: impl Into<String>) -> SettingsError {
+    BadValueSnafu {
+        key,
+        reason: reason.into(),
+    }
+    .build()
+}
--- /dev/null
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Part of oriolecrank.
--- /dev/null
+++ b/crates/oriolecrank-schema/src/digest.rs
@@ -0,0 +1,32 @@
+//! Digests of keys and request bodies.
+
+use std::fmt::Write as _;
+
+use sha2::{Digest as _, Sha256};
+
+use crate::document::KeyDigest;
+
+/// Digest under which an organisation's key is stored.
+pub fn key_digest(key: &str) -> KeyDigest {
+    KeyDigest(hex(&Sha256::digest(key.as_bytes())))
+}
+
+/// Hexadecimal digest of a body, bound to the organisation that sent it.
+///
+/// The organisation is part of the digest, so that equal bodies of two organisations never share a
+/// fingerprint, a claim or a cached prefix.
+pub fn body_digest(organisation: &str, body: &[u8]) -> String {
+    let mut hasher = Sha256::new();
+    hasher.update((organisation.len() as u64).to_be_bytes());
+    hasher.update(organisation.as_bytes());
+    hasher.update(body);
+    hex(&hasher.finalize())
+}
+
+fn hex(bytes: &[u8]) -> String {
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        write!(text, "{byte:02x}").expect("writing to a string cannot fail");
+    }
+    text
+}
--- /dev/null
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -0,0 +1,58 @@
+//! Numbered log events.
+//!
+//! Every log line carries the number of its event in the field `event`; `docs/EVENTS.md` explains
+//! each number. Numbers are never reused.
+
+/// Declares the log events, their numbers and one-line meanings.
+macro_rules! log_events {
+    ($($name:ident = $number:literal, $meaning:literal;)*) => {
+        /// A numbered log event.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        #[repr(u16)]
+        pub enum LogEvent {
+            $(#[doc = $meaning] $name = $number,)*
+        }
+
+        impl LogEvent {
+            /// All events in the order of their numbers.
+            pub const ALL: &[Self] = &[$(Self::$name,)*];
+
+            /// Meaning of the event.
+            pub const fn meaning(self) -> &'static str {
+                match self {
+                    $(Self::$name => $meaning,)*
+                }
+            }
+        }
+    };
+}
+
+impl LogEvent {
+    /// Number of the event.
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+log_events! {
+    ProcessStarted = 100, "A process has started and listens.";
+    ShutdownStarted = 101, "A graceful shutdown has started.";
+    ShutdownFinished = 102, "A graceful shutdown has finished.";
+    ShutdownForced = 103, "The shutdown limit passed while work was still running.";
+    ConnectionFailed = 110, "A connection ended with an error.";
+    PeerUnauthorised = 111, "A message without the cluster secret was refused.";
+    PeerVersionRefused = 112, "A message with a newer major protocol version was refused.";
+    DocumentInForce = 200, "A revision of the document is in force at this entry.";
+    SubscriptionLost = 201, "The subscription to a control instance ended; it is reopened after a delay.";
+    StateStale = 202, "The state is older than the freshness lease; keyed work is refused.";
+    RequestFailed = 210, "A request failed; the verdict says whether it may have run.";
+    StreamSilent = 211, "An answer stream was silent for too long; it is resumed on a new connection.";
+    UpstreamAnnounced = 300, "An upstream was announced to the control group.";
+    AnnounceFailed = 301, "An announcement could not be delivered; it is repeated.";
+    AgentSuperseded = 302, "A newer agent for the same upstream exists; this one stops sending.";
+    UpstreamCrashed = 303, "The connection to the upstream broke while requests were running.";
+    LeaderElected = 400, "This control instance became leader.";
+    LeaderResigned = 401, "This control instance is no longer leader.";
+    DocumentAccepted = 410, "A document was committed.";
+    StorageFailed = 420, "The data folder cannot be written; the process stops.";
+}
--- /dev/null
+++ b/crates/oriolecrank-schema/src/protocol.rs
@@ -0,0 +1,72 @@
+//! Version of the protocols between processes.
+
+use std::fmt;
+use std::str::FromStr;
+
+use snafu::{OptionExt, Snafu, ensure};
+
+/// Header that carries the [`ProtocolVersion`] of a message.
+pub const PROTOCOL_HEADER: &str = "x-oriolecrank-protocol";
+
+/// Version of the message formats.
+///
+/// A higher minor version only adds fields, which older receivers ignore.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProtocolVersion {
+    /// Incompatible changes.
+    pub major: u16,
+    /// Compatible additions.
+    pub minor: u16,
+}
+
+/// Version that this build speaks.
+pub const PROTOCOL_VERSION: ProtocolVersion = ProtocolVersion { major: 1, minor: 0 };
+
+/// A version header that is refused.
+#[derive(Debug, Snafu, PartialEq, Eq)]
+pub enum ProtocolError {
+    /// The header is not of the form `major.minor`.
+    #[snafu(display("protocol version {text:?} is not of the form major.minor"))]
+    MalformedVersion {
+        /// Received text.
+        text: String,
+    },
+    /// The peer speaks a newer major version.
+    #[snafu(display(
+        "protocol version {version} is newer than {PROTOCOL_VERSION}; upgrade this instance"
+    ))]
+    NewerMajor {
+        /// Version of the peer.
+        version: ProtocolVersion,
+    },
+}
+
+impl ProtocolVersion {
+    /// Refuses a peer with a newer major version.
+    pub fn check(self) -> Result<(), ProtocolError> {
+        ensure!(
+            self.major <= PROTOCOL_VERSION.major,
+            NewerMajorSnafu { version: self }
+        );
+        Ok(())
+    }
+}
+
+impl fmt::Display for ProtocolVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}", self.major, self.minor)
+    }
+}
+
+impl FromStr for ProtocolVersion {
+    type Err = ProtocolError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (major, minor) = text
+            .split_once('.')
+            .context(MalformedVersionSnafu { text })?;
+        let major = major.parse().ok().context(MalformedVersionSnafu { text })?;
+        let minor = minor.parse().ok().context(MalformedVersionSnafu { text })?;
+        Ok(Self { major, minor })
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-schema/src/time_point.rs
@@ -0,0 +1,37 @@
+//! Points in time.
+
+use std::ops::Add;
+use std::time::Duration;
+
+/// A point in time of one clock, in milliseconds.
+///
+/// Processes use the boot-time clock, which also counts while the machine is suspended; the
+/// replicated state machine uses log time, milliseconds since the epoch. Points of two different
+/// clocks are never compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct TimePoint(u64);
+
+impl TimePoint {
+    /// A point `millis` milliseconds after the clock's origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Milliseconds since the clock's origin.
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// Time since `earlier`, zero if `earlier` is later than `self`.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for TimePoint {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        Self(self.0.saturating_add(duration.as_millis() as u64))
+    }
+}
