Serve requests from caller to upstream through entry, agent and control

Cause: parts built side by side need one running path to be tested on. Change: control instance with one member and a synced log, agent with answer buffer and resume, entry with keys, freshness and retries of requests that have not run, fake engine and ledger, and oriolecrank-local with its self-check.

--- /dev/null
+++ b/crates/oriolecrank-agent/src/options.rs
@@ -0,0 +1,87 @@
+//! Checked settings of an agent.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use oriolecrank_net::ClusterSecret;
+use oriolecrank_net::logging::LogFormat;
+use oriolecrank_net::settings_file::{self, SettingsError, bad_value};
+use oriolecrank_schema::control::UpstreamRole;
+use oriolecrank_schema::settings::{AgentSettings, AgentSettingsKind};
+
+/// Settings of an agent.
+#[derive(Debug, Clone)]
+pub struct AgentOptions {
+    /// Name of the upstream's place, unique.
+    pub upstream: String,
+    /// Region of the upstream.
+    pub region: String,
+    /// Failure domain of the upstream.
+    pub failure_domain: String,
+    /// Address for other processes.
+    pub listen: SocketAddr,
+    /// Address of the operator listener.
+    pub operator_listen: SocketAddr,
+    /// Secret of the cluster.
+    pub secret: ClusterSecret,
+    /// Addresses of control instances; never empty.
+    pub control: Vec<SocketAddr>,
+    /// Service of the upstream.
+    pub service: String,
+    /// Role of the upstream after the start.
+    pub role: UpstreamRole,
+    /// Loaded model, for engines.
+    pub model: Option<String>,
+    /// Version of the model or service.
+    pub version: Option<String>,
+    /// Address of the upstream.
+    pub upstream_address: SocketAddr,
+    /// Engine memory in blocks of about 1,000 tokens; concurrent calls for a plain service.
+    pub capacity_blocks: u64,
+    /// The upstream refuses old fencing numbers itself.
+    pub checks_fencing: bool,
+    /// Longest graceful shutdown.
+    pub shutdown_limit: Duration,
+    /// Format of log lines.
+    pub log_format: LogFormat,
+}
+
+impl TryFrom<AgentSettings> for AgentOptions {
+    type Error = SettingsError;
+
+    fn try_from(settings: AgentSettings) -> Result<Self, SettingsError> {
+        let secret = ClusterSecret::read(settings.secret_file.as_ref())
+            .map_err(|error| bad_value("secret_file", error.to_string()))?;
+        let role = match settings.kind {
+            AgentSettingsKind::Engine => UpstreamRole::Mixed,
+            AgentSettingsKind::Plain => UpstreamRole::Plain,
+        };
+        if role == UpstreamRole::Mixed && settings.model.is_none() {
+            return Err(bad_value("model", "an engine needs the name of its model"));
+        }
+        if settings.capacity_blocks == 0 {
+            return Err(bad_value("capacity_blocks", "must be at least 1"));
+        }
+        Ok(Self {
+            upstream: settings.upstream,
+            region: settings.region,
+            failure_domain: settings.failure_domain,
+            listen: settings_file::address("listen", &settings.listen)?,
+            operator_listen: settings_file::address("operator_listen", &settings.operator_listen)?,
+            secret,
+            control: settings_file::addresses("control", &settings.control)?,
+            service: settings.service,
+            role,
+            model: settings.model,
+            version: settings.version,
+            upstream_address: settings_file::address(
+                "upstream_address",
+                &settings.upstream_address,
+            )?,
+            capacity_blocks: settings.capacity_blocks,
+            checks_fencing: settings.checks_fencing,
+            shutdown_limit: Duration::from_millis(settings.shutdown_ms),
+            log_format: settings.log_format.into(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-agent/src/process.rs
@@ -0,0 +1,171 @@
+//! Start and stop of an agent.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel};
+use oriolecrank_net::{
+    BootClock, ControlClient, HttpClient, OperatorListener, PeerGuard, ReadyFlag, serve,
+};
+use oriolecrank_schema::control::{UpstreamPhase, UpstreamRecord};
+use oriolecrank_schema::event::LogEvent;
+use prometheus_client::registry::Registry;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::time::{interval, sleep, timeout};
+
+use crate::announcer::announce_until_shutdown;
+use crate::options::AgentOptions;
+use crate::run_server::RunServer;
+use crate::upstream_client::HttpUpstream;
+
+/// Interval at which abandoned answers are removed.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval at which a stopping agent checks whether its answers are finished.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(20);
+
+/// An agent that cannot start.
+#[derive(Debug, Snafu)]
+pub enum AgentError {
+    /// An address is not available.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// An agent whose listeners are bound.
+#[derive(Debug)]
+pub struct AgentProcess {
+    options: AgentOptions,
+    listener: TcpListener,
+    operator_listener: TcpListener,
+}
+
+impl AgentProcess {
+    /// Binds the listeners.
+    pub async fn bind(options: AgentOptions) -> Result<Self, AgentError> {
+        let listener = listen(options.listen).await?;
+        let operator_listener = listen(options.operator_listen).await?;
+        Ok(Self {
+            options,
+            listener,
+            operator_listener,
+        })
+    }
+
+    /// Address for other processes.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap_or(self.options.listen)
+    }
+
+    /// Runs until shutdown and until the running answers are finished.
+    pub async fn run(self, mut shutdown: ShutdownSignal) -> Result<(), AgentError> {
+        let address = self.address();
+        let Self {
+            options,
+            listener,
+            operator_listener,
+        } = self;
+        let incarnation = new_incarnation();
+        let guard = PeerGuard::new(options.secret.clone());
+        let ready = ReadyFlag::default();
+        let operator = OperatorListener::new(Registry::default(), ready.clone(), guard.clone());
+        let client = HttpClient::default();
+        let upstream = HttpUpstream::new(client.clone(), options.upstream_address);
+        let server = Arc::new(RunServer::new(guard, upstream, incarnation));
+        let record = record(&options, address, incarnation);
+        let control = ControlClient::new(client, options.secret.clone(), &options.control);
+        tracing::info!(event = LogEvent::ProcessStarted.number(), %address, "agent started");
+        ready.set(true);
+
+        let (stop_serving, serving) = shutdown_channel();
+        let load_server = Arc::clone(&server);
+        let announcing = announce_until_shutdown(
+            control,
+            record,
+            move || load_server.load(),
+            shutdown.clone(),
+        );
+        let stopping = async {
+            shutdown.triggered().await;
+            ready.set(false);
+            server.leave();
+            tracing::info!(event = LogEvent::ShutdownStarted.number(), "agent stops");
+            if timeout(options.shutdown_limit, drained(&server))
+                .await
+                .is_err()
+            {
+                let event = LogEvent::ShutdownForced.number();
+                tracing::warn!(
+                    event,
+                    running = server.table().running(),
+                    "answers were cut off"
+                );
+            }
+            stop_serving.trigger();
+        };
+        let sweeping = async {
+            let mut ticks = interval(SWEEP_INTERVAL);
+            loop {
+                ticks.tick().await;
+                server.table().sweep(BootClock.now());
+            }
+        };
+        let running = async {
+            tokio::join!(
+                serve(listener, Arc::clone(&server), serving.clone()),
+                serve(operator_listener, Arc::new(operator), serving.clone()),
+                announcing,
+                stopping,
+            );
+        };
+        tokio::select! {
+            () = running => {}
+            () = sweeping => {}
+        }
+        Ok(())
+    }
+}
+
+async fn drained(server: &RunServer<HttpUpstream>) {
+    while server.table().running() > 0 {
+        sleep(DRAIN_INTERVAL).await;
+    }
+}
+
+fn record(options: &AgentOptions, address: SocketAddr, incarnation: u64) -> UpstreamRecord {
+    UpstreamRecord {
+        address: address.to_string(),
+        capacity_blocks: options.capacity_blocks,
+        checks_fencing: options.checks_fencing,
+        failure_domain: options.failure_domain.clone().into(),
+        incarnation,
+        model: options.model.clone(),
+        phase: UpstreamPhase::Ready,
+        region: options.region.clone().into(),
+        role: options.role,
+        service: options.service.clone().into(),
+        upstream: options.upstream.clone().into(),
+        version: options.version.clone(),
+    }
+}
+
+/// Start number of this agent: the wall clock in microseconds, so that a later start of the same
+/// place has a larger number.
+fn new_incarnation() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(1, |elapsed| elapsed.as_micros() as u64)
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, AgentError> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
--- /dev/null
+++ b/crates/oriolecrank-agent/src/upstream_client.rs
@@ -0,0 +1,191 @@
+//! Calls to the upstream beside this agent.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Request};
+use http_body_util::{BodyExt, Full};
+use oriolecrank_net::{ClientResponse, HttpClient, SendError};
+use oriolecrank_schema::data_path::{HeaderField, RunVerdict};
+use oriolecrank_schema::document::PriorityClass;
+use snafu::Snafu;
+use tokio::time::timeout;
+
+/// Header that passes the priority class to the engine: 0 is the most urgent.
+const PRIORITY_HEADER: HeaderName = HeaderName::from_static("x-priority");
+
+/// Header that tells the engine how many output tokens were already delivered.
+const RESUME_HEADER: HeaderName = HeaderName::from_static("x-resume-tokens");
+
+/// Longest silence of an upstream in the middle of an answer. Engines send no heartbeats, and a
+/// long prefill sends nothing, so the bound is far above the time between two tokens.
+const UPSTREAM_SILENCE: Duration = Duration::from_secs(10);
+
+/// One call to the upstream.
+#[derive(Debug, Clone)]
+pub struct UpstreamCall {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Cleaned header fields.
+    pub headers: Vec<HeaderField>,
+    /// Priority class.
+    pub class: PriorityClass,
+    /// Output tokens that an earlier attempt has already delivered.
+    pub resume_tokens: u64,
+    /// Longest wait for the head of the answer.
+    pub bound: Duration,
+}
+
+/// A call that failed.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// The request cannot be expressed in HTTP.
+    #[snafu(display("the request is not valid HTTP"))]
+    BadRequest,
+    /// The upstream gave no answer.
+    #[snafu(transparent)]
+    Send {
+        /// Cause.
+        source: SendError,
+    },
+    /// The connection broke in the middle of the answer.
+    #[snafu(display("the upstream closed the connection before the end of the answer"))]
+    Broken,
+    /// The upstream sent nothing for too long.
+    #[snafu(display("the upstream sent nothing for {} s", UPSTREAM_SILENCE.as_secs()))]
+    Silent,
+}
+
+impl CallError {
+    /// Whether the call may have run.
+    pub const fn verdict(&self) -> RunVerdict {
+        match self {
+            Self::BadRequest => RunVerdict::NotRun,
+            Self::Send { source } => source.verdict(),
+            Self::Broken | Self::Silent => RunVerdict::MayHaveRun,
+        }
+    }
+}
+
+/// Answer of an upstream while it arrives.
+pub trait UpstreamAnswer: Send + 'static {
+    /// HTTP status.
+    fn status(&self) -> u16;
+
+    /// Header fields.
+    fn headers(&self) -> Vec<HeaderField>;
+
+    /// Next bytes of the body; `None` at its end.
+    fn next(&mut self) -> impl Future<Output = Result<Option<Bytes>, CallError>> + Send;
+}
+
+/// Interface to an upstream. Another format of engines is adapted by another implementation.
+pub trait UpstreamClient: Send + Sync + 'static {
+    /// Answer type.
+    type Answer: UpstreamAnswer;
+
+    /// Starts a call.
+    fn call(
+        &self,
+        call: &UpstreamCall,
+        body: Bytes,
+    ) -> impl Future<Output = Result<Self::Answer, CallError>> + Send;
+}
+
+/// An upstream that speaks HTTP/1.1.
+#[derive(Debug, Clone)]
+pub struct HttpUpstream {
+    client: HttpClient,
+    address: SocketAddr,
+}
+
+impl HttpUpstream {
+    /// The upstream at `address`.
+    pub const fn new(client: HttpClient, address: SocketAddr) -> Self {
+        Self { client, address }
+    }
+}
+
+impl UpstreamClient for HttpUpstream {
+    type Answer = HttpAnswer;
+
+    async fn call(&self, call: &UpstreamCall, body: Bytes) -> Result<HttpAnswer, CallError> {
+        let Some(request) = http_request(call, self.address, body) else {
+            return BadRequestSnafu.fail();
+        };
+        let response = self.client.send(self.address, request, call.bound).await?;
+        Ok(HttpAnswer(response))
+    }
+}
+
+fn http_request(
+    call: &UpstreamCall,
+    address: SocketAddr,
+    body: Bytes,
+) -> Option<Request<Full<Bytes>>> {
+    let mut builder = Request::builder()
+        .method(call.method.as_str())
+        .uri(call.target.as_str())
+        .header(http::header::HOST, address.to_string())
+        .header(PRIORITY_HEADER, priority_number(call.class));
+    if call.resume_tokens > 0 {
+        builder = builder.header(RESUME_HEADER, call.resume_tokens);
+    }
+    for field in &call.headers {
+        builder = builder.header(
+            field.name.as_str(),
+            HeaderValue::from_str(&field.value).ok()?,
+        );
+    }
+    builder.body(Full::new(body)).ok()
+}
+
+const fn priority_number(class: PriorityClass) -> u16 {
+    match class {
+        PriorityClass::Urgent => 0,
+        PriorityClass::Standard => 1,
+        PriorityClass::Bulk => 2,
+    }
+}
+
+/// Answer of an [`HttpUpstream`].
+#[derive(Debug)]
+pub struct HttpAnswer(ClientResponse);
+
+impl UpstreamAnswer for HttpAnswer {
+    fn status(&self) -> u16 {
+        self.0.status().as_u16()
+    }
+
+    fn headers(&self) -> Vec<HeaderField> {
+        let fields = self.0.headers().iter().filter_map(|(name, value)| {
+            let value = value.to_str().ok()?.to_owned();
+            Some(HeaderField {
+                name: name.as_str().to_owned(),
+                value,
+            })
+        });
+        fields.collect()
+    }
+
+    async fn next(&mut self) -> Result<Option<Bytes>, CallError> {
+        loop {
+            let Ok(frame) = timeout(UPSTREAM_SILENCE, self.0.body_mut().frame()).await else {
+                return SilentSnafu.fail();
+            };
+            match frame {
+                None => return Ok(None),
+                Some(Err(_)) => return BrokenSnafu.fail(),
+                // Trailers carry nothing that callers need.
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-control/src/process.rs
@@ -0,0 +1,88 @@
+//! Start and stop of a control instance.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use oriolecrank_net::shutdown::ShutdownSignal;
+use oriolecrank_net::{OperatorListener, PeerGuard, ReadyFlag, serve};
+use oriolecrank_schema::event::LogEvent;
+use prometheus_client::registry::Registry;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+
+use crate::local_log::LocalLog;
+use crate::local_state::LocalState;
+use crate::options::ControlOptions;
+use crate::request_server::{CommandStore, RequestServer};
+
+/// A control instance that cannot start.
+#[derive(Debug, Snafu)]
+pub enum ControlError {
+    /// An address is not available.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The data folder cannot be used.
+    #[snafu(display("cannot use the data folder: {source}"))]
+    Storage {
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// A control instance whose listeners are bound.
+#[derive(Debug)]
+pub struct ControlProcess {
+    options: ControlOptions,
+    listener: TcpListener,
+    operator_listener: TcpListener,
+}
+
+impl ControlProcess {
+    /// Binds the listeners.
+    pub async fn bind(options: ControlOptions) -> Result<Self, ControlError> {
+        let listener = listen(options.listen).await?;
+        let operator_listener = listen(options.operator_listen).await?;
+        Ok(Self {
+            options,
+            listener,
+            operator_listener,
+        })
+    }
+
+    /// Address for other processes.
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap_or(self.options.listen)
+    }
+
+    /// Runs until shutdown.
+    pub async fn run(self, shutdown: ShutdownSignal) -> Result<(), ControlError> {
+        let address = self.address();
+        let (log, commands) = LocalLog::open(&self.options.data_folder).context(StorageSnafu)?;
+        let mut state = LocalState::default();
+        for logged in &commands {
+            state.apply(&logged.command);
+        }
+        let guard = PeerGuard::new(self.options.secret.clone());
+        let ready = ReadyFlag::default();
+        let operator = OperatorListener::new(Registry::default(), ready.clone(), guard.clone());
+        let server = RequestServer::new(guard, CommandStore { log, state });
+        tracing::info!(event = LogEvent::ProcessStarted.number(), %address, "control started");
+        ready.set(true);
+        tokio::join!(
+            serve(self.listener, Arc::new(server), shutdown.clone()),
+            serve(self.operator_listener, Arc::new(operator), shutdown),
+        );
+        Ok(())
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, ControlError> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
--- /dev/null
+++ b/crates/oriolecrank-fakes/src/fake_engine.rs
@@ -0,0 +1,303 @@
+//! A fake model engine.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use oriolecrank_net::{
+    AnswerBody, BodyAborted, BodySender, HttpHandler, empty_answer, read_body, text_answer,
+};
+use serde::Deserialize;
+use serde_json::json;
+use tokio::time::sleep;
+
+/// Largest request body, in bytes.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Output tokens when the request states no limit.
+const DEFAULT_TOKENS: u64 = 16;
+
+/// A prompt with this text crashes the engine if [`EngineFaults::crash_on_marker`] is set.
+pub const CRASH_MARKER: &str = "crash-the-engine";
+
+/// Times of a [`FakeEngine`].
+#[derive(Debug, Clone)]
+pub struct EngineOptions {
+    /// Time to the first token.
+    pub first_token: Duration,
+    /// Time between two tokens.
+    pub between_tokens: Duration,
+}
+
+impl Default for EngineOptions {
+    fn default() -> Self {
+        Self {
+            first_token: Duration::from_millis(5),
+            between_tokens: Duration::from_millis(2),
+        }
+    }
+}
+
+/// Faults that can be switched on and off.
+#[derive(Debug, Default)]
+pub struct EngineFaults {
+    /// Requests whose prompt holds the [`CRASH_MARKER`] break all running answers, as a crash of
+    /// the engine process does.
+    pub crash_on_marker: AtomicBool,
+    /// Number of tokens after which a streamed answer breaks off; 0 switches the fault off.
+    pub break_after_tokens: AtomicU64,
+    /// Number of tokens after which a streamed answer goes silent for good; 0 switches it off.
+    pub silent_after_tokens: AtomicU64,
+    /// Streamed answers end without their end marker.
+    pub omit_end_marker: AtomicBool,
+}
+
+/// A fake engine that answers deterministic text; see [`expected_text`].
+#[derive(Debug, Clone, Default)]
+pub struct FakeEngine {
+    shared: Arc<EngineState>,
+}
+
+#[derive(Debug, Default)]
+struct EngineState {
+    options: EngineOptions,
+    faults: EngineFaults,
+    /// Rises with each crash; running answers compare it with the value at their start.
+    crashes: AtomicU32,
+    calls: AtomicU32,
+    headers: Mutex<Vec<HeaderMap>>,
+}
+
+#[derive(Debug, Deserialize)]
+struct CompletionBody {
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    messages: serde_json::Value,
+    #[serde(default)]
+    prompt: serde_json::Value,
+}
+
+impl CompletionBody {
+    fn text(&self) -> String {
+        match (&self.prompt, &self.messages) {
+            (serde_json::Value::String(text), _) => text.clone(),
+            (_, messages) => {
+                let last = messages.as_array().and_then(|list| list.last());
+                last.and_then(|item| item["content"].as_str())
+                    .unwrap_or_default()
+                    .to_owned()
+            }
+        }
+    }
+}
+
+/// Text that the engine answers to a prompt, so that a test can check that an answer is whole and
+/// belongs to its request.
+pub fn expected_text(prompt: &str, tokens: u64) -> String {
+    (0..tokens).map(|index| token(prompt, index)).collect()
+}
+
+fn token(prompt: &str, index: u64) -> String {
+    let sum = prompt.bytes().fold(0_u32, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(byte.into())
+    });
+    format!("{sum:08x}-{index} ")
+}
+
+impl FakeEngine {
+    /// An engine with the given times.
+    pub fn new(options: EngineOptions) -> Self {
+        Self {
+            shared: Arc::new(EngineState {
+                options,
+                ..EngineState::default()
+            }),
+        }
+    }
+
+    /// Faults of this engine.
+    pub fn faults(&self) -> &EngineFaults {
+        &self.shared.faults
+    }
+
+    /// Number of completions that were started.
+    pub fn calls(&self) -> u32 {
+        self.shared.calls.load(Ordering::SeqCst)
+    }
+
+    /// Number of crashes.
+    pub fn crashes(&self) -> u32 {
+        self.shared.crashes.load(Ordering::SeqCst)
+    }
+
+    /// Header fields of all requests.
+    pub fn seen_headers(&self) -> Vec<HeaderMap> {
+        self.shared
+            .headers
+            .lock()
+            .expect("no holder of the header lock panics")
+            .clone()
+    }
+
+    /// Breaks all running answers, as a crash of the engine process does.
+    pub fn crash(&self) {
+        self.shared.crashes.fetch_add(1, Ordering::SeqCst);
+    }
+
+    fn record_headers(&self, headers: &HeaderMap) {
+        let mut seen = self
+            .shared
+            .headers
+            .lock()
+            .expect("no holder of the header lock panics");
+        seen.push(headers.clone());
+    }
+
+    async fn complete(&self, headers: &HeaderMap, body: Bytes) -> Response<AnswerBody> {
+        let Ok(prompt) = serde_json::from_slice::<CompletionBody>(&body) else {
+            return text_answer(
+                StatusCode::BAD_REQUEST,
+                "not a completion request".to_owned(),
+            );
+        };
+        let resume = headers
+            .get("x-resume-tokens")
+            .and_then(|value| value.to_str().ok());
+        let first = resume.and_then(|text| text.parse().ok()).unwrap_or(0);
+        let text = prompt.text();
+        if text.contains(CRASH_MARKER) && self.shared.faults.crash_on_marker.load(Ordering::SeqCst)
+        {
+            self.crash();
+            let (sender, body) = AnswerBody::stream();
+            // The receiver may already be gone.
+            let _ = sender.send(Err(BodyAborted)).await;
+            return Response::new(body);
+        }
+        let tokens = prompt.max_tokens.unwrap_or(DEFAULT_TOKENS);
+        let prompt_tokens = (text.len() as u64).div_ceil(4);
+        let usage = json!({ "prompt_tokens": prompt_tokens, "completion_tokens": tokens });
+        if prompt.stream {
+            let (sender, body) = AnswerBody::stream();
+            let run = EngineRun {
+                text,
+                first,
+                tokens,
+                usage: usage.to_string(),
+            };
+            tokio::spawn(run.send(Arc::clone(&self.shared), sender));
+            return with_type(Response::new(body), "text/event-stream");
+        }
+        self.whole_answer(&text, tokens, &usage).await
+    }
+
+    async fn whole_answer(
+        &self,
+        text: &str,
+        tokens: u64,
+        usage: &serde_json::Value,
+    ) -> Response<AnswerBody> {
+        let crashes = self.crashes();
+        let options = &self.shared.options;
+        sleep(options.first_token + options.between_tokens * tokens as u32).await;
+        if self.crashes() != crashes {
+            let (sender, body) = AnswerBody::stream();
+            // The receiver may already be gone.
+            let _ = sender.send(Err(BodyAborted)).await;
+            return Response::new(body);
+        }
+        let message = json!({ "role": "assistant", "content": expected_text(text, tokens) });
+        let answer = json!({
+            "object": "chat.completion",
+            "choices": [{ "index": 0, "message": message, "finish_reason": "stop" }],
+            "usage": usage,
+        });
+        let response = Response::new(AnswerBody::full(answer.to_string()));
+        with_type(response, "application/json")
+    }
+}
+
+/// One streamed answer.
+#[derive(Debug)]
+struct EngineRun {
+    text: String,
+    first: u64,
+    tokens: u64,
+    usage: String,
+}
+
+impl EngineRun {
+    async fn send(self, state: Arc<EngineState>, sender: BodySender) {
+        let crashes = state.crashes.load(Ordering::SeqCst);
+        sleep(state.options.first_token).await;
+        for index in self.first..self.tokens {
+            let sent = index - self.first;
+            if state.crashes.load(Ordering::SeqCst) != crashes
+                || reached(&state.faults.break_after_tokens, sent)
+            {
+                // The receiver may already be gone.
+                let _ = sender.send(Err(BodyAborted)).await;
+                return;
+            }
+            if reached(&state.faults.silent_after_tokens, sent) {
+                sender.closed().await;
+                return;
+            }
+            let delta = json!({ "content": token(&self.text, index) });
+            let event = json!({ "choices": [{ "index": 0, "delta": delta }] });
+            if sender
+                .send(Ok(format!("data: {event}\n\n").into()))
+                .await
+                .is_err()
+            {
+                return;
+            }
+            sleep(state.options.between_tokens).await;
+        }
+        if state.faults.omit_end_marker.load(Ordering::SeqCst) {
+            return;
+        }
+        let usage = format!("data: {{\"choices\":[],\"usage\":{}}}\n\n", self.usage);
+        // Errors mean that the receiver is gone.
+        let _ = sender.send(Ok(usage.into())).await;
+        let _ = sender
+            .send(Ok(Bytes::from_static(b"data: [DONE]\n\n")))
+            .await;
+    }
+}
+
+fn reached(limit: &AtomicU64, sent: u64) -> bool {
+    let limit = limit.load(Ordering::SeqCst);
+    limit > 0 && sent >= limit
+}
+
+fn with_type(mut response: Response<AnswerBody>, name: &'static str) -> Response<AnswerBody> {
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(name));
+    response
+}
+
+impl HttpHandler for FakeEngine {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
+        let (head, body) = request.into_parts();
+        match head.uri.path() {
+            "/health" => empty_answer(StatusCode::OK),
+            "/v1/chat/completions" | "/v1/completions" => {
+                self.shared.calls.fetch_add(1, Ordering::SeqCst);
+                self.record_headers(&head.headers);
+                let Some(body) = read_body(body, MAX_BODY_BYTES).await else {
+                    return empty_answer(StatusCode::PAYLOAD_TOO_LARGE);
+                };
+                self.complete(&head.headers, body).await
+            }
+            _ => empty_answer(StatusCode::NOT_FOUND),
+        }
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-local/src/local_cluster.rs
@@ -0,0 +1,349 @@
+//! A small cluster in one process.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriolecrank_agent::{AgentError, AgentOptions, AgentProcess};
+use oriolecrank_control::{ControlError, ControlOptions, ControlProcess};
+use oriolecrank_entry::{EntryError, EntryOptions, EntryProcess};
+use oriolecrank_fakes::{EngineOptions, FakeEngine, FakeLedger};
+use oriolecrank_net::logging::LogFormat;
+use oriolecrank_net::shutdown::{ShutdownSignal, ShutdownTrigger, shutdown_channel};
+use oriolecrank_net::{ClusterSecret, ControlClient, HttpClient, HttpHandler, serve};
+use oriolecrank_schema::control::{Command, CommandOutcome, UpstreamRole};
+use oriolecrank_schema::digest::key_digest;
+use oriolecrank_schema::document::{
+    ConfigDocument, KeyConfig, OrganisationConfig, PriorityClass, RegionConfig, RouteConfig,
+    ServiceConfig, ServiceKind,
+};
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+/// Key of the demo organisation.
+pub const LOCAL_KEY: &str = "local-demo-key";
+
+/// Region and failure domain of the local cluster.
+const LOCAL_PLACE: &str = "local";
+
+/// Longest wait for the first document to be accepted.
+const SUBMIT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A local cluster that cannot start.
+#[derive(Debug, Snafu)]
+pub enum LocalError {
+    /// An address is not available.
+    #[snafu(display("cannot listen: {source}"))]
+    Listen {
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The control instance cannot start.
+    #[snafu(transparent)]
+    Control {
+        /// Cause.
+        source: ControlError,
+    },
+    /// An agent cannot start.
+    #[snafu(transparent)]
+    Agent {
+        /// Cause.
+        source: AgentError,
+    },
+    /// The entry cannot start.
+    #[snafu(transparent)]
+    Entry {
+        /// Cause.
+        source: EntryError,
+    },
+    /// The first document was not accepted.
+    #[snafu(display("the document was not accepted: {reason}"))]
+    Document {
+        /// What happened instead.
+        reason: String,
+    },
+}
+
+/// Settings of a [`LocalCluster`].
+#[derive(Debug, Clone)]
+pub struct LocalOptions {
+    /// Folder for the control instance.
+    pub data_folder: PathBuf,
+    /// Address for callers.
+    pub caller_listen: SocketAddr,
+    /// Number of engines.
+    pub engines: u32,
+    /// Times of the engines.
+    pub engine: EngineOptions,
+}
+
+impl Default for LocalOptions {
+    fn default() -> Self {
+        Self {
+            data_folder: PathBuf::from("oriolecrank-data"),
+            caller_listen: loopback(),
+            engines: 2,
+            engine: EngineOptions::default(),
+        }
+    }
+}
+
+/// Running processes and their fakes.
+#[derive(Debug)]
+pub struct LocalCluster {
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Client of the control instance.
+    pub control: ControlClient,
+    /// Fake engines.
+    pub engines: Vec<FakeEngine>,
+    /// Fake plain service.
+    pub ledger: FakeLedger,
+    trigger: ShutdownTrigger,
+    tasks: JoinSet<()>,
+}
+
+impl LocalCluster {
+    /// Starts everything and submits the demo document.
+    pub async fn start(options: LocalOptions) -> Result<Self, LocalError> {
+        let secret = ClusterSecret::new("local-cluster-secret").expect("the secret is long enough");
+        let (trigger, signal) = shutdown_channel();
+        let mut tasks = JoinSet::new();
+
+        let control_options = control_options(&options.data_folder, &secret);
+        let process = ControlProcess::bind(control_options).await?;
+        let control_address = process.address();
+        let running = process.run(signal.clone());
+        tasks.spawn(async move { log_failure(running.await) });
+
+        let mut starter = AgentStarter {
+            secret: secret.clone(),
+            control_address,
+            signal: signal.clone(),
+        };
+        let mut engines = Vec::new();
+        for number in 1..=options.engines {
+            let engine = FakeEngine::new(options.engine.clone());
+            let name = format!("engine-{number}");
+            starter
+                .start(
+                    &mut tasks,
+                    engine.clone(),
+                    &name,
+                    "assistant",
+                    UpstreamRole::Mixed,
+                )
+                .await?;
+            engines.push(engine);
+        }
+        let ledger = FakeLedger::default();
+        starter
+            .start(
+                &mut tasks,
+                ledger.clone(),
+                "ledger-1",
+                "ledger",
+                UpstreamRole::Plain,
+            )
+            .await?;
+
+        let entry_options = entry_options(&options, &secret, control_address);
+        let entry = EntryProcess::bind(entry_options).await?;
+        let caller_address = entry.address();
+        let running = entry.run(signal);
+        tasks.spawn(async move { log_failure(running.await) });
+
+        let control = ControlClient::new(HttpClient::default(), secret, &[control_address]);
+        submit(&control, local_document()).await?;
+        Ok(Self {
+            caller_address,
+            control,
+            engines,
+            ledger,
+            trigger,
+            tasks,
+        })
+    }
+
+    /// Stops everything gracefully.
+    pub async fn stop(mut self) {
+        self.trigger.trigger();
+        while self.tasks.join_next().await.is_some() {}
+    }
+}
+
+/// Starts agents and the fakes behind them.
+#[derive(Debug)]
+struct AgentStarter {
+    secret: ClusterSecret,
+    control_address: SocketAddr,
+    signal: ShutdownSignal,
+}
+
+impl AgentStarter {
+    async fn start<H: HttpHandler>(
+        &mut self,
+        tasks: &mut JoinSet<()>,
+        upstream: H,
+        name: &str,
+        service: &str,
+        role: UpstreamRole,
+    ) -> Result<(), LocalError> {
+        let listener = TcpListener::bind(loopback()).await.context(ListenSnafu)?;
+        let upstream_address = listener.local_addr().context(ListenSnafu)?;
+        tasks.spawn(serve(listener, Arc::new(upstream), self.signal.clone()));
+        let options = AgentOptions {
+            upstream: name.to_owned(),
+            region: LOCAL_PLACE.to_owned(),
+            failure_domain: LOCAL_PLACE.to_owned(),
+            listen: loopback(),
+            operator_listen: loopback(),
+            secret: self.secret.clone(),
+            control: vec![self.control_address],
+            service: service.to_owned(),
+            role,
+            model: (role == UpstreamRole::Mixed).then(|| "demo".to_owned()),
+            version: None,
+            upstream_address,
+            capacity_blocks: 256,
+            checks_fencing: false,
+            shutdown_limit: Duration::from_secs(10),
+            log_format: LogFormat::Text,
+        };
+        let running = AgentProcess::bind(options).await?.run(self.signal.clone());
+        tasks.spawn(async move { log_failure(running.await) });
+        Ok(())
+    }
+}
+
+fn control_options(folder: &Path, secret: &ClusterSecret) -> ControlOptions {
+    ControlOptions {
+        cluster: LOCAL_PLACE.to_owned(),
+        instance: "control-1".to_owned(),
+        listen: loopback(),
+        operator_listen: loopback(),
+        secret: secret.clone(),
+        data_folder: folder.to_owned(),
+        members: Vec::new(),
+        platform: None,
+        usage: None,
+        shutdown_limit: Duration::from_secs(10),
+        log_format: LogFormat::Text,
+    }
+}
+
+fn entry_options(
+    options: &LocalOptions,
+    secret: &ClusterSecret,
+    control_address: SocketAddr,
+) -> EntryOptions {
+    EntryOptions {
+        name: "entry-1".to_owned(),
+        region: LOCAL_PLACE.to_owned(),
+        failure_domain: LOCAL_PLACE.to_owned(),
+        caller_listen: options.caller_listen,
+        operator_listen: loopback(),
+        secret: secret.clone(),
+        control: vec![control_address],
+        freshness_lease: Duration::from_secs(3),
+        max_body_bytes: 4 * 1024 * 1024,
+        shutdown_limit: Duration::from_secs(10),
+        log_format: LogFormat::Text,
+    }
+}
+
+/// Document of the local cluster.
+pub fn local_document() -> ConfigDocument {
+    let key = KeyConfig {
+        digest: key_digest(LOCAL_KEY),
+        name: "demo".to_owned(),
+    };
+    let organisation = OrganisationConfig {
+        keys: vec![key],
+        limits: Vec::new(),
+        name: "demo".to_owned().into(),
+        services: Vec::new(),
+        weight: 1,
+    };
+    let assistant = ServiceConfig {
+        budget: None,
+        class: PriorityClass::Standard,
+        deadline_ms: 30_000,
+        kind: ServiceKind::Engine,
+        models: vec!["demo".to_owned()],
+        name: "assistant".to_owned().into(),
+        routes: Vec::new(),
+    };
+    let ledger = ServiceConfig {
+        kind: ServiceKind::Plain,
+        models: Vec::new(),
+        name: "ledger".to_owned().into(),
+        routes: vec![
+            route("/entries", "POST"),
+            RouteConfig {
+                idempotent: true,
+                ..route("/status", "GET")
+            },
+        ],
+        ..assistant.clone()
+    };
+    let region = RegionConfig {
+        failure_domains: vec![LOCAL_PLACE.to_owned().into()],
+        name: LOCAL_PLACE.to_owned().into(),
+    };
+    ConfigDocument {
+        budget: None,
+        organisations: vec![organisation],
+        regions: vec![region],
+        services: vec![assistant, ledger],
+        usage_window_s: 60,
+    }
+}
+
+fn route(path: &str, method: &str) -> RouteConfig {
+    RouteConfig {
+        class: PriorityClass::Standard,
+        coalesce: false,
+        deadline_ms: None,
+        idempotent: false,
+        methods: vec![method.to_owned()],
+        open: false,
+        path: path.to_owned(),
+    }
+}
+
+async fn submit(control: &ControlClient, document: ConfigDocument) -> Result<(), LocalError> {
+    let command = Command::Submit {
+        base_revision: 0,
+        document,
+        operator: "local".to_owned(),
+        origin: "local".to_owned(),
+        request_id: "local-document".to_owned(),
+    };
+    match control.command(&command, SUBMIT_TIMEOUT).await {
+        // A conflict means that the data folder holds a document of an earlier start.
+        Ok(CommandOutcome::DocumentAccepted { .. } | CommandOutcome::DocumentConflict { .. }) => {
+            Ok(())
+        }
+        Ok(outcome) => DocumentSnafu {
+            reason: format!("{outcome:?}"),
+        }
+        .fail(),
+        Err(error) => DocumentSnafu {
+            reason: error.to_string(),
+        }
+        .fail(),
+    }
+}
+
+fn log_failure<E: std::fmt::Display>(result: Result<(), E>) {
+    if let Err(error) = result {
+        tracing::error!(%error, "a process of the local cluster failed");
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
--- /dev/null
+++ b/crates/oriolecrank-local/src/self_check.rs
@@ -0,0 +1,204 @@
+//! Requests of a caller that show that everything works.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use oriolecrank_fakes::expected_text;
+use oriolecrank_net::HttpClient;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep};
+
+use crate::local_cluster::{LOCAL_KEY, LocalCluster};
+
+/// Longest wait for one answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Longest wait until the cluster takes requests.
+const START_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Wait between two attempts while the cluster starts.
+const START_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Largest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+/// Output tokens of the completions.
+const TOKENS: u64 = 12;
+
+/// Result of one check.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CheckResult {
+    /// What was checked.
+    pub name: &'static str,
+    /// What was wrong; `None` if the check passed.
+    pub failure: Option<String>,
+}
+
+impl fmt::Display for CheckResult {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.failure {
+            None => write!(formatter, "ok      {}", self.name),
+            Some(failure) => write!(formatter, "FAILED  {}: {failure}", self.name),
+        }
+    }
+}
+
+/// A received answer.
+#[derive(Debug)]
+struct ReceivedAnswer {
+    status: StatusCode,
+    body: String,
+}
+
+/// Sends requests to the cluster and checks the answers.
+pub async fn self_check(cluster: &LocalCluster) -> Vec<CheckResult> {
+    let caller = Caller {
+        client: HttpClient::default(),
+        address: cluster.caller_address,
+    };
+    let mut results = vec![check("cluster is ready", caller.wait_ready().await)];
+    results.push(check("answer in one piece", caller.check_whole().await));
+    results.push(check("streamed answer", caller.check_streamed().await));
+    results.push(check(
+        "invalid key is refused",
+        caller.check_invalid_key().await,
+    ));
+    results.push(check(
+        "non-idempotent call",
+        caller.check_entry(cluster).await,
+    ));
+    results
+}
+
+fn check(name: &'static str, result: Result<(), String>) -> CheckResult {
+    CheckResult {
+        name,
+        failure: result.err(),
+    }
+}
+
+#[derive(Debug)]
+struct Caller {
+    client: HttpClient,
+    address: SocketAddr,
+}
+
+impl Caller {
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        key: &str,
+        body: String,
+    ) -> Result<ReceivedAnswer, String> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.address.to_string())
+            .header(AUTHORIZATION, format!("Bearer {key}"))
+            .header(CONTENT_TYPE, "application/json")
+            .header("idempotency-key", "self-check-1")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| error.to_string())?;
+        let response = self
+            .client
+            .send(self.address, request, ANSWER_TIMEOUT)
+            .await;
+        let response = response.map_err(|error| error.to_string())?;
+        let status = response.status();
+        let bytes = response.collect(MAX_ANSWER_BYTES, ANSWER_TIMEOUT).await;
+        let bytes = bytes.map_err(|error| error.to_string())?;
+        Ok(ReceivedAnswer {
+            status,
+            body: String::from_utf8_lossy(&bytes).into_owned(),
+        })
+    }
+
+    async fn complete(&self, prompt: &str, stream: bool) -> Result<ReceivedAnswer, String> {
+        let messages = json!([{ "role": "user", "content": prompt }]);
+        let body = json!({
+            "model": "demo", "messages": messages, "stream": stream, "max_tokens": TOKENS,
+        });
+        self.send(
+            Method::POST,
+            "/v1/chat/completions",
+            LOCAL_KEY,
+            body.to_string(),
+        )
+        .await
+    }
+
+    async fn wait_ready(&self) -> Result<(), String> {
+        let deadline = Instant::now() + START_TIMEOUT;
+        loop {
+            let answer = self.complete("hello", false).await?;
+            if answer.status == StatusCode::OK {
+                return Ok(());
+            }
+            if Instant::now() > deadline {
+                return Err(format!("status {}: {}", answer.status, answer.body));
+            }
+            sleep(START_INTERVAL).await;
+        }
+    }
+
+    async fn check_whole(&self) -> Result<(), String> {
+        let answer = self.complete("whole", false).await?;
+        let json: Value = serde_json::from_str(&answer.body).map_err(|error| error.to_string())?;
+        let text = json["choices"][0]["message"]["content"]
+            .as_str()
+            .unwrap_or_default();
+        expect_equal(text, &expected_text("whole", TOKENS))
+    }
+
+    async fn check_streamed(&self) -> Result<(), String> {
+        let answer = self.complete("streamed", true).await?;
+        if !answer.body.trim_end().ends_with("data: [DONE]") {
+            return Err(format!("the end marker is missing: {}", answer.body));
+        }
+        let events = answer
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: {"));
+        let values = events.filter_map(|event| serde_json::from_str(&format!("{{{event}")).ok());
+        let parts = values.filter_map(|value: Value| {
+            Some(value["choices"][0]["delta"]["content"].as_str()?.to_owned())
+        });
+        expect_equal(
+            &parts.collect::<String>(),
+            &expected_text("streamed", TOKENS),
+        )
+    }
+
+    async fn check_invalid_key(&self) -> Result<(), String> {
+        let answer = self
+            .send(Method::GET, "/v1/models", "wrong", String::new())
+            .await?;
+        expect_equal(answer.status.as_str(), StatusCode::UNAUTHORIZED.as_str())
+    }
+
+    async fn check_entry(&self, cluster: &LocalCluster) -> Result<(), String> {
+        let before = cluster.ledger.entries().len();
+        let body = json!({ "animal": "T-17", "grams": 812 }).to_string();
+        let answer = self
+            .send(Method::POST, "/services/ledger/entries", LOCAL_KEY, body)
+            .await?;
+        expect_equal(answer.status.as_str(), StatusCode::CREATED.as_str())?;
+        expect_equal(
+            &cluster.ledger.entries().len().to_string(),
+            &(before + 1).to_string(),
+        )
+    }
+}
+
+fn expect_equal(actual: &str, expected: &str) -> Result<(), String> {
+    if actual == expected {
+        return Ok(());
+    }
+    Err(format!("expected {expected:?}, got {actual:?}"))
+}
--- a/crates/oriolecrank-net/src/lib.rs
+++ b/crates/oriolecrank-net/src/lib.rs
@@ -18,6 +18,7 @@
 mod http_server;
 pub mod logging;
 mod operator_listener;
+mod process_main;
 pub mod settings_file;
 pub mod shutdown;
 
@@ -31,3 +32,4 @@
     HttpHandler, PeerGuard, empty_answer, message_answer, read_body, serve, text_answer,
 };
 pub use operator_listener::{OperatorListener, ReadyFlag};
+pub use process_main::{ProcessArguments, run_process};
--- a/crates/oriolecrank-net/src/settings_file.rs
+++ b/crates/oriolecrank-net/src/settings_file.rs
@@ -61,3 +61,11 @@
     }
     .build()
 }
+
+/// Parses a list of at least one address.
+pub fn addresses(key: &'static str, texts: &[String]) -> Result<Vec<SocketAddr>, SettingsError> {
+    if texts.is_empty() {
+        return Err(bad_value(key, "needs at least one address"));
+    }
+    texts.iter().map(|text| address(key, text)).collect()
+}
