Add header cleaning, answer assembly, answer buffer and freshness lease

Cause: entry and agent need the checks of request heads and answer streams as pure functions. Change: header_cleaning finds one key, refuses unsafe heads and removes keys, hop-by-hop and internal fields; answer_assembly checks each frame and states the verdict; answer_buffer keeps unacknowledged bytes within a bound; freshness counts the lease from ping send times. Conclusion: the processes can be built on these modules.

--- /dev/null
+++ b/crates/oriolecrank-policy/src/header_cleaning.rs
@@ -0,0 +1,627 @@
+//! Checks and cleaning of a caller's header fields and target.
+//!
+//! [`check_request`] refuses shapes that two HTTP parsers may read differently, enforces size
+//! bounds and finds the caller's key. [`CheckedRequest::clean`] then produces what may go to an
+//! upstream: no key, no hop-by-hop field and none of this system's own headers.
+
+use std::borrow::Cow;
+use std::fmt;
+
+use http::header::HeaderName;
+use snafu::{OptionExt, Snafu, ensure};
+
+/// Prefix of this system's own headers.
+const INTERNAL_PREFIX: &str = "x-oriolecrank-";
+
+/// Fields that concern one connection only (RFC 9110, section 7.6.1), and `expect`, which the
+/// entry has answered itself.
+const HOP_BY_HOP: [&str; 11] = [
+    "connection",
+    "expect",
+    "http2-settings",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Fields that the agent sets itself when it sends the request.
+const SET_BY_AGENT: [&str; 2] = ["content-length", "host"];
+
+/// Fields that may carry credentials; dropped whatever they contain.
+const CREDENTIAL_FIELDS: [&str; 8] = [
+    "api-key",
+    "authorization",
+    "proxy-authorization",
+    "x-api-key",
+    "x-auth-token",
+    "x-forwarded-authorization",
+    "x-original-authorization",
+    "x-proxy-authorization",
+];
+
+/// Names of cookies and query parameters that may carry the key, with `_` written as `-`.
+const KEY_PARAMETERS: [&str; 3] = ["api-key", "authorization", "x-api-key"];
+
+/// Fields that `Connection` must not name, because removing them changes the framing or the route.
+const NOT_HOP_BY_HOP: [&str; 3] = ["content-length", "host", "transfer-encoding"];
+
+/// Percent-decoding is repeated at most this often, for values that proxies have encoded again.
+const MAX_DECODING_ROUNDS: usize = 4;
+
+/// Bounds on the size of a request's head.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeaderLimits {
+    /// Longest target, in bytes.
+    pub target_bytes: usize,
+    /// Largest number of fields.
+    pub fields: usize,
+    /// Longest name plus value of one field, in bytes.
+    pub field_bytes: usize,
+    /// Longest sum of all names and values, in bytes.
+    pub total_bytes: usize,
+}
+
+impl Default for HeaderLimits {
+    fn default() -> Self {
+        Self {
+            target_bytes: 8 * 1024,
+            fields: 100,
+            field_bytes: 16 * 1024,
+            total_bytes: 32 * 1024,
+        }
+    }
+}
+
+/// A request head that is refused. The request has not run.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum HeaderRefusal {
+    /// The method is not a token, or is one that an upstream must not receive.
+    #[snafu(display("the method is not allowed"))]
+    BadMethod,
+    /// The target is not a plain path with an optional query.
+    #[snafu(display("the target is malformed"))]
+    BadTarget,
+    /// The target is too long.
+    #[snafu(display("the target is too long"))]
+    TargetTooLong,
+    /// There are too many fields, or they are too long.
+    #[snafu(display("the header fields are too large"))]
+    FieldsTooLarge,
+    /// A field name is not a token.
+    #[snafu(display("a header field name is malformed"))]
+    BadName,
+    /// A field value contains control characters.
+    #[snafu(display("the value of the header field {name} is malformed"))]
+    BadValue {
+        /// Name of the field.
+        name: String,
+    },
+    /// The length of the body is ambiguous.
+    #[snafu(display("the body length is ambiguous"))]
+    AmbiguousLength,
+    /// There is more than one `Host` field.
+    #[snafu(display("there is more than one Host field"))]
+    RepeatedHost,
+    /// `Connection` names a field that concerns more than this connection.
+    #[snafu(display("the Connection field names a field that must be kept"))]
+    BadConnection,
+    /// A key is not a sequence of visible ASCII characters.
+    #[snafu(display("the key is malformed"))]
+    BadKey,
+    /// Different keys are given in different places.
+    #[snafu(display("the request carries different keys"))]
+    ConflictingKeys,
+    /// The path contains the key, from which it cannot be removed.
+    #[snafu(display("the path contains the key"))]
+    KeyInPath,
+}
+
+impl HeaderRefusal {
+    /// HTTP status of the answer.
+    pub fn status(&self) -> http::StatusCode {
+        match self {
+            Self::TargetTooLong => http::StatusCode::URI_TOO_LONG,
+            Self::FieldsTooLarge => http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::BadMethod => http::StatusCode::METHOD_NOT_ALLOWED,
+            _ => http::StatusCode::BAD_REQUEST,
+        }
+    }
+
+    /// Stable error code for the caller.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Self::BadMethod => "method_not_allowed",
+            Self::BadTarget => "bad_target",
+            Self::TargetTooLong => "target_too_long",
+            Self::FieldsTooLarge => "headers_too_large",
+            Self::BadName | Self::BadValue { .. } => "bad_header",
+            Self::AmbiguousLength => "ambiguous_length",
+            Self::RepeatedHost => "repeated_host",
+            Self::BadConnection => "bad_connection_header",
+            Self::BadKey => "bad_key",
+            Self::ConflictingKeys => "conflicting_keys",
+            Self::KeyInPath => "key_in_path",
+        }
+    }
+}
+
+/// One header field.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeaderPair<'a> {
+    /// Name, in any case.
+    pub name: &'a str,
+    /// Value.
+    pub value: &'a [u8],
+}
+
+/// Head of a caller's request.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerHead<'a> {
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// Header fields in the order in which they arrived.
+    pub fields: &'a [HeaderPair<'a>],
+}
+
+/// Key of the organisation, as the caller sent it. `Debug` does not show it.
+#[derive(Clone, PartialEq, Eq)]
+pub struct CallerKey<'a>(Cow<'a, str>);
+
+impl CallerKey<'_> {
+    /// The key's text; must not be logged or sent on.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for CallerKey<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("CallerKey(..)")
+    }
+}
+
+/// A request head that passed all checks.
+#[derive(Debug, Clone)]
+pub struct CheckedRequest<'a> {
+    head: CallerHead<'a>,
+    key: Option<CallerKey<'a>>,
+    route_path: String,
+}
+
+/// A header field that may go to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CleanedField<'a> {
+    /// Name, in any case.
+    pub name: &'a str,
+    /// Value; owned if cookies were removed from it.
+    pub value: Cow<'a, [u8]>,
+}
+
+/// What an upstream may see of a request head.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CleanedRequest<'a> {
+    /// Path and query without key parameters.
+    pub target: Cow<'a, str>,
+    /// Header fields.
+    pub fields: Vec<CleanedField<'a>>,
+}
+
+/// Checks the head of a request and finds its key.
+pub fn check_request<'a>(
+    head: CallerHead<'a>,
+    limits: &HeaderLimits,
+) -> Result<CheckedRequest<'a>, HeaderRefusal> {
+    check_method(head.method)?;
+    check_sizes(&head, limits)?;
+    for field in head.fields {
+        check_field(field)?;
+    }
+    check_framing(head.fields)?;
+    let route_path = check_target(head.target)?;
+    let key = find_key(&head)?;
+    if let Some(key) = &key {
+        ensure!(
+            !reveals(path_of(head.target).as_bytes(), key),
+            KeyInPathSnafu
+        );
+    }
+    Ok(CheckedRequest {
+        head,
+        key,
+        route_path,
+    })
+}
+
+impl<'a> CheckedRequest<'a> {
+    /// The caller's key; `None` if there is none.
+    pub fn key(&self) -> Option<&CallerKey<'a>> {
+        self.key.as_ref()
+    }
+
+    /// Decoded path without empty segments, for matching routes.
+    ///
+    /// Routes are matched against this form, so that another spelling of a path (`/%64rain`,
+    /// `//drain`) cannot fall under a more permissive route.
+    pub fn route_path(&self) -> &str {
+        &self.route_path
+    }
+
+    /// First value of the field `name`, if it is text.
+    pub fn field(&self, name: &str) -> Option<&'a str> {
+        let fields = self.head.fields.iter();
+        let mut matching = fields.filter(|field| field.name.eq_ignore_ascii_case(name));
+        matching
+            .next()
+            .and_then(|field| std::str::from_utf8(field.value).ok())
+    }
+
+    /// Target and fields that an upstream may see.
+    pub fn clean(&self) -> CleanedRequest<'a> {
+        let named = named_by_connection(self.head.fields);
+        let key = self.key.as_ref();
+        let fields = self.head.fields.iter();
+        CleanedRequest {
+            target: clean_target(self.head.target, key),
+            fields: fields
+                .filter_map(|field| clean_field(field, &named, key))
+                .collect(),
+        }
+    }
+}
+
+/// Fields of an upstream's answer that may go to the caller.
+pub fn clean_answer_fields<'a>(fields: &'a [HeaderPair<'a>]) -> Vec<HeaderPair<'a>> {
+    let named = named_by_connection(fields);
+    let kept = fields.iter().filter(|field| {
+        let name = canonical_name(field.name);
+        let connection = HOP_BY_HOP.contains(&&*name) || named.contains(&name);
+        !connection && name != "content-length" && !name.starts_with(INTERNAL_PREFIX)
+    });
+    kept.copied().collect()
+}
+
+fn check_method(method: &str) -> Result<(), HeaderRefusal> {
+    let method = http::Method::from_bytes(method.as_bytes()).ok();
+    let method = method.context(BadMethodSnafu)?;
+    // TRACE echoes header fields, and CONNECT turns the connection into a tunnel.
+    let refused = [http::Method::TRACE, http::Method::CONNECT].contains(&method);
+    ensure!(!refused, BadMethodSnafu);
+    Ok(())
+}
+
+fn check_sizes(head: &CallerHead<'_>, limits: &HeaderLimits) -> Result<(), HeaderRefusal> {
+    ensure!(head.target.len() <= limits.target_bytes, TargetTooLongSnafu);
+    ensure!(head.fields.len() <= limits.fields, FieldsTooLargeSnafu);
+    let mut total = 0;
+    for field in head.fields {
+        let bytes = field.name.len() + field.value.len();
+        ensure!(bytes <= limits.field_bytes, FieldsTooLargeSnafu);
+        total += bytes;
+    }
+    ensure!(total <= limits.total_bytes, FieldsTooLargeSnafu);
+    Ok(())
+}
+
+fn check_field(field: &HeaderPair<'_>) -> Result<(), HeaderRefusal> {
+    let name = HeaderName::from_bytes(field.name.as_bytes());
+    ensure!(name.is_ok(), BadNameSnafu);
+    let control = |byte: &u8| (*byte < b' ' && *byte != b'\t') || *byte == 0x7f;
+    ensure!(
+        !field.value.iter().any(control),
+        BadValueSnafu { name: field.name }
+    );
+    Ok(())
+}
+
+/// Refuses heads whose body length two parsers may read differently.
+fn check_framing(fields: &[HeaderPair<'_>]) -> Result<(), HeaderRefusal> {
+    let (mut lengths, mut encodings, mut hosts) = (0, 0, 0);
+    for field in fields {
+        let name = canonical_name(field.name);
+        // Servers that treat `_` as `-` would read a second framing field.
+        let misspelled = !field.name.eq_ignore_ascii_case(&name);
+        match &*name {
+            "content-length" => {
+                let digits = !field.value.is_empty() && field.value.iter().all(u8::is_ascii_digit);
+                ensure!(digits && !misspelled, AmbiguousLengthSnafu);
+                lengths += 1;
+            }
+            "transfer-encoding" => {
+                let chunked = field.value.eq_ignore_ascii_case(b"chunked");
+                ensure!(chunked && !misspelled, AmbiguousLengthSnafu);
+                encodings += 1;
+            }
+            "host" => hosts += 1,
+            _ => {}
+        }
+    }
+    ensure!(lengths + encodings <= 1, AmbiguousLengthSnafu);
+    ensure!(hosts <= 1, RepeatedHostSnafu);
+    let named = named_by_connection(fields);
+    let kept = named.iter().any(|name| NOT_HOP_BY_HOP.contains(&&**name));
+    ensure!(!kept, BadConnectionSnafu);
+    Ok(())
+}
+
+/// Checks the target and returns its path for matching routes.
+fn check_target(target: &str) -> Result<String, HeaderRefusal> {
+    let plain = target
+        .bytes()
+        .all(|byte| byte.is_ascii_graphic() && byte != b'#' && byte != b'\\');
+    ensure!(target.starts_with('/') && plain, BadTargetSnafu);
+    let path = decoded(path_of(target).as_bytes());
+    // A path that is encoded twice means different things to servers that decode once and twice.
+    ensure!(decoded(&path) == path, BadTargetSnafu);
+    let decoded = std::str::from_utf8(&path).ok().context(BadTargetSnafu)?;
+    let bad_character = |character: char| character.is_control() || character == '\\';
+    ensure!(!decoded.contains(bad_character), BadTargetSnafu);
+    let mut route_path = String::with_capacity(decoded.len());
+    for segment in decoded.split('/').filter(|segment| !segment.is_empty()) {
+        // An upstream that resolves dot segments would run another path than the one checked here.
+        ensure!(segment != "." && segment != "..", BadTargetSnafu);
+        route_path.push('/');
+        route_path.push_str(segment);
+    }
+    if route_path.is_empty() {
+        route_path.push('/');
+    }
+    Ok(route_path)
+}
+
+/// Finds the key in all places that a caller may use.
+fn find_key<'a>(head: &CallerHead<'a>) -> Result<Option<CallerKey<'a>>, HeaderRefusal> {
+    let mut found = None;
+    for field in head.fields {
+        match &*canonical_name(field.name) {
+            "authorization" => {
+                if let Some(token) = bearer_token(field.value) {
+                    note_key(&mut found, Cow::Borrowed(token))?;
+                }
+            }
+            "x-api-key" | "api-key" => {
+                let token = bearer_token(field.value).unwrap_or(field.value);
+                note_key(&mut found, Cow::Borrowed(token))?;
+            }
+            "cookie" => {
+                for (name, value) in cookies(field.value) {
+                    if is_key_parameter(name) {
+                        note_key(&mut found, decoded(unquoted(value)))?;
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    for parameter in query_of(head.target).unwrap_or_default().split('&') {
+        let (name, value) = split_parameter(parameter.as_bytes());
+        if is_key_parameter(&decoded(name)) {
+            note_key(&mut found, decoded(value))?;
+        }
+    }
+    Ok(found)
+}
+
+/// Adds one place's key to `found`; an empty value counts as no key.
+fn note_key<'a>(
+    found: &mut Option<CallerKey<'a>>,
+    value: Cow<'a, [u8]>,
+) -> Result<(), HeaderRefusal> {
+    let value = match value {
+        Cow::Borrowed(bytes) => Cow::Borrowed(bytes.trim_ascii()),
+        Cow::Owned(bytes) => Cow::Owned(bytes.trim_ascii().to_vec()),
+    };
+    if value.is_empty() {
+        return Ok(());
+    }
+    // A comma or semicolon would let two parsers see two different keys.
+    let allowed = |byte: &u8| byte.is_ascii_graphic() && !matches!(*byte, b',' | b';');
+    ensure!(value.iter().all(allowed), BadKeySnafu);
+    let text = match value {
+        Cow::Borrowed(bytes) => std::str::from_utf8(bytes).ok().map(Cow::Borrowed),
+        Cow::Owned(bytes) => String::from_utf8(bytes).ok().map(Cow::Owned),
+    };
+    let key = CallerKey(text.context(BadKeySnafu)?);
+    ensure!(
+        found.as_ref().is_none_or(|other| *other == key),
+        ConflictingKeysSnafu
+    );
+    *found = Some(key);
+    Ok(())
+}
+
+/// The token after `Bearer`.
+fn bearer_token(value: &[u8]) -> Option<&[u8]> {
+    let value = value.trim_ascii();
+    let (scheme, token) = value.split_at_checked("bearer".len())?;
+    let separated = token.first().is_none_or(u8::is_ascii_whitespace);
+    (scheme.eq_ignore_ascii_case(b"bearer") && separated).then(|| token.trim_ascii())
+}
+
+fn clean_field<'a>(
+    field: &HeaderPair<'a>,
+    named: &[String],
+    key: Option<&CallerKey<'_>>,
+) -> Option<CleanedField<'a>> {
+    let name = canonical_name(field.name);
+    let dropped = HOP_BY_HOP.contains(&&*name)
+        || SET_BY_AGENT.contains(&&*name)
+        || CREDENTIAL_FIELDS.contains(&&*name)
+        || name.starts_with(INTERNAL_PREFIX)
+        || named.contains(&name);
+    if dropped {
+        return None;
+    }
+    if name == "cookie" {
+        let value = clean_cookies(field.value, key)?;
+        return Some(CleanedField {
+            name: field.name,
+            value,
+        });
+    }
+    let shows_key =
+        key.is_some_and(|key| reveals(field.value, key) || name_reveals(field.name, key));
+    (!shows_key).then_some(CleanedField {
+        name: field.name,
+        value: Cow::Borrowed(field.value),
+    })
+}
+
+/// Cookies without those that carry a key; `None` if none remains.
+fn clean_cookies<'a>(value: &'a [u8], key: Option<&CallerKey<'_>>) -> Option<Cow<'a, [u8]>> {
+    let keep = |cookie: &[u8]| {
+        let (name, _) = split_parameter(cookie);
+        !is_key_parameter(name) && key.is_none_or(|key| !reveals(cookie, key))
+    };
+    let parts = || value.split(|byte| *byte == b';').map(<[u8]>::trim_ascii);
+    if parts().all(keep) {
+        return Some(Cow::Borrowed(value));
+    }
+    let kept: Vec<&[u8]> = parts()
+        .filter(|part| !part.is_empty() && keep(part))
+        .collect();
+    (!kept.is_empty()).then(|| Cow::Owned(kept.join(&b"; "[..])))
+}
+
+fn clean_target<'a>(target: &'a str, key: Option<&CallerKey<'_>>) -> Cow<'a, str> {
+    let Some(query) = query_of(target) else {
+        return Cow::Borrowed(target);
+    };
+    let keep = |parameter: &str| {
+        let (name, _) = split_parameter(parameter.as_bytes());
+        let named = is_key_parameter(&decoded(name));
+        !named && key.is_none_or(|key| !reveals(parameter.as_bytes(), key))
+    };
+    if query.split('&').all(keep) {
+        return Cow::Borrowed(target);
+    }
+    let kept: Vec<&str> = query
+        .split('&')
+        .filter(|parameter| keep(parameter))
+        .collect();
+    let path = path_of(target);
+    if kept.is_empty() {
+        return Cow::Borrowed(path);
+    }
+    Cow::Owned(format!("{path}?{}", kept.join("&")))
+}
+
+/// Whether `value` contains the key, also in percent-encoded form.
+///
+/// The whole value is searched, because the key may follow a scheme (`Bearer`) or stand inside a
+/// URL (`Referer`, `X-Original-URL`).
+fn reveals(value: &[u8], key: &CallerKey<'_>) -> bool {
+    let key = key.0.as_bytes();
+    if contains(value, key) {
+        return true;
+    }
+    value.contains(&b'%') && contains(&fully_decoded(value), key)
+}
+
+/// Whether a field name contains the key; field names have no case.
+fn name_reveals(name: &str, key: &CallerKey<'_>) -> bool {
+    let key = key.0.to_ascii_lowercase();
+    contains(name.to_ascii_lowercase().as_bytes(), key.as_bytes())
+}
+
+fn contains(text: &[u8], part: &[u8]) -> bool {
+    text.len() >= part.len() && text.windows(part.len()).any(|window| window == part)
+}
+
+/// Lower-case name with `_` written as `-`, as some servers read it.
+fn canonical_name(name: &str) -> String {
+    name.to_ascii_lowercase().replace('_', "-")
+}
+
+/// Names that the `Connection` fields list.
+fn named_by_connection(fields: &[HeaderPair<'_>]) -> Vec<String> {
+    let connections = fields
+        .iter()
+        .filter(|field| canonical_name(field.name) == "connection");
+    connections
+        .flat_map(|field| field.value.split(|byte| *byte == b','))
+        .filter_map(|name| std::str::from_utf8(name.trim_ascii()).ok())
+        .filter(|name| !name.is_empty())
+        .map(canonical_name)
+        .collect()
+}
+
+fn path_of(target: &str) -> &str {
+    target.split_once('?').map_or(target, |(path, _)| path)
+}
+
+fn query_of(target: &str) -> Option<&str> {
+    target.split_once('?').map(|(_, query)| query)
+}
+
+fn cookies(value: &[u8]) -> impl Iterator<Item = (&[u8], &[u8])> {
+    value
+        .split(|byte| *byte == b';')
+        .map(|cookie| split_parameter(cookie.trim_ascii()))
+}
+
+fn split_parameter(parameter: &[u8]) -> (&[u8], &[u8]) {
+    match parameter.iter().position(|byte| *byte == b'=') {
+        None => (parameter, &[]),
+        Some(at) => (&parameter[..at], &parameter[at + 1..]),
+    }
+}
+
+fn unquoted(value: &[u8]) -> &[u8] {
+    let inner = value.strip_prefix(b"\"");
+    inner
+        .and_then(|inner| inner.strip_suffix(b"\""))
+        .unwrap_or(value)
+}
+
+fn is_key_parameter(name: &[u8]) -> bool {
+    let name = std::str::from_utf8(name).unwrap_or_default();
+    KEY_PARAMETERS.contains(&&*canonical_name(name.trim()))
+}
+
+/// Percent-decoded once.
+fn decoded(value: &[u8]) -> Cow<'_, [u8]> {
+    if !value.contains(&b'%') {
+        return Cow::Borrowed(value);
+    }
+    let mut bytes = Vec::with_capacity(value.len());
+    let mut rest = value;
+    while let Some((&first, tail)) = rest.split_first() {
+        let pair = tail.first().zip(tail.get(1));
+        let code = pair.and_then(|(high, low)| Some(hex_digit(*high)? * 16 + hex_digit(*low)?));
+        match code {
+            Some(code) if first == b'%' => {
+                bytes.push(code);
+                rest = &tail[2..];
+            }
+            _ => {
+                bytes.push(first);
+                rest = tail;
+            }
+        }
+    }
+    Cow::Owned(bytes)
+}
+
+/// Percent-decoded until nothing changes, at most [`MAX_DECODING_ROUNDS`] times.
+fn fully_decoded(value: &[u8]) -> Vec<u8> {
+    let mut bytes = value.to_vec();
+    for _ in 0..MAX_DECODING_ROUNDS {
+        let next = decoded(&bytes).into_owned();
+        if next == bytes {
+            break;
+        }
+        bytes = next;
+    }
+    bytes
+}
+
+fn hex_digit(byte: u8) -> Option<u8> {
+    char::from(byte).to_digit(16).map(|digit| digit as u8)
+}
--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -1,1 +1,17 @@
-//! Part of oriolecrank.
+//! Decisions of the request path, as functions of state, time and seeded randomness.
+//!
+//! Nothing here does I/O or reads a clock; the processes pass in the present time and a random
+//! number generator.
+//!
+//! - A request enters: [`header_cleaning`] refuses unsafe heads and finds the key, [`freshness`]
+//!   says whether the key table may be trusted.
+//! - At the agent: [`answer_buffer`] keeps the answer until it is acknowledged.
+//! - The answer returns: [`answer_assembly`] checks each frame.
+
+pub mod answer_assembly;
+pub mod answer_buffer;
+pub mod freshness;
+pub mod header_cleaning;
+mod work_class;
+
+pub use work_class::WorkClass;
--- /dev/null
+++ b/crates/oriolecrank-policy/tests/answer_buffer.rs
@@ -0,0 +1,187 @@
+//! Contract and differential tests of the answer buffer.
+
+mod common;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use oriolecrank_policy::answer_buffer::{
+    AnswerBuffer, AnswerEnd, BufferFault, BufferRead, BufferSettings,
+};
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::data_path::TokenUsage;
+use proptest::prelude::*;
+
+const START: TimePoint = TimePoint::from_millis(1_000);
+const CAPACITY: usize = 32;
+
+fn usage() -> TokenUsage {
+    TokenUsage {
+        prompt_tokens: 1,
+        output_tokens: 2,
+    }
+}
+
+fn buffer() -> AnswerBuffer {
+    AnswerBuffer::new(BufferSettings {
+        capacity_bytes: CAPACITY,
+        ..BufferSettings::default()
+    })
+}
+
+/// Guards against unbounded memory when an entry stops acknowledging.
+#[test]
+fn a_full_buffer_takes_no_more() {
+    let mut buffer = buffer();
+    let mut bytes = Bytes::from(vec![7; 40]);
+    assert_eq!(buffer.push(&mut bytes), CAPACITY);
+    assert_eq!((buffer.room(), bytes.len()), (0, 8));
+    assert_eq!(buffer.push(&mut bytes), 0);
+    assert_eq!(buffer.acknowledge(5, false), Ok(5));
+    assert_eq!(buffer.push(&mut bytes), 5);
+}
+
+/// Guards against answers with a gap or a false end after a late, early or wrong message.
+#[test]
+fn wrong_offsets_are_refused() {
+    let mut buffer = buffer();
+    buffer.push(&mut Bytes::from_static(b"abcdef"));
+    buffer.acknowledge(2, false).unwrap();
+    assert_eq!(
+        buffer.read(1),
+        Err(BufferFault::Freed {
+            offset: 1,
+            start: 2
+        })
+    );
+    assert_eq!(
+        buffer.read(7),
+        Err(BufferFault::Beyond { offset: 7, end: 6 })
+    );
+    assert_eq!(
+        buffer.acknowledge(7, false),
+        Err(BufferFault::Beyond { offset: 7, end: 6 })
+    );
+    assert_eq!(
+        buffer.acknowledge(6, true),
+        Err(BufferFault::NotComplete { offset: 6 })
+    );
+    assert_eq!(buffer.acknowledge(1, false), Ok(0));
+    buffer.finish(usage(), START);
+    assert_eq!(
+        buffer.acknowledge(5, true),
+        Err(BufferFault::NotComplete { offset: 5 })
+    );
+    assert!(!buffer.is_complete());
+    assert_eq!(buffer.acknowledge(6, true), Ok(4));
+    assert!(buffer.is_complete());
+}
+
+/// Guards against bytes after the end marker, which would make its length wrong.
+#[test]
+fn a_finished_answer_takes_no_bytes() {
+    let mut buffer = buffer();
+    buffer.push(&mut Bytes::from_static(b"ab"));
+    buffer.finish(usage(), START);
+    assert_eq!(buffer.push(&mut Bytes::from_static(b"c")), 0);
+    let end = AnswerEnd {
+        length: 2,
+        usage: usage(),
+    };
+    assert_eq!(buffer.read(2), Ok(BufferRead::End(end)));
+}
+
+/// Guards against usage that is lost, or counted twice, when the entry dies around the end.
+#[test]
+fn usage_is_overdue_only_without_acknowledgement() {
+    let wait = Duration::from_secs(30);
+    let mut buffer = buffer();
+    assert_eq!(buffer.overdue_usage(START + wait), None);
+    buffer.finish(usage(), START);
+    buffer.finish(usage(), START + wait);
+    assert_eq!(
+        buffer.overdue_usage(START + Duration::from_millis(29_999)),
+        None
+    );
+    assert_eq!(buffer.overdue_usage(START + wait), Some(&usage()));
+    buffer.acknowledge(0, true).unwrap();
+    assert_eq!(buffer.overdue_usage(START + wait), None);
+}
+
+/// The whole answer in one vector.
+#[derive(Default)]
+struct NaiveBuffer {
+    all: Vec<u8>,
+    start: usize,
+    finished: bool,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Push(Vec<u8>),
+    Acknowledge(usize),
+    Read(usize),
+    Finish,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => prop::collection::vec(any::<u8>(), 0..20).prop_map(Step::Push),
+        3 => (0usize..140).prop_map(Step::Acknowledge),
+        4 => (0usize..140).prop_map(Step::Read),
+        1 => Just(Step::Finish),
+    ]
+}
+
+proptest! {
+    #![proptest_config(common::fixed_seed(256))]
+
+    /// Guards against wrong, lost or repeated bytes and wrong accounting under any interleaving of
+    /// writes, acknowledgements and resumed reads.
+    #[test]
+    fn buffer_equals_naive_vector(steps in prop::collection::vec(step(), 1..120)) {
+        let mut buffer = buffer();
+        let mut naive = NaiveBuffer::default();
+        for step in steps {
+            match step {
+                Step::Push(bytes) => {
+                    let room = CAPACITY - (naive.all.len() - naive.start);
+                    let taken = if naive.finished { 0 } else { room.min(bytes.len()) };
+                    naive.all.extend_from_slice(&bytes[..taken]);
+                    let mut rest = Bytes::from(bytes.clone());
+                    prop_assert_eq!(buffer.push(&mut rest), taken);
+                    prop_assert_eq!(&rest[..], &bytes[taken..]);
+                }
+                Step::Acknowledge(offset) => {
+                    let freed = buffer.acknowledge(offset as u64, false);
+                    if offset > naive.all.len() {
+                        prop_assert!(freed.is_err());
+                    } else {
+                        prop_assert_eq!(freed, Ok(offset.saturating_sub(naive.start)));
+                        naive.start = naive.start.max(offset);
+                    }
+                }
+                Step::Read(offset) => match buffer.read(offset as u64) {
+                    Err(_) => prop_assert!(offset < naive.start || offset > naive.all.len()),
+                    Ok(BufferRead::Bytes(bytes)) => {
+                        prop_assert!(!bytes.is_empty());
+                        prop_assert_eq!(&bytes[..], &naive.all[offset..offset + bytes.len()]);
+                    }
+                    Ok(BufferRead::Pending) => {
+                        prop_assert!(offset == naive.all.len() && !naive.finished);
+                    }
+                    Ok(BufferRead::End(end)) => {
+                        prop_assert!(offset == naive.all.len() && naive.finished);
+                        prop_assert_eq!(end.length, offset as u64);
+                    }
+                },
+                Step::Finish => {
+                    naive.finished = true;
+                    buffer.finish(usage(), START);
+                }
+            }
+            prop_assert_eq!(buffer.len(), naive.all.len() - naive.start);
+            prop_assert!(buffer.len() <= CAPACITY);
+        }
+    }
+}
