Add the agent's request queue

Cause: the agent decides which request runs next within the engine's memory. Change: request_queue serves four lanes by start-time fair queueing over organisations, with a memory reserve for short urgent requests, a hold for large requests, turns for aged requests, displacement in a full queue, cancellation, expiry and drain.

--- a/crates/oriolecrank-policy/src/header_cleaning.rs
+++ b/crates/oriolecrank-policy/src/header_cleaning.rs
@@ -10,6 +10,8 @@
 use http::header::HeaderName;
 use snafu::{OptionExt, Snafu, ensure};
 
+use crate::percent_encoding::{decoded, fully_decoded};
+
 /// Prefix of this system's own headers.
 const INTERNAL_PREFIX: &str = "x-oriolecrank-";
 
@@ -50,9 +52,6 @@
 /// Fields that `Connection` must not name, because removing them changes the framing or the route.
 const NOT_HOP_BY_HOP: [&str; 3] = ["content-length", "host", "transfer-encoding"];
 
-/// Percent-decoding is repeated at most this often, for values that proxies have encoded again.
-const MAX_DECODING_ROUNDS: usize = 4;
-
 /// Bounds on the size of a request's head.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HeaderLimits {
@@ -584,44 +583,3 @@
     let name = std::str::from_utf8(name).unwrap_or_default();
     KEY_PARAMETERS.contains(&&*canonical_name(name.trim()))
 }
-
-/// Percent-decoded once.
-fn decoded(value: &[u8]) -> Cow<'_, [u8]> {
-    if !value.contains(&b'%') {
-        return Cow::Borrowed(value);
-    }
-    let mut bytes = Vec::with_capacity(value.len());
-    let mut rest = value;
-    while let Some((&first, tail)) = rest.split_first() {
-        let pair = tail.first().zip(tail.get(1));
-        let code = pair.and_then(|(high, low)| Some(hex_digit(*high)? * 16 + hex_digit(*low)?));
-        match code {
-            Some(code) if first == b'%' => {
-                bytes.push(code);
-                rest = &tail[2..];
-            }
-            _ => {
-                bytes.push(first);
-                rest = tail;
-            }
-        }
-    }
-    Cow::Owned(bytes)
-}
-
-/// Percent-decoded until nothing changes, at most [`MAX_DECODING_ROUNDS`] times.
-fn fully_decoded(value: &[u8]) -> Vec<u8> {
-    let mut bytes = value.to_vec();
-    for _ in 0..MAX_DECODING_ROUNDS {
-        let next = decoded(&bytes).into_owned();
-        if next == bytes {
-            break;
-        }
-        bytes = next;
-    }
-    bytes
-}
-
-fn hex_digit(byte: u8) -> Option<u8> {
-    char::from(byte).to_digit(16).map(|digit| digit as u8)
-}
--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -5,13 +5,19 @@
 //!
 //! - A request enters: [`header_cleaning`] refuses unsafe heads and finds the key, [`freshness`]
 //!   says whether the key table may be trusted.
-//! - At the agent: [`answer_buffer`] keeps the answer until it is acknowledged.
+//! - At the agent: [`request_queue`] says which request runs next, [`answer_buffer`] keeps the answer until it is acknowledged.
 //! - The answer returns: [`answer_assembly`] checks each frame.
 
 pub mod answer_assembly;
 pub mod answer_buffer;
+mod counts;
 pub mod freshness;
 pub mod header_cleaning;
+mod percent_encoding;
+mod queue_lane;
+mod queued_request;
+pub mod request_queue;
 mod work_class;
 
+pub use counts::{AttemptId, BlockCount, TOKENS_PER_BLOCK, TokenCount};
 pub use work_class::WorkClass;
