Rework the agent: queue, claims, orders, crash reports, metrics

Cause: the first agent ran every request at once and knew neither claims nor orders. Change: requests wait in the queue of oriolecrank-policy; claimed calls run once for each claim number; orders pass a fencing gate; a crash is told from a lost connection and reported before its calls are answered; overdue usage is reported by the agent.

--- a/crates/oriolecrank-agent/src/process.rs
+++ b/crates/oriolecrank-agent/src/process.rs
@@ -8,6 +8,7 @@
 use oriolecrank_net::{
     BootClock, ControlClient, HttpClient, OperatorListener, PeerGuard, ReadyFlag, serve,
 };
+use oriolecrank_policy::BlockCount;
 use oriolecrank_schema::control::{UpstreamPhase, UpstreamRecord};
 use oriolecrank_schema::event::LogEvent;
 use prometheus_client::registry::Registry;
@@ -15,8 +16,13 @@
 use tokio::net::TcpListener;
 use tokio::time::{interval, sleep, timeout};
 
-use crate::announcer::announce_until_shutdown;
+use crate::agent_core::AgentCore;
+use crate::agent_metrics::AgentMetrics;
+use crate::announcer::UpstreamAnnouncer;
+use crate::control_reporter::ControlReporter;
 use crate::options::AgentOptions;
+use crate::order_desk::OrderDesk;
+use crate::order_gate::GateSettings;
 use crate::run_server::RunServer;
 use crate::upstream_client::HttpUpstream;
 
@@ -64,7 +70,7 @@
         self.listener.local_addr().unwrap_or(self.options.listen)
     }
 
-    /// Runs until shutdown and until the running answers are finished.
+    /// Runs until shutdown and until the running answers are fetched.
     pub async fn run(self, mut shutdown: ShutdownSignal) -> Result<(), AgentError> {
         let address = self.address();
         let Self {
@@ -75,36 +81,45 @@
         let incarnation = new_incarnation();
         let guard = PeerGuard::new(options.secret.clone());
         let ready = ReadyFlag::default();
-        let operator = OperatorListener::new(Registry::default(), ready.clone(), guard.clone());
+        let metrics = AgentMetrics::default();
+        let mut registry = Registry::with_prefix("oriolecrank");
+        metrics.register(&mut registry);
+        let operator = OperatorListener::new(registry, ready.clone(), guard.clone());
         let client = HttpClient::default();
-        let upstream = HttpUpstream::new(client.clone(), options.upstream_address);
-        let server = Arc::new(RunServer::new(guard, upstream, incarnation));
+        let control = ControlClient::new(client.clone(), options.secret.clone(), &options.control);
+        let (reporter, delivery) = ControlReporter::new(control.clone());
+        let core = Arc::new(AgentCore::new(
+            HttpUpstream::new(client, options.upstream_address),
+            options.upstream.clone().into(),
+            incarnation,
+            BlockCount::new(options.capacity_blocks),
+            reporter,
+            metrics,
+        ));
+        let desk = Arc::new(OrderDesk::new(Arc::clone(&core), GateSettings::default()));
+        let server = RunServer::new(guard, Arc::clone(&core), Arc::clone(&desk));
         let record = record(&options, address, incarnation);
-        let control = ControlClient::new(client, options.secret.clone(), &options.control);
+        let mut announcer = UpstreamAnnouncer::new(control, record, Arc::clone(&core), desk);
         tracing::info!(event = LogEvent::ProcessStarted.number(), %address, "agent started");
         ready.set(true);
 
         let (stop_serving, serving) = shutdown_channel();
-        let load_server = Arc::clone(&server);
-        let announcing = announce_until_shutdown(
-            control,
-            record,
-            move || load_server.load(),
-            shutdown.clone(),
-        );
-        let stopping = async {
-            shutdown.triggered().await;
+        let announcing = async {
+            announcer.run(shutdown.clone()).await;
             ready.set(false);
-            server.leave();
             tracing::info!(event = LogEvent::ShutdownStarted.number(), "agent stops");
-            if timeout(options.shutdown_limit, drained(&server))
+            // New work is refused before the departure is announced, so that no request is taken
+            // that would have to be cut off.
+            core.table().drain(UpstreamPhase::Leaving, BootClock.now());
+            announcer.leave().await;
+            if timeout(options.shutdown_limit, drained(&core))
                 .await
                 .is_err()
             {
                 let event = LogEvent::ShutdownForced.number();
                 tracing::warn!(
                     event,
-                    running = server.table().running(),
+                    running = core.table().running(),
                     "answers were cut off"
                 );
             }
@@ -114,27 +129,29 @@
             let mut ticks = interval(SWEEP_INTERVAL);
             loop {
                 ticks.tick().await;
-                server.table().sweep(BootClock.now());
+                core.sweep().await;
             }
         };
         let running = async {
             tokio::join!(
-                serve(listener, Arc::clone(&server), serving.clone()),
+                serve(listener, Arc::new(server), serving.clone()),
                 serve(operator_listener, Arc::new(operator), serving.clone()),
                 announcing,
-                stopping,
             );
         };
         tokio::select! {
             () = running => {}
             () = sweeping => {}
+            () = delivery => {}
         }
+        shutdown.triggered().await;
+        tracing::info!(event = LogEvent::ShutdownFinished.number(), "agent stopped");
         Ok(())
     }
 }
 
-async fn drained(server: &RunServer<HttpUpstream>) {
-    while server.table().running() > 0 {
+async fn drained(core: &AgentCore<HttpUpstream>) {
+    while !core.table().is_idle() {
         sleep(DRAIN_INTERVAL).await;
     }
 }
--- a/crates/oriolecrank-agent/src/upstream_client.rs
+++ b/crates/oriolecrank-agent/src/upstream_client.rs
@@ -7,6 +7,7 @@
 use http::{HeaderName, HeaderValue, Request};
 use http_body_util::{BodyExt, Full};
 use oriolecrank_net::{ClientResponse, HttpClient, SendError};
+use oriolecrank_schema::control::{EngineOrder, OrderResult};
 use oriolecrank_schema::data_path::{HeaderField, RunVerdict};
 use oriolecrank_schema::document::PriorityClass;
 use snafu::Snafu;
@@ -18,6 +19,9 @@
 /// Header that tells the engine how many output tokens were already delivered.
 const RESUME_HEADER: HeaderName = HeaderName::from_static("x-resume-tokens");
 
+/// Path at which an engine takes orders.
+const ORDER_PATH: &str = "/admin/orders";
+
 /// Longest silence of an upstream in the middle of an answer. Engines send no heartbeats, and a
 /// long prefill sends nothing, so the bound is far above the time between two tokens.
 const UPSTREAM_SILENCE: Duration = Duration::from_secs(10);
@@ -70,6 +74,19 @@
     }
 }
 
+impl CallError {
+    /// Whether the connection to the upstream broke, as it does when the upstream crashes.
+    pub const fn is_break(&self) -> bool {
+        matches!(
+            self,
+            Self::Broken
+                | Self::Send {
+                    source: SendError::Broken { .. }
+                }
+        )
+    }
+}
+
 /// Answer of an upstream while it arrives.
 pub trait UpstreamAnswer: Send + 'static {
     /// HTTP status.
@@ -93,6 +110,13 @@
         call: &UpstreamCall,
         body: Bytes,
     ) -> impl Future<Output = Result<Self::Answer, CallError>> + Send;
+
+    /// Sends an order and waits at most `bound`.
+    fn order(
+        &self,
+        order: &EngineOrder,
+        bound: Duration,
+    ) -> impl Future<Output = OrderResult> + Send;
 }
 
 /// An upstream that speaks HTTP/1.1.
@@ -119,6 +143,22 @@
         let response = self.client.send(self.address, request, call.bound).await?;
         Ok(HttpAnswer(response))
     }
+
+    async fn order(&self, order: &EngineOrder, bound: Duration) -> OrderResult {
+        let body = serde_json::to_vec(order).expect("orders encode as JSON");
+        let request = Request::post(ORDER_PATH)
+            .header(http::header::HOST, self.address.to_string())
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .expect("path and headers are valid");
+        match self.client.send(self.address, request, bound).await {
+            Ok(response) if response.status().is_success() => OrderResult::Done,
+            Ok(response) if response.status() == http::StatusCode::CONFLICT => OrderResult::Refused,
+            Ok(_) => OrderResult::Failed,
+            Err(error) if error.verdict() == RunVerdict::NotRun => OrderResult::Failed,
+            Err(_) => OrderResult::Unknown,
+        }
+    }
 }
 
 fn http_request(
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -51,6 +51,9 @@
     AnnounceFailed = 301, "An announcement could not be delivered; it is repeated.";
     AgentSuperseded = 302, "A newer agent for the same upstream exists; this one stops sending.";
     UpstreamCrashed = 303, "The connection to the upstream broke while requests were running.";
+    ReportFailed = 304, "A report to the control group could not be delivered; it is repeated.";
+    OrderRefused = 305, "An order was refused; the reason is in the line.";
+    OrderFinished = 306, "An order was carried out; the result is in the line.";
     LeaderElected = 400, "This control instance became leader.";
     LeaderResigned = 401, "This control instance is no longer leader.";
     DocumentAccepted = 410, "A document was committed.";
--- a/crates/oriolecrank-schema/src/lib.rs
+++ b/crates/oriolecrank-schema/src/lib.rs
@@ -30,5 +30,8 @@
 pub mod protocol;
 mod time_point;
 
+/// Organisation name under which calls of open routes run; the document cannot use it.
+pub const OPEN_ORGANISATION: &str = "-";
+
 pub use generated::{control, data_path, document, settings};
 pub use time_point::TimePoint;
