--- a/crates/oriolecrank-policy/src/answer_assembly.rs
+++ b/crates/oriolecrank-policy/src/answer_assembly.rs
@@ -198,7 +198,7 @@
                 self.fruitless_resumes = 0;
                 AnswerStep::Nothing
             }
-            RunEvent::Accepted => self.accept(),
+            RunEvent::Accepted { .. } => self.accept(),
             RunEvent::Head { status, headers } => {
                 let (status, headers) = (*status, headers.clone());
                 // The borrow of the stored head would otherwise last over the statements below.
@@ -206,7 +206,7 @@
                 return self.take_head(AnswerHead { status, headers });
             }
             RunEvent::Chunk { offset } => self.take_chunk(*offset, payload)?,
-            RunEvent::End { length, usage } => self.take_end(*length, usage)?,
+            RunEvent::End { length, usage, .. } => self.take_end(*length, usage)?,
             RunEvent::Failed { .. } => self.take_failure(&frame.event),
         };
         self.last_heard = now;
--- a/crates/oriolecrank-policy/tests/answer_assembly.rs
+++ b/crates/oriolecrank-policy/tests/answer_assembly.rs
@@ -8,7 +8,9 @@
     AnswerAssembly, AnswerStep, AssemblyFault, AssemblySettings, ResumePoint,
 };
 use oriolecrank_schema::TimePoint;
-use oriolecrank_schema::data_path::{HeaderField, RunEvent, RunFrame, RunVerdict, TokenUsage};
+use oriolecrank_schema::data_path::{
+    HeaderField, RunEvent, RunFrame, RunVerdict, TokenUsage, UpstreamLoad,
+};
 use proptest::prelude::*;
 
 const START: TimePoint = TimePoint::from_millis(10_000);
@@ -48,7 +50,26 @@
 
 fn end(length: u64) -> RunEvent {
     let usage = usage();
-    RunEvent::End { length, usage }
+    let load = load();
+    RunEvent::End {
+        length,
+        load,
+        usage,
+    }
+}
+
+fn load() -> UpstreamLoad {
+    UpstreamLoad {
+        decode_tokens: 0,
+        prefill_tokens: 0,
+        queued: 0,
+        running: 1,
+        tokens_in_flight: 7,
+    }
+}
+
+fn accepted() -> RunEvent {
+    RunEvent::Accepted { load: load() }
 }
 
 fn failed(verdict: RunVerdict) -> RunEvent {
@@ -130,7 +151,7 @@
             F::OutOfOrder,
         ),
         (
-            vec![(failed(RunVerdict::NotRun), b""), (RunEvent::Accepted, b"")],
+            vec![(failed(RunVerdict::NotRun), b""), (accepted(), b"")],
             b"",
             F::OutOfOrder,
         ),
@@ -165,7 +186,7 @@
 fn repeated_frames_after_a_resume_are_dropped() {
     let mut assembly = assembly();
     let first = [
-        (RunEvent::Accepted, &b""[..]),
+        (accepted(), &b""[..]),
         (head(200), b""),
         (chunk(0), b"abcd"),
     ];
@@ -179,7 +200,7 @@
         })
     );
     let second = [
-        (RunEvent::Accepted, &b""[..]),
+        (accepted(), &b""[..]),
         (head(200), b""),
         (chunk(0), b"ab"),
         (chunk(2), b"cdef"),
@@ -199,14 +220,11 @@
     assert_eq!(unsent.verdict(), NotRun);
     let cases: [(Vec<RunEvent>, RunVerdict); 6] = [
         (vec![], MayHaveRun),
-        (vec![RunEvent::Accepted], MayHaveRun),
+        (vec![accepted()], MayHaveRun),
         (vec![failed(NotRun)], NotRun),
-        (vec![RunEvent::Accepted, failed(NotRun)], NotRun),
-        (vec![RunEvent::Accepted, failed(MayHaveRun)], MayHaveRun),
-        (
-            vec![RunEvent::Accepted, head(200), failed(NotRun)],
-            MayHaveRun,
-        ),
+        (vec![accepted(), failed(NotRun)], NotRun),
+        (vec![accepted(), failed(MayHaveRun)], MayHaveRun),
+        (vec![accepted(), head(200), failed(NotRun)], MayHaveRun),
     ];
     for (events, expected) in cases {
         let mut assembly = assembly();
