--- a/crates/oriolecrank-agent/src/running_answer.rs
+++ b/crates/oriolecrank-agent/src/running_answer.rs
@@ -270,6 +270,7 @@
         let usage = state.buffer.overdue_usage(now).cloned()?;
         state.usage_reported = true;
         Some(UsageRecord {
+            age_ms: now.since(state.idle_since).as_millis() as u64,
             attempt: id.attempt,
             organisation: self.origin.organisation.clone()?,
             request_id: id.request_id.clone(),
--- /dev/null
+++ b/crates/oriolecrank-agent/tests/agent/answers.rs
@@ -0,0 +1,158 @@
+//! Whole answers over TCP.
+
+use oriolecrank_fakes::{EngineOptions, FakeEngine};
+use oriolecrank_schema::codec;
+use oriolecrank_schema::data_path::{AckRequest, ResumeRequest, RunEvent, RunVerdict};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crate::support::{TestAgent, completion, eventually, failure_code, next_frame, read_answer};
+
+fn resume(id: &str, offset: u64) -> bytes::Bytes {
+    let request = ResumeRequest {
+        attempt: 1,
+        offset,
+        request_id: id.to_owned().into(),
+    };
+    codec::encode(&request).into()
+}
+
+/// Guards against answers that lose bytes or tokens on their way through the agent.
+#[tokio::test(flavor = "multi_thread")]
+async fn passes_on_the_whole_answer_with_its_usage() {
+    let agent = TestAgent::start(FakeEngine::default()).await;
+    let mut reader = agent
+        .run(&agent.request("a"), &completion("hello", 5))
+        .await;
+    let answer = read_answer(&mut reader, 0).await;
+    let RunEvent::End { length, usage, .. } = answer.last else {
+        panic!("{:?}", answer.last)
+    };
+    assert_eq!(length, answer.body.len() as u64);
+    assert_eq!(usage.output_tokens, 5);
+    assert!(answer.body.ends_with(b"data: [DONE]\n\n"));
+}
+
+/// Guards against an answer that cannot be continued after its connection went silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_connection_continues_at_its_offset() {
+    let agent = TestAgent::start(FakeEngine::default()).await;
+    let whole = read_answer(
+        &mut agent.run(&agent.request("a"), &completion("x", 8)).await,
+        0,
+    )
+    .await;
+    let rest = read_answer(&mut agent.send("/v1/resume", resume("a", 40)).await, 40).await;
+    assert_eq!(rest.body, whole.body[40..]);
+    assert_eq!(rest.last, whole.last);
+}
+
+/// Guards against the loss of an answer while the entry reconnects in the middle of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_dropped_connection_does_not_stop_the_answer() {
+    let options = EngineOptions {
+        between_tokens: Duration::from_millis(20),
+        ..EngineOptions::default()
+    };
+    let agent = TestAgent::start(FakeEngine::new(options)).await;
+    let mut reader = agent.run(&agent.request("a"), &completion("x", 10)).await;
+    next_frame(&mut reader).await;
+    drop(reader);
+    let answer = read_answer(&mut agent.send("/v1/resume", resume("a", 0)).await, 0).await;
+    assert!(
+        matches!(answer.last, RunEvent::End { .. }),
+        "{:?}",
+        answer.last
+    );
+}
+
+/// Guards against bytes that are given out although the entry has acknowledged and the agent freed
+/// them.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_acknowledged_offset_is_not_available() {
+    let agent = TestAgent::start(FakeEngine::default()).await;
+    read_answer(
+        &mut agent.run(&agent.request("a"), &completion("x", 8)).await,
+        0,
+    )
+    .await;
+    let ack = AckRequest {
+        attempt: 1,
+        complete: false,
+        offset: 30,
+        request_id: "a".to_owned().into(),
+    };
+    read_raw(&agent, "/v1/ack", codec::encode(&ack)).await;
+    let answer = read_answer(&mut agent.send("/v1/resume", resume("a", 10)).await, 10).await;
+    assert_eq!(failure_code(&answer.last), Some("offset_unavailable"));
+}
+
+async fn read_raw(agent: &TestAgent, path: &str, body: Vec<u8>) {
+    let mut reader = agent.send(path, body.into()).await;
+    assert!(next_frame(&mut reader).await.is_none());
+}
+
+/// Guards against a silently short answer: the engine ends the stream without its end marker.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_missing_end_marker_fails_the_attempt() {
+    let engine = FakeEngine::default();
+    engine
+        .faults()
+        .omit_end_marker
+        .store(true, Ordering::SeqCst);
+    let agent = TestAgent::start(engine).await;
+    let answer = read_answer(
+        &mut agent.run(&agent.request("a"), &completion("x", 3)).await,
+        0,
+    )
+    .await;
+    let RunEvent::Failed {
+        verdict,
+        output_tokens,
+        ..
+    } = answer.last
+    else {
+        panic!()
+    };
+    assert_eq!((verdict, output_tokens), (RunVerdict::MayHaveRun, 3));
+}
+
+/// Guards against a planned stop that cuts off a running answer or takes new work.
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_finishes_running_answers_and_refuses_new_ones() {
+    let options = EngineOptions {
+        between_tokens: Duration::from_millis(30),
+        ..EngineOptions::default()
+    };
+    let engine = FakeEngine::new(options);
+    let agent = TestAgent::start(engine.clone()).await;
+    let mut reader = agent.run(&agent.request("a"), &completion("x", 20)).await;
+    eventually(|| (engine.calls() == 1).then_some(())).await;
+    agent.trigger_stop();
+    let control = agent.control.clone();
+    eventually(|| is_leaving(&control).then_some(())).await;
+    let late = read_answer(
+        &mut agent.run(&agent.request("b"), &completion("x", 1)).await,
+        0,
+    )
+    .await;
+    let RunEvent::Failed { verdict, code, .. } = late.last else {
+        panic!()
+    };
+    assert_eq!((verdict, code.as_str()), (RunVerdict::NotRun, "draining"));
+    let answer = read_answer(&mut reader, 0).await;
+    assert!(
+        matches!(answer.last, RunEvent::End { .. }),
+        "{:?}",
+        answer.last
+    );
+    agent.stop().await.unwrap();
+    assert_eq!(engine.calls(), 1);
+}
+
+fn is_leaving(control: &crate::support::RecordingControl) -> bool {
+    use oriolecrank_schema::control::{Command, UpstreamPhase};
+    control.commands().iter().any(|command| {
+        matches!(command, Command::Announce { record, .. } if record.phase == UpstreamPhase::Leaving)
+    })
+}
--- /dev/null
+++ b/crates/oriolecrank-agent/tests/agent/claims.rs
@@ -0,0 +1,94 @@
+//! Claimed calls over TCP.
+
+use oriolecrank_fakes::FakeLedger;
+use oriolecrank_schema::control::Command;
+use oriolecrank_schema::data_path::{ClaimTicket, RunEvent, RunRequest, RunVerdict};
+
+use crate::support::{TestAgent, eventually, read_answer};
+
+fn booking(agent: &TestAgent, id: &str, claim_id: u64) -> RunRequest {
+    let ticket = ClaimTicket {
+        claim_id,
+        incarnation: agent.incarnation,
+        upstream: "upstream-1".to_owned().into(),
+    };
+    let target = "/entries".to_owned();
+    RunRequest {
+        claim: Some(ticket),
+        stream: false,
+        target,
+        ..agent.request(id)
+    }
+}
+
+/// Guards against a booking that is written twice when two entries send the same claim.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_requests_with_one_claim_write_one_entry() {
+    let ledger = FakeLedger::default();
+    let agent = TestAgent::start(ledger.clone()).await;
+    let mut first = agent.run(&booking(&agent, "a", 1), b"drain").await;
+    let mut second = agent.run(&booking(&agent, "b", 1), b"drain").await;
+    let first = read_answer(&mut first, 0).await;
+    let second = read_answer(&mut second, 0).await;
+    assert_eq!(first.body, second.body);
+    assert!(
+        matches!(second.last, RunEvent::End { .. }),
+        "{:?}",
+        second.last
+    );
+    assert_eq!(ledger.entries().len(), 1);
+}
+
+/// Guards against a repeated booking elsewhere because the answer was never stored.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_answer_of_a_claim_is_stored() {
+    let agent = TestAgent::start(FakeLedger::default()).await;
+    read_answer(&mut agent.run(&booking(&agent, "a", 7), b"drain").await, 0).await;
+    let control = agent.control.clone();
+    let stored = eventually(|| {
+        control
+            .commands()
+            .into_iter()
+            .find_map(|command| match command {
+                Command::CompleteClaim {
+                    claim_id: 7,
+                    answer,
+                    ..
+                } => answer,
+                _ => None,
+            })
+    });
+    let stored = stored.await;
+    assert_eq!((stored.status, stored.body.as_str()), (201, "ZW50cnkgMQ=="));
+}
+
+/// Guards against a false "not run" when the booking was written but its answer was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_may_have_run_also_when_it_is_sent_again() {
+    let ledger = FakeLedger::default();
+    ledger.lose_answers(true);
+    let agent = TestAgent::start(ledger.clone()).await;
+    for id in ["a", "b"] {
+        let answer = read_answer(&mut agent.run(&booking(&agent, id, 1), b"drain").await, 0).await;
+        let RunEvent::Failed { verdict, .. } = answer.last else {
+            panic!("{:?}", answer.last)
+        };
+        assert_eq!(verdict, RunVerdict::MayHaveRun, "{id}");
+    }
+    assert_eq!(ledger.entries().len(), 1);
+}
+
+/// Guards against a run of a claim that was given to an earlier start of the agent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claim_of_an_earlier_incarnation_may_have_run() {
+    let ledger = FakeLedger::default();
+    let agent = TestAgent::start(ledger.clone()).await;
+    let mut request = booking(&agent, "a", 1);
+    request.claim.as_mut().unwrap().incarnation -= 1;
+    let answer = read_answer(&mut agent.run(&request, b"drain").await, 0).await;
+    let RunEvent::Failed { verdict, .. } = answer.last else {
+        panic!("{:?}", answer.last)
+    };
+    assert_eq!(verdict, RunVerdict::MayHaveRun);
+    assert!(ledger.entries().is_empty());
+}
--- /dev/null
+++ b/crates/oriolecrank-agent/tests/agent/messages.rs
@@ -0,0 +1,83 @@
+//! Messages that an agent refuses.
+
+use bytes::Bytes;
+use http::header::AUTHORIZATION;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use oriolecrank_fakes::FakeEngine;
+
+use crate::support::{LONG, SECRET, TestAgent};
+
+/// Guards against work for senders without the cluster secret and against messages that cannot be
+/// understood.
+#[tokio::test(flavor = "multi_thread")]
+async fn refuses_messages_without_effect() {
+    let engine = FakeEngine::default();
+    let agent = TestAgent::start(engine.clone()).await;
+    let secret = format!("Bearer {SECRET}");
+    let cases = [
+        ("no secret", "", "1.0", "/v1/run", StatusCode::UNAUTHORIZED),
+        (
+            "wrong secret",
+            "Bearer wrong",
+            "1.0",
+            "/v1/run",
+            StatusCode::UNAUTHORIZED,
+        ),
+        (
+            "newer major version",
+            &secret,
+            "2.0",
+            "/v1/run",
+            StatusCode::UPGRADE_REQUIRED,
+        ),
+        (
+            "malformed version",
+            &secret,
+            "x",
+            "/v1/run",
+            StatusCode::UPGRADE_REQUIRED,
+        ),
+        (
+            "malformed body",
+            &secret,
+            "1.0",
+            "/v1/run",
+            StatusCode::BAD_REQUEST,
+        ),
+        (
+            "malformed order",
+            &secret,
+            "1.0",
+            "/v1/order",
+            StatusCode::BAD_REQUEST,
+        ),
+        (
+            "unknown path",
+            &secret,
+            "1.0",
+            "/v1/other",
+            StatusCode::NOT_FOUND,
+        ),
+    ];
+    for (name, authorization, version, path, expected) in cases {
+        let request = Request::post(path)
+            .header("host", "agent")
+            .header(AUTHORIZATION, authorization)
+            .header("x-oriolecrank-protocol", version)
+            .body(Full::new(Bytes::from_static(b"\x00\x00")))
+            .unwrap();
+        let response = agent
+            .client
+            .send(agent.address, request, LONG)
+            .await
+            .unwrap();
+        assert_eq!(response.status(), expected, "{name}");
+        let body = response.collect(1024, LONG).await.unwrap();
+        assert!(
+            expected != StatusCode::UNAUTHORIZED || body.is_empty(),
+            "{name}"
+        );
+    }
+    assert_eq!(engine.calls(), 0);
+}
--- /dev/null
+++ b/crates/oriolecrank-agent/tests/agent/orders.rs
@@ -0,0 +1,132 @@
+//! Orders over TCP.
+
+use oriolecrank_fakes::{EngineOptions, FakeEngine};
+use oriolecrank_schema::control::{
+    EngineOrder, FencingNumber, OrderAction, OrderResult, UpstreamRole,
+};
+use oriolecrank_schema::data_path::{RunEvent, RunVerdict};
+use std::time::Duration;
+
+use crate::support::{LONG, TestAgent, completion, eventually, read_answer};
+
+fn order(sequence: u64, action: OrderAction) -> EngineOrder {
+    EngineOrder {
+        action,
+        fence: FencingNumber { sequence, term: 1 },
+        lifetime_ms: 2_000,
+        upstream: "upstream-1".to_owned().into(),
+    }
+}
+
+fn change_role() -> OrderAction {
+    OrderAction::ChangeRole {
+        role: UpstreamRole::Decode,
+    }
+}
+
+/// Repeats an order until the agent's wait after its start is over.
+async fn settled(agent: &TestAgent, order: &EngineOrder) -> OrderResult {
+    let repeat = async {
+        loop {
+            let answer = agent.order(order).await;
+            if answer.result != OrderResult::Refused {
+                return answer.result;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(LONG, repeat).await.unwrap()
+}
+
+/// Guards against conflicting orders: an engine that ignores fencing numbers must not see an old
+/// order after a newer one, nor the same order twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_engine_sees_each_order_once_and_no_old_one() {
+    let engine = FakeEngine::default();
+    let agent = TestAgent::start(engine.clone()).await;
+    assert_eq!(
+        settled(&agent, &order(5, change_role())).await,
+        OrderResult::Done
+    );
+    assert_eq!(
+        agent.order(&order(5, change_role())).await.result,
+        OrderResult::Done
+    );
+    let old = agent.order(&order(4, change_role())).await;
+    assert_eq!(old.result, OrderResult::Refused);
+    assert_eq!(
+        old.fence,
+        FencingNumber {
+            sequence: 5,
+            term: 1
+        }
+    );
+    let other = EngineOrder {
+        upstream: "upstream-2".to_owned().into(),
+        ..order(6, change_role())
+    };
+    assert_eq!(agent.order(&other).await.result, OrderResult::Refused);
+    let seen: Vec<_> = engine
+        .seen_orders()
+        .iter()
+        .map(|order| order.fence.sequence)
+        .collect();
+    assert_eq!(seen, [5]);
+}
+
+/// Guards against a planned role change that cuts off a running answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_role_change_waits_until_the_upstream_is_drained() {
+    let between_tokens = Duration::from_millis(40);
+    let engine = FakeEngine::new(EngineOptions {
+        between_tokens,
+        ..EngineOptions::default()
+    });
+    let agent = TestAgent::start(engine.clone()).await;
+    let mut reader = agent.run(&agent.request("a"), &completion("x", 100)).await;
+    eventually(|| (engine.calls() == 1).then_some(())).await;
+    assert_eq!(
+        settled(&agent, &order(1, change_role())).await,
+        OrderResult::Failed
+    );
+    assert!(engine.seen_orders().is_empty());
+
+    assert_eq!(
+        agent.order(&order(2, OrderAction::Drain)).await.result,
+        OrderResult::Done
+    );
+    let late = read_answer(
+        &mut agent.run(&agent.request("b"), &completion("x", 1)).await,
+        0,
+    )
+    .await;
+    let RunEvent::Failed { verdict, .. } = late.last else {
+        panic!("{:?}", late.last)
+    };
+    assert_eq!(verdict, RunVerdict::NotRun);
+    let answer = read_answer(&mut reader, 0).await;
+    assert!(
+        matches!(answer.last, RunEvent::End { .. }),
+        "{:?}",
+        answer.last
+    );
+
+    assert_eq!(
+        agent.order(&order(3, change_role())).await.result,
+        OrderResult::Done
+    );
+    assert_eq!(
+        agent.order(&order(4, OrderAction::Undrain)).await.result,
+        OrderResult::Done
+    );
+    let after = read_answer(
+        &mut agent.run(&agent.request("c"), &completion("x", 1)).await,
+        0,
+    )
+    .await;
+    assert!(
+        matches!(after.last, RunEvent::End { .. }),
+        "{:?}",
+        after.last
+    );
+}
--- /dev/null
+++ b/crates/oriolecrank-agent/tests/agent/support.rs
@@ -0,0 +1,242 @@
+//! An agent with fakes around it.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use oriolecrank_agent::{AgentOptions, AgentProcess};
+use oriolecrank_net::frame::{DataFrame, encode_frame};
+use oriolecrank_net::logging::LogFormat;
+use oriolecrank_net::shutdown::{ShutdownTrigger, shutdown_channel};
+use oriolecrank_net::{
+    AnswerBody, ClusterSecret, FrameReader, HttpClient, HttpHandler, empty_answer, message_answer,
+    peer_request, read_body, serve,
+};
+use oriolecrank_schema::codec;
+use oriolecrank_schema::control::{
+    Command, CommandOutcome, EngineOrder, FencingNumber, OrderAnswer, UpstreamRole,
+};
+use oriolecrank_schema::data_path::{RunEvent, RunFrame, RunRequest};
+use oriolecrank_schema::document::PriorityClass;
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+pub const SECRET: &str = "secret-of-the-tests";
+
+/// Bound of waits that end on an event; reached only when a test fails.
+pub const LONG: Duration = Duration::from_secs(10);
+
+/// Control instance that accepts and records every command.
+#[derive(Debug, Clone, Default)]
+pub struct RecordingControl {
+    commands: Arc<Mutex<Vec<Command>>>,
+}
+
+impl RecordingControl {
+    pub fn commands(&self) -> Vec<Command> {
+        self.commands.lock().unwrap().clone()
+    }
+
+    pub fn announced_incarnation(&self) -> Option<u64> {
+        self.commands()
+            .iter()
+            .rev()
+            .find_map(|command| match command {
+                Command::Announce { record, .. } => Some(record.incarnation),
+                _ => None,
+            })
+    }
+}
+
+impl HttpHandler for RecordingControl {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
+        let bytes = read_body(request.into_body(), 1024 * 1024).await.unwrap();
+        let Ok(command) = codec::decode::<Command>(&bytes) else {
+            return empty_answer(StatusCode::BAD_REQUEST);
+        };
+        let outcome = match &command {
+            Command::Announce { .. } => CommandOutcome::Announced {
+                fence: FencingNumber {
+                    sequence: 0,
+                    term: 1,
+                },
+                lease_ms: 3_000,
+            },
+            _ => CommandOutcome::Accepted,
+        };
+        self.commands.lock().unwrap().push(command);
+        message_answer(&outcome)
+    }
+}
+
+/// A running agent.
+pub struct TestAgent {
+    pub address: SocketAddr,
+    pub control: RecordingControl,
+    pub incarnation: u64,
+    pub client: HttpClient,
+    trigger: ShutdownTrigger,
+    process: JoinHandle<()>,
+    _fakes: ShutdownTrigger,
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+impl TestAgent {
+    pub async fn start<H: HttpHandler>(upstream: H) -> Self {
+        let (fakes, signal) = shutdown_channel();
+        let (listener, upstream_address) = listen().await;
+        tokio::spawn(serve(listener, Arc::new(upstream), signal.clone()));
+        let control = RecordingControl::default();
+        let (listener, control_address) = listen().await;
+        tokio::spawn(serve(listener, Arc::new(control.clone()), signal));
+
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let options = AgentOptions {
+            upstream: "upstream-1".to_owned(),
+            region: "r".to_owned(),
+            failure_domain: "d".to_owned(),
+            listen: any,
+            operator_listen: any,
+            secret: ClusterSecret::new(SECRET).unwrap(),
+            control: vec![control_address],
+            service: "s".to_owned(),
+            role: UpstreamRole::Mixed,
+            model: None,
+            version: None,
+            upstream_address,
+            capacity_blocks: 64,
+            checks_fencing: false,
+            shutdown_limit: LONG,
+            log_format: LogFormat::Text,
+        };
+        let process = AgentProcess::bind(options).await.unwrap();
+        let address = process.address();
+        let (trigger, signal) = shutdown_channel();
+        let process = tokio::spawn(async move { process.run(signal).await.unwrap() });
+        let incarnation = eventually(|| control.announced_incarnation()).await;
+        let client = HttpClient::default();
+        Self {
+            address,
+            control,
+            incarnation,
+            client,
+            trigger,
+            process,
+            _fakes: fakes,
+        }
+    }
+
+    /// Starts a graceful shutdown and returns the task that ends with the process.
+    pub fn stop(self) -> JoinHandle<()> {
+        self.trigger.trigger();
+        self.process
+    }
+
+    pub fn trigger_stop(&self) {
+        self.trigger.trigger();
+    }
+
+    pub fn request(&self, id: &str) -> RunRequest {
+        RunRequest {
+            attempt: 1,
+            claim: None,
+            class: PriorityClass::Standard,
+            deadline_ms: 10_000,
+            fingerprint: format!("fingerprint-{id}"),
+            headers: Vec::new(),
+            incarnation: Some(self.incarnation),
+            max_output_tokens: 16,
+            method: "POST".to_owned(),
+            organisation: "o".to_owned(),
+            prompt_tokens: 4,
+            request_id: id.to_owned().into(),
+            resume_tokens: 0,
+            service: "s".to_owned().into(),
+            stream: true,
+            target: "/v1/chat/completions".to_owned(),
+        }
+    }
+
+    pub async fn run(&self, request: &RunRequest, body: &[u8]) -> FrameReader {
+        self.send("/v1/run", encode_frame(request, body)).await
+    }
+
+    pub async fn send(&self, path: &str, body: Bytes) -> FrameReader {
+        let secret = ClusterSecret::new(SECRET).unwrap();
+        let request = peer_request(&secret, path, body);
+        FrameReader::new(self.client.send(self.address, request, LONG).await.unwrap())
+    }
+
+    pub async fn order(&self, order: &EngineOrder) -> OrderAnswer {
+        let secret = ClusterSecret::new(SECRET).unwrap();
+        let request = peer_request(&secret, "/v1/order", codec::encode(order).into());
+        let response = self.client.send(self.address, request, LONG).await.unwrap();
+        codec::decode(&response.collect(64 * 1024, LONG).await.unwrap()).unwrap()
+    }
+}
+
+/// Body of a streamed completion.
+pub fn completion(prompt: &str, tokens: u64) -> Vec<u8> {
+    let body =
+        serde_json::json!({ "model": "m", "prompt": prompt, "stream": true, "max_tokens": tokens });
+    body.to_string().into_bytes()
+}
+
+/// Everything an answer stream has sent.
+#[derive(Debug)]
+pub struct ReceivedAnswer {
+    pub body: Vec<u8>,
+    pub last: RunEvent,
+}
+
+pub async fn next_frame(reader: &mut FrameReader) -> Option<DataFrame<RunFrame>> {
+    reader.next(LONG).await.unwrap()
+}
+
+/// Reads an answer stream to its end; offsets must follow each other.
+pub async fn read_answer(reader: &mut FrameReader, first_offset: u64) -> ReceivedAnswer {
+    let mut body = BytesMut::new();
+    let mut last = None;
+    while let Some(frame) = next_frame(reader).await {
+        if let RunEvent::Chunk { offset } = frame.header.event {
+            assert_eq!(offset, first_offset + body.len() as u64);
+            body.extend_from_slice(&frame.payload);
+        }
+        last = Some(frame.header.event);
+    }
+    ReceivedAnswer {
+        body: body.to_vec(),
+        last: last.expect("an answer has at least one frame"),
+    }
+}
+
+pub fn failure_code(event: &RunEvent) -> Option<&str> {
+    match event {
+        RunEvent::Failed { code, .. } => Some(code),
+        _ => None,
+    }
+}
+
+/// Polls until `check` returns a value.
+pub async fn eventually<T>(check: impl Fn() -> Option<T>) -> T {
+    let poll = async {
+        loop {
+            if let Some(value) = check() {
+                return value;
+            }
+            tokio::task::yield_now().await;
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(LONG, poll)
+        .await
+        .expect("the expected event happens")
+}
--- a/crates/oriolecrank-fakes/src/fake_engine.rs
+++ b/crates/oriolecrank-fakes/src/fake_engine.rs
@@ -12,6 +12,7 @@
 use oriolecrank_net::{
     AnswerBody, BodyAborted, BodySender, HttpHandler, empty_answer, read_body, text_answer,
 };
+use oriolecrank_schema::control::EngineOrder;
 use serde::Deserialize;
 use serde_json::json;
 use tokio::time::sleep;
@@ -55,6 +56,9 @@
     pub silent_after_tokens: AtomicU64,
     /// Streamed answers end without their end marker.
     pub omit_end_marker: AtomicBool,
+    /// Orders with a number below the highest one seen are refused with 409; otherwise the engine
+    /// ignores the number, as some engines do.
+    pub checks_fencing: AtomicBool,
 }
 
 /// A fake engine that answers deterministic text; see [`expected_text`].
@@ -71,6 +75,7 @@
     crashes: AtomicU32,
     calls: AtomicU32,
     headers: Mutex<Vec<HeaderMap>>,
+    orders: Mutex<Vec<EngineOrder>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -137,6 +142,15 @@
         self.shared.crashes.load(Ordering::SeqCst)
     }
 
+    /// Orders that were carried out.
+    pub fn seen_orders(&self) -> Vec<EngineOrder> {
+        self.shared
+            .orders
+            .lock()
+            .expect("no holder of the order lock panics")
+            .clone()
+    }
+
     /// Header fields of all requests.
     pub fn seen_headers(&self) -> Vec<HeaderMap> {
         self.shared
@@ -160,6 +174,26 @@
         seen.push(headers.clone());
     }
 
+    fn take_order(&self, body: &[u8]) -> StatusCode {
+        let Ok(order) = serde_json::from_slice::<EngineOrder>(body) else {
+            return StatusCode::BAD_REQUEST;
+        };
+        let mut orders = self
+            .shared
+            .orders
+            .lock()
+            .expect("no holder of the order lock panics");
+        let number = |order: &EngineOrder| (order.fence.term, order.fence.sequence);
+        let highest = orders.iter().map(number).max();
+        if self.shared.faults.checks_fencing.load(Ordering::SeqCst)
+            && Some(number(&order)) < highest
+        {
+            return StatusCode::CONFLICT;
+        }
+        orders.push(order);
+        StatusCode::OK
+    }
+
     async fn complete(&self, headers: &HeaderMap, body: Bytes) -> Response<AnswerBody> {
         let Ok(prompt) = serde_json::from_slice::<CompletionBody>(&body) else {
             return text_answer(
@@ -289,6 +323,10 @@
         let (head, body) = request.into_parts();
         match head.uri.path() {
             "/health" => empty_answer(StatusCode::OK),
+            "/admin/orders" => match read_body(body, MAX_BODY_BYTES).await {
+                Some(body) => empty_answer(self.take_order(&body)),
+                None => empty_answer(StatusCode::PAYLOAD_TOO_LARGE),
+            },
             "/v1/chat/completions" | "/v1/completions" => {
                 self.shared.calls.fetch_add(1, Ordering::SeqCst);
                 self.record_headers(&head.headers);
