Add the replicated state machine

Cause: configuration, membership, claims, orders, suspects, usage and plans must be durable and equal on every control instance. Conclusion: the control process can apply entries and serve subscriptions and queries.

--- /dev/null
+++ b/crates/oriolecrank-state/src/cluster/claim_table.rs
@@ -0,0 +1,349 @@
+//! Claims of non-idempotent calls and their stored answers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use oriolecrank_schema::control::{ClaimState, ClaimSummary, StoredAnswer};
+use oriolecrank_schema::data_path::ClaimTicket;
+use oriolecrank_schema::document::{OrganisationId, RequestId, ServiceId, UpstreamId};
+use serde::{Deserialize, Serialize};
+
+/// A claim is forgotten this long after its completion, in milliseconds (24 h). A claim that is
+/// never completed is forgotten this long after it was opened, once its agent is gone.
+pub const CLAIM_LIFETIME_MS: u64 = 86_400_000;
+
+/// Largest number of claims of one organisation.
+pub const MAX_CLAIMS_PER_ORGANISATION: u32 = 10_000;
+
+/// Number of claims of all organisations above which an organisation gets only
+/// [`ASSURED_CLAIMS`].
+pub const MAX_CLAIMS: usize = 100_000;
+
+/// Claims that each organisation may have, however many the others have. With 340 organisations the
+/// table stays below 275,000 claims of about 500 bytes.
+pub const ASSURED_CLAIMS: u32 = 512;
+
+/// Largest answer that is stored, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+/// Total size of the stored answers of one organisation, in bytes. A claim that is completed beyond
+/// it keeps no answer.
+pub const MAX_ORGANISATION_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
+/// Total size of all stored answers, in bytes. A claim that is completed beyond it keeps no answer.
+pub const MAX_TOTAL_ANSWER_BYTES: usize = 128 * 1024 * 1024;
+
+/// What a claim protects: one idempotency key of an organisation at a service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub(crate) struct ClaimKey {
+    pub(crate) organisation: OrganisationId,
+    pub(crate) service: ServiceId,
+    pub(crate) key_digest: String,
+}
+
+/// Request for a claim.
+#[derive(Debug)]
+pub(crate) struct ClaimRequest<'a> {
+    pub(crate) key: ClaimKey,
+    pub(crate) body_digest: &'a str,
+    pub(crate) request_id: &'a RequestId,
+    pub(crate) upstream: &'a UpstreamId,
+    pub(crate) incarnation: u64,
+}
+
+/// A committed claim.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct ClaimRecord {
+    key: ClaimKey,
+    body_digest: String,
+    request_id: RequestId,
+    ticket: ClaimTicket,
+    opened_ms: u64,
+    /// Log time of the claim's entry in `ClaimTable::deadlines`.
+    deadline_ms: u64,
+    /// Absent while the call may still run.
+    completion: Option<ClaimCompletion>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct ClaimCompletion {
+    answer: Option<StoredAnswer>,
+    /// Size of the answer, 0 without one.
+    bytes: usize,
+}
+
+/// What is known about the claim of a key.
+#[derive(Debug, PartialEq)]
+pub(crate) enum ClaimLookup {
+    /// The key has no claim.
+    Unknown,
+    /// The claim belongs to another body.
+    Mismatch,
+    /// The same request already holds the claim for the same agent incarnation.
+    Held(ClaimTicket),
+    /// Another request holds the claim.
+    Running(ClaimTicket),
+    /// The call has run.
+    Completed(Option<StoredAnswer>),
+}
+
+/// Result of completing or releasing a claim.
+#[derive(Debug, PartialEq)]
+pub(crate) enum ClaimEffect {
+    Applied,
+    /// The same was done before.
+    Unchanged,
+    Refused(&'static str),
+}
+
+/// Claims by number and by key.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct ClaimTable {
+    claims: BTreeMap<u64, ClaimRecord>,
+    /// Number of the claim of each key in `claims`; derived, so it is not stored.
+    #[serde(skip)]
+    numbers: BTreeMap<ClaimKey, u64>,
+    /// One entry for each claim.
+    deadlines: BTreeSet<ClaimDeadline>,
+    quotas: BTreeMap<OrganisationId, ClaimQuota>,
+    /// Sum over `quotas`.
+    answer_bytes: usize,
+    newest_id: u64,
+}
+
+/// Log time at which a claim is considered for removal.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+struct ClaimDeadline {
+    at_ms: u64,
+    claim_id: u64,
+}
+
+/// Use of the table by one organisation.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+struct ClaimQuota {
+    claims: u32,
+    answer_bytes: usize,
+}
+
+impl ClaimTable {
+    /// Restores the lookup by key after decoding.
+    pub(crate) fn rebuild(&mut self) {
+        self.numbers = self
+            .claims
+            .iter()
+            .map(|(claim_id, claim)| (claim.key.clone(), *claim_id))
+            .collect();
+    }
+
+    /// Looks a request up among the committed claims.
+    ///
+    /// A request that repeats its own command, because the answer was lost, gets its ticket again.
+    /// Request ids are unique, so nobody else can hold it, and the agent runs a claim number once.
+    pub(crate) fn lookup(&self, request: &ClaimRequest<'_>) -> ClaimLookup {
+        let claim = self.numbers.get(&request.key);
+        let Some(claim) = claim.and_then(|claim_id| self.claims.get(claim_id)) else {
+            return ClaimLookup::Unknown;
+        };
+        if claim.body_digest != request.body_digest {
+            return ClaimLookup::Mismatch;
+        }
+        if let Some(completion) = &claim.completion {
+            return ClaimLookup::Completed(completion.answer.clone());
+        }
+        let held = claim.request_id == *request.request_id
+            && claim.ticket.upstream == *request.upstream
+            && claim.ticket.incarnation == request.incarnation;
+        if held {
+            ClaimLookup::Held(claim.ticket.clone())
+        } else {
+            ClaimLookup::Running(claim.ticket.clone())
+        }
+    }
+
+    /// Commits a claim for a key without one, or returns `None` if the organisation has too many.
+    pub(crate) fn open(&mut self, request: ClaimRequest<'_>, now_ms: u64) -> Option<ClaimTicket> {
+        let quota = self.quotas.get(&request.key.organisation);
+        let count = quota.map_or(0, |quota| quota.claims);
+        let limit = if self.claims.len() < MAX_CLAIMS {
+            MAX_CLAIMS_PER_ORGANISATION
+        } else {
+            ASSURED_CLAIMS
+        };
+        if count >= limit {
+            return None;
+        }
+        self.newest_id += 1;
+        let ticket = ClaimTicket {
+            claim_id: self.newest_id,
+            incarnation: request.incarnation,
+            upstream: request.upstream.clone(),
+        };
+        let claim = ClaimRecord {
+            key: request.key.clone(),
+            body_digest: request.body_digest.to_owned(),
+            request_id: request.request_id.clone(),
+            ticket: ticket.clone(),
+            opened_ms: now_ms,
+            deadline_ms: now_ms.saturating_add(CLAIM_LIFETIME_MS),
+            completion: None,
+        };
+        let quota = self.quotas.entry(request.key.organisation.clone());
+        quota.or_default().claims += 1;
+        self.numbers.insert(request.key, ticket.claim_id);
+        self.deadlines.insert(claim.deadline());
+        self.claims.insert(ticket.claim_id, claim);
+        Some(ticket)
+    }
+
+    /// Stores the answer of a claim; only the bound incarnation may complete it.
+    ///
+    /// The incarnation need not be a member any more: an agent that was cut off and removed while
+    /// the call ran reports truthfully that it has run.
+    pub(crate) fn complete(
+        &mut self,
+        ticket: &ClaimTicket,
+        answer: Option<&StoredAnswer>,
+        now_ms: u64,
+    ) -> ClaimEffect {
+        let Some(claim) = self.claims.get_mut(&ticket.claim_id) else {
+            return ClaimEffect::Refused("the claim is released or expired");
+        };
+        if claim.ticket != *ticket {
+            return ClaimEffect::Refused("the claim is bound to another agent");
+        }
+        if claim.completion.is_some() {
+            return ClaimEffect::Unchanged;
+        }
+        let quota = self.quotas.entry(claim.key.organisation.clone());
+        let quota = quota.or_default();
+        let fits = |answer: &&StoredAnswer| {
+            let bytes = answer_len(answer);
+            bytes <= MAX_ANSWER_BYTES
+                && quota.answer_bytes + bytes <= MAX_ORGANISATION_ANSWER_BYTES
+                && self.answer_bytes + bytes <= MAX_TOTAL_ANSWER_BYTES
+        };
+        let answer = answer.filter(fits).cloned();
+        let bytes = answer.as_ref().map_or(0, answer_len);
+        quota.answer_bytes += bytes;
+        self.answer_bytes += bytes;
+        claim.completion = Some(ClaimCompletion { answer, bytes });
+        self.deadlines.remove(&claim.deadline());
+        claim.deadline_ms = now_ms.saturating_add(CLAIM_LIFETIME_MS);
+        self.deadlines.insert(claim.deadline());
+        ClaimEffect::Applied
+    }
+
+    /// Removes a claim that never ran; only the bound incarnation may release it.
+    pub(crate) fn release(&mut self, ticket: &ClaimTicket) -> ClaimEffect {
+        if ticket.claim_id == 0 || ticket.claim_id > self.newest_id {
+            return ClaimEffect::Refused("no claim has this number");
+        }
+        let Some(claim) = self.claims.get(&ticket.claim_id) else {
+            return ClaimEffect::Unchanged;
+        };
+        if claim.ticket != *ticket {
+            return ClaimEffect::Refused("the claim is bound to another agent");
+        }
+        if claim.completion.is_some() {
+            return ClaimEffect::Refused("the claim is completed");
+        }
+        self.remove(ticket.claim_id);
+        ClaimEffect::Applied
+    }
+
+    /// Forgets claims whose time has come. `is_live` says whether an incarnation is a member; while
+    /// it is, the call may still run, and its claim is considered again one lifetime later.
+    pub(crate) fn expire(&mut self, now_ms: u64, is_live: impl Fn(&UpstreamId, u64) -> bool) {
+        while let Some(deadline) = self.deadlines.first() {
+            if deadline.at_ms > now_ms {
+                return;
+            }
+            let claim_id = deadline.claim_id;
+            let running = |claim: &&mut ClaimRecord| {
+                let ticket = &claim.ticket;
+                claim.completion.is_none() && is_live(&ticket.upstream, ticket.incarnation)
+            };
+            let Some(claim) = self.claims.get_mut(&claim_id).filter(running) else {
+                self.remove(claim_id);
+                continue;
+            };
+            self.deadlines.remove(&claim.deadline());
+            claim.deadline_ms = now_ms.saturating_add(CLAIM_LIFETIME_MS);
+            self.deadlines.insert(claim.deadline());
+        }
+    }
+
+    fn remove(&mut self, claim_id: u64) {
+        let Some(claim) = self.claims.remove(&claim_id) else {
+            return;
+        };
+        self.deadlines.remove(&claim.deadline());
+        self.numbers.remove(&claim.key);
+        let bytes = claim.completion.map_or(0, |completion| completion.bytes);
+        self.answer_bytes -= bytes;
+        let organisation = claim.key.organisation;
+        let Some(quota) = self.quotas.get_mut(&organisation) else {
+            return;
+        };
+        quota.claims -= 1;
+        quota.answer_bytes -= bytes;
+        if quota.claims == 0 {
+            self.quotas.remove(&organisation);
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    pub(crate) fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    /// Claims with larger numbers than `after`, in ascending order.
+    pub(crate) fn after(&self, after: u64) -> impl Iterator<Item = &ClaimRecord> {
+        let first = after.saturating_add(1);
+        self.claims.range(first..).map(|(_, claim)| claim)
+    }
+}
+
+impl ClaimRecord {
+    fn deadline(&self) -> ClaimDeadline {
+        ClaimDeadline {
+            at_ms: self.deadline_ms,
+            claim_id: self.ticket.claim_id,
+        }
+    }
+
+    pub(crate) fn organisation(&self) -> &OrganisationId {
+        &self.key.organisation
+    }
+
+    /// Summary for operators. `is_live` says whether an incarnation is a member.
+    pub(crate) fn summary(&self, is_live: impl Fn(&UpstreamId, u64) -> bool) -> ClaimSummary {
+        let live = is_live(&self.ticket.upstream, self.ticket.incarnation);
+        let state = match (&self.completion, live) {
+            (Some(_), _) => ClaimState::Completed,
+            (None, true) => ClaimState::Running,
+            (None, false) => ClaimState::MayHaveRun,
+        };
+        let completion = self.completion.as_ref();
+        ClaimSummary {
+            answer_stored: completion.is_some_and(|completion| completion.answer.is_some()),
+            opened_ms: self.opened_ms,
+            organisation: self.key.organisation.clone(),
+            request_id: self.request_id.clone(),
+            service: self.key.service.clone(),
+            state,
+            ticket: self.ticket.clone(),
+        }
+    }
+}
+
+/// Size of an answer with its body decoded from base64, in bytes.
+fn answer_len(answer: &StoredAnswer) -> usize {
+    let fields = answer.headers.iter();
+    let headers: usize = fields
+        .map(|field| field.name.len() + field.value.len())
+        .sum();
+    headers + answer.body.trim_end_matches('=').len() * 3 / 4
+}
--- a/crates/oriolecrank-state/src/document/checked_document.rs
+++ b/crates/oriolecrank-state/src/document/checked_document.rs
@@ -82,6 +82,14 @@
 }
 
 impl CheckedDocument {
+    /// A document that was valid when it was committed.
+    ///
+    /// It is not validated again: a later version may check more strictly, and a committed document
+    /// stays in force.
+    pub(crate) fn from_committed(document: ConfigDocument) -> Self {
+        Self::index(document)
+    }
+
     /// Document as a wire message, in canonical order.
     pub fn as_document(&self) -> &ConfigDocument {
         &self.document
--- a/crates/oriolecrank-state/src/lib.rs
+++ b/crates/oriolecrank-state/src/lib.rs
@@ -3,8 +3,30 @@
 //! - [`document`] reads, validates and compares configuration documents. [`CheckedDocument`] is a
 //!   valid document with the lookups that the request path needs.
 //!
+//! - [`ClusterState`] applies committed commands and yields their outcomes. It is deterministic: time
+//!   comes from the log entry only. [`ClusterState::query`] answers reads,
+//!   [`ClusterState::changes_since`] feeds subscribers, and snapshots carry the whole state.
+//!
+//! Every table is bounded; the constants in [`cluster`] state the rules.
+//!
+//! ```
+//! use oriolecrank_schema::control::{Command, CommandOutcome, LoggedCommand};
+//! use oriolecrank_state::{ClusterState, LogIndex};
+//!
+//! let mut state = ClusterState::default();
+//! let entry = LoggedCommand { time_ms: 1_000, term: 1, command: Command::CloseWindow };
+//! // The first window opens with the first command, so it is too early to close it.
+//! assert_eq!(state.apply(LogIndex(1), entry), CommandOutcome::Unchanged);
+//!
+//! let restored = ClusterState::decode_snapshot(&state.encode_snapshot())?;
+//! assert_eq!(restored.applied_index(), LogIndex(1));
+//! # Ok::<(), oriolecrank_state::cluster::SnapshotError>(())
+//! ```
+//!
 //! The crate performs no input or output and reads no clock.
 
+pub mod cluster;
 pub mod document;
 
+pub use cluster::{ClusterState, LogIndex, StateChange};
 pub use document::{CheckedDocument, Revision};
