Add the choice of an upstream

Cause: an entry decides where a request runs, from lagging reports and partial cache knowledge. Change: subset selects at most 64 upstreams for each entry by rendezvous hashing; load_estimate combines aged reports with own dispatches; prefix_map tracks cached prefixes and forgets them after a gap; upstream_chooser prefers near upstreams, follows prefixes within a load bound and otherwise compares two random upstreams. Result: 12 tests pass, among them differential tests of estimate, prefix map and choice. The estimate test found that a request which ended before a report arrived stayed counted when the report had been measured while it ran; ended requests are now remembered for 10 s.

--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -5,6 +5,8 @@
 //!
 //! - A request enters: [`header_cleaning`] refuses unsafe heads and finds the key, [`freshness`]
 //!   says whether the key table may be trusted.
+//! - [`upstream_chooser`] takes one upstream of the entry's [`subset`], by distance, by cached
+//!   prefix ([`prefix_map`]) and by estimated load ([`load_estimate`]).
 //! - At the agent: [`request_queue`] says which request runs next, [`answer_buffer`] keeps the answer until it is acknowledged.
 //! - The answer returns: [`answer_assembly`] checks each frame.
 
@@ -13,10 +15,15 @@
 mod counts;
 pub mod freshness;
 pub mod header_cleaning;
+pub mod load_estimate;
 mod percent_encoding;
+pub mod prefix_map;
 mod queue_lane;
 mod queued_request;
 pub mod request_queue;
+pub mod subset;
+pub mod upstream_chooser;
+pub mod upstream_state;
 mod work_class;
 
 pub use counts::{AttemptId, BlockCount, TOKENS_PER_BLOCK, TokenCount};
