Test the capacity decisions and search small pools completely

Cause: the differential test of the role planner found a pool of six engines (three prefill, two mixed, one decode) in which local search stopped at a net gain of 235.8 engine-seconds while 287.7 was permitted.

Change: tables of cases for each planner, and the differential test. Pools with at most 20,000 permitted assignments are searched completely; larger pools keep the local search, which is tested against the best pair of changes.

Conclusion: PROPTEST_CASES=20000 cargo test -p oriolecrank-capacity differential failed before and passes now.

--- a/crates/oriolecrank-capacity/src/role_planner.rs
+++ b/crates/oriolecrank-capacity/src/role_planner.rs
@@ -42,6 +42,9 @@
     pub domain_share: f64,
     /// Largest number of changes per engine and hour. The target is 6 changes for 8 engines.
     pub changes_per_engine_hour: f64,
+    /// Pools with at most this many permitted assignments of roles are searched completely; larger
+    /// ones by local search, which may stop at a lesser gain.
+    pub complete_search: f64,
     /// How much the required gain grows while the hourly number of changes is used up: at the full
     /// number the factor is `hysteresis + scarcity`.
     pub scarcity: f64,
@@ -58,6 +61,7 @@
             minimum_stay: Duration::from_mins(3),
             domain_share: 0.25,
             changes_per_engine_hour: 0.75,
+            complete_search: 20_000.0,
             scarcity: 2.0,
         }
     }
@@ -321,8 +325,71 @@
         self.members.iter().map(|member| member.view.role).collect()
     }
 
-    /// Roles found by local search: the best single change or pair is applied until none helps.
     fn best_roles(&self, allowed: usize) -> Vec<UpstreamRole> {
+        if self.assignments() > self.settings.complete_search {
+            return self.locally_best_roles(allowed);
+        }
+        let mut quota = self.quota.clone();
+        let mut candidate = self.present_roles();
+        let mut best = (candidate.clone(), 0.0);
+        self.search(0, &mut quota, allowed, &mut candidate, &mut best);
+        best.0
+    }
+
+    /// Number of assignments that keep the quota of each failure domain.
+    fn assignments(&self) -> f64 {
+        let choices = ENGINE_ROLES.len() as f64 - 1.0;
+        self.quota
+            .iter()
+            .enumerate()
+            .map(|(domain, quota)| {
+                let movable = self.members.iter();
+                let movable = movable.filter(|member| member.movable && member.domain == domain);
+                let movable = movable.count();
+                // Binomial coefficients, each multiplied by the choices of the changed engines.
+                let mut term = 1.0;
+                let mut sum = 1.0;
+                for changed in 1..=movable.min(*quota) {
+                    term *= choices * (movable - changed + 1) as f64 / changed as f64;
+                    sum += term;
+                }
+                sum
+            })
+            .product()
+    }
+
+    /// Tries all roles of the members from `index` on and keeps the best assignment.
+    fn search(
+        &self,
+        index: usize,
+        quota: &mut [usize],
+        allowed: usize,
+        candidate: &mut Vec<UpstreamRole>,
+        best: &mut (Vec<UpstreamRole>, f64),
+    ) {
+        let Some(member) = self.members.get(index) else {
+            let net = self.net(candidate);
+            if net > best.1 + EPSILON && self.permitted(candidate, allowed) {
+                *best = (candidate.clone(), net);
+            }
+            return;
+        };
+        self.search(index + 1, quota, allowed, candidate, best);
+        if !member.movable || quota[member.domain] == 0 || allowed == 0 {
+            return;
+        }
+        let present = member.view.role;
+        quota[member.domain] -= 1;
+        for role in ENGINE_ROLES.into_iter().filter(|role| *role != present) {
+            candidate[index] = role;
+            self.search(index + 1, quota, allowed, candidate, best);
+        }
+        candidate[index] = present;
+        quota[member.domain] += 1;
+    }
+
+    /// Roles found by local search: the best single change or pair is applied until none helps.
+    fn locally_best_roles(&self, allowed: usize) -> Vec<UpstreamRole> {
         let mut roles = self.present_roles();
         let mut value = 0.0;
         loop {
--- /dev/null
+++ b/crates/oriolecrank-capacity/tests/capacity/change_plan.rs
@@ -0,0 +1,236 @@
+//! Plans that are resumed, undone or completed.
+
+use oriolecrank_capacity::{ChangePlan, PlanAction, PlanError, PlanId, RoleChange, StepState};
+use oriolecrank_schema::control::{Command, FencingNumber, OrderAction, OrderResult, UpstreamRole};
+
+use crate::common::upstream;
+
+const fn fence(sequence: u64) -> FencingNumber {
+    FencingNumber { term: 1, sequence }
+}
+
+fn plan(with_export: bool) -> ChangePlan {
+    let change = RoleChange {
+        upstream: upstream("u0"),
+        from: UpstreamRole::Prefill,
+        to: UpstreamRole::Decode,
+    };
+    let export = OrderAction::ExportCache {
+        target: upstream("u1"),
+        blocks: 4,
+    };
+    ChangePlan::role_change(PlanId(1), &change, with_export.then_some(export))
+}
+
+/// Runs the first `steps` steps of the plan to their end.
+fn advanced(steps: u64) -> ChangePlan {
+    let mut plan = plan(false);
+    for sequence in 1..=steps {
+        plan.committed(fence(sequence))
+            .expect("the step is pending");
+        plan.settled(&fence(sequence), OrderResult::Done)
+            .expect("the order is in flight");
+    }
+    plan
+}
+
+fn placed(plan: &ChangePlan) -> Option<OrderAction> {
+    match plan.next_action() {
+        PlanAction::Place(Command::PlaceOrder { action, .. }) => Some(action),
+        _ => None,
+    }
+}
+
+/// Guards against steps out of order, and against a plan that never ends.
+#[test]
+fn steps_run_one_after_the_other() {
+    let mut plan = plan(true);
+    let mut orders = Vec::new();
+    let mut sequence = 0;
+    while let Some(action) = placed(&plan) {
+        orders.push(action);
+        sequence += 1;
+        plan.committed(fence(sequence)).unwrap();
+        assert_eq!(plan.next_action(), PlanAction::Wait);
+        plan.settled(&fence(sequence), OrderResult::Done).unwrap();
+    }
+    let expected = [
+        OrderAction::ExportCache {
+            target: upstream("u1"),
+            blocks: 4,
+        },
+        OrderAction::Drain,
+        OrderAction::ChangeRole {
+            role: UpstreamRole::Decode,
+        },
+        OrderAction::Undrain,
+    ];
+    assert_eq!(orders, expected);
+    assert!(plan.is_complete());
+    assert_eq!(plan.next_action(), PlanAction::Finished);
+}
+
+/// Guards against a new order while the outcome of the last one is unknown.
+#[test]
+fn a_lost_answer_is_settled_before_the_next_order() {
+    let mut plan = advanced(1);
+    plan.committed(fence(2)).unwrap();
+    plan.settled(&fence(2), OrderResult::Unknown).unwrap();
+    let settle = PlanAction::Settle {
+        upstream: upstream("u0"),
+        fence: fence(2),
+    };
+    assert_eq!(plan.next_action(), settle);
+    assert_eq!(plan.committed(fence(3)), Err(PlanError::NotInFlight));
+    plan.settled(&fence(2), OrderResult::Done).unwrap();
+    assert_eq!(placed(&plan), Some(OrderAction::Undrain));
+}
+
+/// Guards against a successor that repeats an order under a new number or forgets it.
+#[test]
+fn a_successor_settles_the_order_in_flight() {
+    let mut plan = advanced(1);
+    plan.committed(fence(2)).unwrap();
+    let plan = plan.resumed();
+    let settle = PlanAction::Settle {
+        upstream: upstream("u0"),
+        fence: fence(2),
+    };
+    assert_eq!(plan.next_action(), settle);
+    let untouched = advanced(1).resumed();
+    assert_eq!(placed(&untouched), placed(&advanced(1)));
+}
+
+/// Guards against results of old or repeated orders that move the plan.
+#[test]
+fn results_of_other_orders_are_refused() {
+    let mut plan = advanced(1);
+    assert_eq!(
+        plan.settled(&fence(1), OrderResult::Done),
+        Err(PlanError::NotInFlight)
+    );
+    plan.committed(fence(2)).unwrap();
+    let before = plan.clone();
+    assert_eq!(
+        plan.settled(&fence(1), OrderResult::Done),
+        Err(PlanError::NotInFlight)
+    );
+    assert_eq!(plan, before);
+}
+
+/// Guards against an engine that stays drained after a failed change.
+#[test]
+fn a_failed_order_is_undone() {
+    for result in [OrderResult::Refused, OrderResult::Failed] {
+        let mut role_fails = advanced(1);
+        role_fails.committed(fence(2)).unwrap();
+        role_fails.settled(&fence(2), result).unwrap();
+        assert_eq!(
+            placed(&role_fails),
+            Some(OrderAction::Undrain),
+            "{result:?}"
+        );
+        assert!(!role_fails.is_complete());
+
+        let mut drain_fails = plan(false);
+        drain_fails.committed(fence(1)).unwrap();
+        drain_fails.settled(&fence(1), result).unwrap();
+        assert!(drain_fails.is_finished(), "{result:?}");
+        assert!(!drain_fails.is_complete());
+    }
+}
+
+/// Guards against a role change that is given up because the cache could not be moved.
+#[test]
+fn a_failed_export_does_not_stop_the_change() {
+    let mut plan = plan(true);
+    plan.committed(fence(1)).unwrap();
+    plan.settled(&fence(1), OrderResult::Failed).unwrap();
+    assert_eq!(placed(&plan), Some(OrderAction::Drain));
+}
+
+/// Guards against plans that hang, drain a fresh engine or repeat a change after a crash.
+#[test]
+fn a_crash_completes_or_undoes_the_plan() {
+    let wanted = UpstreamRole::Decode;
+    let original = UpstreamRole::Prefill;
+    // Steps done before the crash, whether the next one is in flight, role after the crash, and
+    // what has to be done next.
+    let undrain = OrderAction::Undrain;
+    let cases = [
+        ("before the first order", 0, false, original, Next::Finished),
+        ("drain in flight", 0, true, original, Next::Settle),
+        (
+            "after the drain",
+            1,
+            false,
+            original,
+            Next::Place(undrain.clone()),
+        ),
+        (
+            "change in flight, not done",
+            1,
+            true,
+            original,
+            Next::Settle,
+        ),
+        (
+            "change in flight, done",
+            1,
+            true,
+            wanted,
+            Next::Place(undrain.clone()),
+        ),
+        ("after the change", 2, false, wanted, Next::Place(undrain)),
+        ("undrain in flight", 2, true, wanted, Next::Settle),
+        ("at the end", 3, false, wanted, Next::Finished),
+    ];
+    for (name, steps, in_flight, role, expected) in cases {
+        let mut plan = advanced(steps);
+        if in_flight {
+            plan.committed(fence(steps + 1)).unwrap();
+        }
+        plan.engine_crashed(&upstream("u0"), role);
+        let next = match plan.next_action() {
+            PlanAction::Place(Command::PlaceOrder { action, .. }) => Next::Place(action),
+            PlanAction::Settle { fence: number, .. } => {
+                assert_eq!(number, fence(steps + 1), "{name}");
+                Next::Settle
+            }
+            PlanAction::Finished => Next::Finished,
+            other => panic!("{name}: {other:?}"),
+        };
+        assert_eq!(next, expected, "{name}");
+        let completed = steps == 3;
+        assert_eq!(plan.is_complete(), completed, "{name}");
+    }
+}
+
+#[derive(Debug, PartialEq)]
+enum Next {
+    Place(OrderAction),
+    Settle,
+    Finished,
+}
+
+/// Guards against an export to an engine whose cache is gone.
+#[test]
+fn a_crash_of_the_export_target_skips_the_export() {
+    let mut waiting = plan(true);
+    waiting.engine_crashed(&upstream("u1"), UpstreamRole::Decode);
+    assert_eq!(placed(&waiting), Some(OrderAction::Drain));
+
+    let mut in_flight = plan(true);
+    in_flight.committed(fence(1)).unwrap();
+    in_flight.engine_crashed(&upstream("u1"), UpstreamRole::Decode);
+    assert_eq!(in_flight.steps[0].state, StepState::Unsettled(fence(1)));
+}
+
+/// Guards against plans that react to engines they have nothing to do with.
+#[test]
+fn a_crash_of_another_engine_changes_nothing() {
+    let mut plan = advanced(1);
+    let before = plan.clone();
+    plan.engine_crashed(&upstream("u9"), UpstreamRole::Decode);
+    assert_eq!(plan, before);
+}
--- /dev/null
+++ b/crates/oriolecrank-capacity/tests/capacity/common.rs
@@ -0,0 +1,54 @@
+//! Values shared by the tests of the planners.
+
+use oriolecrank_capacity::{DemandRate, TokenRate, UpstreamView};
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::control::{UpstreamPhase, UpstreamRole};
+use oriolecrank_schema::document::{FailureDomainId, RegionId, ServiceId, UpstreamId};
+
+pub fn service() -> ServiceId {
+    ServiceId("assistant".to_owned())
+}
+
+pub fn domain(name: &str) -> FailureDomainId {
+    FailureDomainId(name.to_owned())
+}
+
+pub fn upstream(name: &str) -> UpstreamId {
+    UpstreamId(name.to_owned())
+}
+
+pub const fn seconds(seconds: u64) -> TimePoint {
+    TimePoint::from_millis(seconds * 1_000)
+}
+
+pub fn rate(prefill: f64, decode: f64) -> DemandRate {
+    DemandRate {
+        prefill: TokenRate::per_second(prefill),
+        decode: TokenRate::per_second(decode),
+    }
+}
+
+/// A ready engine that has had its role since the origin of the clock.
+pub fn engine(name: &str, failure_domain: &str, role: UpstreamRole) -> UpstreamView {
+    UpstreamView {
+        upstream: upstream(name),
+        service: service(),
+        failure_domain: domain(failure_domain),
+        region: RegionId(failure_domain.to_owned()),
+        role,
+        phase: UpstreamPhase::Ready,
+        model: None,
+        capacity_blocks: 200,
+        role_since: TimePoint::default(),
+    }
+}
+
+/// Engines `u0`, `u1`, ... spread over the failure domains `a`, `b` and `c`.
+pub fn fleet(roles: &[UpstreamRole]) -> Vec<UpstreamView> {
+    let domains = ["a", "b", "c"];
+    roles
+        .iter()
+        .enumerate()
+        .map(|(index, role)| engine(&format!("u{index}"), domains[index % 3], *role))
+        .collect()
+}
--- /dev/null
+++ b/crates/oriolecrank-capacity/tests/capacity/demand_estimate.rs
@@ -0,0 +1,186 @@
+//! Demand estimates from late, repeated and missing reports.
+
+use std::time::Duration;
+
+use crate::common::{rate, seconds, service};
+use oriolecrank_capacity::{
+    DemandEstimator, DemandKey, DemandReport, DemandSettings, DemandSummary, Freshness,
+    ReportResult, ReporterId,
+};
+use oriolecrank_schema::document::PriorityClass;
+
+fn key() -> DemandKey {
+    DemandKey {
+        service: service(),
+        class: PriorityClass::Standard,
+    }
+}
+
+fn report(reporter: &str, sequence: u64, prefill: u64) -> DemandReport {
+    DemandReport {
+        reporter: ReporterId(reporter.to_owned()),
+        incarnation: 1,
+        sequence,
+        interval: Duration::from_secs(1),
+        tokens: vec![(key(), prefill, prefill / 10)],
+    }
+}
+
+/// Guards against a report that is counted twice, dropped without need or taken from a reporter's
+/// earlier life.
+#[test]
+fn each_report_counts_once() {
+    let cases = [
+        ("next", 11, 1, ReportResult::Counted),
+        (
+            "after a gap",
+            14,
+            1,
+            ReportResult::CountedAfterGap { missing: 2 },
+        ),
+        ("late", 12, 1, ReportResult::CountedLate),
+        ("late and repeated", 12, 1, ReportResult::Ignored),
+        ("repeated", 14, 1, ReportResult::Ignored),
+        ("after a restart", 1, 2, ReportResult::Counted),
+        ("from before the restart", 15, 1, ReportResult::Ignored),
+        (
+            "after a long gap",
+            500,
+            2,
+            ReportResult::CountedAfterGap { missing: 498 },
+        ),
+        (
+            "older than the duplicate window",
+            400,
+            2,
+            ReportResult::Ignored,
+        ),
+        ("late within the window", 440, 2, ReportResult::CountedLate),
+    ];
+    let mut estimator = DemandEstimator::default();
+    assert_eq!(
+        estimator.observe(&report("e1", 10, 100), seconds(0)),
+        ReportResult::Counted
+    );
+    for (name, sequence, incarnation, expected) in cases {
+        let report = DemandReport {
+            incarnation,
+            ..report("e1", sequence, 100)
+        };
+        assert_eq!(estimator.observe(&report, seconds(1)), expected, "{name}");
+    }
+}
+
+/// Guards against a division by zero and an estimate that is not a number.
+#[test]
+fn a_report_without_length_is_ignored() {
+    let mut estimator = DemandEstimator::default();
+    let report = DemandReport {
+        interval: Duration::ZERO,
+        ..report("e1", 1, 100)
+    };
+    assert_eq!(
+        estimator.observe(&report, seconds(0)),
+        ReportResult::Ignored
+    );
+    assert_eq!(estimator.summary(&key()), DemandSummary::default());
+}
+
+/// Guards against lost reports that look like falling demand, which would stop upstreams.
+#[test]
+fn lost_reports_do_not_lower_the_estimate() {
+    let mut complete = DemandEstimator::default();
+    let mut partial = DemandEstimator::default();
+    for second in 0..120 {
+        let report = report("e1", second, 1_000);
+        complete.observe(&report, seconds(second));
+        if second % 5 != 3 {
+            partial.observe(&report, seconds(second + 5));
+        }
+    }
+    let complete = complete.summary(&key()).short.prefill.as_f64();
+    let partial = partial.summary(&key()).short.prefill.as_f64();
+    assert!((complete - 1_000.0).abs() < 1.0, "{complete}");
+    assert!((partial - 1_000.0).abs() < 1.0, "{partial}");
+}
+
+/// Guards against late reports that outweigh newer ones.
+#[test]
+fn a_late_report_counts_less_than_a_new_one() {
+    let mut estimator = DemandEstimator::default();
+    for second in 0..40 {
+        estimator.observe(&report("e1", second, 1_000), seconds(second));
+    }
+    estimator.observe(&report("e1", 61, 1_000), seconds(61));
+    let before = estimator.summary(&key()).short.prefill.as_f64();
+    let mut with_new = estimator.clone();
+    with_new.observe(&report("e1", 62, 0), seconds(62));
+    estimator.observe(&report("e1", 41, 0), seconds(62));
+    let late = before - estimator.summary(&key()).short.prefill.as_f64();
+    let new = before - with_new.summary(&key()).short.prefill.as_f64();
+    assert!(late > 0.0 && late < new / 2.0, "late {late}, new {new}");
+}
+
+/// Guards against decisions without reports, and against a freeze while most entries are heard.
+#[test]
+fn silence_of_most_reporters_makes_the_estimate_stale() {
+    let cases = [
+        ("all heard", 4, 0, Freshness::Fresh),
+        ("half heard", 2, 2, Freshness::Fresh),
+        ("a quarter heard", 1, 3, Freshness::Stale),
+        ("none heard", 0, 4, Freshness::Stale),
+        ("none known", 0, 0, Freshness::Stale),
+    ];
+    for (name, heard, silent, expected) in cases {
+        let mut estimator = DemandEstimator::default();
+        for index in 0..heard + silent {
+            estimator.observe(&report(&format!("e{index}"), 1, 100), seconds(0));
+        }
+        for index in 0..heard {
+            estimator.observe(&report(&format!("e{index}"), 2, 100), seconds(20));
+        }
+        assert_eq!(estimator.freshness(seconds(20)), expected, "{name}");
+    }
+}
+
+/// Guards against the demand of entries that have left.
+#[test]
+fn a_reporter_that_left_is_forgotten() {
+    let mut estimator = DemandEstimator::default();
+    estimator.observe(&report("e1", 1, 1_000), seconds(0));
+    estimator.observe(&report("e2", 1, 500), seconds(50));
+    estimator.expire(seconds(61));
+    let left = estimator.summary(&key()).short.prefill.as_f64();
+    assert!((left - 500.0).abs() < 1e-6, "{left}");
+    assert_eq!(estimator.freshness(seconds(61)), Freshness::Fresh);
+}
+
+/// Guards against starts that come too late on a ramp.
+#[test]
+fn the_forecast_follows_a_linear_ramp() {
+    let settings = DemandSettings::default();
+    let mut estimator = DemandEstimator::new(settings.clone());
+    for second in 0..3_000_u64 {
+        estimator.observe(&report("e1", second, 10 * second), seconds(second));
+    }
+    let summary = estimator.summary(&key());
+    let forecast = summary.forecast(Duration::from_secs(150), &settings);
+    let expected = 10.0 * 3_150.0;
+    let error = (forecast.prefill.as_f64() - expected).abs() / expected;
+    assert!(
+        error < 0.02,
+        "{} instead of {expected}",
+        forecast.prefill.as_f64()
+    );
+}
+
+/// Guards against a negative forecast after a steep fall.
+#[test]
+fn the_forecast_is_never_negative() {
+    let summary = DemandSummary {
+        short: rate(10.0, 1.0),
+        long: rate(10_000.0, 1_000.0),
+    };
+    let forecast = summary.forecast(Duration::from_mins(5), &DemandSettings::default());
+    assert_eq!(forecast, rate(0.0, 0.0));
+}
--- /dev/null
+++ b/crates/oriolecrank-capacity/tests/capacity/main.rs
@@ -0,0 +1,12 @@
+//! Tests of the capacity decisions, one module per concept.
+
+mod cache_transfer;
+mod capability_estimate;
+mod change_plan;
+mod common;
+mod demand_estimate;
+mod fleet_planner;
+mod model_placement;
+mod platform_reconciliation;
+mod role_planner;
+mod role_planner_differential;
--- /dev/null
+++ b/crates/oriolecrank-capacity/tests/capacity/role_planner_differential.rs
@@ -0,0 +1,202 @@
+//! The role planner against an exhaustive search on small fleets.
+
+use crate::common::{fleet, rate, seconds, service};
+use oriolecrank_capacity::{
+    CapabilityEstimator, DemandRate, Freshness, PoolInput, RoleAbility, RoleDecision, RolePlanner,
+    RoleSettings, UpstreamView, capacity_loss,
+};
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::control::UpstreamRole;
+use proptest::prelude::{ProptestConfig, Strategy, prop, proptest};
+use proptest::prop_assert;
+
+const ROLES: [UpstreamRole; 3] = [
+    UpstreamRole::Prefill,
+    UpstreamRole::Decode,
+    UpstreamRole::Mixed,
+];
+
+struct NaiveSearch<'a> {
+    upstreams: &'a [UpstreamView],
+    demand: DemandRate,
+    urgent: DemandRate,
+    capability: CapabilityEstimator,
+    settings: RoleSettings,
+}
+
+impl<'a> NaiveSearch<'a> {
+    /// Without hysteresis the planner takes every change that pays off.
+    fn new(upstreams: &'a [UpstreamView], demand: DemandRate, urgent_share: f64) -> Self {
+        Self {
+            upstreams,
+            demand,
+            urgent: demand * urgent_share,
+            capability: CapabilityEstimator::default(),
+            settings: RoleSettings {
+                hysteresis: 1.0,
+                scarcity: 0.0,
+                ..RoleSettings::default()
+            },
+        }
+    }
+
+    fn ability(&self, roles: &[UpstreamRole], counts: impl Fn(usize) -> bool) -> RoleAbility {
+        (0..roles.len())
+            .filter(|index| counts(*index))
+            .map(|index| self.capability.typical(roles[index]))
+            .fold(RoleAbility::default(), |sum, one| sum + one)
+    }
+
+    fn changed(&self, roles: &[UpstreamRole], index: usize) -> bool {
+        self.upstreams[index].role != roles[index]
+    }
+
+    fn net(&self, roles: &[UpstreamRole]) -> f64 {
+        let loss = |roles: &[UpstreamRole]| {
+            let ability = self.ability(roles, |_| true);
+            let bound = self.settings.target_utilisation;
+            capacity_loss(self.demand, ability, bound, &self.capability)
+        };
+        let present: Vec<UpstreamRole> = self.upstreams.iter().map(|view| view.role).collect();
+        let changes = (0..roles.len()).filter(|index| self.changed(roles, *index));
+        let cost = self.settings.change_duration.as_secs_f64() + self.settings.change_penalty;
+        let horizon = self.settings.horizon.as_secs_f64();
+        (loss(&present) - loss(roles)) * horizon - changes.count() as f64 * cost
+    }
+
+    fn shortage(&self, roles: &[UpstreamRole], counts: impl Fn(usize) -> bool) -> f64 {
+        ["a", "b", "c"]
+            .into_iter()
+            .filter(|domain| {
+                self.upstreams
+                    .iter()
+                    .any(|view| **view.failure_domain == **domain)
+            })
+            .map(|domain| {
+                let left = self.ability(roles, |index| {
+                    counts(index) && *self.upstreams[index].failure_domain != domain
+                });
+                capacity_loss(self.urgent, left, 1.0, &self.capability)
+            })
+            .fold(0.0, f64::max)
+    }
+
+    fn permitted(&self, roles: &[UpstreamRole]) -> bool {
+        let indices = 0..roles.len();
+        let changes = indices.clone().filter(|index| self.changed(roles, *index));
+        let limit = self.settings.changes_per_engine_hour * roles.len() as f64;
+        if changes.count() > (limit as usize).max(1) {
+            return false;
+        }
+        // Failure domains of up to seven upstreams change one at a time.
+        for domain in ["a", "b", "c"] {
+            let in_domain = indices.clone().filter(|index| {
+                *self.upstreams[*index].failure_domain == domain && self.changed(roles, *index)
+            });
+            if in_domain.count() > 1 {
+                return false;
+            }
+        }
+        let present: Vec<UpstreamRole> = self.upstreams.iter().map(|view| view.role).collect();
+        for excluded in [UpstreamRole::Decode, UpstreamRole::Prefill] {
+            let now = present.iter().any(|role| *role != excluded);
+            let meanwhile = indices
+                .clone()
+                .any(|index| !self.changed(roles, index) && roles[index] != excluded);
+            let afterwards = roles.iter().any(|role| *role != excluded);
+            if now && !(meanwhile && afterwards) {
+                return false;
+            }
+        }
+        let bound = self.shortage(&present, |_| true) + 0.02;
+        self.shortage(roles, |_| true) <= bound
+            && self.shortage(roles, |index| !self.changed(roles, index)) <= bound
+    }
+
+    /// Largest net gain over all assignments of roles with at most `bound` changes.
+    fn best(&self, bound: usize) -> f64 {
+        let engines = self.upstreams.len() as u32;
+        (0..3_usize.pow(engines))
+            .map(|number| {
+                (0..engines)
+                    .map(|index| ROLES[number / 3_usize.pow(index) % 3])
+                    .collect::<Vec<_>>()
+            })
+            .filter(|roles| {
+                let changes = (0..roles.len()).filter(|index| self.changed(roles, *index));
+                changes.count() <= bound && self.permitted(roles)
+            })
+            .map(|roles| self.net(&roles))
+            .fold(0.0, f64::max)
+    }
+}
+
+fn roles() -> impl Strategy<Value = Vec<UpstreamRole>> {
+    prop::collection::vec((0_usize..3).prop_map(|index| ROLES[index]), 2..=6)
+}
+
+/// Net gain of the planner's decision, and whether the decision keeps all bounds.
+fn planned(search: &NaiveSearch<'_>, now: TimePoint) -> (f64, bool) {
+    let service = service();
+    let input = PoolInput {
+        service: &service,
+        upstreams: search.upstreams,
+        pending: &[],
+        demand: search.demand,
+        urgent: search.urgent,
+        freshness: Freshness::Fresh,
+        capability: &search.capability,
+    };
+    let decision = RolePlanner::new(search.settings.clone()).plan(&input, now);
+    let mut roles: Vec<UpstreamRole> = search.upstreams.iter().map(|view| view.role).collect();
+    match decision {
+        RoleDecision::Change(changes) => {
+            for change in changes {
+                let is_it = |view: &UpstreamView| view.upstream == change.upstream;
+                let index = search.upstreams.iter().position(is_it);
+                roles[index.expect("the planner changes engines of the pool")] = change.to;
+            }
+        }
+        RoleDecision::Keep => {}
+        RoleDecision::Frozen(reason) => panic!("frozen: {reason:?}"),
+    }
+    (search.net(&roles), search.permitted(&roles))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Guards against a search that misses the best permitted changes, and against changes that
+    /// break a bound.
+    #[test]
+    fn complete_search_equals_exhaustive_search(
+        roles in roles(),
+        prefill in 0.0..60_000.0,
+        decode in 0.0..6_000.0,
+        urgent_share in 0.0..0.3,
+    ) {
+        let upstreams = fleet(&roles);
+        let search = NaiveSearch::new(&upstreams, rate(prefill, decode), urgent_share);
+        let (net, permitted) = planned(&search, seconds(180));
+        let best = search.best(roles.len());
+        prop_assert!(permitted);
+        prop_assert!((net - best).abs() < 1e-6, "net {net}, best {best}");
+    }
+
+    /// Guards against a local search of large pools that is worse than the best pair of changes.
+    #[test]
+    fn local_search_reaches_the_best_pair(
+        roles in roles(),
+        prefill in 0.0..60_000.0,
+        decode in 0.0..6_000.0,
+        urgent_share in 0.0..0.3,
+    ) {
+        let upstreams = fleet(&roles);
+        let mut search = NaiveSearch::new(&upstreams, rate(prefill, decode), urgent_share);
+        search.settings.complete_search = 0.0;
+        let (net, permitted) = planned(&search, seconds(180));
+        let best = search.best(2);
+        prop_assert!(permitted);
+        prop_assert!(net >= best - 1e-6, "net {net}, best pair {best}");
+    }
+}
