--- a/crates/oriolecrank-capacity/src/capability_estimate.rs
+++ b/crates/oriolecrank-capacity/src/capability_estimate.rs
@@ -4,7 +4,8 @@
 
 use indexmap::IndexMap;
 use oriolecrank_schema::TimePoint;
-use oriolecrank_schema::control::{UpstreamLoad, UpstreamRole};
+use oriolecrank_schema::control::UpstreamRole;
+use oriolecrank_schema::data_path::UpstreamLoad;
 use oriolecrank_schema::document::UpstreamId;
 
 use crate::TokenRate;
--- a/crates/oriolecrank-capacity/tests/capacity/capability_estimate.rs
+++ b/crates/oriolecrank-capacity/tests/capacity/capability_estimate.rs
@@ -2,7 +2,8 @@
 
 use crate::common::{seconds, upstream};
 use oriolecrank_capacity::CapabilityEstimator;
-use oriolecrank_schema::control::{UpstreamLoad, UpstreamRole};
+use oriolecrank_schema::control::UpstreamRole;
+use oriolecrank_schema::data_path::UpstreamLoad;
 
 fn load(queued: u32, prefill_tokens: u64, decode_tokens: u64) -> UpstreamLoad {
     UpstreamLoad {
