--- /dev/null
+++ b/crates/oriolecrank-control/src/leader_duties.rs
@@ -0,0 +1,206 @@
+//! What only the leader does: leases of upstreams and the view of subscribers.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use oriolecrank_consensus::Term;
+use oriolecrank_net::BootClock;
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::control::{
+    Command, CommandOutcome, DemandEntry, PingAnswer, PingRequest, UpstreamRecord,
+};
+use oriolecrank_schema::event::LogEvent;
+use oriolecrank_state::cluster::LEASE_MS;
+use tokio::time::interval;
+
+use crate::command_replica::CommandReplica;
+use crate::lease_table::{LeaseSettings, LeaseTable};
+use crate::shared_state::SharedState;
+use crate::subscriber_table::{ForceReport, SubscriberTable};
+
+/// Interval at which leases are checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Tables of one term; a new leader begins with empty ones.
+#[derive(Debug)]
+struct TermTables {
+    term: Term,
+    leases: LeaseTable,
+    subscribers: SubscriberTable,
+}
+
+/// Leader's part of a control instance.
+#[derive(Debug)]
+pub struct LeaderDuties<R> {
+    replica: Arc<R>,
+    state: Arc<SharedState>,
+    /// Lock order: locked before the shared state and never across an await.
+    tables: Mutex<Option<TermTables>>,
+}
+
+impl<R: CommandReplica> LeaderDuties<R> {
+    /// Duties over the given replica.
+    pub fn new(replica: Arc<R>, state: Arc<SharedState>) -> Self {
+        Self {
+            replica,
+            state,
+            tables: Mutex::new(None),
+        }
+    }
+
+    /// Takes an announcement. A repeated one only renews the lease; others are committed.
+    pub async fn announce(&self, command: Command) -> CommandOutcome {
+        let Command::Announce { record, .. } = &command else {
+            return self.replica.propose(command).await;
+        };
+        let now = BootClock.now();
+        if self.is_renewal(record, now) {
+            let fence = self
+                .state
+                .read(|state| state.fence(&record.upstream).cloned());
+            if let Some(fence) = fence {
+                return CommandOutcome::Announced {
+                    fence,
+                    lease_ms: LEASE_MS,
+                };
+            }
+        }
+        let (upstream, incarnation) = (record.upstream.clone(), record.incarnation);
+        let outcome = self.replica.propose(command).await;
+        if matches!(outcome, CommandOutcome::Announced { .. })
+            && let Some(tables) = self.tables(now).as_mut()
+        {
+            tables.leases.renew(&upstream, incarnation, now);
+        }
+        outcome
+    }
+
+    /// Whether an announcement says nothing new; its lease is then renewed.
+    fn is_renewal(&self, record: &UpstreamRecord, now: TimePoint) -> bool {
+        let mut tables = self.tables(now);
+        let Some(tables) = tables.as_mut() else {
+            return false;
+        };
+        let known = self
+            .state
+            .read(|state| state.member(&record.upstream) == Some(record));
+        if known {
+            tables
+                .leases
+                .renew(&record.upstream, record.incarnation, now);
+        }
+        known
+    }
+
+    /// Answers a ping, or `None` if this instance cannot say what is committed.
+    pub async fn ping(&self, ping: &PingRequest) -> Option<PingAnswer> {
+        if !self.replica.read_barrier().await {
+            return None;
+        }
+        let now = BootClock.now();
+        let mut tables = self.tables(now);
+        let subscribers = &mut tables.as_mut()?.subscribers;
+        subscribers.record(ping, now);
+        let entries = subscribers.live(now).count() as u32;
+        let revision = self.state.read(|state| state.revision().0);
+        Some(PingAnswer {
+            entries,
+            ping: ping.ping,
+            revision,
+            shares: Vec::new(),
+            shares_lifetime_ms: 0,
+        })
+    }
+
+    /// How far a revision is in force, or `None` if this instance is not the leader.
+    pub fn in_force(&self, revision: u64) -> Option<ForceReport> {
+        let now = BootClock.now();
+        Some(
+            self.tables(now)
+                .as_ref()?
+                .subscribers
+                .in_force(revision, now),
+        )
+    }
+
+    /// Demand that the live subscribers have reported.
+    pub fn demand(&self) -> Vec<DemandEntry> {
+        let now = BootClock.now();
+        let tables = self.tables(now);
+        let Some(tables) = tables.as_ref() else {
+            return Vec::new();
+        };
+        tables
+            .subscribers
+            .live(now)
+            .flat_map(|(_, record)| record.demand.clone())
+            .collect()
+    }
+
+    /// Checks leases for ever.
+    pub async fn run(&self) {
+        let mut ticks = interval(CHECK_INTERVAL);
+        loop {
+            ticks.tick().await;
+            self.check_leases().await;
+        }
+    }
+
+    async fn check_leases(&self) {
+        let report = {
+            let now = BootClock.now();
+            let mut tables = self.tables(now);
+            let Some(tables) = tables.as_mut() else {
+                return;
+            };
+            self.state
+                .read(|state| tables.leases.check(state.members(), now))
+        };
+        for record in report.suspects {
+            tracing::warn!(
+                event = LogEvent::UpstreamSuspected.number(),
+                upstream = %*record.upstream,
+                "upstream is silent"
+            );
+            // The number 0 is never late and never makes the agent's own announcements late.
+            let command = Command::Announce {
+                load: None,
+                number: 0,
+                record,
+            };
+            self.replica.propose(command).await;
+        }
+        if report.removals.is_empty() {
+            return;
+        }
+        tracing::warn!(
+            event = LogEvent::UpstreamsRemoved.number(),
+            count = report.removals.len(),
+            "silent upstreams are removed"
+        );
+        let reason = "the lease has ended".to_owned();
+        let command = Command::RemoveUpstreams {
+            reason,
+            upstreams: report.removals,
+        };
+        self.replica.propose(command).await;
+    }
+
+    /// Tables of the present term; `None` while this instance has no authority.
+    fn tables(&self, now: TimePoint) -> MutexGuard<'_, Option<TermTables>> {
+        let mut tables = self
+            .tables
+            .lock()
+            .expect("no holder of the table lock panics");
+        let term = self.replica.authority(now).map(|authority| authority.term);
+        let known = tables.as_ref().map(|tables| tables.term);
+        if term != known {
+            *tables = term.map(|term| TermTables {
+                term,
+                leases: LeaseTable::new(LeaseSettings::default(), now),
+                subscribers: SubscriberTable::default(),
+            });
+        }
+        tables
+    }
+}
--- a/crates/oriolecrank-control/src/process.rs
+++ b/crates/oriolecrank-control/src/process.rs
@@ -4,16 +4,17 @@
 use std::sync::Arc;
 
 use oriolecrank_net::shutdown::ShutdownSignal;
-use oriolecrank_net::{OperatorListener, PeerGuard, ReadyFlag, serve};
+use oriolecrank_net::{HttpClient, OperatorListener, PeerGuard, ReadyFlag, serve};
 use oriolecrank_schema::event::LogEvent;
 use prometheus_client::registry::Registry;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 
-use crate::local_log::LocalLog;
-use crate::local_state::LocalState;
+use crate::leader_duties::LeaderDuties;
+use crate::local_replica::LocalReplica;
 use crate::options::ControlOptions;
-use crate::request_server::{CommandStore, RequestServer};
+use crate::request_server::RequestServer;
+use crate::shared_state::SharedState;
 
 /// A control instance that cannot start.
 #[derive(Debug, Snafu)]
@@ -62,21 +63,28 @@
     /// Runs until shutdown.
     pub async fn run(self, shutdown: ShutdownSignal) -> Result<(), ControlError> {
         let address = self.address();
-        let (log, commands) = LocalLog::open(&self.options.data_folder).context(StorageSnafu)?;
-        let mut state = LocalState::default();
-        for logged in &commands {
-            state.apply(&logged.command);
-        }
-        let guard = PeerGuard::new(self.options.secret.clone());
+        let state = Arc::new(SharedState::default());
+        let replica = LocalReplica::open(&self.options.data_folder, Arc::clone(&state));
+        let replica = Arc::new(replica.context(StorageSnafu)?);
+        let duties = Arc::new(LeaderDuties::new(Arc::clone(&replica), Arc::clone(&state)));
+        let secret = self.options.secret.clone();
+        let guard = PeerGuard::new(secret.clone());
         let ready = ReadyFlag::default();
-        let operator = OperatorListener::new(Registry::default(), ready.clone(), guard.clone());
-        let server = RequestServer::new(guard, CommandStore { log, state });
+        let operator = OperatorListener::new(Registry::default(), ready.clone(), guard);
+        let client = HttpClient::default();
+        let server = RequestServer::new(secret, client, replica, state, Arc::clone(&duties));
         tracing::info!(event = LogEvent::ProcessStarted.number(), %address, "control started");
         ready.set(true);
-        tokio::join!(
-            serve(self.listener, Arc::new(server), shutdown.clone()),
-            serve(self.operator_listener, Arc::new(operator), shutdown),
-        );
+        let serving = async {
+            tokio::join!(
+                serve(self.listener, Arc::new(server), shutdown.clone()),
+                serve(self.operator_listener, Arc::new(operator), shutdown),
+            );
+        };
+        tokio::select! {
+            () = serving => {}
+            () = duties.run() => {}
+        }
         Ok(())
     }
 }
--- a/crates/oriolecrank-control/src/request_server.rs
+++ b/crates/oriolecrank-control/src/request_server.rs
@@ -1,139 +1,136 @@
 //! Requests of other processes.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::Arc;
+use std::time::Duration;
 
+use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use oriolecrank_net::{
-    AnswerBody, HttpHandler, PeerGuard, empty_answer, message_answer, read_body, text_answer,
+    AnswerBody, ClusterSecret, HttpClient, HttpHandler, PeerGuard, empty_answer, message_answer,
+    peer_request, read_body, text_answer,
 };
-use oriolecrank_schema::codec;
-use oriolecrank_schema::control::{
-    Command, CommandOutcome, LoggedCommand, PingAnswer, PingRequest, SubscriptionFrame,
-};
-use oriolecrank_schema::event::LogEvent;
-use serde::de::DeserializeOwned;
+use oriolecrank_schema::codec::{self, CodecError};
+use oriolecrank_schema::control::{Command, CommandOutcome, PingRequest, Query, QueryResult};
 
-use crate::local_log::LocalLog;
-use crate::local_state::LocalState;
-use crate::subscription_hub::SubscriptionHub;
+use crate::command_replica::CommandReplica;
+use crate::leader_duties::LeaderDuties;
+use crate::shared_state::SharedState;
 
 /// Largest request body, in bytes.
 const MAX_REQUEST_BYTES: usize = 16 * 1024 * 1024;
 
-/// Log and state, changed together.
-#[derive(Debug)]
-pub struct CommandStore {
-    /// Durable log.
-    pub log: LocalLog,
-    /// State that results from the log.
-    pub state: LocalState,
-}
+/// Longest wait for the leader when a request is forwarded.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Largest forwarded answer, in bytes.
+const MAX_FORWARDED_BYTES: usize = 16 * 1024 * 1024;
+
+/// Header of a forwarded request. It is not forwarded again, so that two instances with an old view
+/// of the leader do not send it back and forth.
+const FORWARDED_HEADER: &str = "x-oriolecrank-forwarded";
 
-/// Answers commands, subscriptions and pings.
+/// Answers commands, queries, subscriptions and pings.
 #[derive(Debug)]
-pub struct RequestServer {
+pub struct RequestServer<R> {
     guard: PeerGuard,
-    /// Lock order: the store is locked before the hub publishes, so that all subscribers see the
-    /// changes in the order of the log.
-    store: Mutex<CommandStore>,
-    hub: SubscriptionHub,
+    secret: ClusterSecret,
+    client: HttpClient,
+    replica: Arc<R>,
+    state: Arc<SharedState>,
+    duties: Arc<LeaderDuties<R>>,
 }
 
-impl RequestServer {
-    /// A server over the given store.
-    pub fn new(guard: PeerGuard, store: CommandStore) -> Self {
+impl<R: CommandReplica> RequestServer<R> {
+    /// A server over the given replica.
+    pub fn new(
+        secret: ClusterSecret,
+        client: HttpClient,
+        replica: Arc<R>,
+        state: Arc<SharedState>,
+        duties: Arc<LeaderDuties<R>>,
+    ) -> Self {
         Self {
-            guard,
-            store: Mutex::new(store),
-            hub: SubscriptionHub::default(),
+            guard: PeerGuard::new(secret.clone()),
+            secret,
+            client,
+            replica,
+            state,
+            duties,
         }
     }
 
-    fn command(&self, command: Command) -> CommandOutcome {
-        let mut store = self
-            .store
-            .lock()
-            .expect("no holder of the store lock panics");
-        if let Command::Announce { record, .. } = &command
-            && store.state.upstreams.get(&record.upstream) == Some(record)
-        {
-            return store.state.apply(&command);
+    async fn command(&self, command: Command, peer: SocketAddr) -> CommandOutcome {
+        if !is_open_to_peers(&command) {
+            let reason = "only the leader itself issues this command".to_owned();
+            return CommandOutcome::Refused { reason };
         }
-        let time_ms = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |elapsed| elapsed.as_millis() as u64);
-        let logged = LoggedCommand {
-            command,
-            term: 0,
-            time_ms,
+        let command = with_origin(command, peer);
+        let outcome = match command {
+            Command::Announce { .. } => self.duties.announce(command).await,
+            _ => self.replica.propose(command).await,
         };
-        if let Err(error) = store.log.append(&logged) {
-            tracing::error!(event = LogEvent::StorageFailed.number(), %error, "log write failed");
-            return CommandOutcome::Unavailable;
+        match outcome {
+            CommandOutcome::NotLeader { leader } => {
+                let known = self
+                    .replica
+                    .leader_address()
+                    .map(|address| address.to_string());
+                CommandOutcome::NotLeader {
+                    leader: leader.or(known),
+                }
+            }
+            outcome => outcome,
         }
-        let outcome = store.state.apply(&logged.command);
-        self.publish(&store.state, &logged.command, &outcome);
-        outcome
     }
 
-    fn publish(&self, state: &LocalState, command: &Command, outcome: &CommandOutcome) {
-        match (command, outcome) {
-            (Command::Submit { .. }, CommandOutcome::DocumentAccepted { revision }) => {
-                tracing::info!(
-                    event = LogEvent::DocumentAccepted.number(),
-                    revision,
-                    "accepted"
-                );
-                self.hub.publish(&snapshot(state));
-            }
-            (Command::Announce { record, .. }, CommandOutcome::Announced { .. }) => {
-                let updated = vec![record.clone()];
-                self.hub.publish(&SubscriptionFrame::Upstreams {
-                    removed: Vec::new(),
-                    updated,
-                });
+    async fn query(&self, query: Query) -> Option<QueryResult> {
+        if !self.replica.read_barrier().await {
+            return None;
+        }
+        match query {
+            Query::Members => Some(QueryResult::Members {
+                members: self.replica.members(),
+            }),
+            Query::InForce { revision } => {
+                let report = self.duties.in_force(revision)?;
+                Some(QueryResult::InForce {
+                    lagging: report.lagging,
+                    lowest_revision: report.lowest.unwrap_or(revision),
+                    subscribers: report.live as u64,
+                })
             }
-            _ => {}
+            query => Some(self.state.read(|state| state.query(&query))),
         }
     }
 
-    fn ping(&self, request: &PingRequest) -> PingAnswer {
-        let store = self
-            .store
-            .lock()
-            .expect("no holder of the store lock panics");
-        PingAnswer {
-            ping: request.ping,
-            revision: store.state.revision,
-            entries: 1,
-            shares_lifetime_ms: 0,
-            shares: Vec::new(),
+    /// Passes a request on to the leader.
+    async fn forward(&self, path: &str, body: Bytes, forwarded: bool) -> Response<AnswerBody> {
+        let leader = self.replica.leader_address().filter(|_| !forwarded);
+        let Some(leader) = leader else {
+            return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        let mut request = peer_request(&self.secret, path, body);
+        let value = http::HeaderValue::from_static("1");
+        request.headers_mut().insert(FORWARDED_HEADER, value);
+        let Ok(response) = self.client.send(leader, request, FORWARD_TIMEOUT).await else {
+            return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        let status = response.status();
+        match response.collect(MAX_FORWARDED_BYTES, FORWARD_TIMEOUT).await {
+            Ok(bytes) => {
+                let mut answer = Response::new(AnswerBody::full(bytes));
+                *answer.status_mut() = status;
+                answer
+            }
+            Err(_) => empty_answer(StatusCode::SERVICE_UNAVAILABLE),
         }
     }
-
-    fn subscribe(&self) -> Response<AnswerBody> {
-        let store = self
-            .store
-            .lock()
-            .expect("no holder of the store lock panics");
-        Response::new(self.hub.open(&snapshot(&store.state)))
-    }
-}
-
-fn snapshot(state: &LocalState) -> SubscriptionFrame {
-    SubscriptionFrame::Snapshot {
-        document: state.document.clone(),
-        revision: state.revision,
-        suspects: Vec::new(),
-        upstreams: state.upstreams.values().cloned().collect(),
-    }
 }
 
-impl HttpHandler for RequestServer {
-    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
+impl<R: CommandReplica> HttpHandler for RequestServer<R> {
+    async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
         if let Some(refusal) = self.guard.refusal(request.headers()) {
             return refusal;
         }
@@ -144,21 +141,60 @@
         let Some(bytes) = read_body(body, MAX_REQUEST_BYTES).await else {
             return empty_answer(StatusCode::PAYLOAD_TOO_LARGE);
         };
-        match head.uri.path() {
-            "/v1/command" => answer(&bytes, |command| message_answer(&self.command(command))),
-            "/v1/ping" => answer(&bytes, |ping| message_answer(&self.ping(&ping))),
-            "/v1/subscribe" => self.subscribe(),
+        let forwarded = head.headers.contains_key(FORWARDED_HEADER);
+        let path = head.uri.path();
+        match path {
+            "/v1/command" => match codec::decode(&bytes) {
+                Ok(command) => message_answer(&self.command(command, peer).await),
+                Err(error) => bad_request(&error),
+            },
+            "/v1/query" => match codec::decode(&bytes) {
+                Ok(query) => match self.query(query).await {
+                    Some(result) => message_answer(&result),
+                    None => self.forward(path, bytes, forwarded).await,
+                },
+                Err(error) => bad_request(&error),
+            },
+            "/v1/ping" => match codec::decode::<PingRequest>(&bytes) {
+                Ok(ping) => match self.duties.ping(&ping).await {
+                    Some(answer) => message_answer(&answer),
+                    None => self.forward(path, bytes, forwarded).await,
+                },
+                Err(error) => bad_request(&error),
+            },
+            "/v1/subscribe" => Response::new(self.state.subscribe()),
             _ => empty_answer(StatusCode::NOT_FOUND),
         }
     }
 }
 
-fn answer<M: DeserializeOwned>(
-    bytes: &[u8],
-    respond: impl FnOnce(M) -> Response<AnswerBody>,
-) -> Response<AnswerBody> {
-    match codec::decode(bytes) {
-        Ok(message) => respond(message),
-        Err(error) => text_answer(StatusCode::BAD_REQUEST, error.to_string()),
+fn bad_request(error: &CodecError) -> Response<AnswerBody> {
+    text_answer(StatusCode::BAD_REQUEST, error.to_string())
+}
+
+/// Commands that other processes may send; the rest are decisions of the leader.
+const fn is_open_to_peers(command: &Command) -> bool {
+    matches!(
+        command,
+        Command::Submit { .. }
+            | Command::Announce { .. }
+            | Command::OpenClaim { .. }
+            | Command::CompleteClaim { .. }
+            | Command::ReleaseClaim { .. }
+            | Command::ReportUsage { .. }
+            | Command::ReportCrash { .. }
+            | Command::ClearSuspect { .. }
+            | Command::RerunSuspect { .. }
+            | Command::PlaceOperatorOrder { .. }
+    )
+}
+
+/// Adds the address that a change came from, for the audit trail; the sender cannot choose it.
+fn with_origin(mut command: Command, peer: SocketAddr) -> Command {
+    if let Command::Submit { origin, .. } | Command::PlaceOperatorOrder { origin, .. } =
+        &mut command
+    {
+        *origin = peer.ip().to_string();
     }
+    command
 }
--- a/crates/oriolecrank-entry/src/subscription.rs
+++ b/crates/oriolecrank-entry/src/subscription.rs
@@ -60,6 +60,10 @@
     let mut reader = client.subscribe(address, &request, SILENCE_BOUND).await?;
     loop {
         match reader.next::<SubscriptionFrame>(SILENCE_BOUND).await {
+            // A changed document is taken from the snapshot of a new subscription.
+            Ok(Some(frame)) if matches!(frame.header, SubscriptionFrame::Document { .. }) => {
+                return Ok(());
+            }
             Ok(Some(frame)) => {
                 let before = state.view().revision;
                 state.apply(frame.header);
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -57,5 +57,7 @@
     LeaderElected = 400, "This control instance became leader.";
     LeaderResigned = 401, "This control instance is no longer leader.";
     DocumentAccepted = 410, "A document was committed.";
+    UpstreamSuspected = 411, "An upstream is silent; it gets no new work when others can take it.";
+    UpstreamsRemoved = 412, "Silent upstreams were removed.";
     StorageFailed = 420, "The data folder cannot be written; the process stops.";
 }
