--- a/crates/oriolecrank-net/src/answer_body.rs
+++ b/crates/oriolecrank-net/src/answer_body.rs
@@ -28,7 +28,32 @@
     /// Complete body; `None` once it is sent or if it is empty.
     Full(Option<Bytes>),
     /// Body that is produced while it is sent. It ends when the sender is dropped.
-    Stream(mpsc::Receiver<Result<Bytes, BodyAborted>>),
+    Stream(BodyReceiver),
+}
+
+/// Receiving half of a streamed body.
+#[derive(Debug)]
+pub struct BodyReceiver {
+    receiver: mpsc::Receiver<Result<Bytes, BodyAborted>>,
+    /// The sender has aborted the body; the next poll reports it.
+    aborted: bool,
+}
+
+impl BodyReceiver {
+    fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyAborted>>> {
+        if self.aborted {
+            return Poll::Ready(Some(Err(BodyAborted)));
+        }
+        let received = self.receiver.poll_recv(context);
+        if matches!(received, Poll::Ready(Some(Err(_)))) {
+            // hyper drops what it has not yet written when a body fails. Yielding once lets it
+            // write the bytes before the abort, such as an error event for the caller.
+            self.aborted = true;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        received
+    }
 }
 
 impl AnswerBody {
@@ -41,7 +66,13 @@
     /// A streamed body and its sender.
     pub fn stream() -> (BodySender, Self) {
         let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
-        (sender, Self::Stream(receiver))
+        (
+            sender,
+            Self::Stream(BodyReceiver {
+                receiver,
+                aborted: false,
+            }),
+        )
     }
 }
 
@@ -56,7 +87,7 @@
         match &mut *self {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Stream(receiver) => receiver
-                .poll_recv(context)
+                .poll_next(context)
                 .map(|item| item.map(|result| result.map(Frame::data))),
         }
     }
