Test the replicated state machine by cases, models and random sequences

Cause: claims, usage, orders and membership must hold their promises under repetition, late arrival, old incarnations and changes of leader.

--- /dev/null
+++ b/crates/oriolecrank-state/tests/state/configuration_commands.rs
@@ -0,0 +1,216 @@
+//! Submissions, audited operator actions and the request history.
+
+use oriolecrank_schema::control::{Command, CommandOutcome, Query, QueryResult};
+use oriolecrank_schema::document::{ConfigDocument, UpstreamId};
+use oriolecrank_state::cluster::{
+    MAX_AUDIT_CHANGES, MAX_AUDIT_RECORDS, MAX_AUDIT_TEXT_BYTES, MAX_HISTORY_IDS,
+};
+
+use crate::cluster_fixture::{TestCluster, announce, submit};
+use crate::fixtures::{document, organisation};
+
+fn with_window(usage_window_s: u64) -> ConfigDocument {
+    ConfigDocument {
+        usage_window_s,
+        ..document()
+    }
+}
+
+const fn accepted(revision: u64) -> CommandOutcome {
+    CommandOutcome::DocumentAccepted { revision }
+}
+
+const fn conflict(current_revision: u64) -> CommandOutcome {
+    CommandOutcome::DocumentConflict { current_revision }
+}
+
+/// Guards against two winners of a race, against a resend that changes the document twice or gets
+/// another answer, and against an id that hides another document.
+#[test]
+fn submissions_are_decided_once() {
+    let reused = CommandOutcome::RequestIdReused;
+    TestCluster::empty().expect_all(
+        "submissions",
+        vec![
+            (submit("a", 0, document()), accepted(1)),
+            // Two operators with the same base revision.
+            (submit("b", 0, with_window(30)), conflict(1)),
+            // Resends after a lost answer, also when the state has moved on.
+            (submit("a", 0, document()), accepted(1)),
+            (submit("c", 1, with_window(30)), accepted(2)),
+            (submit("a", 0, document()), accepted(1)),
+            (submit("b", 0, with_window(30)), conflict(1)),
+            // The id of a decided request with another document or another base.
+            (submit("a", 0, with_window(30)), reused.clone()),
+            (submit("a", 2, document()), reused.clone()),
+            (submit("b", 2, with_window(30)), reused),
+            // Going back is a new revision.
+            (submit("d", 2, document()), accepted(3)),
+            // A revision that was never committed.
+            (submit("e", 9, document()), conflict(3)),
+        ],
+    );
+}
+
+/// Guards against an invalid document in force, and a resend of it that gets another answer.
+#[test]
+fn invalid_document_changes_nothing() {
+    let mut cluster = TestCluster::empty();
+    let first = cluster.send(submit("a", 0, with_window(0)));
+    let CommandOutcome::DocumentInvalid { errors } = &first else {
+        panic!("{first:?}");
+    };
+    assert_eq!(errors[0].path, "usage_window_s");
+    assert_eq!(cluster.send(submit("b", 0, document())), accepted(1));
+    assert_eq!(cluster.send(submit("a", 0, with_window(0))), first);
+    assert_eq!(cluster.state.revision().0, 1);
+}
+
+/// Guards against anonymous changes and against ids that fill the history.
+#[test]
+fn empty_or_long_identity_is_refused() {
+    let mut cluster = TestCluster::empty();
+    for request_id in [String::new(), "x".repeat(129)] {
+        let outcome = cluster.send(submit(&request_id, 0, document()));
+        assert!(matches!(outcome, CommandOutcome::Refused { .. }));
+    }
+    let anonymous = Command::RecordAudit {
+        action: "force".to_owned(),
+        changes: Vec::new(),
+        operator: String::new(),
+        origin: String::new(),
+        request_id: "a".to_owned(),
+    };
+    let outcome = cluster.send(anonymous);
+    assert!(matches!(outcome, CommandOutcome::Refused { .. }));
+    assert_eq!(cluster.state.revision().0, 0);
+}
+
+/// Guards against a history that grows without bound, or that forgets recent ids.
+#[test]
+fn history_keeps_the_newest_ids() {
+    let mut cluster = TestCluster::empty();
+    cluster.send(submit("first", 0, document()));
+    cluster.send(submit("second", 1, document()));
+    for number in 0..MAX_HISTORY_IDS - 1 {
+        cluster.send(submit(&format!("conflict-{number}"), 0, document()));
+    }
+    // "first" is forgotten, so it is decided anew; "second" is still known.
+    assert_eq!(cluster.send(submit("second", 1, document())), accepted(2));
+    assert_eq!(cluster.send(submit("first", 0, document())), conflict(2));
+}
+
+fn audit(cluster: &TestCluster, first_index: u64, limit: u32) -> QueryResult {
+    cluster.state.query(&Query::Audit { first_index, limit })
+}
+
+/// Guards against changes that nobody can attribute afterwards.
+#[test]
+fn audit_names_who_when_where_and_what() {
+    let mut cluster = TestCluster::empty();
+    cluster.send(submit("a", 0, document()));
+    cluster.send(submit("a", 0, document()));
+    cluster.send(submit("lost", 0, document()));
+    let mut changed = document();
+    changed.organisations.push(organisation("mill", 3));
+    cluster.send_after(5, submit("b", 1, changed));
+    let QueryResult::Audit { records, more } = audit(&cluster, 2, 10) else {
+        panic!("not an audit result");
+    };
+    assert!(!more);
+    assert_eq!(records.len(), 1, "resends and conflicts are no changes");
+    let record = &records[0];
+    assert_eq!(record.index, 4);
+    assert_eq!(record.time_ms, cluster.time_ms);
+    assert_eq!((record.before_revision, record.after_revision), (1, 2));
+    assert_eq!(record.operator, "alma");
+    assert_eq!(record.origin, "10.0.0.9");
+    assert_eq!(record.request_id, "b");
+    assert_eq!(record.changes, ["organisations.mill"]);
+}
+
+/// Guards against a drain that is sent twice after a lost answer, and that leaves no trace.
+#[test]
+fn operator_order_is_placed_once_and_audited() {
+    let mut cluster = TestCluster::ready();
+    let drain = |request_id: &str, upstream: &str| Command::PlaceOperatorOrder {
+        action: oriolecrank_schema::control::OrderAction::Drain,
+        operator: "alma".to_owned(),
+        origin: "10.0.0.9".to_owned(),
+        reason: "new pump".to_owned(),
+        request_id: request_id.to_owned(),
+        upstream: UpstreamId(upstream.to_owned()),
+    };
+    let first = cluster.send(drain("d", "desk-1"));
+    let CommandOutcome::OrderPlaced { order } = &first else {
+        panic!("{first:?}");
+    };
+    assert_eq!(cluster.send(drain("d", "desk-1")), first);
+    assert_eq!(
+        cluster.send(drain("d", "engine-1")),
+        CommandOutcome::RequestIdReused
+    );
+    let pending = CommandOutcome::OrderPending {
+        fence: order.fence.clone(),
+    };
+    assert_eq!(cluster.send(drain("e", "desk-1")), pending);
+    let QueryResult::Audit { records, .. } = audit(&cluster, 2, 10) else {
+        panic!("not an audit result");
+    };
+    let actions: Vec<&str> = records
+        .iter()
+        .map(|record| record.action.as_str())
+        .collect();
+    assert_eq!(actions, ["order drain desk-1"]);
+}
+
+/// Guards against forced changes without a trace, and against a trail that grows without bound.
+#[test]
+fn audit_trail_is_bounded_and_paged() {
+    let mut cluster = TestCluster::empty();
+    let force = |number: usize, count: usize| Command::RecordAudit {
+        action: "ü".repeat(MAX_AUDIT_TEXT_BYTES),
+        changes: (0..count)
+            .map(|change| format!("change {change}"))
+            .collect(),
+        operator: "alma".to_owned(),
+        origin: String::new(),
+        request_id: format!("r-{number}"),
+    };
+    for number in 0..MAX_AUDIT_RECORDS + 5 {
+        assert_eq!(cluster.send(force(number, 1)), CommandOutcome::Accepted);
+    }
+    cluster.send(force(MAX_AUDIT_RECORDS + 5, MAX_AUDIT_CHANGES + 7));
+    let summary = cluster.state.summary();
+    assert_eq!(summary.audit_records, MAX_AUDIT_RECORDS as u64);
+    let QueryResult::Audit { records, more } = audit(&cluster, 0, 10) else {
+        panic!("not an audit result");
+    };
+    assert!(more);
+    assert_eq!(records[0].index, 7, "the oldest records are dropped");
+    assert_eq!(records[0].action.len(), MAX_AUDIT_TEXT_BYTES);
+    let QueryResult::Audit { records, more } = audit(&cluster, cluster.index, 10) else {
+        panic!("not an audit result");
+    };
+    assert!(!more);
+    assert_eq!(records[0].changes.len(), MAX_AUDIT_CHANGES + 1);
+    assert_eq!(records[0].changes[MAX_AUDIT_CHANGES], "7 more changes");
+}
+
+/// Guards against a log entry that takes effect twice after a restart.
+#[test]
+fn applied_index_is_not_applied_again() {
+    let mut cluster = TestCluster::empty();
+    cluster.send(submit("a", 0, document()));
+    cluster.index -= 1;
+    assert_eq!(
+        cluster.send(submit("b", 1, document())),
+        CommandOutcome::Unchanged
+    );
+    assert_eq!(cluster.state.revision().0, 1);
+    // The next entry is applied as usual.
+    assert!(matches!(
+        cluster.send(announce("desk-1", 1, 1)),
+        CommandOutcome::Announced { .. }
+    ));
+}
--- /dev/null
+++ b/crates/oriolecrank-state/tests/state/feed_and_queries.rs
@@ -0,0 +1,125 @@
+//! The feed for subscribers, queries and snapshots.
+
+use oriolecrank_schema::codec;
+use oriolecrank_schema::control::{Query, QueryResult, SubscriptionFrame};
+use oriolecrank_state::cluster::{MAX_FEED_CHANGES, SnapshotError};
+use oriolecrank_state::{ClusterState, LogIndex};
+
+use crate::cluster_fixture::{
+    TestCluster, announce, crash, open_claim, place_order, remove, submit,
+};
+use crate::fixtures::document;
+
+fn frames_since(cluster: &TestCluster, index: u64) -> Option<Vec<SubscriptionFrame>> {
+    let changes = cluster.state.changes_since(LogIndex(index))?;
+    Some(
+        changes
+            .flat_map(oriolecrank_state::StateChange::frames)
+            .collect(),
+    )
+}
+
+/// Guards against subscribers that are not told of a change, or told of what concerns them not.
+#[test]
+fn feed_has_one_frame_for_each_kind_of_change() {
+    let mut cluster = TestCluster::ready();
+    let before = cluster.index;
+    cluster.send(open_claim("k", "b", "r"));
+    cluster.send(announce("desk-1", 1, 2));
+    cluster.send(place_order("desk-1"));
+    assert_eq!(frames_since(&cluster, before), Some(Vec::new()));
+    let mut changed = document();
+    changed.usage_window_s = 30;
+    cluster.send(submit("b", 1, changed));
+    cluster.send(announce("desk-2", 1, 1));
+    cluster.send(crash("desk-2", 1, &[("grove", "f")]));
+    cluster.send(remove(&[("desk-2", 1)]));
+    let frames = frames_since(&cluster, before).expect("the feed reaches back");
+    assert!(
+        matches!(&frames[0], SubscriptionFrame::Document { base_revision: 1, revision: 2, delta }
+        if delta.usage_window_s == Some(30) && delta.organisations.is_empty())
+    );
+    assert!(
+        matches!(&frames[1], SubscriptionFrame::Upstreams { updated, .. } if updated.len() == 1)
+    );
+    assert!(matches!(&frames[2], SubscriptionFrame::Suspects { records } if records.len() == 1));
+    assert!(
+        matches!(&frames[3], SubscriptionFrame::Upstreams { removed, .. } if removed.len() == 1)
+    );
+    assert_eq!(frames.len(), 4);
+}
+
+/// Guards against a subscriber that misses changes because they are no longer kept.
+#[test]
+fn feed_says_when_it_does_not_reach_back() {
+    let mut cluster = TestCluster::empty();
+    for number in 0..=MAX_FEED_CHANGES as u64 {
+        cluster.send(announce("desk-1", number, 1));
+    }
+    assert!(frames_since(&cluster, 0).is_none());
+    let kept = frames_since(&cluster, 1).expect("the newest changes are kept");
+    assert_eq!(kept.len(), MAX_FEED_CHANGES);
+    cluster.restore();
+    assert!(frames_since(&cluster, cluster.index - 1).is_none());
+    assert_eq!(frames_since(&cluster, cluster.index), Some(Vec::new()));
+}
+
+/// Guards against answers that the control client refuses because they are too large.
+#[test]
+fn answers_fit_into_a_message() {
+    let mut cluster = TestCluster::ready();
+    for number in 0..2_000 {
+        cluster.send(announce(&format!("desk-{number}"), 2, 1));
+        cluster.send(open_claim(&format!("k-{number}"), "b", "r"));
+    }
+    let all = [
+        Query::Upstreams,
+        Query::Claims {
+            organisation: None,
+            after_claim_id: 0,
+            limit: u32::MAX,
+        },
+        Query::Audit {
+            first_index: 0,
+            limit: u32::MAX,
+        },
+        Query::Summary,
+        Query::Document,
+        Query::Intents,
+        Query::Plan,
+    ];
+    for query in all {
+        let result = cluster.state.query(&query);
+        assert!(!matches!(result, QueryResult::Refused { .. }), "{query:?}");
+        assert!(codec::encode(&result).len() < 4 * 1024 * 1024, "{query:?}");
+    }
+}
+
+/// Guards against an answer about the control group that the state machine cannot know.
+#[test]
+fn queries_of_the_control_group_are_refused() {
+    let cluster = TestCluster::ready();
+    for query in [Query::Members, Query::InForce { revision: 1 }] {
+        let result = cluster.state.query(&query);
+        assert!(matches!(result, QueryResult::Refused { .. }));
+    }
+}
+
+/// Guards against a damaged or foreign snapshot that is taken for an empty state.
+#[test]
+fn damaged_snapshots_are_refused() {
+    let bytes = TestCluster::ready().state.encode_snapshot();
+    let mut newer = bytes.clone();
+    newer[7] += 1;
+    let mut foreign = bytes.clone();
+    foreign[0] = b'X';
+    let decode = |bytes: &[u8]| ClusterState::decode_snapshot(bytes).map(|_| ());
+    assert!(matches!(decode(&[]), Err(SnapshotError::NoSnapshot)));
+    assert!(matches!(decode(&foreign), Err(SnapshotError::NoSnapshot)));
+    assert!(matches!(
+        decode(&newer),
+        Err(SnapshotError::OtherVersion { version: 2 })
+    ));
+    let cut = &bytes[..bytes.len() - 1];
+    assert!(matches!(decode(cut), Err(SnapshotError::Malformed { .. })));
+}
