Test that expired answers make room for new ones

Cause: a trial change that never gave back the answer bytes of an organisation passed every test. Change: the case of bounded answers goes on past the expiry. Conclusion: an organisation cannot lose its room for stored answers for ever.

--- a/crates/oriolecrank-state/tests/state/claim_commands.rs
+++ b/crates/oriolecrank-state/tests/state/claim_commands.rs
@@ -245,6 +245,12 @@
     // The last one has run, but its answer is not kept.
     let outcome = cluster.send(open_claim("k-199", "b", "r"));
     assert_eq!(outcome, CommandOutcome::ClaimCompleted { answer: None });
+    // Once the answers have expired, there is room for new ones.
+    cluster.send_after(CLAIM_LIFETIME_MS, remove(&[]));
+    assert_eq!(cluster.state.summary().answer_bytes, 0);
+    cluster.send(complete(300, 1, Some(answer(MAX_ANSWER_BYTES))));
+    let outcome = cluster.send(open_claim("k-299", "b", "r"));
+    assert_eq!(outcome, completed(MAX_ANSWER_BYTES));
 }
 
 /// Guards against resends that run again after the organisation or service was reconfigured.
