Show differences of documents with their kinds and values

Cause: an operator needs to see what a submission adds, removes and changes; the audit trail has only paths. Change: document_edits with kind, old and new value, without keys and digests; changed_paths is derived from it. Keys are part of the canonical order.

--- a/crates/oriolecrank-state/src/document/checked_document.rs
+++ b/crates/oriolecrank-state/src/document/checked_document.rs
@@ -29,8 +29,8 @@
 
 /// A document that passed [`validate_document`], in canonical order and with lookup tables.
 ///
-/// Organisations and services are sorted by name and an empty budget is absent, so that two
-/// documents of the same meaning are equal.
+/// Organisations, their keys and services are sorted by name and an empty budget is absent, so that
+/// two documents of the same meaning are equal.
 #[derive(Debug, Clone)]
 pub struct CheckedDocument {
     /// Valid and in canonical order.
@@ -192,6 +192,11 @@
     document
         .services
         .sort_by(|one, other| one.name.cmp(&other.name));
+    for organisation in &mut document.organisations {
+        organisation
+            .keys
+            .sort_by(|one, other| one.name.cmp(&other.name));
+    }
     let unlimited = |budget: &Option<_>| budget.as_ref().is_some_and(is_unlimited);
     if unlimited(&document.budget) {
         document.budget = None;
--- a/crates/oriolecrank-state/src/document/delta.rs
+++ b/crates/oriolecrank-state/src/document/delta.rs
@@ -1,6 +1,6 @@
 //! Differences between two revisions of the document.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use oriolecrank_schema::control::{DocumentDelta, FieldError};
 use oriolecrank_schema::document::{
@@ -75,38 +75,13 @@
     result
 }
 
-/// Paths of the values that differ, by name and sorted, for the audit trail.
-///
-/// A path never contains a key or its digest.
-pub fn changed_paths(before: &CheckedDocument, after: &CheckedDocument) -> Vec<String> {
-    let (before, after) = (before.as_document(), after.as_document());
-    let mut paths = BTreeSet::new();
-    if before.regions != after.regions {
-        paths.insert("regions".to_owned());
-    }
-    if before.usage_window_s != after.usage_window_s {
-        paths.insert("usage_window_s".to_owned());
-    }
-    if before.budget != after.budget {
-        paths.insert("budget".to_owned());
-    }
-    let organisations = name_pairs(&before.organisations, &after.organisations);
-    for (name, pair) in organisations {
-        add_organisation_paths(&format!("organisations.{}", name.0), pair, &mut paths);
-    }
-    for (name, pair) in name_pairs(&before.services, &after.services) {
-        add_service_paths(&format!("services.{}", name.0), pair, &mut paths);
-    }
-    paths.into_iter().collect()
-}
-
 /// Stands for the removal of the budget in a delta.
 const NO_BUDGET: BudgetConfig = BudgetConfig {
     max_upstreams: None,
 };
 
 /// An element of a document list that has a unique name.
-trait NamedConfig: Clone + PartialEq {
+pub(super) trait NamedConfig: Clone + PartialEq {
     type Name: Clone + Ord;
 
     fn config_name(&self) -> &Self::Name;
@@ -137,9 +112,10 @@
 }
 
 /// An element before and after a change; at least one is present.
-type ConfigPair<'a, T> = (Option<&'a T>, Option<&'a T>);
+pub(super) type ConfigPair<'a, T> = (Option<&'a T>, Option<&'a T>);
 
-fn name_pairs<'a, T: NamedConfig>(
+/// Elements of two lists by name.
+pub(super) fn name_pairs<'a, T: NamedConfig>(
     before: &'a [T],
     after: &'a [T],
 ) -> BTreeMap<&'a T::Name, ConfigPair<'a, T>> {
@@ -177,53 +153,3 @@
     }
     by_name.into_values().cloned().collect()
 }
-
-fn add_organisation_paths(
-    path: &str,
-    pair: ConfigPair<'_, OrganisationConfig>,
-    paths: &mut BTreeSet<String>,
-) {
-    let (Some(before), Some(after)) = pair else {
-        paths.insert(path.to_owned());
-        return;
-    };
-    for (name, (old, new)) in name_pairs(&before.keys, &after.keys) {
-        if old != new {
-            paths.insert(format!("{path}.keys.{name}"));
-        }
-    }
-    let fields = [
-        ("limits", before.limits != after.limits),
-        ("services", before.services != after.services),
-        ("weight", before.weight != after.weight),
-    ];
-    add_fields(path, &fields, paths);
-}
-
-fn add_service_paths(
-    path: &str,
-    pair: ConfigPair<'_, ServiceConfig>,
-    paths: &mut BTreeSet<String>,
-) {
-    let (Some(before), Some(after)) = pair else {
-        paths.insert(path.to_owned());
-        return;
-    };
-    let fields = [
-        ("kind", before.kind != after.kind),
-        ("models", before.models != after.models),
-        ("class", before.class != after.class),
-        ("deadline_ms", before.deadline_ms != after.deadline_ms),
-        ("routes", before.routes != after.routes),
-        ("budget", before.budget != after.budget),
-    ];
-    add_fields(path, &fields, paths);
-}
-
-fn add_fields(path: &str, fields: &[(&str, bool)], paths: &mut BTreeSet<String>) {
-    for (field, changed) in fields {
-        if *changed {
-            paths.insert(format!("{path}.{field}"));
-        }
-    }
-}
--- a/crates/oriolecrank-state/tests/state/document_delta.rs
+++ b/crates/oriolecrank-state/tests/state/document_delta.rs
@@ -4,7 +4,7 @@
 use oriolecrank_schema::control::DocumentDelta;
 use oriolecrank_schema::document::{BudgetConfig, ConfigDocument, ServiceConfig};
 use oriolecrank_state::CheckedDocument;
-use oriolecrank_state::document::{changed_paths, document_delta, is_empty_delta};
+use oriolecrank_state::document::{changed_paths, document_delta, document_edits, is_empty_delta};
 use proptest::prelude::*;
 
 /// Documents over a few names, so that two of them share some parts.
@@ -130,6 +130,17 @@
         "usage_window_s",
     ];
     assert_eq!(changed_paths(&before, &after), expected);
+    let edits = document_edits(&before, &after);
+    let text: Vec<String> = edits.iter().map(ToString::to_string).collect();
+    let expected = [
+        "~ organisations.grove.keys.main",
+        "+ organisations.grove.keys.night",
+        "+ organisations.mill",
+        "- organisations.press",
+        "~ services.desk.deadline_ms: 30000 -> 5",
+        "~ usage_window_s: 60 -> 30",
+    ];
+    assert_eq!(text, expected);
 }
 
 /// Guards against a delta for another base that leaves a subscriber with an invalid document.
@@ -149,3 +160,16 @@
         "{message}"
     );
 }
+
+/// Guards against revisions that differ in nothing but the order in which a form lists its entries.
+#[test]
+fn order_of_named_entries_has_no_meaning() {
+    let mut one = document();
+    one.organisations[0].keys = vec![key("main", 7), key("night", 8)];
+    let mut other = one.clone();
+    other.organisations[0].keys.reverse();
+    other.organisations.reverse();
+    other.services.reverse();
+    let checked = |document| CheckedDocument::try_from(document).unwrap();
+    assert_eq!(checked(one), checked(other));
+}
