Test the consensus core under seeded schedules and repairs

Cause: the core was not covered; the schedules found two faults in the founding check. A founding reply now names the tag of its probe, because a late reply to a lost folder admitted the new one. Identities of instances that join or found alone contain the tag of their folder, because nobody can tell them that their disk was replaced.

--- a/crates/oriolecrank-consensus/src/founding.rs
+++ b/crates/oriolecrank-consensus/src/founding.rs
@@ -101,6 +101,7 @@
                 .get(&message.from)
                 .is_none_or(|known| *known == tag);
         let reply = FoundingReply {
+            probe_tag: tag,
             tag: self.founding.tag,
             admitted,
         };
@@ -108,8 +109,9 @@
     }
 
     pub(crate) fn handle_founding_reply(&mut self, message: &PeerMessage, reply: FoundingReply) {
-        let known = self.log.membership().membership.member(&message.from);
-        if self.founding.progress != FoundingProgress::Waiting || known.is_none() {
+        let known = self.membership().member(&message.from).is_some();
+        let current = reply.probe_tag == self.founding.tag;
+        if self.founding.progress != FoundingProgress::Waiting || !known || !current {
             return;
         }
         if !reply.admitted {
--- a/crates/oriolecrank-consensus/src/lib.rs
+++ b/crates/oriolecrank-consensus/src/lib.rs
@@ -46,5 +46,6 @@
 pub use settings::RaftSettings;
 pub use snapshot::Snapshot;
 pub use storage::{
-    DiskFiles, FileOperations, FolderIdentity, LogFile, LogStorage, OpenedFolder, StorageError,
+    DiskFiles, FileOperations, FolderIdentity, FolderRequest, LogFile, LogStorage, OpenedFolder,
+    StorageError,
 };
--- a/crates/oriolecrank-consensus/src/message.rs
+++ b/crates/oriolecrank-consensus/src/message.rs
@@ -141,6 +141,8 @@
 /// Answer to a founding probe.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FoundingReply {
+    /// Tag of the probe. An answer to a folder that was replaced since must not admit the new one.
+    pub probe_tag: DiskTag,
     /// Tag of the replying instance's folder.
     pub tag: DiskTag,
     /// False if the replying instance knows another folder under the identity of the probe.
--- a/crates/oriolecrank-consensus/src/storage/folder_identity.rs
+++ b/crates/oriolecrank-consensus/src/storage/folder_identity.rs
@@ -3,23 +3,81 @@
 use oriolecrank_schema::peer;
 
 use crate::instance_id::InstanceId;
+use crate::membership::Member;
 use crate::numbers::DiskTag;
 
+/// Who opens a data folder, from the settings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FolderRequest {
+    /// Name of the cluster.
+    pub cluster: String,
+    /// Name of the instance.
+    pub name: InstanceId,
+    /// Random number for a new folder.
+    pub tag: DiskTag,
+    /// Members of a group to be founded; used only for a new folder. An instance that is not among
+    /// them waits until it is added to a group.
+    pub founders: Vec<Member>,
+}
+
 /// Owner of a data folder.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct FolderIdentity {
     /// Name of the cluster.
     pub cluster: String,
-    /// Identity of the instance.
+    /// Name of the instance in its settings.
+    pub name: InstanceId,
+    /// Identity of the instance in the group, see [`FolderRequest::new_identity`].
     pub instance: InstanceId,
     /// Random number drawn when the folder was created.
     pub tag: DiskTag,
 }
 
+impl FolderRequest {
+    /// Identity for a new folder.
+    ///
+    /// The identity contains the random number, so that a replaced disk brings a new identity. The
+    /// founders of a group of several must know each other by name before they have met; they keep
+    /// their names, and the founding check tells a replaced disk.
+    pub fn new_identity(&self) -> FolderIdentity {
+        let shared_name = self.is_founder() && self.founders.len() > 1;
+        let instance = if shared_name {
+            self.name.clone()
+        } else {
+            InstanceId::new(&format!("{}-{:016x}", self.name, self.tag.0))
+        };
+        FolderIdentity {
+            cluster: self.cluster.clone(),
+            name: self.name.clone(),
+            instance,
+            tag: self.tag,
+        }
+    }
+
+    fn is_founder(&self) -> bool {
+        self.founders.iter().any(|member| member.id == self.name)
+    }
+
+    /// Founding members under their identities; none if this instance is not one of them.
+    pub(super) fn founding_members(&self, identity: &FolderIdentity) -> Vec<Member> {
+        if !self.is_founder() {
+            return Vec::new();
+        }
+        let mut members = self.founders.clone();
+        for member in &mut members {
+            if member.id == self.name {
+                member.id = identity.instance.clone();
+            }
+        }
+        members
+    }
+}
+
 impl From<&FolderIdentity> for peer::FolderIdentity {
     fn from(identity: &FolderIdentity) -> Self {
         Self {
             cluster: identity.cluster.clone(),
+            name: identity.name.as_str().to_owned(),
             instance: identity.instance.as_str().to_owned(),
             tag: identity.tag.0,
         }
@@ -30,6 +88,7 @@
     fn from(record: peer::FolderIdentity) -> Self {
         Self {
             cluster: record.cluster,
+            name: InstanceId::new(&record.name),
             instance: InstanceId::new(&record.instance),
             tag: DiskTag(record.tag),
         }
--- a/crates/oriolecrank-consensus/src/storage/log_storage.rs
+++ b/crates/oriolecrank-consensus/src/storage/log_storage.rs
@@ -8,7 +8,7 @@
 use snafu::{OptionExt, ResultExt, ensure};
 
 use super::file_operations::{DiskFiles, FileOperations, LogFile};
-use super::folder_identity::FolderIdentity;
+use super::folder_identity::{FolderIdentity, FolderRequest};
 use super::frame::{FrameRead, read_frame, write_frame};
 use super::log_replay::replay;
 use super::storage_error::{
@@ -16,7 +16,7 @@
     IdentityMissingSnafu, StorageError,
 };
 use crate::log_entry::LogEntry;
-use crate::membership::{Member, Membership};
+use crate::membership::Membership;
 use crate::node::StoredState;
 use crate::numbers::{LogIndex, Term};
 use crate::ready::{FoundingTags, HardState, LogRecord};
@@ -49,20 +49,18 @@
 impl<F: FileOperations> LogStorage<F> {
     /// Opens the folder of an instance, or creates it.
     ///
-    /// An empty folder gets `identity` and, unless `founders` is empty, a snapshot with the founding
-    /// membership at index 0. An existing folder must have the same cluster and instance and keeps
-    /// its tag.
+    /// A new folder gets a new identity and, for a founder, a snapshot with the founding membership at
+    /// index 0. An existing folder must have the same cluster and name and keeps its identity.
     pub fn open(
         files: F,
         folder: &Path,
-        identity: &FolderIdentity,
-        founders: Vec<Member>,
+        request: &FolderRequest,
     ) -> Result<OpenedFolder<F>, StorageError> {
         attempt("create", folder, files.create_folder(folder))?;
         let lock_path = folder.join("lock");
         let lock = attempt("lock", &lock_path, files.lock(&lock_path))?;
         let lock = lock.context(FolderLockedSnafu { path: folder })?;
-        let identity = claim_folder(&files, folder, identity, founders)?;
+        let identity = claim_folder(&files, folder, request)?;
         let state = load(&files, folder)?;
         // Rewriting the log cuts a torn tail and makes durable what was read, which may have been in
         // memory only after a failed sync or a killed process.
@@ -144,18 +142,17 @@
 fn claim_folder<F: FileOperations>(
     files: &F,
     folder: &Path,
-    identity: &FolderIdentity,
-    founders: Vec<Member>,
+    request: &FolderRequest,
 ) -> Result<FolderIdentity, StorageError> {
     let stored: Option<peer::FolderIdentity> = read_file(files, folder, IDENTITY_FILE)?;
     if let Some(stored) = stored {
         let stored = FolderIdentity::from(stored);
-        let own = stored.cluster == identity.cluster && stored.instance == identity.instance;
+        let own = stored.cluster == request.cluster && stored.name == request.name;
         ensure!(
             own,
             ForeignFolderSnafu {
                 path: folder,
-                instance: stored.instance.as_str(),
+                instance: stored.name.as_str(),
                 cluster: stored.cluster,
             }
         );
@@ -168,6 +165,8 @@
         ensure!(unused, IdentityMissingSnafu { path: folder });
     }
     // The identity is written last, so that a folder with an identity is complete.
+    let identity = request.new_identity();
+    let founders = request.founding_members(&identity);
     if !founders.is_empty() {
         let snapshot = Snapshot {
             index: LogIndex(0),
@@ -179,9 +178,9 @@
         write_file(files, folder, SNAPSHOT_FILE, &record)?;
     }
     rewrite_log(files, folder, &StoredState::default())?;
-    let record = peer::FolderIdentity::from(identity);
+    let record = peer::FolderIdentity::from(&identity);
     write_file(files, folder, IDENTITY_FILE, &record)?;
-    Ok(identity.clone())
+    Ok(identity)
 }
 
 fn load<F: FileOperations>(files: &F, folder: &Path) -> Result<StoredState, StorageError> {
--- a/crates/oriolecrank-consensus/src/storage/mod.rs
+++ b/crates/oriolecrank-consensus/src/storage/mod.rs
@@ -12,6 +12,6 @@
 mod storage_error;
 
 pub use file_operations::{DiskFiles, FileOperations, LogFile};
-pub use folder_identity::FolderIdentity;
+pub use folder_identity::{FolderIdentity, FolderRequest};
 pub use log_storage::{LogStorage, OpenedFolder};
 pub use storage_error::StorageError;
--- a/crates/oriolecrank-consensus/src/wire.rs
+++ b/crates/oriolecrank-consensus/src/wire.rs
@@ -342,6 +342,7 @@
                 Self::FoundingProbe(peer::FoundingProbe { tag: tag.0 })
             }
             MessageBody::FoundingReply(reply) => Self::FoundingReply(peer::FoundingReply {
+                probe_tag: reply.probe_tag.0,
                 tag: reply.tag.0,
                 admitted: reply.admitted,
             }),
@@ -366,6 +367,7 @@
             }
             peer::PeerBody::FoundingProbe(probe) => Self::FoundingProbe(DiskTag(probe.tag)),
             peer::PeerBody::FoundingReply(reply) => Self::FoundingReply(FoundingReply {
+                probe_tag: DiskTag(reply.probe_tag),
                 tag: DiskTag(reply.tag),
                 admitted: reply.admitted,
             }),
--- /dev/null
+++ b/crates/oriolecrank-consensus/tests/schedules.rs
@@ -0,0 +1,314 @@
+//! The consensus core and its storage under seeded schedules of faults.
+//!
+//! `ORIOLECRANK_SEEDS` sets the number of schedules and `ORIOLECRANK_FIRST_SEED` the first one. A
+//! failing seed is printed.
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+#[path = "support/group.rs"]
+mod group;
+#[expect(
+    dead_code,
+    reason = "faults of the disk are tested with the storage alone"
+)]
+#[path = "support/memory_files.rs"]
+mod memory_files;
+#[path = "support/oracle.rs"]
+mod oracle;
+
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use group::{CrashPoint, Group, member};
+use oriolecrank_consensus::{InstanceId, MemberRole, MembershipRequest, MembershipVersion};
+use rand::Rng as _;
+use rand::seq::IndexedRandom as _;
+
+/// Schedules run by default, within about 30 s in a debug build.
+const DEFAULT_SEEDS: u64 = 2_000;
+
+/// Time with faults, in ms.
+const FAULT_TIME: u64 = 15_000;
+
+/// A healed group must agree within this time, in ms.
+const HEAL_TIME: u64 = 20_000;
+
+/// Most threads that run schedules.
+const MAX_THREADS: usize = 4;
+
+fn number_from_environment(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.map_or(default, |text| text.parse().unwrap())
+}
+
+/// Guards against lost, reordered or doubly led logs, actions without a lease and old reads, under
+/// loss, duplication, reordering, pauses, power loss, replaced disks, partitions and membership
+/// changes in any combination.
+#[test]
+fn invariants_hold_under_seeded_schedules() {
+    let seeds = number_from_environment("ORIOLECRANK_SEEDS", DEFAULT_SEEDS);
+    let first = number_from_environment("ORIOLECRANK_FIRST_SEED", 1);
+    let next = AtomicU64::new(first);
+    let totals = Totals::default();
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    std::thread::scope(|scope| {
+        for _ in 0..threads.min(MAX_THREADS) {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= first + seeds {
+                        break;
+                    }
+                    let run = catch_unwind(AssertUnwindSafe(|| run_schedule(seed, &totals)));
+                    if run.is_err() {
+                        println!("failing seed: {seed}");
+                        totals.failures.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+            });
+        }
+    });
+    println!("{totals:?}");
+    assert_eq!(
+        totals.failures.into_inner(),
+        0,
+        "the failing seeds are printed above"
+    );
+    // A schedule that commits nothing would check nothing.
+    assert!(totals.acknowledged.into_inner() > seeds * 5);
+    assert!(totals.reads.into_inner() > seeds);
+    assert!(seeds < 100 || totals.changes.into_inner() > seeds / 2);
+}
+
+#[derive(Debug, Default)]
+struct Totals {
+    failures: AtomicU64,
+    acknowledged: AtomicU64,
+    reads: AtomicU64,
+    changes: AtomicU64,
+    lost_disks: AtomicU64,
+}
+
+/// One schedule and what it needs to remember.
+struct Schedule {
+    group: Group,
+    /// Identity whose disk was lost and that is still a member.
+    lost: Option<InstanceId>,
+    joined: u64,
+    changes: u64,
+    lost_disks: u64,
+}
+
+fn run_schedule(seed: u64, totals: &Totals) {
+    let voters = [3, 3, 3, 5, 1][seed as usize % 5];
+    let mut schedule = Schedule {
+        group: Group::new(seed, voters),
+        lost: None,
+        joined: 0,
+        changes: 0,
+        lost_disks: 0,
+    };
+    while schedule.group.now < FAULT_TIME {
+        let step = schedule.group.random.random_range(10..150);
+        schedule.group.run(step);
+        schedule.work();
+        if schedule.group.random.random_bool(0.4) {
+            schedule.disturb();
+        }
+    }
+    schedule.settle();
+    let group = &schedule.group;
+    let add = |total: &AtomicU64, value| total.fetch_add(value, Ordering::Relaxed);
+    add(&totals.acknowledged, group.oracle.acknowledged().0);
+    add(&totals.reads, group.oracle.answered_reads);
+    add(&totals.changes, schedule.changes);
+    add(&totals.lost_disks, schedule.lost_disks);
+}
+
+impl Schedule {
+    fn any_instance(&mut self) -> InstanceId {
+        let ids: Vec<InstanceId> = self.group.instances.keys().cloned().collect();
+        ids.choose(&mut self.group.random).unwrap().clone()
+    }
+
+    /// Proposals to all leaders and a read anywhere.
+    fn work(&mut self) {
+        for leader in self.group.leaders() {
+            for _ in 0..self.group.random.random_range(0..4) {
+                self.group.propose(&leader);
+            }
+        }
+        let reader = self.any_instance();
+        if self.group.instances[&reader].paused_until <= self.group.now {
+            self.group.read(&reader);
+        }
+    }
+
+    fn disturb(&mut self) {
+        let id = self.any_instance();
+        match self.group.random.random_range(0..14) {
+            0 => self.partition(),
+            1 => self.group.network.blocked.clear(),
+            2 | 3 => {
+                let millis = self.group.random.random_range(50..2_500);
+                self.group.pause(&id, millis);
+            }
+            4 => {
+                let restart = self.group.now + self.group.random.random_range(1..1_500);
+                self.group.crash(&id, Some(restart));
+            }
+            5 => {
+                let points = [CrashPoint::BeforeSync, CrashPoint::AfterSync];
+                let point = points.choose(&mut self.group.random).copied();
+                self.group.instances[&id].crash_point = point;
+            }
+            6 => self.lose_disk(),
+            7..=10 => self.change_membership(),
+            11 => {
+                if self.group.instances[&id].paused_until <= self.group.now {
+                    self.group.compact(&id);
+                }
+            }
+            12 => {
+                self.group.network.loss = self.group.random.random_range(0.0..0.3);
+                self.group.network.duplication = self.group.random.random_range(0.0..0.2);
+            }
+            _ => self.group.network.max_delay = self.group.random.random_range(2..400),
+        }
+    }
+
+    /// Cuts the links between two random parts, in one or both directions.
+    fn partition(&mut self) {
+        let ids: Vec<InstanceId> = self.group.instances.keys().cloned().collect();
+        let one_way = self.group.random.random_bool(0.3);
+        let sides: Vec<bool> = ids
+            .iter()
+            .map(|_| self.group.random.random_bool(0.5))
+            .collect();
+        for (from, from_side) in ids.iter().zip(&sides) {
+            for (to, to_side) in ids.iter().zip(&sides) {
+                if from_side != to_side && (*from_side || !one_way) {
+                    let link = (from.clone(), to.clone());
+                    self.group.network.blocked.insert(link);
+                }
+            }
+        }
+    }
+
+    /// Loses one disk; the next one only after the first identity was removed for good.
+    fn lose_disk(&mut self) {
+        self.note_repair();
+        if self.lost.is_some() || self.group.oracle.committed().0 == 0 {
+            return;
+        }
+        let Some(leader) = self.group.leaders().pop() else {
+            return;
+        };
+        let membership = self.group.membership(&leader);
+        let voters: Vec<InstanceId> = membership.voters().cloned().collect();
+        if voters.len() < 3 {
+            return;
+        }
+        let victim = voters.choose(&mut self.group.random).unwrap().clone();
+        self.group.replace_disk(&victim);
+        self.lost = Some(victim);
+        self.lost_disks += 1;
+    }
+
+    /// Notes that the lost identity is no longer in a committed membership.
+    fn note_repair(&mut self) {
+        let Some(lost) = &self.lost else {
+            return;
+        };
+        let removed = self.group.instances.values().any(|instance| {
+            let Some(running) = &instance.running else {
+                return false;
+            };
+            let status = running.node.status();
+            status.membership.is_retired(lost) && running.applied == status.last
+        });
+        if removed {
+            self.group.discard(&lost.clone());
+            self.lost = None;
+        }
+    }
+
+    fn change_membership(&mut self) {
+        self.note_repair();
+        let Some(leader) = self.group.leaders().pop() else {
+            return;
+        };
+        let current = self.group.membership(&leader);
+        let mut members = current.members.clone();
+        let learner = members
+            .iter()
+            .position(|member| member.role == MemberRole::Learner);
+        let voters = current.voters().count();
+        let choice = self.group.random.random_range(0..3);
+        match (choice, learner) {
+            (0, None) if members.len() < 7 => {
+                self.joined += 1;
+                let name = format!("n{}", self.joined);
+                let id = self.group.add_instance(&name, Vec::new());
+                members.push(member(id.as_str(), MemberRole::Learner));
+            }
+            (0 | 1, Some(position)) if voters < 5 || self.lost.is_some() => {
+                members[position].role = MemberRole::Voter;
+            }
+            _ => {
+                let lost = self.lost.as_ref();
+                let position = members.iter().position(|member| Some(&member.id) == lost);
+                let any = self.group.random.random_range(0..members.len());
+                members.remove(position.unwrap_or(any));
+            }
+        }
+        let stale = self.group.random.random_bool(0.1);
+        let request = MembershipRequest {
+            base_version: MembershipVersion(current.version.0 - u64::from(stale)),
+            members,
+            forced: false,
+        };
+        let result = self.group.change(&leader, &request);
+        assert!(!(stale && result.is_ok()), "a stale request was accepted");
+        self.changes += u64::from(result.is_ok());
+    }
+
+    /// Ends all faults; the group must then agree, keep what it acknowledged and take new work.
+    fn settle(&mut self) {
+        self.group.check_logs();
+        self.group.heal();
+        let group = &mut self.group;
+        let led = group.run_until(HEAL_TIME, |group| working_leader(group).is_some());
+        assert!(led, "no leader after all faults have ended");
+        let mut proposed = None;
+        let agreed = (0..HEAL_TIME / 200).any(|_| {
+            if let Some(leader) = working_leader(group) {
+                proposed = group.propose(&leader).or(proposed);
+                group.read(&leader);
+            }
+            group.run(200);
+            proposed.is_some_and(|position| group.oracle.acknowledged() >= position.index)
+                && everyone_agrees(group)
+        });
+        assert!(agreed, "no agreement after all faults have ended");
+        group.check_logs();
+    }
+}
+
+fn working_leader(group: &Group) -> Option<InstanceId> {
+    let leaders = group.leaders();
+    leaders.into_iter().max_by_key(|id| group.node(id).term())
+}
+
+/// Whether all members that still have their disk have applied what is acknowledged.
+fn everyone_agrees(group: &Group) -> bool {
+    let Some(leader) = working_leader(group) else {
+        return false;
+    };
+    let membership = group.membership(&leader);
+    let least = group.oracle.acknowledged();
+    membership.members.iter().all(|member| {
+        let instance = &group.instances[&member.id];
+        let gone = instance.barred || instance.running.is_none();
+        gone || group.applied(&member.id) >= Some(least)
+    })
+}
--- a/crates/oriolecrank-consensus/tests/storage_faults.rs
+++ b/crates/oriolecrank-consensus/tests/storage_faults.rs
@@ -8,7 +8,7 @@
 
 use memory_files::{DiskFault, MemoryFiles};
 use oriolecrank_consensus::{
-    DiskFiles, DiskTag, EntryBody, FolderIdentity, HardState, InstanceId, LogEntry, LogIndex,
+    DiskFiles, DiskTag, EntryBody, FolderRequest, HardState, InstanceId, LogEntry, LogIndex,
     LogRecord, LogStorage, Member, MemberRole, Membership, OpenedFolder, Snapshot, StorageError,
     StoredState, Term,
 };
@@ -17,20 +17,23 @@
 
 const FOLDER: &str = "data";
 
-fn identity(instance: &str) -> FolderIdentity {
-    FolderIdentity {
+fn request(name: &str) -> FolderRequest {
+    FolderRequest {
         cluster: "test".to_owned(),
-        instance: InstanceId::new(instance),
+        name: InstanceId::new(name),
         tag: DiskTag(7),
+        founders: founders(),
     }
 }
 
 fn founders() -> Vec<Member> {
-    vec![Member {
-        id: InstanceId::new("c1"),
+    let names = ["c1", "c2", "c3"];
+    let member = |name| Member {
+        id: InstanceId::new(name),
         address: "127.0.0.1:1".to_owned(),
         role: MemberRole::Voter,
-    }]
+    };
+    names.map(member).to_vec()
 }
 
 fn entry(index: u64, term: u64) -> LogEntry {
@@ -48,12 +51,7 @@
 }
 
 fn open(files: &MemoryFiles) -> Result<OpenedFolder<MemoryFiles>, StorageError> {
-    LogStorage::open(
-        files.clone(),
-        Path::new(FOLDER),
-        &identity("c1"),
-        founders(),
-    )
+    LogStorage::open(files.clone(), Path::new(FOLDER), &request("c1"))
 }
 
 fn shape(state: &StoredState) -> Vec<(u64, u64)> {
@@ -289,12 +287,7 @@
     );
     drop(open_folder);
 
-    let other = LogStorage::open(
-        files.clone(),
-        Path::new(FOLDER),
-        &identity("c2"),
-        Vec::new(),
-    );
+    let other = LogStorage::open(files.clone(), Path::new(FOLDER), &request("c2"));
     assert!(
         matches!(other, Err(StorageError::ForeignFolder { .. })),
         "{other:?}"
@@ -343,7 +336,7 @@
 fn real_files_keep_state_and_lock() {
     let folder = tempfile::tempdir().unwrap();
     let data = folder.path().join("nested/data");
-    let open = || LogStorage::open(DiskFiles, &data, &identity("c1"), founders());
+    let open = || LogStorage::open(DiskFiles, &data, &request("c1"));
     let mut storage = open().unwrap().storage;
     storage.append(entries(1..=3, 1));
     storage.sync().unwrap();
@@ -367,3 +360,46 @@
     assert_eq!(state.hard_state.term, Term(4));
     assert_eq!(state.snapshot.unwrap().index, LogIndex(2));
 }
+
+/// Guards against an instance that returns with an empty disk under an identity whose promises were
+/// lost with the old one.
+#[test]
+fn a_new_folder_brings_a_new_identity() {
+    // Founders in the settings, whether the identity is the plain name, number of known members.
+    let others = founders()[1..].to_vec();
+    let cases = [
+        ("founder of several", founders(), true, 3),
+        ("only founder", founders()[..1].to_vec(), false, 1),
+        ("joins a group", others, false, 0),
+    ];
+    for (name, founders, plain, members) in cases {
+        let mut identities = Vec::new();
+        for tag in [7, 8] {
+            let files = MemoryFiles::default();
+            let request = FolderRequest {
+                tag: DiskTag(tag),
+                founders: founders.clone(),
+                ..request("c1")
+            };
+            let open = || LogStorage::open(files.clone(), Path::new(FOLDER), &request).unwrap();
+            let first = open();
+            let known = first
+                .state
+                .snapshot
+                .map_or(0, |snapshot| snapshot.membership.members.len());
+            assert_eq!(known, members, "{name}");
+            drop(first.storage);
+            assert_eq!(
+                open().identity,
+                first.identity,
+                "{name}: a restart keeps the identity"
+            );
+            identities.push(first.identity.instance);
+        }
+        assert_eq!(
+            identities[0] == identities[1],
+            plain,
+            "{name}: {identities:?}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-consensus/tests/support/group.rs
@@ -0,0 +1,599 @@
+//! A group of nodes with storage on disks in memory, a lossy network and clocks that differ.
+
+use std::collections::{BTreeMap, HashSet};
+use std::path::Path;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use oriolecrank_consensus::{
+    DiskTag, EntryPosition, FolderRequest, FoundingProgress, InstanceId, LogEntry, LogIndex,
+    LogStorage, Member, MemberRole, Membership, MembershipError, MembershipRequest, OpenedFolder,
+    PeerMessage, RaftNode, RaftSettings, ReadContext, ReadyBatch,
+};
+use oriolecrank_schema::{TimePoint, peer};
+use rand::rngs::StdRng;
+use rand::{Rng as _, SeedableRng as _};
+
+use crate::memory_files::MemoryFiles;
+use crate::oracle::{Oracle, next_state};
+
+/// Bytes added to each snapshot, so that a transfer takes several parts.
+const SNAPSHOT_PADDING: usize = 300;
+
+/// Entries kept in the log after it was truncated.
+const KEPT_ENTRIES: u64 = 5;
+
+/// Where an armed instance loses power.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashPoint {
+    /// After the early messages were sent, before anything is synced.
+    BeforeSync,
+    /// After the sync, before the messages are sent.
+    AfterSync,
+}
+
+/// A node that runs.
+#[derive(Debug)]
+pub struct RunningNode {
+    pub node: RaftNode,
+    storage: LogStorage<MemoryFiles>,
+    pub applied: LogIndex,
+    state: u64,
+    proposed: HashSet<EntryPosition>,
+}
+
+/// One instance with its disk and its clock.
+#[derive(Debug)]
+pub struct Instance {
+    pub id: InstanceId,
+    files: MemoryFiles,
+    request: FolderRequest,
+    clock_offset: u64,
+    /// Local milliseconds in 1,000 true ones.
+    clock_rate: u64,
+    pub running: Option<RunningNode>,
+    pub paused_until: u64,
+    restart_at: Option<u64>,
+    pub crash_point: Option<CrashPoint>,
+    /// The disk was lost after the instance took part; it must never take part again.
+    pub barred: bool,
+    /// The founding check of the present disk was complete.
+    took_part: bool,
+    /// Never starts again.
+    pub discarded: bool,
+}
+
+/// Faults of the network.
+#[derive(Debug, Clone)]
+pub struct NetworkFaults {
+    pub loss: f64,
+    pub duplication: f64,
+    /// Delivery takes 1 to this many ms.
+    pub max_delay: u64,
+    pub blocked: HashSet<(InstanceId, InstanceId)>,
+}
+
+impl Default for NetworkFaults {
+    fn default() -> Self {
+        Self {
+            loss: 0.0,
+            duplication: 0.0,
+            max_delay: 20,
+            blocked: HashSet::new(),
+        }
+    }
+}
+
+/// A group under test; the time is true time in ms.
+#[derive(Debug)]
+pub struct Group {
+    pub now: u64,
+    pub random: StdRng,
+    pub instances: IndexMap<InstanceId, Instance>,
+    pub network: NetworkFaults,
+    pub oracle: Oracle,
+    in_flight: BTreeMap<(u64, u64), PeerMessage>,
+    sent: u64,
+    next_read: u64,
+    next_value: u64,
+}
+
+pub fn member(name: &str, role: MemberRole) -> Member {
+    Member {
+        id: InstanceId::new(name),
+        address: format!("{name}:1"),
+        role,
+    }
+}
+
+impl Instance {
+    fn local(&self, now: u64) -> TimePoint {
+        TimePoint::from_millis(self.clock_offset + now * self.clock_rate / 1_000)
+    }
+
+    /// True time at which the local clock has reached `local`.
+    fn global(&self, local: TimePoint) -> u64 {
+        let millis = local.as_millis().saturating_sub(self.clock_offset);
+        (millis * 1_000).div_ceil(self.clock_rate)
+    }
+
+    fn is_active(&self, now: u64) -> bool {
+        self.running.is_some() && now >= self.paused_until
+    }
+}
+
+impl Group {
+    /// A group of founding voters, none of which runs yet.
+    pub fn new(seed: u64, voters: usize) -> Self {
+        let founders: Vec<Member> = (1..=voters)
+            .map(|number| member(&format!("c{number}"), MemberRole::Voter))
+            .collect();
+        let mut group = Self {
+            now: 0,
+            random: StdRng::seed_from_u64(seed),
+            instances: IndexMap::new(),
+            network: NetworkFaults::default(),
+            oracle: Oracle::default(),
+            in_flight: BTreeMap::new(),
+            sent: 0,
+            next_read: 0,
+            next_value: 0,
+        };
+        for founder in &founders {
+            group.add_instance(founder.id.as_str(), founders.clone());
+        }
+        group
+    }
+
+    /// Adds an instance with an empty disk and returns its identity; without founders it waits to
+    /// join.
+    pub fn add_instance(&mut self, name: &str, founders: Vec<Member>) -> InstanceId {
+        let request = FolderRequest {
+            cluster: "test".to_owned(),
+            name: InstanceId::new(name),
+            tag: DiskTag(self.random.random()),
+            founders,
+        };
+        let id = request.new_identity().instance;
+        let instance = Instance {
+            id: id.clone(),
+            files: MemoryFiles::default(),
+            request,
+            clock_offset: self.random.random_range(0..1_000_000),
+            clock_rate: self.random.random_range(956..=1_045),
+            running: None,
+            paused_until: 0,
+            restart_at: None,
+            crash_point: None,
+            barred: false,
+            took_part: false,
+            discarded: false,
+        };
+        self.instances.insert(id.clone(), instance);
+        self.start(&id);
+        id
+    }
+
+    pub fn start(&mut self, id: &InstanceId) {
+        let seed = self.random.random();
+        let now = self.now;
+        let instance = &mut self.instances[id];
+        instance.restart_at = None;
+        if instance.running.is_some() || instance.discarded {
+            return;
+        }
+        let opened = LogStorage::open(instance.files.clone(), Path::new("data"), &instance.request);
+        let OpenedFolder {
+            storage,
+            identity,
+            state,
+        } = opened.unwrap_or_else(|error| panic!("{id} cannot start: {error}"));
+        let settings = RaftSettings {
+            chunk_bytes: 128,
+            append_bytes: 400,
+            window_entries: 16,
+            caught_up_entries: 4,
+            ..RaftSettings::default()
+        };
+        let (applied, machine) = restore(state.snapshot.as_ref());
+        self.oracle.restored(applied, machine);
+        let local = instance.local(now);
+        let random = StdRng::seed_from_u64(seed);
+        instance.running = Some(RunningNode {
+            node: RaftNode::new(id.clone(), identity.tag, settings, state, random, local),
+            storage,
+            applied,
+            state: machine,
+            proposed: HashSet::new(),
+        });
+    }
+
+    /// Power loss: everything that was not synced is lost, in part.
+    pub fn crash(&mut self, id: &InstanceId, restart_at: Option<u64>) {
+        let instance = &mut self.instances[id];
+        instance.crash_point = None;
+        if instance.running.take().is_some() {
+            instance.files.crash(&mut self.random);
+        }
+        instance.restart_at = restart_at;
+    }
+
+    /// Stops an instance for good.
+    pub fn discard(&mut self, id: &InstanceId) {
+        self.crash(id, None);
+        self.instances[id].discarded = true;
+    }
+
+    /// Replaces the disk of an instance by an empty one.
+    ///
+    /// A founder of several restarts under its old identity. Any other identity is lost with the
+    /// disk, so that instance does not start again.
+    pub fn replace_disk(&mut self, id: &InstanceId) {
+        if self.instances[id].request.name != *id {
+            return self.discard(id);
+        }
+        let others = self.instances.values().filter(|other| other.id != *id);
+        let others_complete = others.into_iter().any(|other| other.took_part);
+        self.crash(id, None);
+        let tag = DiskTag(self.random.random());
+        let instance = &mut self.instances[id];
+        instance.files = MemoryFiles::default();
+        instance.request.tag = tag;
+        instance.barred = others_complete;
+        instance.took_part = false;
+        self.start(id);
+    }
+
+    pub fn pause(&mut self, id: &InstanceId, millis: u64) {
+        let until = self.now + millis;
+        let instance = &mut self.instances[id];
+        instance.paused_until = instance.paused_until.max(until);
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        self.network = NetworkFaults::default();
+        let ids: Vec<InstanceId> = self.instances.keys().cloned().collect();
+        for id in ids {
+            let instance = &mut self.instances[&id];
+            instance.paused_until = 0;
+            instance.crash_point = None;
+            if instance.restart_at.is_some() {
+                self.start(&id);
+            }
+        }
+    }
+
+    /// Instances that believe to lead, and run.
+    pub fn leaders(&self) -> Vec<InstanceId> {
+        self.instances
+            .values()
+            .filter(|instance| instance.is_active(self.now))
+            .filter(|instance| {
+                instance
+                    .running
+                    .as_ref()
+                    .is_some_and(|running| running.node.is_leader())
+            })
+            .map(|instance| instance.id.clone())
+            .collect()
+    }
+
+    pub fn node(&self, id: &InstanceId) -> &RaftNode {
+        &self.instances[id]
+            .running
+            .as_ref()
+            .expect("the instance runs")
+            .node
+    }
+
+    pub fn applied(&self, id: &InstanceId) -> Option<LogIndex> {
+        let running = self.instances[id].running.as_ref()?;
+        Some(running.applied)
+    }
+
+    pub fn membership(&self, id: &InstanceId) -> Membership {
+        self.node(id).membership().clone()
+    }
+
+    /// Proposes a new value; `None` if the instance refuses.
+    pub fn propose(&mut self, id: &InstanceId) -> Option<EntryPosition> {
+        self.next_value += 1;
+        let data: Arc<[u8]> = self.next_value.to_be_bytes().as_slice().into();
+        let now = self.now;
+        let instance = &mut self.instances[id];
+        let local = instance.local(now);
+        let running = instance.running.as_mut()?;
+        let position = running.node.propose(data, local).ok()?;
+        running.proposed.insert(position);
+        self.drive(id);
+        Some(position)
+    }
+
+    pub fn change(
+        &mut self,
+        id: &InstanceId,
+        request: &MembershipRequest,
+    ) -> Result<EntryPosition, MembershipError> {
+        let now = self.now;
+        let instance = &mut self.instances[id];
+        let local = instance.local(now);
+        let running = instance.running.as_mut().expect("the instance runs");
+        let result = running.node.propose_membership(request, local);
+        self.drive(id);
+        result
+    }
+
+    pub fn read(&mut self, id: &InstanceId) {
+        let context = ReadContext(self.next_read);
+        self.next_read += 1;
+        let now = self.now;
+        let instance = &mut self.instances[id];
+        let local = instance.local(now);
+        let Some(running) = instance.running.as_mut() else {
+            return;
+        };
+        self.oracle.read_started(context);
+        running.node.read_index(context, local);
+        self.drive(id);
+    }
+
+    /// Snapshots the state machine of an instance and truncates its log.
+    pub fn compact(&mut self, id: &InstanceId) {
+        let Some(running) = self.instances[id].running.as_mut() else {
+            return;
+        };
+        let mut data = running.state.to_be_bytes().to_vec();
+        data.resize(data.len() + SNAPSHOT_PADDING, 0);
+        let node = &mut running.node;
+        let Some(snapshot) = node.compact(running.applied, data.into(), KEPT_ENTRIES) else {
+            return;
+        };
+        let entries = node.log_entries().cloned();
+        running
+            .storage
+            .replace(&snapshot, node.hard_state(), node.founding_tags(), entries)
+            .unwrap();
+    }
+
+    /// Lets `millis` pass.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            let next = self.next_event().clamp(self.now + 1, end);
+            self.now = next;
+            self.run_present();
+        }
+    }
+
+    /// Lets time pass until `done`, at most `millis`; false if that did not suffice.
+    pub fn run_until(&mut self, millis: u64, mut done: impl FnMut(&Self) -> bool) -> bool {
+        let end = self.now + millis;
+        while self.now < end {
+            if done(self) {
+                return true;
+            }
+            self.run(20);
+        }
+        done(self)
+    }
+
+    fn next_event(&self) -> u64 {
+        let message = self.in_flight.keys().next().map(|(at, _)| *at);
+        let ticks = self.instances.values().filter_map(|instance| {
+            let running = instance.running.as_ref();
+            let tick = running.map(|running| instance.global(running.node.next_tick()));
+            let tick = tick.map(|tick| tick.max(instance.paused_until));
+            tick.or(instance.restart_at)
+        });
+        ticks.chain(message).min().unwrap_or(u64::MAX)
+    }
+
+    fn run_present(&mut self) {
+        while let Some(entry) = self.in_flight.first_entry()
+            && entry.key().0 <= self.now
+        {
+            let message = entry.remove();
+            self.deliver(message);
+        }
+        for position in 0..self.instances.len() {
+            let instance = &mut self.instances[position];
+            let id = instance.id.clone();
+            if instance.restart_at.is_some_and(|at| at <= self.now) {
+                self.start(&id);
+                continue;
+            }
+            if !instance.is_active(self.now) {
+                continue;
+            }
+            let local = instance.local(self.now);
+            let running = instance.running.as_mut().expect("active instances run");
+            if running.node.next_tick() <= local {
+                running.node.tick(local);
+                self.drive(&id);
+            }
+        }
+        self.check_authority();
+    }
+
+    fn deliver(&mut self, message: PeerMessage) {
+        let now = self.now;
+        let Some(instance) = self.instances.get_mut(&message.to) else {
+            return;
+        };
+        if now < instance.paused_until {
+            // The message waits in a buffer of the operating system.
+            let at = instance.paused_until;
+            self.sent += 1;
+            self.in_flight.insert((at, self.sent), message);
+            return;
+        }
+        let local = instance.local(now);
+        let Some(running) = instance.running.as_mut() else {
+            return;
+        };
+        let was_leader = running.node.is_leader();
+        let id = message.to.clone();
+        running.node.step(message, local);
+        if running.node.is_leader() && !was_leader {
+            self.oracle.check_new_leader(&running.node);
+        }
+        self.drive(&id);
+    }
+
+    /// Does what the node asks for until there is nothing left.
+    fn drive(&mut self, id: &InstanceId) {
+        loop {
+            let now = self.now;
+            let instance = &mut self.instances[id];
+            let local = instance.local(now);
+            let Some(running) = instance.running.as_mut() else {
+                return;
+            };
+            let mut batch = running.node.ready(local);
+            if batch.is_empty() {
+                break;
+            }
+            let messages = std::mem::take(&mut batch.early_messages);
+            self.send(messages);
+            if self.loses_power(id, &batch, CrashPoint::BeforeSync) {
+                return;
+            }
+            self.store(id, &mut batch);
+            if self.loses_power(id, &batch, CrashPoint::AfterSync) {
+                return;
+            }
+            let messages = std::mem::take(&mut batch.messages);
+            self.send(messages);
+            self.apply(id, batch);
+        }
+        let instance = &mut self.instances[id];
+        let running = instance.running.as_ref().expect("checked above");
+        if running.node.is_leader() {
+            self.oracle.check_leader(&running.node);
+        }
+        let complete = running.node.status().founding == FoundingProgress::Complete;
+        instance.took_part |= complete;
+        assert!(
+            !(instance.barred && complete),
+            "{id} takes part with a replaced disk"
+        );
+    }
+
+    fn loses_power(&mut self, id: &InstanceId, batch: &ReadyBatch, point: CrashPoint) -> bool {
+        let armed = self.instances[id].crash_point == Some(point);
+        let writes = !batch.records.is_empty() || !batch.messages.is_empty();
+        if !armed || !writes {
+            return false;
+        }
+        let restart = self.now + self.random.random_range(1..1_500);
+        self.crash(id, Some(restart));
+        true
+    }
+
+    fn store(&mut self, id: &InstanceId, batch: &mut ReadyBatch) {
+        let now = self.now;
+        let instance = &mut self.instances[id];
+        let local = instance.local(now);
+        let running = instance.running.as_mut().expect("the caller checked it");
+        let node = &mut running.node;
+        if let Some(snapshot) = batch.snapshot.take() {
+            let entries = node.log_entries().cloned();
+            running
+                .storage
+                .replace(&snapshot, node.hard_state(), node.founding_tags(), entries)
+                .unwrap();
+            (running.applied, running.state) = restore(Some(&snapshot));
+            self.oracle.restored(running.applied, running.state);
+        }
+        running.storage.append(batch.records.clone());
+        running.storage.sync().unwrap();
+        node.synced(local);
+    }
+
+    fn apply(&mut self, id: &InstanceId, batch: ReadyBatch) {
+        let running = self.instances[id]
+            .running
+            .as_mut()
+            .expect("the caller checked it");
+        for entry in &batch.committed {
+            assert_eq!(entry.index, running.applied.next(), "{id} skips an entry");
+            running.applied = entry.index;
+            running.state = next_state(running.state, entry);
+            self.oracle.applied(&running.node, entry, running.state);
+            let position = position(entry);
+            if running.proposed.remove(&position) {
+                self.oracle.acknowledge(position);
+            }
+        }
+        for read in batch.reads {
+            if let Some(index) = read.index {
+                self.oracle.read_answered(read.context, index);
+            }
+        }
+    }
+
+    /// At most one instance may act as leader, paused ones included: they act when they resume.
+    fn check_authority(&self) {
+        let holders: Vec<&InstanceId> = self
+            .instances
+            .values()
+            .filter(|instance| {
+                let local = instance.local(self.now);
+                let running = instance.running.as_ref();
+                running.is_some_and(|running| running.node.authority(local).is_some())
+            })
+            .map(|instance| &instance.id)
+            .collect();
+        assert!(
+            holders.len() <= 1,
+            "{holders:?} hold a lease at {}",
+            self.now
+        );
+    }
+
+    pub fn check_logs(&mut self) {
+        for instance in self.instances.values() {
+            if let Some(running) = &instance.running {
+                self.oracle.check_log(&running.node);
+            }
+        }
+    }
+
+    fn send(&mut self, messages: Vec<PeerMessage>) {
+        for message in messages {
+            let link = (message.from.clone(), message.to.clone());
+            if self.network.blocked.contains(&link) {
+                continue;
+            }
+            // The wire types must carry every message unchanged.
+            let wire = peer::PeerEnvelope::from(message.clone());
+            debug_assert_eq!(PeerMessage::from(wire), message);
+            let copies = 1 + usize::from(self.random.random_bool(self.network.duplication));
+            for _ in 0..copies {
+                if self.random.random_bool(self.network.loss) {
+                    continue;
+                }
+                let delay = self.random.random_range(1..=self.network.max_delay);
+                self.sent += 1;
+                self.in_flight
+                    .insert((self.now + delay, self.sent), message.clone());
+            }
+        }
+    }
+}
+
+fn position(entry: &LogEntry) -> EntryPosition {
+    EntryPosition {
+        index: entry.index,
+        term: entry.term,
+    }
+}
+
+fn restore(snapshot: Option<&oriolecrank_consensus::Snapshot>) -> (LogIndex, u64) {
+    let Some(snapshot) = snapshot.filter(|snapshot| !snapshot.data.is_empty()) else {
+        return (LogIndex(0), 0);
+    };
+    let state = snapshot.data[..8].try_into().expect("8 bytes");
+    (snapshot.index, u64::from_be_bytes(state))
+}
