--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -1,26 +1,34 @@
 //! Decisions of the request path, as functions of state, time and seeded randomness.
 //!
 //! Nothing here does I/O or reads a clock; the processes pass in the present time and a random
-//! number generator.
+//! number generator. A request passes these modules:
 //!
-//! - A request enters: [`header_cleaning`] refuses unsafe heads and finds the key, [`freshness`]
-//!   says whether the key table may be trusted.
+//! - At the entry, [`header_cleaning`] refuses unsafe heads and finds the key, [`freshness`] says
+//!   whether the key table may be trusted, and [`admission`] refuses early what exceeds a limit
+//!   ([`rate_limiter`]) or cannot meet its deadline.
 //! - [`upstream_chooser`] takes one upstream of the entry's [`subset`], by distance, by cached
 //!   prefix ([`prefix_map`]) and by estimated load ([`load_estimate`]).
-//! - At the agent: [`request_queue`] says which request runs next, [`answer_buffer`] keeps the answer until it is acknowledged.
-//! - The answer returns: [`answer_assembly`] checks each frame.
+//! - At the agent, [`request_queue`] says which request runs next, and [`answer_buffer`] keeps the
+//!   answer until it is acknowledged.
+//! - Back at the entry, [`answer_assembly`] checks each frame, and [`retry_budget`] says whether a
+//!   failed attempt is repeated.
 
+pub mod admission;
 pub mod answer_assembly;
 pub mod answer_buffer;
 mod counts;
 pub mod freshness;
 pub mod header_cleaning;
+pub mod limit_key;
 pub mod load_estimate;
 mod percent_encoding;
 pub mod prefix_map;
 mod queue_lane;
 mod queued_request;
+pub mod rate_limiter;
+mod recent_count;
 pub mod request_queue;
+pub mod retry_budget;
 pub mod subset;
 pub mod upstream_chooser;
 pub mod upstream_state;
--- /dev/null
+++ b/crates/oriolecrank-policy/src/limit_key.rs
@@ -0,0 +1,179 @@
+//! Limits of organisations and shares of them.
+
+use oriolecrank_schema::control;
+use oriolecrank_schema::document::{LimitConfig, OrganisationId, ServiceId};
+use snafu::{Snafu, ensure};
+
+use crate::{BlockCount, TokenCount};
+
+/// Part of each limit that is never handed out as shares, as a divisor: a quarter is divided evenly
+/// among the entries, for those that control cannot reach.
+pub const RESERVE_DIVISOR: u64 = 4;
+
+/// What a limit applies to.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LimitKey {
+    /// Organisation.
+    pub organisation: OrganisationId,
+    /// Service; `None` for all services together.
+    pub service: Option<ServiceId>,
+}
+
+/// Number of entries among which a reserve is divided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EntryCount(u32);
+
+impl EntryCount {
+    /// A count of at least one.
+    pub fn new(count: u32) -> Self {
+        Self(count.max(1))
+    }
+
+    /// The number.
+    pub const fn get(self) -> u32 {
+        self.0
+    }
+}
+
+/// A limit over all entries; `None` is unlimited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct OrganisationLimit {
+    /// Requests per second.
+    pub requests_per_s: Option<u64>,
+    /// Prompt plus output tokens per second.
+    pub tokens_per_s: Option<u64>,
+    /// Concurrent requests.
+    pub concurrent: Option<u64>,
+}
+
+impl From<&LimitConfig> for OrganisationLimit {
+    fn from(config: &LimitConfig) -> Self {
+        Self {
+            requests_per_s: config.requests_per_s,
+            tokens_per_s: config.tokens_per_s,
+            concurrent: config.concurrent,
+        }
+    }
+}
+
+impl LimitKey {
+    /// Key of a limit of `organisation`.
+    pub fn of_config(organisation: &OrganisationId, config: &LimitConfig) -> Self {
+        Self {
+            organisation: organisation.clone(),
+            service: config.service.clone(),
+        }
+    }
+}
+
+impl OrganisationLimit {
+    /// A share that is unlimited where there is no limit, and zero elsewhere.
+    pub fn unlimited_parts(&self) -> LimitShare {
+        let rate = |limit: Option<u64>| limit.map_or(f64::INFINITY, |_| 0.0);
+        LimitShare {
+            requests_per_s: rate(self.requests_per_s),
+            tokens_per_s: rate(self.tokens_per_s),
+            concurrent: self.concurrent.map_or(u64::MAX, |_| 0),
+        }
+    }
+
+    /// The part of the reserve that each of `entries` entries may use at any time.
+    pub fn reserve(&self, entries: EntryCount) -> LimitShare {
+        let parts = RESERVE_DIVISOR * u64::from(entries.get());
+        let rate =
+            |limit: Option<u64>| limit.map_or(f64::INFINITY, |limit| limit as f64 / parts as f64);
+        LimitShare {
+            requests_per_s: rate(self.requests_per_s),
+            tokens_per_s: rate(self.tokens_per_s),
+            // Concurrent requests are whole; what division leaves over is handed out as shares.
+            concurrent: self.concurrent.map_or(u64::MAX, |limit| limit / parts),
+        }
+    }
+}
+
+/// What one entry may use of a limit; infinity and `u64::MAX` are unlimited.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct LimitShare {
+    /// Requests per second.
+    pub requests_per_s: f64,
+    /// Tokens per second.
+    pub tokens_per_s: f64,
+    /// Concurrent requests.
+    pub concurrent: u64,
+}
+
+impl LimitShare {
+    /// Both shares together.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            requests_per_s: self.requests_per_s + other.requests_per_s,
+            tokens_per_s: self.tokens_per_s + other.tokens_per_s,
+            concurrent: self.concurrent.saturating_add(other.concurrent),
+        }
+    }
+
+    /// The wire form for `key`.
+    pub fn to_message(self, key: &LimitKey) -> control::LimitShare {
+        let concurrent = match self.concurrent {
+            u64::MAX => f64::INFINITY,
+            concurrent => concurrent as f64,
+        };
+        control::LimitShare {
+            organisation: key.organisation.clone(),
+            service: key.service.clone(),
+            requests_per_s: self.requests_per_s,
+            tokens_per_s: self.tokens_per_s,
+            concurrent,
+        }
+    }
+}
+
+/// A share with a value that is not a number, or negative.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("a limit share is negative or not a number"))]
+pub struct BadShare;
+
+impl TryFrom<&control::LimitShare> for LimitShare {
+    type Error = BadShare;
+
+    fn try_from(message: &control::LimitShare) -> Result<Self, Self::Error> {
+        let values = [
+            message.requests_per_s,
+            message.tokens_per_s,
+            message.concurrent,
+        ];
+        ensure!(values.iter().all(|value| *value >= 0.0), BadShareSnafu);
+        Ok(Self {
+            requests_per_s: message.requests_per_s,
+            tokens_per_s: message.tokens_per_s,
+            // The conversion saturates, so infinity becomes the unlimited `u64::MAX`.
+            concurrent: message.concurrent as u64,
+        })
+    }
+}
+
+impl From<&control::LimitShare> for LimitKey {
+    fn from(message: &control::LimitShare) -> Self {
+        Self {
+            organisation: message.organisation.clone(),
+            service: message.service.clone(),
+        }
+    }
+}
+
+/// Tokens that a request may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct RequestSize {
+    /// Prompt tokens.
+    pub prompt: TokenCount,
+    /// Largest number of output tokens.
+    pub output: TokenCount,
+}
+
+impl RequestSize {
+    /// Blocks of engine memory that the request needs.
+    pub fn blocks(self) -> BlockCount {
+        (self.prompt + self.output).blocks()
+    }
+}
