--- /dev/null
+++ b/crates/oriolecrank-entry/src/call_plan.rs
@@ -0,0 +1,314 @@
+//! From a caller's request to a call that can be sent to an upstream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use oriolecrank_policy::TokenCount;
+use oriolecrank_policy::limit_key::RequestSize;
+use oriolecrank_policy::prefix_map::{PrefixHash, hash_prompt};
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::data_path::RunRequest;
+use oriolecrank_schema::digest;
+use oriolecrank_schema::document::{
+    OrganisationConfig, OrganisationId, PriorityClass, RequestId, RouteConfig, ServiceConfig,
+    ServiceId, ServiceKind,
+};
+
+use crate::admission::ServedTokens;
+use crate::attempt_stream::CallSafety;
+use crate::caller_answer::CallerError;
+use crate::caller_head::CleanHead;
+use crate::entry_state::StateView;
+use crate::request_parser::{CompletionRequest, estimate_tokens};
+
+/// Name under which calls of open routes run; no organisation can have it.
+pub const OPEN_ORGANISATION: &str = "-";
+
+/// Prefix of the paths of plain services.
+const SERVICE_PREFIX: &str = "/services/";
+
+/// Methods that change nothing by their definition (RFC 9110, section 9.2.1).
+const SAFE_METHODS: [&str; 3] = ["GET", "HEAD", "OPTIONS"];
+
+/// A checked call.
+#[derive(Debug, Clone)]
+pub struct CallPlan {
+    /// Request without number of the attempt, incarnation and remaining time.
+    pub template: RunRequest,
+    /// Body.
+    pub body: Bytes,
+    /// Model, for engines.
+    pub model: Option<String>,
+    /// Hashes of the prompt, for engines.
+    pub prefixes: Vec<PrefixHash>,
+    /// Whose key came with the request; `None` on open routes.
+    pub organisation: Option<OrganisationId>,
+    /// How often the call may run.
+    pub safety: CallSafety,
+    /// Digest of the idempotency key, if `safety` is [`CallSafety::Claimed`].
+    pub claim_key: Option<String>,
+    /// Equal reads may share one upstream call.
+    pub coalesce: bool,
+    /// Time at which the answer must be complete.
+    pub deadline: TimePoint,
+    /// Tokens that the attempts have used.
+    pub served: Arc<ServedTokens>,
+}
+
+impl CallPlan {
+    /// Called service.
+    pub fn service(&self) -> &ServiceId {
+        &self.template.service
+    }
+
+    /// Id of the request.
+    pub fn request_id(&self) -> &str {
+        self.template.request_id.as_str()
+    }
+
+    /// Tokens that the call may use.
+    pub fn size(&self) -> RequestSize {
+        RequestSize {
+            prompt: TokenCount::new(self.template.prompt_tokens),
+            output: TokenCount::new(self.template.max_output_tokens),
+        }
+    }
+
+    /// Time left before the deadline.
+    pub fn time_left(&self, now: TimePoint) -> Duration {
+        self.deadline.since(now)
+    }
+}
+
+/// Finds out what a request asks for and whether its key allows it.
+#[derive(Debug)]
+pub struct CallPlanner<'a> {
+    /// State by which the call is planned.
+    pub view: &'a StateView,
+    /// The state is within its freshness lease.
+    pub fresh: bool,
+    /// Clean head of the request.
+    pub head: &'a CleanHead,
+    /// Id of the request.
+    pub request_id: &'a str,
+    /// Present time.
+    pub now: TimePoint,
+}
+
+impl<'a> CallPlanner<'a> {
+    /// Plans a call.
+    pub fn plan(&self, body: Bytes) -> Result<CallPlan, CallerError> {
+        match self.head.route_path.strip_prefix(SERVICE_PREFIX) {
+            Some(rest) => self.plan_plain(rest, body),
+            None => self.plan_completion(&body),
+        }
+    }
+
+    /// Checks before the body is read that the caller may send the request at all.
+    pub fn check_access(&self) -> Result<(), CallerError> {
+        let path = self.head.route_path.strip_prefix(SERVICE_PREFIX);
+        let route = path.and_then(|rest| {
+            let (service, path) = split_service(rest);
+            let document = self.view.document();
+            document.route(&service, path, &self.head.method)
+        });
+        if route.is_some_and(|route| route.open) {
+            return Ok(());
+        }
+        self.authenticate().map(|_| ())
+    }
+
+    /// Organisation of the request's key.
+    pub fn authenticate(&self) -> Result<&'a OrganisationConfig, CallerError> {
+        if !self.fresh {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let message = "this instance has no current configuration";
+            return Err(CallerError::not_run(status, "state_stale", message).with_retry_after(1));
+        }
+        let key = self.head.key.as_ref();
+        let document = self.view.document();
+        let organisation = key.and_then(|key| document.organisation_of_key(key));
+        organisation.ok_or_else(|| {
+            let message = "the key is missing or not valid";
+            CallerError::not_run(StatusCode::UNAUTHORIZED, "key_invalid", message)
+        })
+    }
+
+    fn plan_completion(&self, body: &Bytes) -> Result<CallPlan, CallerError> {
+        let path = self.head.route_path.as_str();
+        if path != "/v1/chat/completions" && path != "/v1/completions" {
+            return Err(not_found("there is no such path"));
+        }
+        if self.head.method != "POST" {
+            let status = StatusCode::METHOD_NOT_ALLOWED;
+            let code = "method_not_allowed";
+            return Err(CallerError::not_run(status, code, "use POST"));
+        }
+        let organisation = self.authenticate()?;
+        let invalid = |message: String| {
+            CallerError::not_run(StatusCode::BAD_REQUEST, "body_invalid", message)
+        };
+        let completion = CompletionRequest::parse(body).map_err(invalid)?;
+        let service = self.view.service_of_model(organisation, &completion.model);
+        let service = service.ok_or_else(|| not_found("there is no such model"))?;
+        let class = match completion.priority.as_deref() {
+            None => service.class,
+            Some(text) => text
+                .parse::<PriorityClass>()
+                .map_err(|_| invalid("priority is one of urgent, standard, bulk".to_owned()))?,
+        };
+        let draft = CallDraft {
+            organisation: Some(&organisation.name),
+            class,
+            deadline_ms: service.deadline_ms,
+            target: path.to_owned(),
+            stream: completion.stream,
+            max_output_tokens: completion.max_output_tokens(),
+        };
+        let prefixes = hash_prompt(&organisation.name, completion.prompt_text());
+        let model = completion.model.clone();
+        let mut plan = self.assemble(service, draft, body.clone());
+        plan.model = Some(model);
+        plan.prefixes = prefixes;
+        // A compressed event stream could not be cut into events.
+        plan.template
+            .headers
+            .retain(|field| !field.name.eq_ignore_ascii_case("accept-encoding"));
+        Ok(plan)
+    }
+
+    fn plan_plain(&self, rest: &str, body: Bytes) -> Result<CallPlan, CallerError> {
+        let (id, route_path) = split_service(rest);
+        let method = self.head.method.as_str();
+        let route = self.view.document().route(&id, route_path, method);
+        let open = route.is_some_and(|route| route.open);
+        let organisation = if open {
+            None
+        } else {
+            // The key comes first, so that callers without one learn nothing about services.
+            let organisation = self.authenticate()?;
+            let mut services = self.view.services_of(organisation);
+            if !services.any(|service| service.name == id) {
+                return Err(not_found("there is no such service"));
+            }
+            Some(&organisation.name)
+        };
+        let service = self.view.document().service(&id);
+        let service = service.ok_or_else(|| not_found("there is no such service"))?;
+        let route = route.ok_or_else(|| not_found("the service has no such route"))?;
+        let draft = CallDraft {
+            organisation,
+            class: route.class,
+            deadline_ms: route.deadline_ms.unwrap_or(service.deadline_ms),
+            target: self.plain_target(&id)?,
+            stream: false,
+            max_output_tokens: 0,
+        };
+        let mut plan = self.assemble(service, draft, body);
+        self.protect(&mut plan, route);
+        Ok(plan)
+    }
+
+    /// Path and query below the service, as the caller spelled them.
+    fn plain_target(&self, name: &str) -> Result<String, CallerError> {
+        let bad = || {
+            let message = "the path must not hide slashes or the name of the service";
+            CallerError::not_run(StatusCode::BAD_REQUEST, "bad_target", message)
+        };
+        let target = self.head.target.strip_prefix(SERVICE_PREFIX);
+        let rest = target.and_then(|target| target.strip_prefix(name));
+        let rest = rest.ok_or_else(bad)?;
+        let path = rest.split('?').next().unwrap_or_default();
+        // The route was matched with decoded slashes; the service might not decode them.
+        if path.to_ascii_lowercase().contains("%2f") {
+            return Err(bad());
+        }
+        match rest.chars().next() {
+            Some('/') => Ok(rest.to_owned()),
+            None | Some('?') => Ok(format!("/{rest}")),
+            Some(_) => Err(bad()),
+        }
+    }
+
+    /// Decides how often a call of a plain service may run.
+    fn protect(&self, plan: &mut CallPlan, route: &RouteConfig) {
+        let method = self.head.method.as_str();
+        if SAFE_METHODS.contains(&method) || route.idempotent {
+            plan.coalesce = route.coalesce && method == "GET";
+            return;
+        }
+        plan.safety = CallSafety::Once;
+        // Claims belong to an organisation, so calls of open routes cannot have one.
+        if plan.organisation.is_some() && self.head.idempotency_key.is_some() {
+            plan.safety = CallSafety::Claimed;
+            plan.claim_key.clone_from(&self.head.idempotency_key);
+        }
+    }
+
+    fn assemble(&self, service: &ServiceConfig, draft: CallDraft<'_>, body: Bytes) -> CallPlan {
+        let organisation = draft.organisation.map_or(OPEN_ORGANISATION, |name| name);
+        let method = self.head.method.clone();
+        // Equal targets of two services are different calls.
+        let place = format!("{}{}", service.name.0, draft.target);
+        let template = RunRequest {
+            attempt: 0,
+            claim: None,
+            class: draft.class,
+            deadline_ms: draft.deadline_ms,
+            fingerprint: digest::call_digest(organisation, &method, &place, &body),
+            headers: self.head.fields.clone(),
+            incarnation: None,
+            max_output_tokens: draft.max_output_tokens,
+            method,
+            organisation: organisation.to_owned(),
+            prompt_tokens: match service.kind {
+                ServiceKind::Engine => estimate_tokens(body.len()),
+                ServiceKind::Plain => 0,
+            },
+            request_id: RequestId(self.request_id.to_owned()),
+            resume_tokens: 0,
+            service: service.name.clone(),
+            stream: draft.stream,
+            target: draft.target,
+        };
+        CallPlan {
+            template,
+            body,
+            model: None,
+            prefixes: Vec::new(),
+            organisation: draft.organisation.cloned(),
+            safety: CallSafety::Repeatable,
+            claim_key: None,
+            coalesce: false,
+            served: Arc::default(),
+            deadline: self.now + Duration::from_millis(draft.deadline_ms),
+        }
+    }
+}
+
+/// Parts of a call that depend on the kind of the service.
+#[derive(Debug)]
+struct CallDraft<'a> {
+    organisation: Option<&'a OrganisationId>,
+    class: PriorityClass,
+    deadline_ms: u64,
+    target: String,
+    stream: bool,
+    max_output_tokens: u64,
+}
+
+/// Name of the service and path below it, from the path below the prefix of services.
+fn split_service(rest: &str) -> (ServiceId, &str) {
+    let name = rest.split('/').next().unwrap_or_default();
+    let path = match &rest[name.len()..] {
+        "" => "/",
+        path => path,
+    };
+    (ServiceId(name.to_owned()), path)
+}
+
+fn not_found(message: &str) -> CallerError {
+    CallerError::not_run(StatusCode::NOT_FOUND, "not_found", message)
+}
--- a/crates/oriolecrank-entry/src/caller_answer.rs
+++ b/crates/oriolecrank-entry/src/caller_answer.rs
@@ -3,12 +3,20 @@
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderName, HeaderValue, Response, StatusCode};
 use oriolecrank_net::AnswerBody;
-use oriolecrank_schema::data_path::RunVerdict;
+use oriolecrank_schema::data_path::{HeaderField, RunVerdict};
 use serde_json::json;
 
+use crate::attempt_stream::AttemptError;
+use crate::caller_head::clean_answer;
+use crate::running_attempt::DEADLINE_EXCEEDED;
+use crate::suspect_gate::FINGERPRINT_REFUSED;
+
 /// Header with the request id, accepted from callers and sent back.
 pub const REQUEST_ID_HEADER: HeaderName = HeaderName::from_static("x-request-id");
 
+/// Delay that is suggested when nothing better is known, in seconds.
+const DEFAULT_RETRY_AFTER_S: u64 = 1;
+
 /// A failure as the caller sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallerError {
@@ -36,6 +44,14 @@
         }
     }
 
+    /// A failure of a request that may have run.
+    pub fn may_have_run(code: &str, message: impl Into<String>) -> Self {
+        Self {
+            verdict: RunVerdict::MayHaveRun,
+            ..Self::not_run(StatusCode::BAD_GATEWAY, code, message)
+        }
+    }
+
     /// Adds a delay after which the caller may retry.
     #[must_use]
     pub const fn with_retry_after(mut self, seconds: u64) -> Self {
@@ -57,7 +73,7 @@
 
     /// Complete HTTP answer.
     pub fn answer(&self, request_id: &str) -> Response<AnswerBody> {
-        let mut response = json_answer(self.status, self.body(request_id), request_id);
+        let mut response = json_answer(self.status, self.body(request_id));
         if let Some(seconds) = self.retry_after_s {
             response
                 .headers_mut()
@@ -72,15 +88,52 @@
     }
 }
 
+impl From<AttemptError> for CallerError {
+    fn from(error: AttemptError) -> Self {
+        let status = match (&*error.code, error.verdict) {
+            (FINGERPRINT_REFUSED, _) => StatusCode::UNPROCESSABLE_ENTITY,
+            (DEADLINE_EXCEEDED, _) => StatusCode::GATEWAY_TIMEOUT,
+            (_, RunVerdict::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
+            (_, RunVerdict::MayHaveRun) => StatusCode::BAD_GATEWAY,
+        };
+        let suggested = error.retry_after.map(|delay| delay.as_secs().max(1));
+        let not_run = error.verdict == RunVerdict::NotRun;
+        Self {
+            status,
+            code: error.code,
+            verdict: error.verdict,
+            message: error.message,
+            retry_after_s: suggested.or(not_run.then_some(DEFAULT_RETRY_AFTER_S)),
+        }
+    }
+}
+
 /// An answer with a JSON body.
-pub fn json_answer(status: StatusCode, body: String, request_id: &str) -> Response<AnswerBody> {
+pub fn json_answer(status: StatusCode, body: String) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::full(body));
     *response.status_mut() = status;
     response
         .headers_mut()
         .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Ok(value) = HeaderValue::from_str(request_id) {
-        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    response
+}
+
+/// An answer of an upstream.
+pub fn upstream_answer(
+    status: u16,
+    headers: &[HeaderField],
+    body: AnswerBody,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for field in clean_answer(headers) {
+        let name = HeaderName::try_from(field.name);
+        let value = HeaderValue::try_from(field.value);
+        if let (Ok(name), Ok(value)) = (name, value)
+            && name != REQUEST_ID_HEADER
+        {
+            response.headers_mut().append(name, value);
+        }
     }
     response
 }
--- /dev/null
+++ b/crates/oriolecrank-entry/src/claim_runner.rs
@@ -0,0 +1,301 @@
+//! Non-idempotent calls with an idempotency key.
+//!
+//! A claim is committed before the first byte goes to an agent. The claim names the agent
+//! incarnation that may run the call, and that agent runs it once, however often it is sent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use oriolecrank_net::{AnswerBody, BootClock};
+use oriolecrank_policy::answer_assembly::AnswerHead;
+use oriolecrank_schema::control::{Command, CommandOutcome, StoredAnswer};
+use oriolecrank_schema::data_path::{ClaimTicket, RunVerdict};
+use oriolecrank_schema::document::UpstreamId;
+use oriolecrank_schema::event::LogEvent;
+use rand::Rng as _;
+use tokio::time::sleep;
+
+use crate::answer_delivery::{CollectedAnswer, WholeAnswer, collect, stream_rest};
+use crate::attempt_stream::{AttemptError, CLAIM_REFUSED};
+use crate::call_plan::CallPlan;
+use crate::call_runner::{CallRunner, choose};
+use crate::caller_answer::CallerError;
+use crate::entry_context::EntryContext;
+use crate::entry_metrics::RequestOutcome;
+use crate::request_tracker::RequestTracker;
+use crate::running_attempt::{AttemptOrder, RunningAttempt};
+use crate::suspect_gate::refuse_crashing;
+use crate::upstream_pool::Dispatch;
+
+/// Longest wait for a claim to be committed.
+const CLAIM_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Bounds of the random delay before a claim is opened again, in milliseconds.
+const REOPEN_DELAY_MS: std::ops::Range<u64> = 20..100;
+
+/// Times a claim is opened for one request.
+const MAX_ROUNDS: u32 = 8;
+
+/// What one round of a claim ended with.
+#[derive(Debug)]
+enum ClaimRound {
+    /// The answer begins.
+    Begun(Box<RunningAttempt>),
+    /// The answer of an earlier request.
+    Stored(WholeAnswer),
+    /// Try again; the error counts if there is no further round.
+    Again(CallerError),
+}
+
+/// Runs one claimed call.
+#[derive(Debug)]
+pub struct ClaimRunner {
+    context: Arc<EntryContext>,
+    plan: Arc<CallPlan>,
+    /// Digest of the idempotency key.
+    key_digest: String,
+    /// Upstreams that refused the claim or could not be claimed.
+    excluded: Vec<UpstreamId>,
+    attempts: u32,
+    /// Bytes of the call may have reached the bound agent, from here or from another entry.
+    may_have_run: bool,
+}
+
+impl ClaimRunner {
+    /// A runner for a call whose claim is not open yet.
+    pub fn new(context: Arc<EntryContext>, plan: Arc<CallPlan>, key_digest: String) -> Self {
+        Self {
+            context,
+            plan,
+            key_digest,
+            excluded: Vec::new(),
+            attempts: 0,
+            may_have_run: false,
+        }
+    }
+
+    /// Runs the call and passes its answer on.
+    pub async fn deliver(
+        mut self,
+        mut tracker: RequestTracker,
+    ) -> Result<Response<AnswerBody>, CallerError> {
+        let result = self.run(&mut tracker).await;
+        let collected = match result {
+            Ok(collected) => collected,
+            Err(error) => {
+                tracker.finish(RequestOutcome::Failed);
+                return Err(error);
+            }
+        };
+        match collected {
+            CollectedAnswer::Whole(answer) => {
+                tracker.finish(RequestOutcome::Answered);
+                Ok(answer.response())
+            }
+            CollectedAnswer::Large { begun, attempt } => {
+                let runner = CallRunner::new(self.context, self.plan);
+                Ok(stream_rest(runner, begun, *attempt, tracker))
+            }
+        }
+    }
+
+    async fn run(&mut self, tracker: &mut RequestTracker) -> Result<CollectedAnswer, CallerError> {
+        refuse_crashing(&self.context, &self.plan)?;
+        let mut round = 1;
+        loop {
+            let error = match self.round().await? {
+                ClaimRound::Stored(answer) => {
+                    tracker.note_first_byte();
+                    return Ok(CollectedAnswer::Whole(answer));
+                }
+                ClaimRound::Begun(attempt) => {
+                    tracker.note_first_byte();
+                    match self.collect(*attempt).await {
+                        Ok(collected) => return Ok(collected),
+                        // The claim knows whether the answer was stored.
+                        Err(error) => self.note_failure(error),
+                    }
+                }
+                ClaimRound::Again(error) => error,
+            };
+            let now = BootClock.now();
+            if round >= MAX_ROUNDS || self.plan.time_left(now).is_zero() {
+                return Err(error);
+            }
+            round += 1;
+            let delay = rand::rng().random_range(REOPEN_DELAY_MS);
+            sleep(Duration::from_millis(delay)).await;
+        }
+    }
+
+    async fn collect(&self, attempt: RunningAttempt) -> Result<CollectedAnswer, AttemptError> {
+        let context = Arc::clone(&self.context);
+        let mut runner = CallRunner::new(context, Arc::clone(&self.plan));
+        collect(&mut runner, attempt).await
+    }
+
+    /// Opens the claim and follows its outcome.
+    async fn round(&mut self) -> Result<ClaimRound, CallerError> {
+        let dispatch = choose(&self.context, &self.plan, &self.excluded);
+        let dispatch = match dispatch {
+            Some(dispatch) => dispatch,
+            None => {
+                self.excluded.clear();
+                choose(&self.context, &self.plan, &[]).ok_or_else(no_upstream)?
+            }
+        };
+        match self.open(&dispatch).await? {
+            CommandOutcome::ClaimGranted { ticket } => Ok(self.send(ticket, Some(dispatch)).await),
+            CommandOutcome::ClaimRunning { ticket } => {
+                self.may_have_run = true;
+                drop(dispatch);
+                Ok(self.send(ticket, None).await)
+            }
+            CommandOutcome::ClaimCompleted { answer } => stored(answer).map(ClaimRound::Stored),
+            CommandOutcome::ClaimMayHaveRun => {
+                let message = "the upstream that held the call is gone; look up whether it ran";
+                Err(CallerError::may_have_run("claim_may_have_run", message))
+            }
+            CommandOutcome::ClaimMismatch => {
+                let status = StatusCode::UNPROCESSABLE_ENTITY;
+                let message = "the idempotency key was used with another request";
+                Err(CallerError::not_run(status, "claim_mismatch", message))
+            }
+            CommandOutcome::ClaimLimit => {
+                let status = StatusCode::TOO_MANY_REQUESTS;
+                let message = "the organisation has too many open claims";
+                let error = CallerError::not_run(status, "claim_limit", message);
+                Err(error.with_retry_after(60))
+            }
+            outcome => {
+                let event = LogEvent::ClaimFailed.number();
+                let request_id = self.plan.request_id();
+                tracing::warn!(event, request_id, ?outcome, "claim not opened");
+                self.excluded.push(dispatch.upstream().clone());
+                Ok(ClaimRound::Again(claim_unavailable()))
+            }
+        }
+    }
+
+    /// Commits the claim. If the outcome is unknown, nothing was sent to the service.
+    async fn open(&self, dispatch: &Dispatch) -> Result<CommandOutcome, CallerError> {
+        let organisation = self.plan.organisation.clone();
+        let command = Command::OpenClaim {
+            body_digest: self.plan.template.fingerprint.clone(),
+            incarnation: dispatch.incarnation(),
+            key_digest: self.key_digest.clone(),
+            organisation: organisation.expect("claims belong to an organisation"),
+            request_id: self.plan.template.request_id.clone(),
+            service: self.plan.service().clone(),
+            upstream: dispatch.upstream().clone(),
+        };
+        let left = self.plan.time_left(BootClock.now());
+        let bound = CLAIM_TIMEOUT.min(left);
+        let outcome = self.context.control.command(&command, bound).await;
+        outcome.map_err(|error| {
+            let event = LogEvent::ClaimFailed.number();
+            let request_id = self.plan.request_id();
+            tracing::warn!(event, request_id, %error, "claim outcome unknown");
+            let mut refusal = claim_unavailable();
+            if self.may_have_run {
+                refusal.verdict = RunVerdict::MayHaveRun;
+            }
+            refusal
+        })
+    }
+
+    /// Sends the call to the agent that the claim names.
+    async fn send(&mut self, ticket: ClaimTicket, dispatch: Option<Dispatch>) -> ClaimRound {
+        let view = self.context.state.view();
+        let bound = view.upstream(&ticket.upstream, ticket.incarnation);
+        let address = bound.and_then(|record| record.address.parse().ok());
+        let Some(address) = address else {
+            // The subscription may be a moment behind; the next round asks control again.
+            let message = "the upstream that holds the call is not known here";
+            return ClaimRound::Again(CallerError {
+                verdict: self.verdict(),
+                ..CallerError::may_have_run("claim_upstream_unknown", message)
+            });
+        };
+        let attached = dispatch.is_none();
+        self.attempts += 1;
+        let order = AttemptOrder {
+            attempt: self.attempts,
+            address,
+            incarnation: ticket.incarnation,
+            upstream: ticket.upstream.clone(),
+            dispatch,
+            resume_tokens: 0,
+            claim: Some(ticket.clone()),
+        };
+        let (context, plan) = (Arc::clone(&self.context), Arc::clone(&self.plan));
+        match Box::pin(RunningAttempt::start(context, plan, order)).await {
+            Ok(mut attempt) => {
+                self.may_have_run = true;
+                if attached {
+                    attempt.disarm_usage();
+                }
+                ClaimRound::Begun(Box::new(attempt))
+            }
+            Err(error) if error.code == CLAIM_REFUSED => {
+                // The agent has never run the claim and never will.
+                self.may_have_run = false;
+                self.excluded.push(ticket.upstream);
+                ClaimRound::Again(error.into())
+            }
+            Err(error) => ClaimRound::Again(self.note_failure(error)),
+        }
+    }
+
+    fn note_failure(&mut self, mut error: AttemptError) -> CallerError {
+        let event = LogEvent::RequestFailed.number();
+        let (request_id, attempt) = (self.plan.request_id(), self.attempts);
+        let (code, verdict) = (error.code.as_str(), error.verdict.to_string());
+        tracing::warn!(event, request_id, attempt, code, verdict, "attempt failed");
+        self.may_have_run |= error.verdict == RunVerdict::MayHaveRun;
+        error.verdict = self.verdict();
+        error.into()
+    }
+
+    fn verdict(&self) -> RunVerdict {
+        if self.may_have_run {
+            RunVerdict::MayHaveRun
+        } else {
+            RunVerdict::NotRun
+        }
+    }
+}
+
+/// The answer that the claim keeps.
+fn stored(answer: Option<StoredAnswer>) -> Result<WholeAnswer, CallerError> {
+    let Some(answer) = answer else {
+        let message = "the call has run; its answer was too large to keep";
+        return Err(CallerError::may_have_run("answer_not_kept", message));
+    };
+    let Ok(body) = STANDARD.decode(&answer.body) else {
+        let message = "the call has run; its answer cannot be read";
+        return Err(CallerError::may_have_run("answer_not_kept", message));
+    };
+    let head = AnswerHead {
+        status: answer.status,
+        headers: answer.headers,
+    };
+    let body = Bytes::from(body);
+    Ok(WholeAnswer { head, body })
+}
+
+fn no_upstream() -> CallerError {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let message = "no upstream of the service is available";
+    CallerError::not_run(status, "no_upstream", message).with_retry_after(1)
+}
+
+fn claim_unavailable() -> CallerError {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let message = "the claim of the call could not be committed";
+    CallerError::not_run(status, "claim_unavailable", message).with_retry_after(1)
+}
--- /dev/null
+++ b/crates/oriolecrank-entry/src/demand_meter.rs
@@ -0,0 +1,107 @@
+//! Demand that an entry reports with its pings.
+
+use std::sync::Mutex;
+
+use indexmap::IndexMap;
+use oriolecrank_schema::control::DemandEntry;
+use oriolecrank_schema::document::ServiceId;
+
+/// Entries of one ping; with about 60 bytes each a ping stays below 1.5 KB, which keeps two pings a
+/// second within the budget of 3 KB/s.
+pub const MAX_PING_ENTRIES: usize = 24;
+
+/// Entries that wait for a ping. 340 organisations call a few services each.
+const MAX_PENDING_ENTRIES: usize = 4_096;
+
+/// Whose demand for what.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct DemandKey {
+    organisation: String,
+    service: ServiceId,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct DemandCount {
+    requests: u64,
+    tokens: u64,
+    refused: u64,
+}
+
+/// Demand of one organisation for one service.
+#[derive(Debug, Clone, Copy)]
+pub struct DemandSample<'a> {
+    /// Organisation, or the name for open routes.
+    pub organisation: &'a str,
+    /// Called service.
+    pub service: &'a ServiceId,
+    /// Requests.
+    pub requests: u64,
+    /// Estimated tokens.
+    pub tokens: u64,
+    /// Requests that were refused because of limits or load.
+    pub refused: u64,
+}
+
+/// Counts demand between pings.
+#[derive(Debug, Default)]
+pub struct DemandMeter {
+    /// Lock order: locked alone and never across an await.
+    counts: Mutex<IndexMap<DemandKey, DemandCount>>,
+}
+
+impl DemandMeter {
+    /// Adds demand.
+    pub fn add(&self, sample: DemandSample<'_>) {
+        let key = DemandKey {
+            organisation: sample.organisation.to_owned(),
+            service: sample.service.clone(),
+        };
+        let mut counts = self.counts();
+        if counts.len() >= MAX_PENDING_ENTRIES && !counts.contains_key(&key) {
+            return;
+        }
+        let count = counts.entry(key).or_default();
+        count.requests += sample.requests;
+        count.tokens += sample.tokens;
+        count.refused += sample.refused;
+    }
+
+    /// Takes the largest demand for the next ping; the rest waits for a later one.
+    pub fn take(&self) -> Vec<DemandEntry> {
+        let mut counts = self.counts();
+        if counts.len() > MAX_PING_ENTRIES {
+            // Largest last, so that a truncation at the front of the table keeps the rest.
+            counts.sort_by(|_, one, _, other| one.tokens.cmp(&other.tokens));
+        }
+        let first = counts.len().saturating_sub(MAX_PING_ENTRIES);
+        let taken = counts.split_off(first).into_iter();
+        taken
+            .map(|(key, count)| DemandEntry {
+                organisation: key.organisation,
+                refused: count.refused,
+                requests: count.requests,
+                service: key.service,
+                tokens: count.tokens,
+            })
+            .collect()
+    }
+
+    /// Puts demand back whose ping was lost.
+    pub fn restore(&self, entries: &[DemandEntry]) {
+        for entry in entries {
+            self.add(DemandSample {
+                organisation: &entry.organisation,
+                service: &entry.service,
+                requests: entry.requests,
+                tokens: entry.tokens,
+                refused: entry.refused,
+            });
+        }
+    }
+
+    fn counts(&self) -> std::sync::MutexGuard<'_, IndexMap<DemandKey, DemandCount>> {
+        self.counts
+            .lock()
+            .expect("no holder of the demand lock panics")
+    }
+}
--- a/crates/oriolecrank-entry/src/entry_state.rs
+++ b/crates/oriolecrank-entry/src/entry_state.rs
@@ -1,146 +1,271 @@
 //! State that an entry has in force.
 
-use std::sync::{Arc, RwLock};
+use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use oriolecrank_policy::freshness::{FreshnessLease, FreshnessSettings, PingNumber};
 use oriolecrank_schema::TimePoint;
-use oriolecrank_schema::control::{SubscriptionFrame, UpstreamPhase, UpstreamRecord};
-use oriolecrank_schema::document::{
-    ConfigDocument, KeyDigest, OrganisationId, ServiceConfig, ServiceId, UpstreamId,
+use oriolecrank_schema::control::{
+    DocumentDelta, SubscriptionFrame, SuspectRecord, UpstreamRecord,
 };
+use oriolecrank_schema::document::{ConfigDocument, OrganisationConfig, ServiceConfig, UpstreamId};
+use oriolecrank_state::{CheckedDocument, Revision};
+use snafu::Snafu;
 
-/// One consistent view of configuration and upstreams.
+/// A frame that shows that the subscription has to be opened again, at another instance if there is
+/// one.
+#[derive(Debug, Snafu, PartialEq, Eq)]
+pub enum FrameFault {
+    /// The control instance lags behind the revision in force.
+    #[snafu(display("the instance is at revision {}, in force is {}", offered.0, in_force.0))]
+    Lagging {
+        /// Revision of the snapshot.
+        offered: Revision,
+        /// Revision in force, which stays.
+        in_force: Revision,
+    },
+    /// Changes between the revision in force and a delta are missing.
+    #[snafu(display("a delta from revision {} does not fit {}", base.0, in_force.0))]
+    Gap {
+        /// Revision that the delta belongs to.
+        base: Revision,
+        /// Revision in force, which stays.
+        in_force: Revision,
+    },
+    /// The document is not valid for this version of the program.
+    #[snafu(display("the document is not valid: {reason}"))]
+    InvalidDocument {
+        /// First error.
+        reason: String,
+    },
+}
+
+/// Key of a suspect fingerprint. The fingerprint already covers the organisation.
+type Fingerprint = String;
+
+/// One consistent view of configuration, upstreams and suspects.
 #[derive(Debug, Clone, Default)]
 pub struct StateView {
-    /// Revision of the document.
-    pub revision: u64,
-    keys: IndexMap<String, OrganisationId>,
-    services: IndexMap<ServiceId, ServiceConfig>,
-    models: IndexMap<String, ServiceId>,
-    upstreams: IndexMap<UpstreamId, UpstreamRecord>,
-    /// Send time of the newest ping that confirmed the state.
-    confirmed_at: Option<TimePoint>,
+    /// Never falls.
+    revision: Revision,
+    document: Arc<CheckedDocument>,
+    /// Holds the newest known incarnation of each upstream.
+    upstreams: Arc<IndexMap<UpstreamId, UpstreamRecord>>,
+    suspects: Arc<IndexMap<Fingerprint, SuspectRecord>>,
 }
 
 impl StateView {
-    /// Organisation of a key.
-    pub fn organisation(&self, digest: &KeyDigest) -> Option<&OrganisationId> {
-        self.keys.get(&digest.0)
+    /// Revision of the document.
+    pub fn revision(&self) -> Revision {
+        self.revision
     }
 
-    /// Service that serves a model.
-    pub fn service_of_model(&self, model: &str) -> Option<&ServiceConfig> {
-        self.services.get(self.models.get(model)?)
+    /// Document in force.
+    pub fn document(&self) -> &CheckedDocument {
+        &self.document
     }
 
-    /// Service by name.
-    pub fn service(&self, name: &str) -> Option<&ServiceConfig> {
-        self.services.get(&ServiceId(name.to_owned()))
+    /// All upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = &UpstreamRecord> {
+        self.upstreams.values()
     }
 
-    /// Names of all models.
-    pub fn models(&self) -> impl Iterator<Item = &str> {
-        self.models.keys().map(String::as_str)
+    /// An upstream, if this incarnation of its agent is still a member.
+    pub fn upstream(&self, id: &UpstreamId, incarnation: u64) -> Option<&UpstreamRecord> {
+        let record = self.upstreams.get(id)?;
+        (record.incarnation == incarnation).then_some(record)
     }
 
-    /// Upstreams of a service that take new work.
-    pub fn upstreams(&self, service: &ServiceId) -> impl Iterator<Item = &UpstreamRecord> {
-        let ready = |record: &&UpstreamRecord| record.phase == UpstreamPhase::Ready;
-        self.upstreams
-            .values()
-            .filter(move |record| record.service == *service)
-            .filter(ready)
+    /// What is known about a fingerprint after a crash; `None` if it is no suspect.
+    pub fn suspect(&self, fingerprint: &str) -> Option<&SuspectRecord> {
+        self.suspects.get(fingerprint)
     }
 
-    /// Whether the state was confirmed within the freshness lease.
-    pub fn is_fresh(&self, lease: Duration, now: TimePoint) -> bool {
-        self.confirmed_at
-            .is_some_and(|confirmed| now.since(confirmed) <= lease)
+    /// Service that serves a model to an organisation.
+    pub fn service_of_model(
+        &self,
+        organisation: &OrganisationConfig,
+        model: &str,
+    ) -> Option<&ServiceConfig> {
+        self.services_of(organisation)
+            .find(|service| service.models.iter().any(|name| name == model))
     }
 
-    fn set_document(&mut self, revision: u64, document: &ConfigDocument) {
+    /// Services that an organisation may call.
+    pub fn services_of(
+        &self,
+        organisation: &OrganisationConfig,
+    ) -> impl Iterator<Item = &ServiceConfig> {
+        let services = self.document.as_document().services.iter();
+        services.filter(|service| CheckedDocument::may_call(organisation, &service.name))
+    }
+
+    fn set_document(
+        &mut self,
+        revision: Revision,
+        document: ConfigDocument,
+    ) -> Result<(), FrameFault> {
+        let checked = if revision == Revision::default() {
+            CheckedDocument::default()
+        } else {
+            CheckedDocument::try_from(document).map_err(|errors| {
+                let first = errors.first();
+                let reason = first.map(|error| format!("{}: {}", error.path, error.reason));
+                FrameFault::InvalidDocument {
+                    reason: reason.unwrap_or_default(),
+                }
+            })?
+        };
+        self.document = Arc::new(checked);
         self.revision = revision;
-        self.keys.clear();
-        self.services.clear();
-        self.models.clear();
-        for organisation in &document.organisations {
-            for key in &organisation.keys {
-                self.keys
-                    .insert(key.digest.0.clone(), organisation.name.clone());
-            }
+        Ok(())
+    }
+
+    fn apply_delta(
+        &mut self,
+        base: Revision,
+        revision: Revision,
+        delta: &DocumentDelta,
+    ) -> Result<(), FrameFault> {
+        if revision <= self.revision {
+            return Ok(());
         }
-        for service in &document.services {
-            for model in &service.models {
-                self.models.insert(model.clone(), service.name.clone());
+        if base != self.revision {
+            return GapSnafu {
+                base,
+                in_force: self.revision,
             }
-            self.services.insert(service.name.clone(), service.clone());
+            .fail();
         }
+        let document = self.document.apply(delta).map_err(|error| {
+            let reason = error.to_string();
+            FrameFault::InvalidDocument { reason }
+        })?;
+        self.document = Arc::new(document);
+        self.revision = revision;
+        Ok(())
     }
 
     fn set_upstreams(&mut self, updated: Vec<UpstreamRecord>, removed: &[UpstreamId]) {
+        let table = Arc::make_mut(&mut self.upstreams);
         for id in removed {
-            self.upstreams.swap_remove(id);
+            table.swap_remove(id);
         }
         for record in updated {
-            self.upstreams.insert(record.upstream.clone(), record);
+            let known = table.get(&record.upstream);
+            if known.is_some_and(|known| known.incarnation > record.incarnation) {
+                continue;
+            }
+            table.insert(record.upstream.clone(), record);
         }
     }
+
+    fn set_suspects(&mut self, records: Vec<SuspectRecord>) {
+        let entries = records.into_iter();
+        let table = entries.map(|record| (record.fingerprint.clone(), record));
+        self.suspects = Arc::new(table.collect());
+    }
 }
 
 /// State shared by all requests of an entry. Requests hold a view; changes replace it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EntryState {
-    /// Lock order: locked alone and never across an await.
+    /// Lock order: each lock is taken alone and never held across an await.
     view: RwLock<Arc<StateView>>,
+    freshness: Mutex<FreshnessLease>,
 }
 
 impl EntryState {
+    /// Empty state, whose freshness lease lasts for `lease` after each confirmed ping.
+    pub fn new(lease: Duration, ping_interval: Duration) -> Self {
+        let settings = FreshnessSettings {
+            lease,
+            ping_interval,
+            ..FreshnessSettings::default()
+        };
+        Self {
+            view: RwLock::default(),
+            freshness: Mutex::new(FreshnessLease::new(settings)),
+        }
+    }
+
     /// Present view.
     pub fn view(&self) -> Arc<StateView> {
         Arc::clone(&self.view.read().expect("no holder of the view lock panics"))
     }
 
     /// Takes a frame of the subscription into force.
-    pub fn apply(&self, frame: SubscriptionFrame) {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FrameFault`] if the frame does not fit; the state then stays as it is.
+    pub fn apply(&self, frame: SubscriptionFrame) -> Result<(), FrameFault> {
         let mut view = StateView::clone(&self.view());
         match frame {
             SubscriptionFrame::Snapshot {
                 document,
                 revision,
+                suspects,
                 upstreams,
-                ..
             } => {
-                // An older snapshot of a lagging instance must not revert the configuration.
-                if revision < view.revision {
-                    return;
+                let offered = Revision(revision);
+                if offered < view.revision {
+                    return LaggingSnafu {
+                        offered,
+                        in_force: view.revision,
+                    }
+                    .fail();
                 }
-                view.set_document(revision, &document);
-                view.upstreams.clear();
+                view.set_document(offered, document)?;
+                view.upstreams = Arc::default();
                 view.set_upstreams(upstreams, &[]);
+                view.set_suspects(suspects);
             }
+            SubscriptionFrame::Document {
+                base_revision,
+                delta,
+                revision,
+            } => view.apply_delta(Revision(base_revision), Revision(revision), &delta)?,
             SubscriptionFrame::Upstreams { removed, updated } => {
                 view.set_upstreams(updated, &removed);
             }
-            _ => return,
-        }
-        self.replace(view);
-    }
-
-    /// A ping that was sent at `sent_at` was answered with the committed `revision`.
-    pub fn confirm(&self, revision: u64, sent_at: TimePoint) {
-        let mut view = StateView::clone(&self.view());
-        if view.revision < revision || view.confirmed_at >= Some(sent_at) {
-            return;
+            SubscriptionFrame::Suspects { records } => view.set_suspects(records),
+            SubscriptionFrame::Heartbeat => return Ok(()),
         }
-        view.confirmed_at = Some(sent_at);
-        self.replace(view);
-    }
-
-    fn replace(&self, view: StateView) {
         *self
             .view
             .write()
             .expect("no holder of the view lock panics") = Arc::new(view);
+        Ok(())
+    }
+
+    /// Number of the ping to send now, if its time has come. Send it after this call.
+    pub fn next_ping(&self, now: TimePoint) -> Option<PingNumber> {
+        self.lease().next_ping(now)
+    }
+
+    /// A ping was answered with the latest committed revision.
+    ///
+    /// The answer counts only if that revision is in force here; returns whether it counted.
+    pub fn confirm(&self, ping: PingNumber, revision: Revision) -> bool {
+        let in_force = self.view().revision;
+        in_force >= revision && self.lease().confirm(ping)
+    }
+
+    /// Whether keyed work may be accepted.
+    pub fn is_fresh(&self, now: TimePoint) -> bool {
+        self.lease().is_fresh(now)
+    }
+
+    /// End of the freshness lease; `None` before the first confirmation.
+    pub fn fresh_until(&self) -> Option<TimePoint> {
+        self.lease().valid_until()
+    }
+
+    fn lease(&self) -> std::sync::MutexGuard<'_, FreshnessLease> {
+        self.freshness
+            .lock()
+            .expect("no holder of the lease lock panics")
     }
 }
--- a/crates/oriolecrank-entry/src/options.rs
+++ b/crates/oriolecrank-entry/src/options.rs
@@ -32,6 +32,8 @@
     pub freshness_lease: Duration,
     /// Largest request body, in bytes.
     pub max_body_bytes: usize,
+    /// Time between the fall of the readiness and the close of the listener at shutdown.
+    pub drain_notice: Duration,
     /// Longest graceful shutdown.
     pub shutdown_limit: Duration,
     /// Format of log lines.
@@ -58,6 +60,7 @@
             control: settings_file::addresses("control", &settings.control)?,
             freshness_lease: Duration::from_millis(settings.freshness_lease_ms),
             max_body_bytes: settings.max_body_bytes as usize,
+            drain_notice: Duration::from_millis(settings.drain_notice_ms),
             shutdown_limit: Duration::from_millis(settings.shutdown_ms),
             log_format: settings.log_format.into(),
         })
--- a/crates/oriolecrank-entry/src/process.rs
+++ b/crates/oriolecrank-entry/src/process.rs
@@ -2,19 +2,44 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use oriolecrank_net::shutdown::ShutdownSignal;
-use oriolecrank_net::{ControlClient, HttpClient, OperatorListener, PeerGuard, ReadyFlag, serve};
+use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel};
+use oriolecrank_net::{
+    BootClock, ControlClient, HttpClient, OperatorListener, PeerGuard, ReadyFlag, serve,
+};
+use oriolecrank_policy::admission::AdmissionSettings;
+use oriolecrank_policy::rate_limiter::LimiterSettings;
+use oriolecrank_policy::retry_budget::RetrySettings;
+use oriolecrank_policy::subset::EntryIdentity;
+use oriolecrank_policy::upstream_chooser::ChooserSettings;
+use oriolecrank_policy::upstream_state::NetworkPlace;
 use oriolecrank_schema::event::LogEvent;
 use prometheus_client::registry::Registry;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
-use tokio::time::timeout;
+use tokio::time::{interval, sleep, timeout};
 
+use crate::admission::AdmissionControl;
+use crate::attempt_stream::AgentTransport;
 use crate::caller_server::CallerServer;
+use crate::demand_meter::DemandMeter;
+use crate::entry_context::EntryContext;
+use crate::entry_metrics::EntryMetrics;
 use crate::entry_state::EntryState;
 use crate::options::EntryOptions;
-use crate::subscription::follow_control;
+use crate::read_coalescer::ReadCoalescer;
+use crate::retry_gate::RetryGate;
+use crate::subscription::{ControlFollower, PING_INTERVAL};
+use crate::suspect_gate::SuspectGate;
+use crate::upstream_pool::UpstreamPool;
+use crate::usage_reporter::UsageReporter;
+
+/// Interval at which the age of the state is shown and idle entries of tables are forgotten.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Longest time to deliver the last usage records at shutdown.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// An entry that cannot start.
 #[derive(Debug, Snafu)]
@@ -56,55 +81,144 @@
             .unwrap_or(self.options.caller_listen)
     }
 
+    /// Address of the operator listener.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator_listener
+            .local_addr()
+            .unwrap_or(self.options.operator_listen)
+    }
+
     /// Runs until shutdown and until the running answers are finished.
-    pub async fn run(self, mut shutdown: ShutdownSignal) -> Result<(), EntryError> {
+    pub async fn run(self, shutdown: ShutdownSignal) -> Result<(), EntryError> {
         let address = self.address();
         let Self {
             options,
             listener,
             operator_listener,
         } = self;
+        let context = Arc::new(context(&options));
+        let mut registry = Registry::default();
+        context.metrics.register(&mut registry);
         let guard = PeerGuard::new(options.secret.clone());
         let ready = ReadyFlag::default();
-        let operator = OperatorListener::new(Registry::default(), ready.clone(), guard);
-        let client = HttpClient::default();
-        let control = ControlClient::new(client.clone(), options.secret.clone(), &options.control);
-        let state = Arc::new(EntryState::default());
-        let server = Arc::new(CallerServer::new(
-            options.clone(),
-            Arc::clone(&state),
-            client,
-        ));
-        tracing::info!(event = LogEvent::ProcessStarted.number(), %address, "entry started");
+        let operator = Arc::new(OperatorListener::new(registry, ready.clone(), guard));
+        // The operator listener shows until the end that the entry is not ready.
+        let (operator_trigger, operator_signal) = shutdown_channel();
+        let operator = tokio::spawn(serve(operator_listener, operator, operator_signal));
         ready.set(true);
-        let serving = async {
-            tokio::join!(
-                serve(listener, server, shutdown.clone()),
-                serve(operator_listener, Arc::new(operator), shutdown.clone()),
-            );
-        };
-        let mut stopping = shutdown.clone();
-        let limit = async {
-            stopping.triggered().await;
-            ready.set(false);
-            tracing::info!(event = LogEvent::ShutdownStarted.number(), "entry stops");
-            // Waits for the serving future, which ends first when all answers are finished.
-            let _ = timeout(options.shutdown_limit, std::future::pending::<()>()).await;
-            tracing::warn!(
-                event = LogEvent::ShutdownForced.number(),
-                "answers were cut off"
-            );
-        };
+        tracing::info!(event = LogEvent::ProcessStarted.number(), %address, "entry started");
+        let server = Arc::new(CallerServer::new(Arc::clone(&context)));
+        let follower = follower(&context);
         tokio::select! {
-            () = serving => {}
-            () = limit => {}
-            () = follow_control(control, state, &options) => {}
+            () = serve_callers(listener, server, shutdown, &options, &ready) => {}
+            () = follower.run() => {}
+            () = context.usage.run(&context.control) => {}
+            () = keep_house(&context) => {}
         }
-        shutdown.triggered().await;
+        if !context.usage.flush(&context.control, FLUSH_TIMEOUT).await {
+            let event = LogEvent::UsageDropped.number();
+            let records = context.usage.pending_records();
+            tracing::error!(event, records, "usage was not acknowledged before the end");
+        }
+        operator_trigger.trigger();
+        // The listener ends with its open connections; a join error means that it panicked.
+        let _ = timeout(FLUSH_TIMEOUT, operator).await;
+        tracing::info!(event = LogEvent::ShutdownFinished.number(), "entry stopped");
         Ok(())
     }
 }
 
+/// Serves callers until shutdown: first the readiness falls, then the listener closes, then the
+/// running answers finish.
+async fn serve_callers(
+    listener: TcpListener,
+    server: Arc<CallerServer>,
+    mut shutdown: ShutdownSignal,
+    options: &EntryOptions,
+    ready: &ReadyFlag,
+) {
+    let (trigger, signal) = shutdown_channel();
+    let stop = async {
+        shutdown.triggered().await;
+        ready.set(false);
+        tracing::info!(event = LogEvent::ShutdownStarted.number(), "entry stops");
+        // Load balancers need a moment to notice that the entry is not ready any more.
+        sleep(options.drain_notice).await;
+        trigger.trigger();
+        sleep(options.shutdown_limit).await;
+        let event = LogEvent::ShutdownForced.number();
+        tracing::warn!(event, "answers were cut off");
+    };
+    tokio::select! {
+        () = serve(listener, server, signal) => {}
+        () = stop => {}
+    }
+}
+
+async fn keep_house(context: &EntryContext) {
+    let mut ticks = interval(HOUSEKEEPING_INTERVAL);
+    let mut was_fresh = true;
+    loop {
+        ticks.tick().await;
+        let now = BootClock.now();
+        let lease = context.options.freshness_lease;
+        let until = context.state.fresh_until();
+        // The lease begins at the newest confirmed send time.
+        let age = until.map(|until| (now + lease).since(until));
+        context.metrics.set_state_age(age);
+        let fresh = context.state.is_fresh(now);
+        if was_fresh && !fresh {
+            let event = LogEvent::StateStale.number();
+            tracing::warn!(event, "the state is stale; keyed work is refused");
+        }
+        was_fresh = fresh;
+        context.retries.forget_idle(now);
+    }
+}
+
+fn context(options: &EntryOptions) -> EntryContext {
+    let client = HttpClient::default();
+    let secret = options.secret.clone();
+    let entry = EntryIdentity {
+        name: options.name.clone(),
+        place: NetworkPlace {
+            failure_domain: options.failure_domain.clone().into(),
+            region: options.region.clone().into(),
+        },
+    };
+    let metrics = Arc::new(EntryMetrics::default());
+    let usage = UsageReporter::new(options.name.clone(), Arc::clone(&metrics));
+    EntryContext {
+        state: Arc::new(EntryState::new(options.freshness_lease, PING_INTERVAL)),
+        pool: Arc::new(UpstreamPool::new(entry, ChooserSettings::default())),
+        admission: Arc::new(AdmissionControl::new(
+            AdmissionSettings::default(),
+            LimiterSettings::default(),
+        )),
+        demand: Arc::new(DemandMeter::default()),
+        control: ControlClient::new(client.clone(), secret.clone(), &options.control),
+        transport: AgentTransport { client, secret },
+        usage: Arc::new(usage),
+        metrics,
+        retries: RetryGate::new(RetrySettings::default()),
+        suspects: SuspectGate::default(),
+        coalescer: ReadCoalescer::default(),
+        options: options.clone(),
+    }
+}
+
+fn follower(context: &EntryContext) -> ControlFollower {
+    ControlFollower {
+        client: context.control.clone(),
+        state: Arc::clone(&context.state),
+        pool: Arc::clone(&context.pool),
+        admission: Arc::clone(&context.admission),
+        demand: Arc::clone(&context.demand),
+        metrics: Arc::clone(&context.metrics),
+        options: context.options.clone(),
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
     TcpListener::bind(address)
         .await
--- /dev/null
+++ b/crates/oriolecrank-entry/src/running_attempt.rs
@@ -0,0 +1,264 @@
+//! One attempt with everything that is counted for it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use oriolecrank_net::BootClock;
+use oriolecrank_policy::answer_assembly::AnswerHead;
+use oriolecrank_schema::data_path::{ClaimTicket, RunVerdict};
+use oriolecrank_schema::document::UpstreamId;
+use tokio::time::{Instant, timeout_at};
+
+use crate::attempt_stream::{AttemptError, AttemptEvent, AttemptStream};
+use crate::call_plan::CallPlan;
+use crate::entry_context::EntryContext;
+use crate::upstream_pool::{Dispatch, DispatchOutcome};
+use crate::usage_reporter::AttemptUsage;
+
+/// Code of an answer that was not complete at its deadline.
+pub const DEADLINE_EXCEEDED: &str = "deadline_exceeded";
+
+/// Codes of refusals that show a fault of the upstream or its agent.
+const FAULT_CODES: [&str; 3] = ["agent_unreachable", "agent_refused", "upstream_unreachable"];
+
+/// Where and how an attempt runs.
+#[derive(Debug)]
+pub struct AttemptOrder {
+    /// Number of the attempt, from 1.
+    pub attempt: u32,
+    /// Address of the agent.
+    pub address: SocketAddr,
+    /// Incarnation of the agent.
+    pub incarnation: u64,
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Counted dispatch; `None` if a claim names an upstream that the chooser does not know.
+    pub dispatch: Option<Dispatch>,
+    /// Output tokens that the caller already has.
+    pub resume_tokens: u64,
+    /// Claim that allows the attempt.
+    pub claim: Option<ClaimTicket>,
+}
+
+impl AttemptOrder {
+    /// An attempt at a chosen upstream.
+    pub fn from_dispatch(attempt: u32, dispatch: Dispatch) -> Self {
+        Self {
+            attempt,
+            address: dispatch.address(),
+            incarnation: dispatch.incarnation(),
+            upstream: dispatch.upstream().clone(),
+            dispatch: Some(dispatch),
+            resume_tokens: 0,
+            claim: None,
+        }
+    }
+}
+
+/// A part of an answer's body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BodyPart {
+    /// The next bytes.
+    Bytes(Bytes),
+    /// The answer is complete.
+    End,
+}
+
+/// An attempt whose answer has begun.
+#[derive(Debug)]
+pub struct RunningAttempt {
+    stream: AttemptStream,
+    dispatch: Option<Dispatch>,
+    usage: AttemptUsage,
+    upstream: UpstreamId,
+    deadline: Instant,
+    continued: bool,
+    head: AnswerHead,
+    /// First part of the body, which shows that the upstream works on the request.
+    first: Option<BodyPart>,
+}
+
+impl RunningAttempt {
+    /// Sends the request and waits for the beginning of the answer's body.
+    pub async fn start(
+        context: Arc<EntryContext>,
+        plan: Arc<CallPlan>,
+        order: AttemptOrder,
+    ) -> Result<Self, AttemptError> {
+        let now = BootClock.now();
+        let left = plan.time_left(now);
+        let mut request = plan.template.clone();
+        request.attempt = order.attempt;
+        request.claim = order.claim;
+        request.deadline_ms = left.as_millis() as u64;
+        request.incarnation = Some(order.incarnation);
+        request.resume_tokens = order.resume_tokens;
+        let continued = order.resume_tokens > 0;
+        let reporter = Arc::clone(&context.usage);
+        let mut starting = StartingAttempt {
+            dispatch: order.dispatch,
+            usage: AttemptUsage::new(reporter, &plan, order.attempt, continued),
+            deadline: Instant::now() + left,
+            continued,
+        };
+        let opened = AttemptStream::open(
+            context.transport.clone(),
+            order.address,
+            request,
+            plan.body.clone(),
+            plan.safety,
+        );
+        let mut stream = match opened.await {
+            Ok(stream) => stream,
+            Err(error) => {
+                starting.note_failure(&error);
+                return Err(error);
+            }
+        };
+        let mut head = None;
+        loop {
+            let first = match starting.next(&mut stream).await? {
+                AttemptEvent::Accepted(_) => continue,
+                AttemptEvent::Head(received) => {
+                    head = Some(received);
+                    continue;
+                }
+                AttemptEvent::Body(bytes) => BodyPart::Bytes(bytes),
+                AttemptEvent::End { .. } => BodyPart::End,
+            };
+            let head = head.expect("assembly passes a body on only after the head");
+            starting.note_status(head.status);
+            return Ok(Self {
+                stream,
+                dispatch: starting.dispatch.take(),
+                usage: starting.usage,
+                upstream: order.upstream,
+                deadline: starting.deadline,
+                continued,
+                head,
+                first: Some(first),
+            });
+        }
+    }
+
+    /// Status and header fields.
+    pub fn head(&self) -> &AnswerHead {
+        &self.head
+    }
+
+    /// Upstream that answers.
+    pub fn upstream(&self) -> &UpstreamId {
+        &self.upstream
+    }
+
+    /// Counts tokens that go to the caller.
+    pub fn deliver(&mut self, output_tokens: u64) {
+        self.usage.deliver(output_tokens);
+    }
+
+    /// Another request records the usage.
+    pub fn disarm_usage(&mut self) {
+        self.usage.disarm();
+    }
+
+    /// Next part of the body.
+    pub async fn next(&mut self) -> Result<BodyPart, AttemptError> {
+        if let Some(first) = self.first.take() {
+            return Ok(first);
+        }
+        loop {
+            let next = timeout_at(self.deadline, self.stream.next()).await;
+            let event = next.unwrap_or_else(|_| Err(deadline_error()));
+            match event {
+                Ok(AttemptEvent::Body(bytes)) => return Ok(BodyPart::Bytes(bytes)),
+                Ok(AttemptEvent::End { usage, load }) => {
+                    self.usage.complete(usage, self.continued);
+                    if let Some(dispatch) = &mut self.dispatch {
+                        dispatch.report(&load);
+                        set_served(dispatch, self.head.status);
+                    }
+                    return Ok(BodyPart::End);
+                }
+                Ok(AttemptEvent::Accepted(_) | AttemptEvent::Head(_)) => {}
+                Err(error) => {
+                    note_failure(self.dispatch.as_mut(), &mut self.usage, &error);
+                    return Err(error);
+                }
+            }
+        }
+    }
+}
+
+/// An attempt before its answer has begun.
+#[derive(Debug)]
+struct StartingAttempt {
+    dispatch: Option<Dispatch>,
+    usage: AttemptUsage,
+    deadline: Instant,
+    continued: bool,
+}
+
+impl StartingAttempt {
+    async fn next(&mut self, stream: &mut AttemptStream) -> Result<AttemptEvent, AttemptError> {
+        let next = timeout_at(self.deadline, stream.next()).await;
+        let event = next.unwrap_or_else(|_| Err(deadline_error()));
+        match &event {
+            Ok(AttemptEvent::Accepted(load)) => {
+                if let Some(dispatch) = &self.dispatch {
+                    dispatch.report(load);
+                }
+            }
+            Ok(AttemptEvent::End { usage, load }) => {
+                self.usage.complete(usage.clone(), self.continued);
+                if let Some(dispatch) = &self.dispatch {
+                    dispatch.report(load);
+                }
+            }
+            Ok(_) => {}
+            Err(error) => note_failure(self.dispatch.as_mut(), &mut self.usage, error),
+        }
+        event
+    }
+
+    fn note_status(&mut self, status: u16) {
+        if let Some(dispatch) = &mut self.dispatch {
+            set_served(dispatch, status);
+        }
+    }
+
+    fn note_failure(&mut self, error: &AttemptError) {
+        note_failure(self.dispatch.as_mut(), &mut self.usage, error);
+    }
+}
+
+fn set_served(dispatch: &mut Dispatch, status: u16) {
+    let outcome = if status >= 500 {
+        DispatchOutcome::Failed
+    } else {
+        DispatchOutcome::Served
+    };
+    dispatch.set_outcome(outcome);
+}
+
+fn note_failure(dispatch: Option<&mut Dispatch>, usage: &mut AttemptUsage, error: &AttemptError) {
+    if error.verdict == RunVerdict::NotRun {
+        usage.disarm();
+    }
+    let Some(dispatch) = dispatch else {
+        return;
+    };
+    let fault = error.verdict == RunVerdict::MayHaveRun || FAULT_CODES.contains(&&*error.code);
+    // A request that was slow on its own account must not eject its upstream.
+    let outcome = if fault && error.code != DEADLINE_EXCEEDED {
+        DispatchOutcome::Failed
+    } else {
+        DispatchOutcome::Neutral
+    };
+    dispatch.set_outcome(outcome);
+}
+
+fn deadline_error() -> AttemptError {
+    let message = "the answer was not complete at its deadline";
+    AttemptError::new(RunVerdict::MayHaveRun, DEADLINE_EXCEEDED, message)
+}
--- a/crates/oriolecrank-entry/src/subscription.rs
+++ b/crates/oriolecrank-entry/src/subscription.rs
@@ -4,20 +4,27 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriolecrank_net::{BootClock, ControlClient, FrameError};
+use oriolecrank_net::{BootClock, ControlClient, ControlError};
+use oriolecrank_policy::freshness::PingNumber;
 use oriolecrank_schema::control::{PingAnswer, PingRequest, SubscribeRequest, SubscriptionFrame};
 use oriolecrank_schema::event::LogEvent;
+use oriolecrank_state::Revision;
 use rand::Rng as _;
 use tokio::time::{interval, sleep};
 
+use crate::admission::AdmissionControl;
+use crate::demand_meter::{DemandMeter, DemandSample};
+use crate::entry_metrics::EntryMetrics;
 use crate::entry_state::EntryState;
 use crate::options::EntryOptions;
+use crate::upstream_pool::UpstreamPool;
 
 /// Longest silence of a subscription; control instances send a heartbeat each 500 ms.
 const SILENCE_BOUND: Duration = Duration::from_millis(1_500);
 
-/// Interval of freshness pings.
-const PING_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval of freshness pings. With the lease of 3 s, a confirmation may be lost several times
+/// before keyed work is refused.
+pub const PING_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Longest wait for the answer to one ping.
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
@@ -26,90 +33,151 @@
 /// keeps the entries of a returning region from subscribing all at once.
 const RECONNECT_DELAY_MS: std::ops::Range<u64> = 20..200;
 
-/// Subscribes and pings for ever.
-pub async fn follow_control(client: ControlClient, state: Arc<EntryState>, options: &EntryOptions) {
-    let mut index = 0;
-    loop {
-        let address = client.address(index);
-        tokio::select! {
-            result = follow_stream(&client, &state, options, address) => {
-                if let Err(error) = result {
-                    let event = LogEvent::SubscriptionLost.number();
-                    tracing::warn!(event, %address, %error, "subscription lost");
-                }
+/// Largest factor on the delay after several lost subscriptions in a row.
+const MAX_BACKOFF_FACTOR: u32 = 8;
+
+/// Follows the control group.
+#[derive(Debug)]
+pub struct ControlFollower {
+    /// Client of the control group.
+    pub client: ControlClient,
+    /// State that is kept current.
+    pub state: Arc<EntryState>,
+    /// Upstreams that follow the state.
+    pub pool: Arc<UpstreamPool>,
+    /// Limits that follow the state and the answers to pings.
+    pub admission: Arc<AdmissionControl>,
+    /// Demand that is sent with pings.
+    pub demand: Arc<DemandMeter>,
+    /// Metrics.
+    pub metrics: Arc<EntryMetrics>,
+    /// Settings.
+    pub options: EntryOptions,
+}
+
+impl ControlFollower {
+    /// Subscribes and pings for ever.
+    pub async fn run(&self) {
+        let mut index = 0;
+        let mut backoff = 1;
+        loop {
+            let address = self.client.address(index);
+            let before = BootClock.now();
+            tokio::select! {
+                () = self.follow_stream(address) => {}
+                () = self.ping_for_ever(address) => {}
+            }
+            if BootClock.now().since(before) > SILENCE_BOUND {
+                backoff = 1;
             }
-            () = ping_for_ever(&client, &state, options, address) => {}
+            index += 1;
+            let delay = rand::rng().random_range(RECONNECT_DELAY_MS);
+            sleep(Duration::from_millis(delay) * backoff).await;
+            backoff = (backoff * 2).min(MAX_BACKOFF_FACTOR);
         }
-        index += 1;
-        let delay = rand::rng().random_range(RECONNECT_DELAY_MS);
-        sleep(Duration::from_millis(delay)).await;
     }
-}
 
-async fn follow_stream(
-    client: &ControlClient,
-    state: &EntryState,
-    options: &EntryOptions,
-    address: SocketAddr,
-) -> Result<(), oriolecrank_net::ControlError> {
-    let request = SubscribeRequest {
-        failure_domain: options.failure_domain.clone().into(),
-        revision: state.view().revision,
-        subscriber: options.name.clone(),
-    };
-    let mut reader = client.subscribe(address, &request, SILENCE_BOUND).await?;
-    loop {
-        match reader.next::<SubscriptionFrame>(SILENCE_BOUND).await {
-            Ok(Some(frame)) => {
-                let before = state.view().revision;
-                state.apply(frame.header);
-                let revision = state.view().revision;
-                if revision != before {
-                    tracing::info!(
-                        event = LogEvent::DocumentInForce.number(),
-                        revision,
-                        "in force"
-                    );
-                }
-            }
-            Ok(None) => return Ok(()),
-            Err(error) => {
-                log_lost(address, &error);
-                return Ok(());
+    async fn follow_stream(&self, address: SocketAddr) {
+        let request = SubscribeRequest {
+            failure_domain: self.options.failure_domain.clone().into(),
+            revision: self.state.view().revision().0,
+            subscriber: self.options.name.clone(),
+        };
+        let mut reader = match self
+            .client
+            .subscribe(address, &request, SILENCE_BOUND)
+            .await
+        {
+            Ok(reader) => reader,
+            Err(error) => return log_lost(address, &error),
+        };
+        loop {
+            let frame = match reader.next::<SubscriptionFrame>(SILENCE_BOUND).await {
+                Ok(Some(frame)) => frame,
+                Ok(None) => return log_lost(address, &"the stream ended"),
+                Err(error) => return log_lost(address, &error),
+            };
+            if let Err(fault) = self.apply(frame.header) {
+                return log_lost(address, &fault);
             }
         }
     }
-}
 
-fn log_lost(address: SocketAddr, error: &FrameError) {
-    tracing::warn!(event = LogEvent::SubscriptionLost.number(), %address, %error, "subscription lost");
-}
+    fn apply(&self, frame: SubscriptionFrame) -> Result<(), crate::entry_state::FrameFault> {
+        if frame == SubscriptionFrame::Heartbeat {
+            return Ok(());
+        }
+        let before = self.state.view().revision();
+        self.state.apply(frame)?;
+        let view = self.state.view();
+        self.pool.update(&view, BootClock.now());
+        let revision = view.revision();
+        if revision != before {
+            self.admission.set_document(view.document());
+            self.metrics.set_revision(revision);
+            let event = LogEvent::DocumentInForce.number();
+            tracing::info!(event, revision = revision.0, "revision in force");
+        }
+        Ok(())
+    }
 
-async fn ping_for_ever(
-    client: &ControlClient,
-    state: &EntryState,
-    options: &EntryOptions,
-    address: SocketAddr,
-) {
-    let mut ticks = interval(PING_INTERVAL);
-    for ping in 1.. {
-        ticks.tick().await;
+    async fn ping_for_ever(&self, address: SocketAddr) {
+        let mut ticks = interval(PING_INTERVAL);
+        loop {
+            ticks.tick().await;
+            // A tick may come a moment before the interval has passed by the boot-time clock.
+            let Some(ping) = self.state.next_ping(BootClock.now()) else {
+                continue;
+            };
+            if let Err(error) = self.ping(address, ping).await {
+                let event = LogEvent::PingFailed.number();
+                tracing::warn!(event, %address, %error, "ping failed");
+                return;
+            }
+        }
+    }
+
+    async fn ping(&self, address: SocketAddr, ping: PingNumber) -> Result<(), ControlError> {
+        for demand in self.admission.take_demand() {
+            // Demand for services is counted under their keys; there is no other.
+            let Some(service) = &demand.key.service else {
+                continue;
+            };
+            self.demand.add(DemandSample {
+                organisation: &demand.key.organisation,
+                service,
+                requests: demand.requests,
+                tokens: demand.tokens.get(),
+                refused: demand.refused,
+            });
+        }
+        let sent_at = BootClock.now();
+        let demand = self.demand.take();
         let request = PingRequest {
-            demand: Vec::new(),
-            ping,
-            revision: state.view().revision,
-            subscriber: options.name.clone(),
+            demand,
+            ping: ping.into(),
+            revision: self.state.view().revision().0,
+            subscriber: self.options.name.clone(),
         };
-        let sent_at = BootClock.now();
-        let answer = client
+        let answer = self
+            .client
             .post::<_, PingAnswer>(address, "/v1/ping", &request, PING_TIMEOUT)
             .await;
-        match answer {
-            Ok(answer) => state.confirm(answer.revision, sent_at),
+        let answer = match answer {
+            Ok(answer) => answer,
             Err(error) => {
-                tracing::warn!(event = LogEvent::StateStale.number(), %error, "ping failed");
-                return;
+                self.demand.restore(&request.demand);
+                return Err(error);
             }
-        }
+        };
+        self.admission.set_shares(&answer, sent_at, BootClock.now());
+        self.state
+            .confirm(answer.ping.into(), Revision(answer.revision));
+        Ok(())
     }
 }
+
+fn log_lost(address: SocketAddr, reason: &impl std::fmt::Display) {
+    let event = LogEvent::SubscriptionLost.number();
+    tracing::warn!(event, %address, %reason, "subscription lost");
+}
--- /dev/null
+++ b/crates/oriolecrank-entry/src/upstream_pool.rs
@@ -0,0 +1,207 @@
+//! Upstreams of all services, as this entry uses them.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oriolecrank_net::BootClock;
+use oriolecrank_policy::load_estimate::LoadReport;
+use oriolecrank_policy::subset::EntryIdentity;
+use oriolecrank_policy::upstream_chooser::{
+    ChoiceRequest, ChooserSettings, NoUpstream, UpstreamChoice, UpstreamChooser,
+};
+use oriolecrank_policy::upstream_state::UpstreamState;
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::data_path::UpstreamLoad;
+use oriolecrank_schema::document::{ServiceId, UpstreamId};
+use oriolecrank_schema::event::LogEvent;
+
+use crate::entry_state::StateView;
+
+/// What a dispatch tells about its upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DispatchOutcome {
+    /// The whole answer arrived.
+    Served,
+    /// The upstream or its agent failed.
+    Failed,
+    /// Nothing: it refused truthfully, or the attempt was given up for another reason.
+    Neutral,
+}
+
+/// Upstreams of one service.
+#[derive(Debug)]
+struct ServicePool {
+    chooser: UpstreamChooser,
+}
+
+/// Lock order: a pool is locked after the table of pools and never across an await.
+type SharedPool = Arc<Mutex<ServicePool>>;
+
+/// Upstreams of all services.
+#[derive(Debug)]
+pub struct UpstreamPool {
+    entry: EntryIdentity,
+    settings: ChooserSettings,
+    services: RwLock<IndexMap<ServiceId, SharedPool>>,
+}
+
+impl UpstreamPool {
+    /// A pool without upstreams.
+    pub fn new(entry: EntryIdentity, settings: ChooserSettings) -> Self {
+        Self {
+            entry,
+            settings,
+            services: RwLock::default(),
+        }
+    }
+
+    /// Takes the upstreams of a view.
+    pub fn update(&self, view: &StateView, now: TimePoint) {
+        let mut lists = IndexMap::<ServiceId, Vec<UpstreamState>>::new();
+        for record in view.upstreams() {
+            match UpstreamState::try_from(record) {
+                Ok(state) => lists.entry(record.service.clone()).or_default().push(state),
+                Err(error) => {
+                    let event = LogEvent::UpstreamUnusable.number();
+                    tracing::warn!(event, %error, "upstream ignored");
+                }
+            }
+        }
+        let mut services = self
+            .services
+            .write()
+            .expect("no holder of the pool table lock panics");
+        // A service without upstreams keeps its pool, because dispatches may still refer to it.
+        for (service, pool) in &*services {
+            if !lists.contains_key(service) {
+                lock(pool).update(&[], now);
+            }
+        }
+        for (service, list) in lists {
+            let pool = services.entry(service).or_insert_with(|| self.empty_pool());
+            lock(pool).update(&list, now);
+        }
+    }
+
+    fn empty_pool(&self) -> SharedPool {
+        let chooser = UpstreamChooser::new(self.settings.clone(), self.entry.clone());
+        Arc::new(Mutex::new(ServicePool { chooser }))
+    }
+
+    fn pool(&self, service: &ServiceId) -> Option<SharedPool> {
+        let services = self
+            .services
+            .read()
+            .expect("no holder of the pool table lock panics");
+        services.get(service).map(Arc::clone)
+    }
+
+    /// Chooses an upstream and counts the request as sent to it.
+    pub fn choose(
+        &self,
+        service: &ServiceId,
+        request: &ChoiceRequest<'_>,
+        now: TimePoint,
+    ) -> Result<Dispatch, NoUpstream> {
+        let pool = self.pool(service).ok_or(NoUpstream)?;
+        let choice = lock(&pool).choose(request, now)?;
+        Ok(Dispatch {
+            choice,
+            pool,
+            outcome: DispatchOutcome::Neutral,
+        })
+    }
+
+    /// Expected time until the end of a request; `None` if no upstream may take it.
+    pub fn expected_time(
+        &self,
+        service: &ServiceId,
+        request: &ChoiceRequest<'_>,
+        now: TimePoint,
+    ) -> Option<ExpectedTime> {
+        let pool = self.pool(service)?;
+        let pool = lock(&pool);
+        Some(ExpectedTime {
+            until_start: pool.chooser.expected_delay(request, now)?,
+            service: pool.chooser.expected_service(request),
+        })
+    }
+}
+
+/// Expected times of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ExpectedTime {
+    /// Until it starts.
+    pub until_start: Duration,
+    /// From its start to its end.
+    pub service: Duration,
+}
+
+impl ServicePool {
+    fn update(&mut self, upstreams: &[UpstreamState], _now: TimePoint) {
+        self.chooser.update(upstreams);
+    }
+
+    fn choose(
+        &mut self,
+        request: &ChoiceRequest<'_>,
+        now: TimePoint,
+    ) -> Result<UpstreamChoice, NoUpstream> {
+        self.chooser.choose(request, now, &mut rand::rng())
+    }
+
+    fn finish(&mut self, choice: &UpstreamChoice, outcome: DispatchOutcome, now: TimePoint) {
+        let served = outcome == DispatchOutcome::Served;
+        self.chooser.finish(&choice.ticket, served, now);
+    }
+}
+
+/// One request that counts as sent to an upstream until this is dropped.
+#[derive(Debug)]
+pub struct Dispatch {
+    choice: UpstreamChoice,
+    pool: SharedPool,
+    outcome: DispatchOutcome,
+}
+
+impl Dispatch {
+    /// Upstream.
+    pub fn upstream(&self) -> &UpstreamId {
+        &self.choice.upstream
+    }
+
+    /// Incarnation of its agent.
+    pub fn incarnation(&self) -> u64 {
+        self.choice.incarnation
+    }
+
+    /// Address of its agent.
+    pub fn address(&self) -> SocketAddr {
+        self.choice.address
+    }
+
+    /// Takes a load that the agent has just sent.
+    pub fn report(&self, load: &UpstreamLoad) {
+        let report = LoadReport::from_message(load, BootClock.now());
+        lock(&self.pool)
+            .chooser
+            .report(&self.choice.upstream, report);
+    }
+
+    /// Sets what the dispatch tells about its upstream.
+    pub fn set_outcome(&mut self, outcome: DispatchOutcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Dispatch {
+    fn drop(&mut self) {
+        lock(&self.pool).finish(&self.choice, self.outcome, BootClock.now());
+    }
+}
+
+fn lock(pool: &SharedPool) -> MutexGuard<'_, ServicePool> {
+    pool.lock().expect("no holder of a pool lock panics")
+}
--- a/crates/oriolecrank-local/src/local_cluster.rs
+++ b/crates/oriolecrank-local/src/local_cluster.rs
@@ -248,6 +248,7 @@
         secret: secret.clone(),
         control: vec![control_address],
         freshness_lease: Duration::from_secs(3),
+        drain_notice: Duration::ZERO,
         max_body_bytes: 4 * 1024 * 1024,
         shutdown_limit: Duration::from_secs(10),
         log_format: LogFormat::Text,
--- a/crates/oriolecrank-policy/src/load_estimate.rs
+++ b/crates/oriolecrank-policy/src/load_estimate.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use oriolecrank_schema::TimePoint;
-use oriolecrank_schema::control::UpstreamLoad;
+use oriolecrank_schema::data_path::UpstreamLoad;
 
 use crate::BlockCount;
 use crate::counts::TOKENS_PER_BLOCK;
--- a/crates/oriolecrank-policy/src/queued_request.rs
+++ b/crates/oriolecrank-policy/src/queued_request.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use oriolecrank_schema::TimePoint;
-use oriolecrank_schema::control::UpstreamLoad;
+use oriolecrank_schema::data_path::UpstreamLoad;
 use oriolecrank_schema::data_path::{RunRequest, RunVerdict};
 use oriolecrank_schema::document::OrganisationId;
 use snafu::Snafu;
--- a/crates/oriolecrank-schema/src/digest.rs
+++ b/crates/oriolecrank-schema/src/digest.rs
@@ -23,6 +23,24 @@
     hex(&hasher.finalize())
 }
 
+/// Hexadecimal digest of a whole call, bound to the organisation that sent it.
+///
+/// Method and target are part of it, because the bodies of most reads are equal: they are empty.
+pub fn call_digest(organisation: &str, method: &str, target: &str, body: &[u8]) -> String {
+    let mut hasher = Sha256::new();
+    for part in [organisation, method, target] {
+        hasher.update((part.len() as u64).to_be_bytes());
+        hasher.update(part.as_bytes());
+    }
+    hasher.update(body);
+    hex(&hasher.finalize())
+}
+
+/// Hexadecimal digest of a caller's text that must not be stored, such as an idempotency key.
+pub fn text_digest(text: &[u8]) -> String {
+    hex(&Sha256::digest(text))
+}
+
 fn hex(bytes: &[u8]) -> String {
     let mut text = String::with_capacity(bytes.len() * 2);
     for byte in bytes {
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -45,8 +45,16 @@
     DocumentInForce = 200, "A revision of the document is in force at this entry.";
     SubscriptionLost = 201, "The subscription to a control instance ended; it is reopened after a delay.";
     StateStale = 202, "The state is older than the freshness lease; keyed work is refused.";
+    PingFailed = 203, "A freshness ping was not answered; another control instance is tried.";
+    UpstreamUnusable = 204, "The record of an upstream cannot be used; the upstream is left out.";
     RequestFailed = 210, "A request failed; the verdict says whether it may have run.";
     StreamSilent = 211, "An answer stream was silent for too long; it is resumed on a new connection.";
+    AnswerBroken = 212, "An answer broke after its beginning was sent; the caller got an error event or a broken connection.";
+    ClaimFailed = 213, "A claim was not committed; nothing was sent to the service for this request.";
+    SuspectRefused = 214, "A request was refused because its fingerprint crashed upstreams.";
+    SuspectNotCleared = 215, "A suspect ran to its end, but control could not be told; it expires after a time.";
+    UsageReportFailed = 220, "A batch of usage records was not acknowledged; it is sent again.";
+    UsageDropped = 221, "Usage records were dropped because too many waited, or not acknowledged before the end.";
     UpstreamAnnounced = 300, "An upstream was announced to the control group.";
     AnnounceFailed = 301, "An announcement could not be delivered; it is repeated.";
     AgentSuperseded = 302, "A newer agent for the same upstream exists; this one stops sending.";
