--- a/crates/oriolecrank-local/src/self_check.rs
+++ b/crates/oriolecrank-local/src/self_check.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
@@ -57,9 +57,13 @@
 
 /// Sends requests to the cluster and checks the answers.
 pub async fn self_check(cluster: &LocalCluster) -> Vec<CheckResult> {
+    let started = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let caller = Caller {
         client: HttpClient::default(),
         address: cluster.caller_address,
+        idempotency_key: format!("self-check-{}", started.as_nanos()),
     };
     let mut results = vec![check("cluster is ready", caller.wait_ready().await)];
     results.push(check("answer in one piece", caller.check_whole().await));
@@ -86,6 +90,8 @@
 struct Caller {
     client: HttpClient,
     address: SocketAddr,
+    /// New for each run, because the answers of an earlier run are kept in the data folder.
+    idempotency_key: String,
 }
 
 impl Caller {
@@ -102,7 +108,7 @@
             .header(HOST, self.address.to_string())
             .header(AUTHORIZATION, format!("Bearer {key}"))
             .header(CONTENT_TYPE, "application/json")
-            .header("idempotency-key", "self-check-1")
+            .header("idempotency-key", self.idempotency_key.as_str())
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| error.to_string())?;
         let response = self
@@ -185,10 +191,16 @@
     async fn check_entry(&self, cluster: &LocalCluster) -> Result<(), String> {
         let before = cluster.ledger.entries().len();
         let body = json!({ "animal": "T-17", "grams": 812 }).to_string();
-        let answer = self
-            .send(Method::POST, "/services/ledger/entries", LOCAL_KEY, body)
-            .await?;
-        expect_equal(answer.status.as_str(), StatusCode::CREATED.as_str())?;
+        let mut bodies = Vec::new();
+        for _ in 0..2 {
+            let path = "/services/ledger/entries";
+            let answer = self
+                .send(Method::POST, path, LOCAL_KEY, body.clone())
+                .await?;
+            expect_equal(answer.status.as_str(), StatusCode::CREATED.as_str())?;
+            bodies.push(answer.body);
+        }
+        expect_equal(&bodies[1], &bodies[0])?;
         expect_equal(
             &cluster.ledger.entries().len().to_string(),
             &(before + 1).to_string(),
