Add the operators' command-line tool

Cause: operators need to validate, compare and submit documents, issue and withdraw keys, drain upstreams and read the audit trail without writing messages by hand. Conclusion: the tool needs POST /v1/command and POST /v1/query of a control instance.

--- /dev/null
+++ b/crates/oriolecrank-ctl/src/control_session.rs
@@ -0,0 +1,203 @@
+//! Commands and queries to the control group.
+
+use std::fmt::Write as _;
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+use oriolecrank_net::{ClientSettings, ClusterSecret, ControlClient, ControlError, HttpClient};
+use oriolecrank_schema::control::{Command, CommandOutcome, Query, QueryResult};
+use oriolecrank_schema::data_path::RunVerdict;
+use oriolecrank_state::{CheckedDocument, Revision};
+use rand::TryRngCore as _;
+use rand::rngs::OsRng;
+use snafu::{OptionExt, ResultExt, ensure};
+use tokio::time::{Instant, sleep};
+
+use crate::arguments::CtlArguments;
+use crate::ctl_error::{
+    CtlError, MessageSnafu, NoRandomnessSnafu, OutcomeUnknownSnafu, RefusedSnafu, UsageSnafu,
+};
+
+/// Path of queries.
+const QUERY_PATH: &str = "/v1/query";
+
+/// Longest wait for one control instance before the next one is asked.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Wait after all control instances were asked.
+const ROUND_DELAY: Duration = Duration::from_millis(50);
+
+/// Time between two reads of the progress of a revision.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Largest number of lagging subscribers that are named.
+const MAX_LAGGING_NAMES: usize = 10;
+
+/// Bytes of a request id.
+const REQUEST_ID_BYTES: usize = 16;
+
+/// Connection of one invocation to the control group.
+#[derive(Debug)]
+pub(crate) struct ControlSession {
+    client: ControlClient,
+    addresses: Vec<SocketAddr>,
+    timeout: Duration,
+    /// Name for the audit trail.
+    pub(crate) operator: String,
+    /// Address for the audit trail.
+    pub(crate) origin: String,
+}
+
+/// The document in force.
+#[derive(Debug)]
+pub(crate) struct CurrentDocument {
+    pub(crate) revision: Revision,
+    pub(crate) document: CheckedDocument,
+}
+
+impl ControlSession {
+    /// Reads the secret; connections are opened when they are needed.
+    pub(crate) fn open(arguments: &CtlArguments) -> Result<Self, CtlError> {
+        let message = "no control instance is given";
+        let first = arguments.control.first().context(UsageSnafu { message })?;
+        let message = "no secret file is given";
+        let file = arguments
+            .secret_file
+            .as_deref()
+            .context(UsageSnafu { message })?;
+        let secret = ClusterSecret::read(file)?;
+        let client = HttpClient::new(ClientSettings::default());
+        Ok(Self {
+            client: ControlClient::new(client, secret, &arguments.control),
+            addresses: arguments.control.clone(),
+            timeout: arguments.timeout,
+            operator: arguments.operator.clone(),
+            origin: local_address(*first),
+        })
+    }
+
+    /// Refuses a change without the name of an operator.
+    pub(crate) fn require_operator(&self) -> Result<(), CtlError> {
+        let message = "no operator is given, but changes are audited";
+        ensure!(!self.operator.is_empty(), UsageSnafu { message });
+        Ok(())
+    }
+
+    /// Sends a command until it is answered; `advice` says what to do when the answer is lost.
+    pub(crate) async fn command(
+        &self,
+        command: &Command,
+        advice: &str,
+    ) -> Result<CommandOutcome, CtlError> {
+        match self.client.command(command, self.timeout).await {
+            Ok(CommandOutcome::Refused { reason }) => RefusedSnafu { reason }.fail(),
+            Ok(outcome) => Ok(outcome),
+            Err(ControlError::Unavailable {
+                verdict: RunVerdict::NotRun,
+            }) => Err(CtlError::Unavailable),
+            Err(error @ ControlError::Refused { .. }) => Err(error).context(MessageSnafu),
+            Err(_) => OutcomeUnknownSnafu { advice }.fail(),
+        }
+    }
+
+    /// Asks the instances in turn until one answers.
+    pub(crate) async fn query(&self, query: &Query) -> Result<QueryResult, CtlError> {
+        let deadline = Instant::now() + self.timeout;
+        let mut tried = 0;
+        while Instant::now() < deadline {
+            let address = self.client.address(tried);
+            let wait = ATTEMPT_TIMEOUT.min(deadline - Instant::now());
+            let answer = self.client.post(address, QUERY_PATH, query, wait).await;
+            match answer {
+                Ok(QueryResult::Refused { reason }) => return RefusedSnafu { reason }.fail(),
+                Ok(result) => return Ok(result),
+                Err(ControlError::Send { .. } | ControlError::Unavailable { .. }) => {}
+                Err(error) => return Err(error).context(MessageSnafu),
+            }
+            tried += 1;
+            if tried % self.addresses.len() == 0 {
+                sleep(ROUND_DELAY).await;
+            }
+        }
+        Err(CtlError::Unavailable)
+    }
+
+    /// Reads the document in force.
+    pub(crate) async fn current_document(&self) -> Result<CurrentDocument, CtlError> {
+        match self.query(&Query::Document).await? {
+            QueryResult::Document { document, revision } => Ok(CurrentDocument {
+                revision: Revision(revision),
+                document: CheckedDocument::from_committed(document),
+            }),
+            _ => Err(CtlError::UnexpectedAnswer),
+        }
+    }
+
+    /// Waits until every live subscriber has a committed revision in force.
+    pub(crate) async fn wait_in_force(&self, revision: u64) -> Result<(), CtlError> {
+        let deadline = Instant::now() + self.timeout;
+        loop {
+            let query = Query::InForce { revision };
+            let result = self
+                .query(&query)
+                .await
+                .map_err(|error| CtlError::ProgressUnknown {
+                    revision,
+                    source: Box::new(error),
+                })?;
+            let QueryResult::InForce {
+                lagging,
+                subscribers,
+                ..
+            } = result
+            else {
+                return Err(CtlError::UnexpectedAnswer);
+            };
+            if lagging.is_empty() {
+                return Ok(());
+            }
+            if Instant::now() >= deadline {
+                return Err(CtlError::NotInForce {
+                    revision,
+                    lagging: lagging.len(),
+                    subscribers,
+                    names: lagging.into_iter().take(MAX_LAGGING_NAMES).collect(),
+                });
+            }
+            sleep(PROGRESS_INTERVAL).await;
+        }
+    }
+}
+
+/// A new request id.
+pub(crate) fn new_request_id() -> Result<String, CtlError> {
+    Ok(format!("ctl-{}", random_hex::<REQUEST_ID_BYTES>()?))
+}
+
+/// Hexadecimal text of random bytes from the operating system.
+pub(crate) fn random_hex<const BYTES: usize>() -> Result<String, CtlError> {
+    let mut bytes = [0; BYTES];
+    OsRng
+        .try_fill_bytes(&mut bytes)
+        .context(NoRandomnessSnafu)?;
+    let mut text = String::with_capacity(2 * BYTES);
+    for byte in bytes {
+        write!(text, "{byte:02x}").expect("writing to a string cannot fail");
+    }
+    Ok(text)
+}
+
+/// Own address on the way to a control instance; empty if there is no way to it.
+fn local_address(control: SocketAddr) -> String {
+    let any = if control.is_ipv4() {
+        "0.0.0.0:0"
+    } else {
+        "[::]:0"
+    };
+    // Connecting a UDP socket sends nothing; it only chooses the local address.
+    let address = UdpSocket::bind(any).and_then(|socket| {
+        socket.connect(control)?;
+        socket.local_addr()
+    });
+    address.map_or_else(|_| String::new(), |address| address.ip().to_string())
+}
--- /dev/null
+++ b/crates/oriolecrank-ctl/src/ctl_report.rs
@@ -0,0 +1,81 @@
+//! What a command prints.
+
+use serde_json::{Value, json};
+
+use crate::ctl_error::{CtlError, ExitCode};
+
+/// Answer of a successful command, as text and as JSON.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CtlReport {
+    /// Lines for a person, without a trailing line break.
+    pub text: String,
+    /// One object for a program.
+    pub json: Value,
+    /// Exit code; not zero if only a part of the command succeeded.
+    pub code: ExitCode,
+}
+
+impl CtlReport {
+    /// A report of a command that succeeded.
+    pub fn new(text: impl Into<String>, json: Value) -> Self {
+        Self {
+            text: text.into(),
+            json,
+            code: ExitCode::Success,
+        }
+    }
+
+    /// A report that has the same text in both forms.
+    pub fn text_only(text: &str) -> Self {
+        Self::new(text, json!({ "text": text }))
+    }
+}
+
+/// What the process prints and how it exits.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CtlOutput {
+    /// Text for standard output.
+    pub stdout: String,
+    /// Text for standard error.
+    pub stderr: String,
+    /// Exit code.
+    pub code: ExitCode,
+}
+
+impl CtlOutput {
+    /// Output of a successful command.
+    pub fn of_report(report: CtlReport, json: bool) -> Self {
+        let text = if json {
+            report.json.to_string()
+        } else {
+            report.text
+        };
+        Self {
+            stdout: format!("{text}\n"),
+            stderr: String::new(),
+            code: report.code,
+        }
+    }
+
+    /// Output of a failure; with `json` it is an object on standard output.
+    pub fn of_error(error: &CtlError, json: bool) -> Self {
+        let code = error.code();
+        if json {
+            let object = json!({
+                "error": error.to_string(),
+                "exit_code": code as u8,
+                "fields": error.field_errors(),
+            });
+            return Self {
+                stdout: format!("{object}\n"),
+                stderr: String::new(),
+                code,
+            };
+        }
+        Self {
+            stdout: String::new(),
+            stderr: format!("oriolecrank-ctl: {error}\n"),
+            code,
+        }
+    }
+}
--- a/crates/oriolecrank-ctl/src/main.rs
+++ b/crates/oriolecrank-ctl/src/main.rs
@@ -1,2 +1,16 @@
-//! Part of oriolecrank.
-fn main() {}
+//! Entry point of the operators' command-line tool.
+
+use std::io::Write as _;
+use std::process::ExitCode;
+
+use oriolecrank_ctl::{CtlEnvironment, run};
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let environment = CtlEnvironment::of_process();
+    let output = run(lexopt::Parser::from_env(), &environment).await;
+    // A closed pipe is no failure of the command, and its exit code says what happened.
+    let _ = std::io::stdout().write_all(output.stdout.as_bytes());
+    let _ = std::io::stderr().write_all(output.stderr.as_bytes());
+    ExitCode::from(output.code as u8)
+}
--- /dev/null
+++ b/crates/oriolecrank-ctl/src/read_commands.rs
@@ -0,0 +1,147 @@
+//! `members`, `upstreams`, `status` and `audit`.
+
+use oriolecrank_schema::control::{
+    AuditRecord, ControlMember, Query, QueryResult, UpstreamPhase, UpstreamStatus,
+};
+use serde_json::{Value, json};
+
+use crate::arguments::CtlArguments;
+use crate::control_session::ControlSession;
+use crate::ctl_error::CtlError;
+use crate::ctl_report::CtlReport;
+
+/// Records asked for at once.
+const AUDIT_PAGE: u32 = 500;
+
+/// Lists the instances of the control group.
+pub(crate) async fn members(arguments: &CtlArguments) -> Result<CtlReport, CtlError> {
+    let session = ControlSession::open(arguments)?;
+    let QueryResult::Members { members } = session.query(&Query::Members).await? else {
+        return Err(CtlError::UnexpectedAnswer);
+    };
+    let line = |member: &ControlMember| {
+        let role = match (member.leader, member.voter) {
+            (true, _) => "leader",
+            (false, true) => "voter",
+            (false, false) => "learner",
+        };
+        let state = if member.live { "live" } else { "silent" };
+        format!(
+            "{} {} {} {role} {state} {}",
+            member.instance, member.address, member.failure_domain, member.matched_index
+        )
+    };
+    Ok(list_report(
+        "instance address failure_domain role state matched_index",
+        members.iter().map(line),
+        json!({ "members": members }),
+    ))
+}
+
+/// Lists the upstreams.
+pub(crate) async fn upstreams(arguments: &CtlArguments) -> Result<CtlReport, CtlError> {
+    let session = ControlSession::open(arguments)?;
+    let QueryResult::Upstreams { upstreams } = session.query(&Query::Upstreams).await? else {
+        return Err(CtlError::UnexpectedAnswer);
+    };
+    Ok(list_report(
+        "upstream incarnation service failure_domain address phase blocks order",
+        upstreams.iter().map(upstream_line),
+        json!({ "upstreams": upstreams }),
+    ))
+}
+
+fn upstream_line(status: &UpstreamStatus) -> String {
+    let record = &status.record;
+    let order = match &status.order {
+        Some(order) => format!("{}.{}", order.fence.term, order.fence.sequence),
+        None => "-".to_owned(),
+    };
+    format!(
+        "{} {} {} {} {} {} {} {order}",
+        record.upstream.0,
+        record.incarnation,
+        record.service.0,
+        record.failure_domain.0,
+        record.address,
+        phase_name(record.phase),
+        record.capacity_blocks,
+    )
+}
+
+fn phase_name(phase: UpstreamPhase) -> &'static str {
+    match phase {
+        UpstreamPhase::Ready => "ready",
+        UpstreamPhase::Cold => "cold",
+        UpstreamPhase::Changing => "changing",
+        UpstreamPhase::Leaving => "leaving",
+        UpstreamPhase::Suspect => "suspect",
+    }
+}
+
+/// Prints sizes and positions of the state.
+pub(crate) async fn status(arguments: &CtlArguments) -> Result<CtlReport, CtlError> {
+    let session = ControlSession::open(arguments)?;
+    let QueryResult::Summary { summary } = session.query(&Query::Summary).await? else {
+        return Err(CtlError::UnexpectedAnswer);
+    };
+    let json = json!(summary);
+    let fields = json.as_object().into_iter().flatten();
+    let lines: Vec<String> = fields
+        .map(|(name, value)| format!("{name} {value}"))
+        .collect();
+    Ok(CtlReport::new(lines.join("\n"), json))
+}
+
+/// Prints a range of the audit trail.
+pub(crate) async fn audit(
+    arguments: &CtlArguments,
+    first_index: u64,
+    limit: usize,
+) -> Result<CtlReport, CtlError> {
+    let session = ControlSession::open(arguments)?;
+    let mut found: Vec<AuditRecord> = Vec::new();
+    let mut next = first_index;
+    let mut remains = true;
+    while remains && found.len() < limit {
+        let wanted = (limit - found.len()).min(AUDIT_PAGE as usize);
+        let query = Query::Audit {
+            first_index: next,
+            limit: wanted as u32,
+        };
+        let QueryResult::Audit { records, more } = session.query(&query).await? else {
+            return Err(CtlError::UnexpectedAnswer);
+        };
+        remains = more;
+        let Some(last) = records.last() else {
+            break;
+        };
+        next = last.index + 1;
+        found.extend(records);
+    }
+    Ok(list_report(
+        "index time_ms operator origin request_id revisions action changes",
+        found.iter().map(audit_line),
+        json!({ "records": found, "more": remains }),
+    ))
+}
+
+fn audit_line(record: &AuditRecord) -> String {
+    format!(
+        "{} {} {} {} {} {}->{} {:?} [{}]",
+        record.index,
+        record.time_ms,
+        record.operator,
+        record.origin,
+        record.request_id,
+        record.before_revision,
+        record.after_revision,
+        record.action,
+        record.changes.join(", "),
+    )
+}
+
+fn list_report(header: &str, lines: impl Iterator<Item = String>, json: Value) -> CtlReport {
+    let lines: Vec<String> = std::iter::once(header.to_owned()).chain(lines).collect();
+    CtlReport::new(lines.join("\n"), json)
+}
--- /dev/null
+++ b/crates/oriolecrank-ctl/tests/ctl/control_stand_in.rs
@@ -0,0 +1,264 @@
+//! A control instance with the real state machine, and with faults.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use oriolecrank_ctl::{CtlEnvironment, CtlOutput, run};
+use oriolecrank_net::shutdown::{ShutdownTrigger, shutdown_channel};
+use oriolecrank_net::{
+    AnswerBody, BodyAborted, ClusterSecret, HttpHandler, PeerGuard, empty_answer, message_answer,
+    read_body, serve,
+};
+use oriolecrank_schema::codec;
+use oriolecrank_schema::control::{
+    Command, CommandOutcome, ControlMember, LoggedCommand, Query, QueryResult,
+};
+use oriolecrank_schema::document::ConfigDocument;
+use oriolecrank_state::document::{DocumentFormat, parse_document};
+use oriolecrank_state::{ClusterState, LogIndex};
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+
+const SECRET: &str = "a-secret-for-tests-only";
+
+/// A valid document with the organisations `grove` and `press`.
+pub const DOCUMENT: &str = r#"
+usage_window_s = 60
+
+[[regions]]
+name = "piedmont"
+failure_domains = ["piedmont-1"]
+
+[[organisations]]
+name = "grove"
+
+[[organisations]]
+name = "press"
+
+[[services]]
+name = "desk"
+kind = "plain"
+"#;
+
+/// What happens to the next command.
+#[derive(Debug, Clone)]
+pub enum CommandFault {
+    /// It takes effect and its answer is lost.
+    LoseAnswer,
+    /// It is not accepted, because this instance is not the leader.
+    NotLeader(Option<String>),
+    /// There is no quorum.
+    Unavailable,
+    /// Another command is committed just before it.
+    Overtake(Box<Command>),
+}
+
+/// State and faults of a stand-in.
+#[derive(Debug, Default)]
+pub struct StandInTable {
+    pub state: ClusterState,
+    pub faults: VecDeque<CommandFault>,
+    /// Lagging subscribers in the next answers; the last list is repeated.
+    pub lagging: VecDeque<Vec<String>>,
+}
+
+impl StandInTable {
+    /// Commits a command.
+    pub fn commit(&mut self, command: Command) -> CommandOutcome {
+        let index = LogIndex(self.state.applied_index().0 + 1);
+        let entry = LoggedCommand {
+            time_ms: 1_000 * index.0,
+            term: 3,
+            command,
+        };
+        self.state.apply(index, entry)
+    }
+
+    fn answer_query(&mut self, query: &Query) -> QueryResult {
+        match query {
+            Query::Members => QueryResult::Members {
+                members: vec![ControlMember {
+                    address: "10.0.0.2:7100".to_owned(),
+                    failure_domain: "piedmont-1".to_owned(),
+                    instance: "control-1".to_owned(),
+                    leader: true,
+                    live: true,
+                    matched_index: 17,
+                    voter: true,
+                }],
+            },
+            Query::InForce { .. } => {
+                let lagging = self.lagging.front().cloned().unwrap_or_default();
+                if self.lagging.len() > 1 {
+                    self.lagging.pop_front();
+                }
+                QueryResult::InForce {
+                    lagging,
+                    lowest_revision: 0,
+                    subscribers: 4,
+                }
+            }
+            other => self.state.query(other),
+        }
+    }
+}
+
+/// A control instance that listens on loopback while it exists.
+#[derive(Debug)]
+pub struct ControlStandIn {
+    pub address: SocketAddr,
+    table: Arc<Mutex<StandInTable>>,
+    folder: TempDir,
+    _trigger: ShutdownTrigger,
+}
+
+struct StandInHandler {
+    table: Arc<Mutex<StandInTable>>,
+    guard: PeerGuard,
+}
+
+impl HttpHandler for StandInHandler {
+    async fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> Response<AnswerBody> {
+        if let Some(refusal) = self.guard.refusal(request.headers()) {
+            return refusal;
+        }
+        let path = request.uri().path().to_owned();
+        let body = read_body(request.into_body(), 1 << 24)
+            .await
+            .expect("a whole body");
+        if path == "/v1/query" {
+            let query: Query = codec::decode(&body).expect("a query");
+            return message_answer(&lock(&self.table).answer_query(&query));
+        }
+        if path != "/v1/command" {
+            return empty_answer(StatusCode::NOT_FOUND);
+        }
+        let command: Command = codec::decode(&body).expect("a command");
+        let fault = lock(&self.table).faults.pop_front();
+        match fault {
+            Some(CommandFault::NotLeader(leader)) => {
+                return message_answer(&CommandOutcome::NotLeader { leader });
+            }
+            Some(CommandFault::Unavailable) => {
+                return message_answer(&CommandOutcome::Unavailable);
+            }
+            Some(CommandFault::Overtake(other)) => {
+                lock(&self.table).commit(*other);
+            }
+            Some(CommandFault::LoseAnswer) => {
+                lock(&self.table).commit(command);
+                return aborted_answer().await;
+            }
+            None => {}
+        }
+        let outcome = lock(&self.table).commit(command);
+        message_answer(&outcome)
+    }
+}
+
+/// An answer that breaks off.
+async fn aborted_answer() -> Response<AnswerBody> {
+    let (sender, body) = AnswerBody::stream();
+    sender
+        .send(Err(BodyAborted))
+        .await
+        .expect("the body has room");
+    Response::new(body)
+}
+
+fn lock(table: &Mutex<StandInTable>) -> MutexGuard<'_, StandInTable> {
+    table
+        .lock()
+        .expect("no test panics while it holds the lock")
+}
+
+impl ControlStandIn {
+    /// Starts a stand-in without a document.
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let (trigger, signal) = shutdown_channel();
+        let table = Arc::<Mutex<StandInTable>>::default();
+        let handler = StandInHandler {
+            table: Arc::clone(&table),
+            guard: PeerGuard::new(ClusterSecret::new(SECRET).expect("a valid secret")),
+        };
+        tokio::spawn(serve(listener, Arc::new(handler), signal));
+        let folder = TempDir::new().expect("a folder");
+        std::fs::write(folder.path().join("secret"), SECRET).expect("a file");
+        Self {
+            address,
+            table,
+            folder,
+            _trigger: trigger,
+        }
+    }
+
+    /// Starts a stand-in with [`DOCUMENT`] in force as revision 1.
+    pub async fn with_document() -> Self {
+        let stand_in = Self::start().await;
+        let command = submit("setup", 0, document(DOCUMENT));
+        stand_in.table().commit(command);
+        stand_in
+    }
+
+    pub fn table(&self) -> MutexGuard<'_, StandInTable> {
+        lock(&self.table)
+    }
+
+    /// Writes a file and returns its path.
+    pub fn file(&self, name: &str, text: &str) -> String {
+        let path = self.folder.path().join(name);
+        std::fs::write(&path, text).expect("a file");
+        path.to_str().expect("a path of characters").to_owned()
+    }
+
+    /// Environment that points to this stand-in.
+    pub fn environment(&self) -> CtlEnvironment {
+        CtlEnvironment {
+            control: Some(self.address.to_string()),
+            secret_file: Some(self.path("secret").to_str().expect("text").to_owned()),
+            operator: Some("alma".to_owned()),
+        }
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    /// Runs the tool against this stand-in.
+    pub async fn ctl(&self, arguments: &[&str]) -> CtlOutput {
+        run(parser(arguments), &self.environment()).await
+    }
+
+    /// Runs the tool with `--json` and returns the object that it prints.
+    pub async fn ctl_json(&self, arguments: &[&str]) -> serde_json::Value {
+        let mut arguments = arguments.to_vec();
+        arguments.push("--json");
+        let output = self.ctl(&arguments).await;
+        assert_eq!(output.stdout.lines().count(), 1, "one object on one line");
+        serde_json::from_str(&output.stdout).expect("valid JSON")
+    }
+}
+
+pub fn parser(arguments: &[&str]) -> lexopt::Parser {
+    lexopt::Parser::from_args(arguments)
+}
+
+pub fn document(text: &str) -> ConfigDocument {
+    parse_document(text, DocumentFormat::Toml).expect("a valid document")
+}
+
+pub fn submit(request_id: &str, base_revision: u64, document: ConfigDocument) -> Command {
+    Command::Submit {
+        base_revision,
+        document,
+        operator: "bruno".to_owned(),
+        origin: "10.0.0.9".to_owned(),
+        request_id: request_id.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-ctl/tests/ctl/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the command-line tool against a stand-in for the control group.
+
+mod control_stand_in;
+mod documents;
+mod keys;
+mod offline;
+mod operations;
--- /dev/null
+++ b/crates/oriolecrank-ctl/tests/ctl/offline.rs
@@ -0,0 +1,124 @@
+//! Arguments, files and exit codes without a control group.
+
+use oriolecrank_ctl::{CtlEnvironment, ExitCode, run};
+
+use crate::control_stand_in::{ControlStandIn, DOCUMENT, parser};
+
+/// Guards against mistakes of the caller that are sent to the control group or go unnoticed.
+#[tokio::test]
+async fn unusable_arguments_exit_with_2() {
+    let cases: &[(&[&str], &str)] = &[
+        (&[], "a command is missing"),
+        (&["frobnicate"], "is not a command"),
+        (&["submit"], "is not a command"),
+        (&["show", "--what"], "--what"),
+        (&["show", "--wait"], "--wait does not apply to show"),
+        (
+            &["validate", "x.toml", "--base", "3"],
+            "--base does not apply to validate",
+        ),
+        (
+            &["submit", "x.toml", "--request-id", "r"],
+            "needs the --base",
+        ),
+        (&["audit", "--limit", "many"], "many"),
+        (&["show", "--format", "yaml"], "not a document format"),
+        (&["status", "--control", "localhost"], "IP:port"),
+        (&["status"], "no control instance is given"),
+        (
+            &["status", "--control", "127.0.0.1:1"],
+            "no secret file is given",
+        ),
+        (
+            &[
+                "status",
+                "--control",
+                "127.0.0.1:1",
+                "--secret-file",
+                "absent",
+            ],
+            "cannot read the secret file",
+        ),
+    ];
+    for (arguments, expected) in cases {
+        let output = run(parser(arguments), &CtlEnvironment::default()).await;
+        assert_eq!(output.code, ExitCode::Usage, "{arguments:?}: {output:?}");
+        assert!(
+            output.stderr.contains(expected),
+            "{arguments:?}: {output:?}"
+        );
+        assert!(output.stdout.is_empty());
+    }
+}
+
+/// Guards against a document file that is taken as valid, and errors that are not all shown.
+#[tokio::test]
+async fn validate_lists_every_error() {
+    let stand_in = ControlStandIn::start().await;
+    let valid = stand_in.file("valid.toml", DOCUMENT);
+    let output = stand_in.ctl(&["validate", &valid]).await;
+    assert_eq!(output.code, ExitCode::Success);
+    assert_eq!(output.stdout, "valid: 2 organisations, 1 services\n");
+
+    let text = DOCUMENT.replace("60", "0").replace("press", "grove");
+    let invalid = stand_in.file("invalid.toml", &text);
+    let output = stand_in.ctl(&["validate", &invalid]).await;
+    assert_eq!(output.code, ExitCode::Invalid);
+    assert!(output.stderr.contains("usage_window_s: "), "{output:?}");
+    assert!(
+        output.stderr.contains("organisations[1].name: "),
+        "{output:?}"
+    );
+    let json = stand_in.ctl_json(&["validate", &invalid]).await;
+    assert_eq!(json["exit_code"], 3);
+    assert_eq!(json["fields"].as_array().map(Vec::len), Some(2));
+
+    let broken = stand_in.file("broken.json", "{");
+    assert_eq!(
+        stand_in.ctl(&["validate", &broken]).await.code,
+        ExitCode::Invalid
+    );
+    let absent = stand_in.ctl(&["validate", "absent.toml"]).await;
+    assert_eq!(absent.code, ExitCode::Usage);
+}
+
+/// Guards against a help text that does not name a command or an exit code.
+#[tokio::test]
+async fn help_names_commands_and_exit_codes() {
+    let output = run(parser(&["--help"]), &CtlEnvironment::default()).await;
+    assert_eq!(output.code, ExitCode::Success);
+    let commands = [
+        "validate",
+        "submit",
+        "show",
+        "keys issue",
+        "keys withdraw",
+        "drain",
+    ];
+    let others = [
+        "undrain",
+        "members",
+        "upstreams",
+        "status",
+        "audit",
+        "\n  7  ",
+    ];
+    for word in commands.iter().chain(&others) {
+        assert!(output.stdout.contains(word), "{word}");
+    }
+}
+
+/// Guards against a failure that looks like a change, and against waiting for ever.
+#[tokio::test]
+async fn absent_control_group_exits_with_5() {
+    let stand_in = ControlStandIn::start().await;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let closed = listener.local_addr().expect("an address").to_string();
+    drop(listener);
+    for command in [&["status"][..], &["drain", "desk-1"][..]] {
+        let options = ["--control", &closed, "--timeout-ms", "200"];
+        let arguments: Vec<&str> = command.iter().chain(&options).copied().collect();
+        let output = stand_in.ctl(&arguments).await;
+        assert_eq!(output.code, ExitCode::Unavailable, "{output:?}");
+    }
+}
--- a/crates/oriolecrank-state/src/document/checked_document.rs
+++ b/crates/oriolecrank-state/src/document/checked_document.rs
@@ -86,7 +86,7 @@
     ///
     /// It is not validated again: a later version may check more strictly, and a committed document
     /// stays in force.
-    pub(crate) fn from_committed(document: ConfigDocument) -> Self {
+    pub fn from_committed(document: ConfigDocument) -> Self {
         Self::index(document)
     }
 
