Blame a rerun alone when its engine crashes

Cause: a body that many callers send often runs beside the culprit at both crashes and was refused for 10 min without fault, also for other organisations. Change: a crash during a granted rerun marks only the rerun; crash reports, actions of orders and names in usage records are bounded. Conclusion: a second crash without a rerun still refuses every fingerprint that ran at both.

--- a/crates/oriolecrank-state/src/cluster/suspect_table.rs
+++ b/crates/oriolecrank-state/src/cluster/suspect_table.rs
@@ -2,6 +2,10 @@
 //!
 //! The first crash makes a fingerprint a suspect, which is rerun at most once; the second one makes
 //! it refused. A request therefore takes down at most two engines.
+//!
+//! When an engine crashes during a rerun, the rerun is blamed alone. The other requests that ran
+//! there are not marked: a body that many callers send is often running beside the culprit twice,
+//! and would be refused without fault.
 
 use std::collections::BTreeMap;
 
@@ -26,6 +30,9 @@
 /// Largest number of crash reports that are remembered; the oldest are forgotten first.
 pub const MAX_CRASH_IDS: usize = 4_096;
 
+/// Largest number of fingerprints taken from one crash report; the rest is ignored.
+pub const MAX_RUNNING_REQUESTS: usize = 1_024;
+
 /// Longest organisation name or fingerprint, in bytes; longer ones are ignored.
 const MAX_FINGERPRINT_BYTES: usize = 128;
 
@@ -53,8 +60,8 @@
 }
 
 impl RerunGrant {
-    fn is_on_same_agent(&self, other: &Self) -> bool {
-        self.upstream == other.upstream && self.incarnation == other.incarnation
+    fn is_on(&self, upstream: &UpstreamId, incarnation: u64) -> bool {
+        self.upstream == *upstream && self.incarnation == incarnation
     }
 }
 
@@ -97,6 +104,14 @@
     rerun: Option<RerunGrant>,
 }
 
+impl TrackedSuspect {
+    /// The granted rerun, unless it has ended in a crash.
+    fn open_rerun(&self) -> Option<&RerunGrant> {
+        let rerun = self.rerun.as_ref();
+        rerun.filter(|_| self.state == SuspectState::Suspect)
+    }
+}
+
 impl SuspectTable {
     /// Records a crash; returns false if it was reported before.
     pub(crate) fn report(
@@ -108,23 +123,35 @@
         if self.crashes.contains_key(&crash) {
             return false;
         }
+        for key in self.blamed_keys(&crash, running) {
+            self.add_crash(key, now_ms);
+        }
         self.crashes.insert(crash, now_ms);
         if self.crashes.len() > MAX_CRASH_IDS {
             self.forget_oldest_crash();
         }
-        let mut keys: Vec<SuspectKey> = running.iter().filter_map(SuspectKey::of).collect();
-        // Two copies of one request that ran together crash the engine once.
-        keys.sort();
-        keys.dedup();
-        for key in keys {
-            self.add_crash(key, now_ms);
-        }
         self.next_expiry_ms = self
             .next_expiry_ms
             .min(now_ms.saturating_add(SUSPECT_LIFETIME_MS));
         true
     }
 
+    /// Fingerprints that may have caused a crash, each of them once.
+    fn blamed_keys(&self, crash: &CrashKey, running: &[RunningRequest]) -> Vec<SuspectKey> {
+        let mut keys: Vec<SuspectKey> = running.iter().filter_map(SuspectKey::of).collect();
+        keys.sort();
+        keys.dedup();
+        keys.truncate(MAX_RUNNING_REQUESTS);
+        let is_rerun = |key: &SuspectKey| {
+            let rerun = self.suspects.get(key).and_then(TrackedSuspect::open_rerun);
+            rerun.is_some_and(|rerun| rerun.is_on(&crash.upstream, crash.incarnation))
+        };
+        if keys.iter().any(is_rerun) {
+            keys.retain(is_rerun);
+        }
+        keys
+    }
+
     fn add_crash(&mut self, key: SuspectKey, now_ms: u64) {
         let until_ms = now_ms.saturating_add(SUSPECT_LIFETIME_MS);
         if let Some(tracked) = self.suspects.get_mut(&key) {
@@ -168,9 +195,8 @@
             };
         }
         let same_upstream = |other: &TrackedSuspect| {
-            let rerun = other.rerun.as_ref();
-            other.state == SuspectState::Suspect
-                && rerun.is_some_and(|rerun| rerun.is_on_same_agent(&grant))
+            let rerun = other.open_rerun();
+            rerun.is_some_and(|rerun| rerun.is_on(&grant.upstream, grant.incarnation))
         };
         if self.suspects.values().any(same_upstream) {
             return RerunEffect::Refused("the upstream reruns another suspect");
@@ -248,10 +274,14 @@
     }
 
     fn forget_one(&mut self, organisation: &String) {
+        let first_key = SuspectKey {
+            organisation: organisation.clone(),
+            fingerprint: String::new(),
+        };
         let own = self
             .suspects
-            .iter()
-            .filter(|(key, _)| key.organisation == *organisation);
+            .range(first_key..)
+            .take_while(|(key, _)| key.organisation == *organisation);
         let first = own
             .min_by_key(|(_, tracked)| (tracked.state == SuspectState::Refused, tracked.until_ms));
         if let Some((key, _)) = first {
--- a/crates/oriolecrank-state/src/cluster/upstream_table.rs
+++ b/crates/oriolecrank-state/src/cluster/upstream_table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use oriolecrank_schema::codec;
 use oriolecrank_schema::control::{
     EngineOrder, FencingNumber, OrderAction, OrderResult, UpstreamRecord, UpstreamRemoval,
 };
@@ -21,6 +22,9 @@
 /// are forgotten first.
 pub const MAX_DEPARTED: usize = 10_000;
 
+/// Largest encoded action of an order, in bytes; bounds what is kept for each upstream.
+pub const MAX_ACTION_BYTES: usize = 1_024;
+
 /// Longest text of an announcement, in bytes.
 const MAX_RECORD_TEXT_BYTES: usize = 256;
 
@@ -183,6 +187,9 @@
         if !place.is_member() {
             return OrderEffect::Refused("the upstream is not a member");
         }
+        if codec::encode(action).len() > MAX_ACTION_BYTES {
+            return OrderEffect::Refused("the action is too long");
+        }
         if term < place.fence.term {
             return OrderEffect::Refused("the term is older than that of the last order");
         }
--- a/crates/oriolecrank-state/src/cluster/usage_table.rs
+++ b/crates/oriolecrank-state/src/cluster/usage_table.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::usage_id::UsageIds;
+use crate::document::MAX_NAME_BYTES;
 
 /// Ids of counted records are kept this long, in milliseconds (15 min). An older record could be a
 /// repetition that is no longer recognised, so it is not counted.
@@ -117,6 +118,9 @@
         if self.open.len() + records.len() > MAX_USAGE_LINES {
             return BatchEffect::Refused("the window has too many lines");
         }
+        if !records.iter().all(has_short_names) {
+            return BatchEffect::Refused("a name of a record is too long");
+        }
         let mut counted = false;
         for record in records {
             counted |= self.count(record, now_ms);
@@ -240,3 +244,8 @@
         self.stale_records
     }
 }
+
+/// Names come from the document; a longer one is a fault of the sender.
+fn has_short_names(record: &UsageRecord) -> bool {
+    record.organisation.0.len() <= MAX_NAME_BYTES && record.service.0.len() <= MAX_NAME_BYTES
+}
--- a/crates/oriolecrank-state/tests/state/capacity_commands.rs
+++ b/crates/oriolecrank-state/tests/state/capacity_commands.rs
@@ -74,6 +74,25 @@
     assert_eq!(cluster.send(place_order("desk-1")), old);
 }
 
+/// Guards against orders of unbounded size in the replicated state.
+#[test]
+fn long_action_is_refused() {
+    let mut cluster = TestCluster::ready();
+    let command = Command::PlaceOrder {
+        action: OrderAction::LoadModel {
+            model: "m".repeat(1_024),
+            version: "1".to_owned(),
+        },
+        reason: String::new(),
+        upstream: UpstreamId("engine-1".to_owned()),
+    };
+    assert_eq!(cluster.send(command), refused("the action is too long"));
+    assert_eq!(
+        cluster.send(place_order("engine-1")),
+        placed("engine-1", 1, 1)
+    );
+}
+
 /// Guards against an order that is forgotten, and then contradicted, when its upstream leaves.
 #[test]
 fn order_stays_in_flight_when_the_upstream_leaves() {
--- a/crates/oriolecrank-state/tests/state/main.rs
+++ b/crates/oriolecrank-state/tests/state/main.rs
@@ -14,5 +14,6 @@
 mod random_command;
 mod replica_properties;
 mod suspect_commands;
+mod suspect_model;
 mod usage_commands;
 mod usage_model;
--- a/crates/oriolecrank-state/tests/state/suspect_commands.rs
+++ b/crates/oriolecrank-state/tests/state/suspect_commands.rs
@@ -1,7 +1,9 @@
 //! Crash reports, reruns and refused fingerprints.
 
 use oriolecrank_schema::control::{Command, CommandOutcome, SuspectState};
-use oriolecrank_state::cluster::{MAX_SUSPECTS_PER_ORGANISATION, SUSPECT_LIFETIME_MS};
+use oriolecrank_state::cluster::{
+    MAX_RUNNING_REQUESTS, MAX_SUSPECTS_PER_ORGANISATION, SUSPECT_LIFETIME_MS,
+};
 
 use crate::cluster_fixture::{
     CaseStep, TestCluster, announce, clear, crash, refused, remove, rerun,
@@ -24,6 +26,7 @@
 
 /// Guards against a request that takes down a third engine, and innocent requests that stay refused.
 #[test]
+#[expect(clippy::too_many_lines, reason = "a table of cases")]
 fn suspects_are_rerun_once_and_decided() {
     let (accepted, unchanged) = (CommandOutcome::Accepted, CommandOutcome::Unchanged);
     let culprit = refused("the request has crashed two upstreams");
@@ -36,7 +39,7 @@
                 (crash("engine-2", 1, &[("grove", "f")]), accepted.clone()),
                 (rerun("f", "desk-1", "r-2"), culprit.clone()),
                 // A late report that the first run ended well does not clear it.
-                (clear("grove", "f"), culprit),
+                (clear("grove", "f"), culprit.clone()),
             ],
         ),
         (
@@ -85,7 +88,7 @@
             "repeated crash report",
             vec![
                 (crash("engine-1", 1, &[("grove", "f")]), accepted.clone()),
-                (crash("engine-1", 1, &[("grove", "f")]), unchanged),
+                (crash("engine-1", 1, &[("grove", "f")]), unchanged.clone()),
                 (rerun("f", "engine-2", "r-1"), accepted.clone()),
             ],
         ),
@@ -99,6 +102,51 @@
                 (rerun("f", "engine-2", "r-1"), accepted.clone()),
             ],
         ),
+        (
+            "innocent body that runs beside the culprit twice",
+            vec![
+                (
+                    crash("engine-1", 1, &[("grove", "f"), ("grove", "g")]),
+                    accepted.clone(),
+                ),
+                (rerun("f", "engine-2", "r-1"), accepted.clone()),
+                (
+                    crash(
+                        "engine-2",
+                        1,
+                        &[("grove", "f"), ("grove", "g"), ("press", "h")],
+                    ),
+                    accepted.clone(),
+                ),
+                (rerun("f", "desk-1", "r-2"), culprit.clone()),
+                (rerun("g", "desk-1", "r-3"), accepted.clone()),
+                (clear("grove", "g"), accepted.clone()),
+                (clear("press", "h"), unchanged.clone()),
+            ],
+        ),
+        (
+            "second crash before entries knew of the first one",
+            vec![
+                (crash("engine-1", 1, &[("grove", "f")]), accepted.clone()),
+                (crash("engine-2", 1, &[("grove", "f")]), accepted.clone()),
+                (rerun("f", "desk-1", "r-1"), culprit.clone()),
+            ],
+        ),
+        (
+            "crash of another upstream than that of the rerun",
+            vec![
+                (
+                    crash("engine-1", 1, &[("grove", "f"), ("grove", "g")]),
+                    accepted.clone(),
+                ),
+                (rerun("f", "engine-2", "r-1"), accepted.clone()),
+                (
+                    crash("desk-1", 1, &[("grove", "f"), ("grove", "g")]),
+                    accepted.clone(),
+                ),
+                (rerun("g", "engine-2", "r-2"), culprit.clone()),
+            ],
+        ),
         (
             "rerun on an agent that is gone",
             vec![
@@ -199,3 +247,16 @@
     assert!(records.iter().any(|record| record.organisation == "press"));
     assert!(records.iter().any(|record| record.fingerprint == "culprit"));
 }
+
+/// Guards against a crash report whose size decides how long one log entry takes.
+#[test]
+fn fingerprints_of_one_report_are_bounded() {
+    let mut cluster = cluster();
+    let organisations: Vec<String> = (0..2_000).map(|number| format!("org-{number}")).collect();
+    let running: Vec<(&str, &str)> = organisations
+        .iter()
+        .map(|organisation| (organisation.as_str(), "f"))
+        .collect();
+    cluster.send(crash("engine-1", 1, &running));
+    assert_eq!(cluster.suspects().len(), MAX_RUNNING_REQUESTS);
+}
--- a/crates/oriolecrank-state/tests/state/usage_commands.rs
+++ b/crates/oriolecrank-state/tests/state/usage_commands.rs
@@ -177,4 +177,9 @@
     assert_eq!(cluster.state.summary().usage_ids, 0);
     let outcome = cluster.send(report(records[1..].to_vec()));
     assert_eq!(outcome, CommandOutcome::Accepted);
+    let mut long = usage("r", 1, 1, 0);
+    long.service = "s".repeat(65).into();
+    let outcome = cluster.send(report(vec![usage("r", 2, 1, 0), long]));
+    assert_eq!(outcome, refused("a name of a record is too long"));
+    assert_eq!(cluster.state.summary().usage_ids, MAX_USAGE_BATCH as u64);
 }
