Add the split of limits over entries

Cause: limits hold over all entries, also while entries come and go and messages are lost. Change: limit_shares counts every grant for as long as an entry may use it and grants only what the others cannot use; running requests stay counted until a later report settles them; the reserve is tracked in the same way. Shares are valid from the send time of the demand report that they answer, and an idle entry gives back concurrent requests with its report.

--- a/crates/oriolecrank-policy/src/freshness.rs
+++ b/crates/oriolecrank-policy/src/freshness.rs
@@ -15,7 +15,7 @@
     pub lease: Duration,
     /// Time between pings.
     pub ping_interval: Duration,
-    /// Unconfirmed pings that are remembered; older ones could no longer extend the lease.
+    /// Pings whose send times are remembered; older ones could no longer extend the lease.
     pub remembered_pings: usize,
 }
 
@@ -49,12 +49,12 @@
 #[derive(Debug, Clone)]
 pub struct FreshnessLease {
     settings: FreshnessSettings,
-    /// Unconfirmed pings and their send times, in the order of their numbers.
-    pending: VecDeque<(PingNumber, TimePoint)>,
+    /// Latest pings and their send times, in the order of their numbers.
+    sent: VecDeque<(PingNumber, TimePoint)>,
     last_number: PingNumber,
     last_sent: Option<TimePoint>,
-    /// Send time of the newest confirmed ping; never falls.
-    confirmed: Option<TimePoint>,
+    /// Newest confirmed ping and its send time; never falls.
+    confirmed: Option<(PingNumber, TimePoint)>,
 }
 
 impl FreshnessLease {
@@ -62,7 +62,7 @@
     pub fn new(settings: FreshnessSettings) -> Self {
         Self {
             settings,
-            pending: VecDeque::new(),
+            sent: VecDeque::new(),
             last_number: PingNumber(0),
             last_sent: None,
             confirmed: None,
@@ -79,9 +79,9 @@
         }
         self.last_number.0 += 1;
         self.last_sent = Some(now);
-        self.pending.push_back((self.last_number, now));
-        if self.pending.len() > self.settings.remembered_pings {
-            self.pending.pop_front();
+        self.sent.push_back((self.last_number, now));
+        if self.sent.len() > self.settings.remembered_pings {
+            self.sent.pop_front();
         }
         Some(self.last_number)
     }
@@ -92,18 +92,20 @@
     /// must be in force at the entry before this is called; otherwise the lease would cover an older
     /// state.
     pub fn confirm(&mut self, number: PingNumber) -> bool {
-        let Some(at) = self
-            .pending
-            .iter()
-            .position(|(pending, _)| *pending == number)
-        else {
+        let newer = self.confirmed.is_none_or(|(known, _)| number > known);
+        let Some(sent_at) = self.sent_at(number).filter(|_| newer) else {
             return false;
         };
-        self.confirmed = Some(self.pending[at].1);
-        self.pending.drain(..=at);
+        self.confirmed = Some((number, sent_at));
         true
     }
 
+    /// Send time of a recent ping; limit shares that answer a ping are valid from then on.
+    pub fn sent_at(&self, number: PingNumber) -> Option<TimePoint> {
+        let mut sent = self.sent.iter();
+        sent.find(|(other, _)| *other == number).map(|(_, at)| *at)
+    }
+
     /// Whether keyed work may be accepted.
     pub fn is_fresh(&self, now: TimePoint) -> bool {
         self.valid_until().is_some_and(|until| now < until)
@@ -111,6 +113,6 @@
 
     /// End of the lease; `None` before the first confirmation.
     pub fn valid_until(&self) -> Option<TimePoint> {
-        self.confirmed.map(|sent| sent + self.settings.lease)
+        self.confirmed.map(|(_, sent)| sent + self.settings.lease)
     }
 }
--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -5,7 +5,8 @@
 //!
 //! - At the entry, [`header_cleaning`] refuses unsafe heads and finds the key, [`freshness`] says
 //!   whether the key table may be trusted, and [`admission`] refuses early what exceeds a limit
-//!   ([`rate_limiter`]) or cannot meet its deadline.
+//!   ([`rate_limiter`]) or cannot meet its deadline. The control leader splits the limits over the
+//!   entries ([`limit_shares`]).
 //! - [`upstream_chooser`] takes one upstream of the entry's [`subset`], by distance, by cached
 //!   prefix ([`prefix_map`]) and by estimated load ([`load_estimate`]).
 //! - At the agent, [`request_queue`] says which request runs next, and [`answer_buffer`] keeps the
@@ -18,8 +19,10 @@
 pub mod answer_buffer;
 mod counts;
 pub mod freshness;
+mod grant_history;
 pub mod header_cleaning;
 pub mod limit_key;
+pub mod limit_shares;
 pub mod load_estimate;
 mod percent_encoding;
 pub mod prefix_map;
--- a/crates/oriolecrank-policy/src/limit_key.rs
+++ b/crates/oriolecrank-policy/src/limit_key.rs
@@ -29,6 +29,11 @@
         Self(count.max(1))
     }
 
+    /// The count in a message, where zero stands for "unchanged".
+    pub fn from_message(count: u32) -> Option<Self> {
+        (count > 0).then_some(Self(count))
+    }
+
     /// The number.
     pub const fn get(self) -> u32 {
         self.0
--- a/crates/oriolecrank-policy/src/rate_limiter.rs
+++ b/crates/oriolecrank-policy/src/rate_limiter.rs
@@ -93,6 +93,9 @@
     pub refused: u64,
     /// Requests that run now.
     pub running: u64,
+    /// This entry uses no concurrent requests of the limit and gives its share of them back: it does
+    /// not use shares that were sent before control had this report.
+    pub returned: bool,
 }
 
 /// A token bucket. The level may be negative after a correction.
@@ -121,6 +124,10 @@
     requests: Option<RateBucket>,
     tokens: Option<RateBucket>,
     running: u64,
+    /// Whether a request asked for room since the last demand report.
+    asked: bool,
+    /// When the share of concurrent requests was last given back.
+    returned_at: Option<TimePoint>,
     mean_duration_ms: f64,
 }
 
@@ -170,23 +177,24 @@
         }
     }
 
-    /// Takes this entry's shares.
+    /// Takes this entry's shares; without `entries`, the part of the reserve stays as it is.
     ///
-    /// `as_of` is a time of this entry's clock at or before the moment at which control sent the
-    /// shares with `lifetime` left: the send time of the newest ping that was confirmed before them
-    /// on the same stream. Counting from the arrival instead would let delayed messages extend the
-    /// shares beyond what the leader accounts for.
+    /// `as_of` is the time at which this entry sent the newest demand report that the leader had
+    /// when it granted the shares. Counting their `lifetime` from the arrival instead would let
+    /// delayed messages extend the shares beyond what the leader accounts for.
     pub fn apply_shares(
         &mut self,
         shares: impl IntoIterator<Item = (LimitKey, LimitShare)>,
-        entries: EntryCount,
+        entries: Option<EntryCount>,
         lifetime: Duration,
         as_of: TimePoint,
         now: TimePoint,
     ) {
         self.refill(now);
-        self.entries = Some(entries);
-        self.reserve_until = as_of + self.settings.reserve_lifetime;
+        if entries.is_some() {
+            self.entries = entries;
+            self.reserve_until = as_of + self.settings.reserve_lifetime;
+        }
         for state in self.limits.values_mut() {
             state.share = LimitShare::default();
         }
@@ -194,6 +202,10 @@
             if let Some(state) = self.limits.get_mut(&key) {
                 state.share = share;
                 state.share_until = as_of + lifetime;
+                let returned = state.returned_at.is_some_and(|at| as_of < at);
+                if returned && share.concurrent != u64::MAX {
+                    state.share.concurrent = 0;
+                }
             }
         }
     }
@@ -212,6 +224,7 @@
         for key in &keys {
             let allowed = self.allowed(key, now);
             if let Some(state) = self.limits.get_mut(key) {
+                state.asked = true;
                 let refused = state.check(allowed, tokens, &self.settings, now);
                 refusal = longer(refusal, refused);
             }
@@ -262,22 +275,38 @@
         }
     }
 
-    /// Demand since the last call, for the report to control.
-    pub fn take_demand(&mut self) -> Vec<LimitDemand> {
-        let demand = self.demand.iter().map(|(key, counter)| LimitDemand {
-            key: key.clone(),
-            requests: counter.requests,
-            tokens: TokenCount::new(counter.tokens),
-            refused: counter.refused,
-            running: counter.running,
-        });
-        let demand = demand.collect();
+    /// Demand since the last call, for the report that is sent to control now.
+    pub fn take_demand(&mut self, now: TimePoint) -> Vec<LimitDemand> {
+        let mut demand: Vec<LimitDemand> = Vec::new();
+        for (key, counter) in &mut self.demand {
+            let running = counter.running;
+            let counter = std::mem::take(counter);
+            demand.push(LimitDemand {
+                key: key.clone(),
+                requests: counter.requests,
+                tokens: TokenCount::new(counter.tokens),
+                refused: counter.refused,
+                running,
+                returned: false,
+            });
+        }
+        for item in &demand {
+            if let Some(counter) = self.demand.get_mut(&item.key) {
+                counter.running = item.running;
+            }
+        }
         self.demand.retain(|_, counter| counter.running > 0);
-        for counter in self.demand.values_mut() {
-            *counter = DemandCounter {
-                running: counter.running,
-                ..DemandCounter::default()
-            };
+        for (key, state) in &mut self.limits {
+            if state.give_back(now) {
+                demand.push(LimitDemand {
+                    key: key.clone(),
+                    requests: 0,
+                    tokens: TokenCount::default(),
+                    refused: 0,
+                    running: 0,
+                    returned: true,
+                });
+            }
         }
         demand
     }
@@ -359,10 +388,25 @@
             requests: None,
             tokens: None,
             running,
+            asked: false,
+            returned_at: None,
             mean_duration_ms: 0.0,
         }
     }
 
+    /// Gives an unused share of concurrent requests back, so that another entry need not wait until
+    /// it expires.
+    fn give_back(&mut self, now: TimePoint) -> bool {
+        let unused = !std::mem::take(&mut self.asked) && self.running == 0;
+        let share = &mut self.share.concurrent;
+        if !unused || *share == 0 || *share == u64::MAX {
+            return false;
+        }
+        *share = 0;
+        self.returned_at = Some(now);
+        true
+    }
+
     /// Fills the buckets at the allowed rates.
     fn refill(&mut self, allowed: LimitShare, settings: &LimiterSettings, now: TimePoint) {
         let rates = [
--- a/crates/oriolecrank-policy/tests/admission.rs
+++ b/crates/oriolecrank-policy/tests/admission.rs
@@ -50,7 +50,13 @@
 fn limiter(limit: OrganisationLimit, share: LimitShare) -> RateLimiter {
     let mut limiter = RateLimiter::new(LimiterSettings::default());
     limiter.set_limits([(key(), limit)]);
-    limiter.apply_shares([(key(), share)], EntryCount::new(2), LIFETIME, at(0), at(0));
+    limiter.apply_shares(
+        [(key(), share)],
+        Some(EntryCount::new(2)),
+        LIFETIME,
+        at(0),
+        at(0),
+    );
     limiter
 }
 
@@ -84,7 +90,7 @@
     assert!(reserve(&mut limiter, size(1, 1), 20).is_err());
     limiter.finish(second, None, at(20));
     assert!(reserve(&mut limiter, size(1, 1), 20).is_ok());
-    assert_eq!(limiter.take_demand()[0].running, 1);
+    assert_eq!(limiter.take_demand(at(20))[0].running, 1);
 }
 
 /// Guards against an entry that uses its share after control may have given it to others.
@@ -159,7 +165,7 @@
     let mut limiter = RateLimiter::new(LimiterSettings::default());
     limiter.set_limits([(key(), limit(3)), (of_desk.clone(), limit(1))]);
     let shares = [(key(), share(3)), (of_desk, share(1))];
-    limiter.apply_shares(shares, EntryCount::new(1), LIFETIME, at(0), at(0));
+    limiter.apply_shares(shares, Some(EntryCount::new(1)), LIFETIME, at(0), at(0));
     let mut outcomes = Vec::new();
     for service in [&desk, &desk, &service(), &service(), &service()] {
         outcomes.push(
@@ -277,7 +283,7 @@
         let mut now = 0;
         for (wait, tokens, served, finish) in steps {
             now += wait;
-            limiter.apply_shares([(key(), share)], EntryCount::new(2), LIFETIME, at(now), at(now));
+            limiter.apply_shares([(key(), share)], Some(EntryCount::new(2)), LIFETIME, at(now), at(now));
             if finish && !running.is_empty() {
                 let (reservation, tokens): (LimitReservation, u64) = running.remove(0);
                 limiter.finish(reservation, Some(size(served, 0)), at(now));
