--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -8,11 +8,13 @@
 //!   ([`rate_limiter`]) or cannot meet its deadline. The control leader splits the limits over the
 //!   entries ([`limit_shares`]).
 //! - [`upstream_chooser`] takes one upstream of the entry's [`subset`], by distance, by cached
-//!   prefix ([`prefix_map`]) and by estimated load ([`load_estimate`]).
+//!   prefix ([`prefix_map`]) and by estimated load ([`load_estimate`]). [`outlier_ejection`] sets
+//!   the weight of failing upstreams, [`suspect_placement`] keeps requests apart that may crash an
+//!   engine, and [`read_coalescing`] lets equal reads share one call.
 //! - At the agent, [`request_queue`] says which request runs next, and [`answer_buffer`] keeps the
 //!   answer until it is acknowledged.
 //! - Back at the entry, [`answer_assembly`] checks each frame, and [`retry_budget`] says whether a
-//!   failed attempt is repeated.
+//!   failed attempt is repeated, and [`hedge`] when a slow one gets a second attempt beside it.
 
 pub mod admission;
 pub mod answer_assembly;
@@ -21,18 +23,22 @@
 pub mod freshness;
 mod grant_history;
 pub mod header_cleaning;
+pub mod hedge;
 pub mod limit_key;
 pub mod limit_shares;
 pub mod load_estimate;
+pub mod outlier_ejection;
 mod percent_encoding;
 pub mod prefix_map;
 mod queue_lane;
 mod queued_request;
 pub mod rate_limiter;
+pub mod read_coalescing;
 mod recent_count;
 pub mod request_queue;
 pub mod retry_budget;
 pub mod subset;
+pub mod suspect_placement;
 pub mod upstream_chooser;
 pub mod upstream_state;
 mod work_class;
