Replay the policies in virtual time

Change: oriolecrank-bench policy with the scenarios brine, refugio and large, six variants and the policies shipped, static, reactive and bound.

--- /dev/null
+++ b/crates/oriolecrank-bench/src/policy/capacity_control.rs
@@ -0,0 +1,453 @@
+//! Seam between the replay and the decisions about roles, starts and stops.
+
+use std::time::Duration;
+
+use oriolecrank_capacity::{
+    CapabilityEstimator, DemandEstimator, DemandKey, DemandRate, DemandReport, FleetInput,
+    FleetPlanner, FleetSettings, PoolInput, RoleDecision, RolePlanner, RoleSettings, TokenRate,
+    UpstreamView,
+};
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::control::{UpstreamPhase, UpstreamRole};
+use oriolecrank_schema::document::{
+    FailureDomainId, PriorityClass, RegionId, ServiceId, UpstreamId,
+};
+
+use super::request_path::{EngineInfo, LoadReport};
+use super::scenario::{Scenario, Variant};
+
+/// What the control leader sees of an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineStatus {
+    /// Announced values.
+    pub info: EngineInfo,
+    /// Phase.
+    pub phase: UpstreamPhase,
+    /// When the role was taken, in milliseconds of the clock of the decisions.
+    pub role_since_ms: u64,
+    /// Whether it runs at all.
+    pub exists: bool,
+}
+
+/// An order to the platform or to an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FleetAction {
+    /// Changes a role, at no cost if `instant`.
+    Change {
+        /// Index of the engine.
+        engine: usize,
+        /// New role.
+        role: UpstreamRole,
+        /// Whether the engine keeps working meanwhile.
+        instant: bool,
+    },
+    /// Starts an engine.
+    Start {
+        /// Index of the pool.
+        pool: usize,
+        /// Index of the failure domain.
+        domain: usize,
+    },
+    /// Drains and stops an engine.
+    Stop {
+        /// Index of the engine.
+        engine: usize,
+    },
+}
+
+/// Decisions of one policy.
+pub trait CapacityControl {
+    /// Delivers a demand report.
+    fn observe_demand(&mut self, report: &DemandReport, now: TimePoint);
+
+    /// Delivers a load report.
+    fn observe_load(&mut self, role: UpstreamRole, report: &LoadReport, now: TimePoint);
+
+    /// Decides; called at a fixed interval. `lost` marks failure domains in which nothing starts.
+    fn decide(
+        &mut self,
+        engines: &[EngineStatus],
+        lost: &[bool],
+        now: TimePoint,
+    ) -> Vec<FleetAction>;
+}
+
+/// Name of the service of a pool.
+pub fn service_id(pool: usize) -> ServiceId {
+    ServiceId(format!("pool-{pool}"))
+}
+
+fn upstream_id(engine: usize) -> UpstreamId {
+    UpstreamId(format!("{engine}"))
+}
+
+fn engine_index(upstream: &UpstreamId) -> usize {
+    upstream
+        .parse()
+        .expect("upstreams are named by their index")
+}
+
+fn domain_id(domain: usize) -> FailureDomainId {
+    FailureDomainId(format!("{domain}"))
+}
+
+/// Nothing ever changes.
+#[derive(Debug, Default)]
+pub struct StaticControl;
+
+impl CapacityControl for StaticControl {
+    fn observe_demand(&mut self, _report: &DemandReport, _now: TimePoint) {}
+
+    fn observe_load(&mut self, _role: UpstreamRole, _report: &LoadReport, _now: TimePoint) {}
+
+    fn decide(&mut self, _: &[EngineStatus], _: &[bool], _: TimePoint) -> Vec<FleetAction> {
+        Vec::new()
+    }
+}
+
+/// The decisions of `oriolecrank-capacity`.
+#[derive(Debug)]
+pub struct ShippedControl {
+    demand: DemandEstimator,
+    capability: CapabilityEstimator,
+    roles: Vec<RolePlanner>,
+    fleet: FleetPlanner,
+    sizes: Vec<usize>,
+    domains: usize,
+    fleet_only: bool,
+}
+
+impl ShippedControl {
+    /// Control with default settings; without role changes if `fleet_only`.
+    pub fn new(scenario: &Scenario, fleet_only: bool) -> Self {
+        let pools = scenario.pools.len();
+        Self {
+            demand: DemandEstimator::default(),
+            capability: CapabilityEstimator::default(),
+            roles: vec![RolePlanner::new(RoleSettings::default()); pools],
+            fleet: FleetPlanner::new(FleetSettings::default()),
+            sizes: scenario.pools.iter().map(|pool| pool.roles.len()).collect(),
+            domains: scenario.domains,
+            fleet_only,
+        }
+    }
+
+    fn plan_pool(
+        &mut self,
+        pool: usize,
+        views: &[UpstreamView],
+        lost: &[bool],
+        now: TimePoint,
+    ) -> Vec<FleetAction> {
+        let service = service_id(pool);
+        let freshness = self.demand.freshness(now);
+        let summary = self.demand.service_summary(&service);
+        let urgent_key = DemandKey {
+            service: service.clone(),
+            class: PriorityClass::Urgent,
+        };
+        let urgent = self.demand.summary(&urgent_key).short;
+        let mut actions = Vec::new();
+        if !self.fleet_only {
+            let input = PoolInput {
+                service: &service,
+                upstreams: views,
+                pending: &[],
+                demand: summary.short,
+                urgent,
+                freshness,
+                capability: &self.capability,
+            };
+            if let RoleDecision::Change(changes) = self.roles[pool].plan(&input, now) {
+                actions.extend(changes.iter().map(|change| FleetAction::Change {
+                    engine: engine_index(&change.upstream),
+                    role: change.to,
+                    instant: false,
+                }));
+            }
+        }
+        let domains: Vec<FailureDomainId> = (0..self.domains)
+            .filter(|domain| !lost[*domain])
+            .map(domain_id)
+            .collect();
+        let input = FleetInput {
+            service: &service,
+            upstreams: views,
+            // Starting engines announce themselves as cold, and stopping ones as leaving.
+            starting: &[],
+            stopping: &[],
+            domains: &domains,
+            protected: &[],
+            demand: summary,
+            urgent,
+            freshness,
+            demand_settings: self.demand.settings(),
+            capability: &self.capability,
+            service_budget: Some(self.sizes[pool]),
+            total_budget: None,
+        };
+        let decision = self.fleet.plan(&input, now);
+        actions.extend(decision.starts.iter().map(|start| {
+            FleetAction::Start {
+                pool,
+                domain: start
+                    .failure_domain
+                    .parse()
+                    .expect("failure domains are named by their index"),
+            }
+        }));
+        actions.extend(decision.stops.iter().map(|stop| FleetAction::Stop {
+            engine: engine_index(&stop.upstream),
+        }));
+        actions
+    }
+}
+
+/// Views of all engines that run or start.
+fn views(engines: &[EngineStatus]) -> Vec<UpstreamView> {
+    engines
+        .iter()
+        .enumerate()
+        .filter(|(_, status)| status.exists && status.info.role != UpstreamRole::Plain)
+        .map(|(index, status)| UpstreamView {
+            upstream: upstream_id(index),
+            service: service_id(usize::from(status.info.pool)),
+            failure_domain: domain_id(usize::from(status.info.domain)),
+            region: RegionId(format!("{}", status.info.region)),
+            role: status.info.role,
+            phase: status.phase,
+            model: None,
+            capacity_blocks: super::engine_model::MEMORY_BLOCKS,
+            role_since: TimePoint::from_millis(status.role_since_ms),
+        })
+        .collect()
+}
+
+impl CapacityControl for ShippedControl {
+    fn observe_demand(&mut self, report: &DemandReport, now: TimePoint) {
+        self.demand.observe(report, now);
+    }
+
+    fn observe_load(&mut self, role: UpstreamRole, report: &LoadReport, now: TimePoint) {
+        let upstream = upstream_id(report.engine);
+        self.capability.observe(&upstream, role, &report.load, now);
+    }
+
+    fn decide(
+        &mut self,
+        engines: &[EngineStatus],
+        lost: &[bool],
+        now: TimePoint,
+    ) -> Vec<FleetAction> {
+        self.demand.expire(now);
+        let views = views(engines);
+        (0..self.sizes.len())
+            .flat_map(|pool| self.plan_pool(pool, &views, lost, now))
+            .collect()
+    }
+}
+
+/// Threshold rule: whichever kind of engine has the longer queue gets one more.
+#[derive(Debug)]
+pub struct ReactiveControl {
+    pools: usize,
+    queued: Vec<(UpstreamRole, u32)>,
+}
+
+/// Waiting calls per engine from which the threshold rule acts.
+const REACTIVE_THRESHOLD: f64 = 4.0;
+
+impl ReactiveControl {
+    /// A rule for all pools of the scenario.
+    pub fn new(scenario: &Scenario) -> Self {
+        Self {
+            pools: scenario.pools.len(),
+            queued: Vec::new(),
+        }
+    }
+
+    fn pressure(&self, engines: &[EngineStatus], pool: usize, role: UpstreamRole) -> f64 {
+        let members = || {
+            self.queued
+                .iter()
+                .zip(engines)
+                .filter(|(_, status)| usize::from(status.info.pool) == pool)
+                .filter(|(_, status)| status.exists && status.info.role == role)
+        };
+        let count = members().count();
+        let queued: u32 = members().map(|((_, queued), _)| queued).sum();
+        f64::from(queued) / count.max(1) as f64
+    }
+}
+
+impl CapacityControl for ReactiveControl {
+    fn observe_demand(&mut self, _report: &DemandReport, _now: TimePoint) {}
+
+    fn observe_load(&mut self, role: UpstreamRole, report: &LoadReport, _now: TimePoint) {
+        if self.queued.len() <= report.engine {
+            self.queued.resize(report.engine + 1, (role, 0));
+        }
+        self.queued[report.engine] = (role, report.load.queued + report.load.running);
+    }
+
+    fn decide(&mut self, engines: &[EngineStatus], _: &[bool], _: TimePoint) -> Vec<FleetAction> {
+        let mut actions = Vec::new();
+        for pool in 0..self.pools {
+            // Decode engines run six times as many sequences.
+            let prefill = self.pressure(engines, pool, UpstreamRole::Prefill);
+            let decode = self.pressure(engines, pool, UpstreamRole::Decode) / 6.0;
+            let (from, to) = if prefill > REACTIVE_THRESHOLD && prefill > decode {
+                (UpstreamRole::Decode, UpstreamRole::Prefill)
+            } else if decode > REACTIVE_THRESHOLD && decode > prefill {
+                (UpstreamRole::Prefill, UpstreamRole::Decode)
+            } else {
+                continue;
+            };
+            let members: Vec<usize> = (0..engines.len())
+                .filter(|index| usize::from(engines[*index].info.pool) == pool)
+                .filter(|index| engines[*index].info.role == from && engines[*index].info.ready)
+                .collect();
+            if members.len() > 1 {
+                actions.push(FleetAction::Change {
+                    engine: members[0],
+                    role: to,
+                    instant: false,
+                });
+            }
+        }
+        actions
+    }
+}
+
+/// Prompts wait for their first token, output tokens only share an iteration, so prefill engines are
+/// used less; with this factor the bound reaches the highest goodput.
+const PREFILL_HEADROOM: f64 = 0.85;
+
+/// Knows the rates of the scenario ahead and changes roles at no cost.
+#[derive(Debug)]
+pub struct BoundControl {
+    scenario: Scenario,
+    variant: Variant,
+    fleet: ShippedControl,
+}
+
+/// Prompt tokens that are computed, and tokens that are generated, per read, chat and urgent call,
+/// with the documents cached.
+const MEAN_TOKENS: [(f64, f64); 3] = [(4_200.0, 50.0), (500.0, 250.0), (600.0, 4.0)];
+
+impl BoundControl {
+    /// A bound for a variant of a scenario.
+    pub fn new(scenario: &Scenario, variant: Variant) -> Self {
+        Self {
+            scenario: scenario.clone(),
+            variant,
+            fleet: ShippedControl::new(scenario, true),
+        }
+    }
+
+    fn demand(&self, pool: usize, now: TimePoint) -> DemandRate {
+        let second = super::replay::replay_second(now);
+        // The mean of the next interval between decisions.
+        let rates = self.scenario.rates(pool, self.variant, second + 2.5);
+        let counts = [rates.reads, rates.chats, rates.urgent];
+        let sum = |tokens: fn(&(f64, f64)) -> f64| -> TokenRate {
+            let products = counts.iter().zip(&MEAN_TOKENS);
+            TokenRate::per_second(products.map(|(rate, kind)| rate * tokens(kind)).sum())
+        };
+        DemandRate {
+            prefill: sum(|kind| kind.0),
+            decode: sum(|kind| kind.1),
+        }
+    }
+
+    /// Numbers of prefill and decode engines that leave the busier kind the least used.
+    fn best_counts(&self, engines: usize, demand: DemandRate) -> (usize, usize) {
+        let typical = |role| self.fleet.capability.typical(role);
+        let mut best = (f64::INFINITY, (0, 0));
+        for prefill in 0..=engines {
+            for decode in 0..=engines - prefill {
+                let counts = [
+                    (UpstreamRole::Prefill, prefill),
+                    (UpstreamRole::Decode, decode),
+                    (UpstreamRole::Mixed, engines - prefill - decode),
+                ];
+                let ability = counts
+                    .into_iter()
+                    .map(|(role, count)| typical(role).scaled(count as f64))
+                    .fold(oriolecrank_capacity::RoleAbility::default(), |sum, one| {
+                        sum + one
+                    });
+                let prefill_use = demand.prefill.share_of(ability.prefill) / PREFILL_HEADROOM;
+                let use_of_busier = prefill_use.max(demand.decode.share_of(ability.decode));
+                if use_of_busier < best.0 {
+                    best = (use_of_busier, (prefill, decode));
+                }
+            }
+        }
+        best.1
+    }
+}
+
+impl CapacityControl for BoundControl {
+    fn observe_demand(&mut self, report: &DemandReport, now: TimePoint) {
+        self.fleet.observe_demand(report, now);
+    }
+
+    fn observe_load(&mut self, role: UpstreamRole, report: &LoadReport, now: TimePoint) {
+        self.fleet.observe_load(role, report, now);
+    }
+
+    fn decide(
+        &mut self,
+        engines: &[EngineStatus],
+        lost: &[bool],
+        now: TimePoint,
+    ) -> Vec<FleetAction> {
+        let mut actions = self.fleet.decide(engines, lost, now);
+        actions.retain(|action| matches!(action, FleetAction::Start { .. }));
+        for pool in 0..self.scenario.pools.len() {
+            let members: Vec<usize> = (0..engines.len())
+                .filter(|index| usize::from(engines[*index].info.pool) == pool)
+                .filter(|index| engines[*index].info.ready)
+                .collect();
+            let (prefill, decode) = self.best_counts(members.len(), self.demand(pool, now));
+            let wanted = [
+                (UpstreamRole::Prefill, prefill),
+                (UpstreamRole::Decode, decode),
+                (UpstreamRole::Mixed, members.len() - prefill - decode),
+            ];
+            actions.extend(changes_to(engines, members, wanted));
+        }
+        actions
+    }
+}
+
+/// The fewest changes that give each role its number of engines.
+fn changes_to(
+    engines: &[EngineStatus],
+    members: Vec<usize>,
+    wanted: [(UpstreamRole, usize); 3],
+) -> Vec<FleetAction> {
+    let mut free = members;
+    let mut missing = Vec::new();
+    for (role, count) in wanted {
+        let mut kept = 0;
+        free.retain(|index| {
+            let keeps = kept < count && engines[*index].info.role == role;
+            kept += usize::from(keeps);
+            !keeps
+        });
+        missing.extend(std::iter::repeat_n(role, count - kept));
+    }
+    free.into_iter()
+        .zip(missing)
+        .map(|(engine, role)| FleetAction::Change {
+            engine,
+            role,
+            instant: true,
+        })
+        .collect()
+}
+
+/// Interval between decisions.
+pub const DECISION_INTERVAL: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/crates/oriolecrank-bench/src/policy/scenario.rs
@@ -0,0 +1,255 @@
+//! Scenarios and their variants.
+
+use oriolecrank_schema::control::UpstreamRole;
+
+/// Length of a swing from reads to chat and back, in seconds.
+const SWING_PERIOD_S: f64 = 1_800.0;
+
+/// Time that the shares need to exchange, in seconds; shorter than a cold start.
+const SWING_RAMP_S: f64 = 120.0;
+
+/// What happens in a replay.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Variant {
+    /// Even shares of reads and chat.
+    Steady,
+    /// Reads and chat exchange their shares.
+    Swing,
+    /// The largest organisation sends a multiple of its share.
+    Flood,
+    /// A failure domain is lost for a third of the time.
+    DomainLost,
+    /// A request that crashes each engine that runs it is sent again and again.
+    CrashingRequest,
+    /// Swings, with reports 5 s late and 20% of them lost.
+    LateReports,
+}
+
+impl Variant {
+    /// All variants, in the order of the lines.
+    pub const ALL: [Self; 6] = [
+        Self::Steady,
+        Self::Swing,
+        Self::Flood,
+        Self::DomainLost,
+        Self::CrashingRequest,
+        Self::LateReports,
+    ];
+
+    /// Name in the lines.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Steady => "steady",
+            Self::Swing => "swing",
+            Self::Flood => "flood",
+            Self::DomainLost => "domain_lost",
+            Self::CrashingRequest => "crashing_request",
+            Self::LateReports => "late_reports",
+        }
+    }
+
+    /// Whether the shares of reads and chat exchange.
+    pub const fn swings(self) -> bool {
+        matches!(self, Self::Swing | Self::LateReports)
+    }
+}
+
+/// Calls per second of a pool of engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CallRates {
+    /// Reads of long logs or care files.
+    pub reads: f64,
+    /// Chat replies.
+    pub chats: f64,
+    /// Urgent yes/no or fitness answers.
+    pub urgent: f64,
+}
+
+/// Engines that serve one model.
+#[derive(Debug, Clone)]
+pub struct EnginePool {
+    /// Roles at the start, fit for the steady shares; one per engine.
+    pub roles: Vec<UpstreamRole>,
+    /// Share of the scenario's load.
+    pub scale: f64,
+}
+
+/// A scenario of the design page.
+#[derive(Debug, Clone)]
+pub struct Scenario {
+    /// Name in the lines.
+    pub name: &'static str,
+    /// Engine pools, one per model.
+    pub pools: Vec<EnginePool>,
+    /// Number of plain upstreams.
+    pub plain: usize,
+    /// Calls per second of the plain service.
+    pub plain_rate: f64,
+    /// Weight of each organisation, largest first.
+    pub organisations: Vec<f64>,
+    /// Number of failure domains.
+    pub domains: usize,
+    /// Number of regions; failure domains are assigned in turn.
+    pub regions: usize,
+    /// Replayed time in seconds.
+    pub length_s: u64,
+    /// Rates per unit of scale at the reading end, in the middle and at the chatting end of a swing.
+    rates: [CallRates; 3],
+}
+
+impl Scenario {
+    /// All names, in the order of the lines.
+    pub const NAMES: [&'static str; 3] = ["brine", "refugio", "large"];
+
+    /// The scenario with a name.
+    pub fn named(name: &str, quick: bool) -> Option<Self> {
+        let scenario = match name {
+            "brine" => Self::brine(),
+            "refugio" => Self::refugio(),
+            "large" => Self::large(),
+            _ => return None,
+        };
+        let length_s = if quick { 600 } else { scenario.length_s };
+        Some(Self {
+            length_s,
+            ..scenario
+        })
+    }
+
+    /// Tallapoosa at harvest peak: 8 assistants and 3 desks.
+    fn brine() -> Self {
+        Self {
+            name: "brine",
+            pools: vec![EnginePool::sized(8)],
+            plain: 3,
+            plain_rate: 6.0,
+            organisations: heavy_tail(8, 1.1),
+            domains: 3,
+            regions: 3,
+            length_s: 3_600,
+            rates: SWING_RATES,
+        }
+    }
+
+    /// Refugio Lento: 6 assistants and 3 ledgers, with organisations of more even size.
+    fn refugio() -> Self {
+        Self {
+            name: "refugio",
+            pools: vec![EnginePool::sized(6)],
+            plain: 3,
+            plain_rate: 4.0,
+            organisations: heavy_tail(8, 0.9),
+            domains: 3,
+            regions: 3,
+            length_s: 3_600,
+            rates: SWING_RATES,
+        }
+    }
+
+    /// The design size scaled by ten: 160 engines, 11 models, 340 organisations.
+    fn large() -> Self {
+        let sizes = [40, 28, 20, 16, 13, 11, 9, 7, 6, 5, 5];
+        Self {
+            name: "large",
+            pools: sizes.into_iter().map(EnginePool::sized).collect(),
+            plain: 0,
+            plain_rate: 0.0,
+            organisations: heavy_tail(340, 1.0),
+            domains: 10,
+            regions: 4,
+            length_s: 1_800,
+            rates: SWING_RATES,
+        }
+    }
+
+    /// Calls per second of a pool at a time.
+    pub fn rates(&self, pool: usize, variant: Variant, second: f64) -> CallRates {
+        let scale = self.pools[pool].scale;
+        let [reading, middle, chatting] = self.rates;
+        let position = if variant.swings() {
+            swing_position(second)
+        } else {
+            0.0
+        };
+        let (end, share) = if position < 0.0 {
+            (reading, -position)
+        } else {
+            (chatting, position)
+        };
+        let between = |from: f64, to: f64| scale * (to - from).mul_add(share, from);
+        CallRates {
+            reads: between(middle.reads, end.reads),
+            chats: between(middle.chats, end.chats),
+            urgent: between(middle.urgent, end.urgent),
+        }
+    }
+}
+
+/// Rates for one engine of a pool. A read computes about 5,000 prompt tokens beyond the cached ones
+/// and generates 50 tokens; a chat computes 500 and generates 250. The sums keep about six of eight
+/// engines busy with roles that fit.
+const SWING_RATES: [CallRates; 3] = [
+    CallRates {
+        reads: 0.7,
+        chats: 0.3,
+        urgent: 0.4,
+    },
+    CallRates {
+        reads: 0.4,
+        chats: 1.0,
+        urgent: 0.4,
+    },
+    CallRates {
+        reads: 0.08,
+        chats: 2.0,
+        urgent: 0.4,
+    },
+];
+
+impl EnginePool {
+    /// A pool of `engines` with five prefill for every three decode engines.
+    fn sized(engines: usize) -> Self {
+        let prefill = (engines * 5 + 4) / 8;
+        let prefill = prefill.clamp(1, engines - 1);
+        // The kinds are interleaved, so that each failure domain has both.
+        let roles = (0..engines)
+            .map(|index| {
+                let before = index * prefill / engines;
+                let after = (index + 1) * prefill / engines;
+                if after > before {
+                    UpstreamRole::Prefill
+                } else {
+                    UpstreamRole::Decode
+                }
+            })
+            .collect();
+        Self {
+            roles,
+            scale: engines as f64,
+        }
+    }
+}
+
+/// Weights proportional to `1 / rank^exponent`, with sum 1.
+fn heavy_tail(count: usize, exponent: f64) -> Vec<f64> {
+    let weights: Vec<f64> = (1..=count)
+        .map(|rank| (rank as f64).powf(-exponent))
+        .collect();
+    let sum: f64 = weights.iter().sum();
+    weights.into_iter().map(|weight| weight / sum).collect()
+}
+
+/// Position in the swing: -1 at the reading end, 1 at the chatting end. It begins in the middle.
+fn swing_position(second: f64) -> f64 {
+    let half = SWING_PERIOD_S / 2.0;
+    let phase = second.rem_euclid(SWING_PERIOD_S);
+    let (start, from, to) = if second < half {
+        (0.0, 0.0, -1.0)
+    } else if phase < half {
+        (0.0, 1.0, -1.0)
+    } else {
+        (half, -1.0, 1.0)
+    };
+    let progress = ((phase - start) / SWING_RAMP_S).min(1.0);
+    from + (to - from) * progress
+}
--- /dev/null
+++ b/crates/oriolecrank-bench/src/policy/traffic.rs
@@ -0,0 +1,245 @@
+//! Seeded calls of a scenario.
+
+use rand::Rng;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use super::scenario::{Scenario, Variant};
+
+/// Factor on the rate of the largest organisation during a flood.
+const FLOOD_FACTOR: f64 = 5.0;
+
+/// Time by which an urgent answer has to be complete, in microseconds.
+const URGENT_DEADLINE_US: u64 = 2_000_000;
+
+/// Time between two crashing requests, in seconds.
+const CRASHING_EVERY_S: f64 = 300.0;
+
+/// Documents of the largest organisation; a smaller one has fewer, and at least two.
+const MOST_DOCUMENTS: f64 = 8.0;
+
+/// Kind of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallKind {
+    /// Read of a long log or care file.
+    Read,
+    /// Chat reply.
+    Chat,
+    /// Yes/no or fitness answer.
+    Urgent,
+    /// Call of the plain service.
+    Plain,
+}
+
+/// A call as the caller sends it.
+#[derive(Debug, Clone, Copy)]
+pub struct Call {
+    /// Time of arrival, in microseconds.
+    pub arrival_us: u64,
+    /// Index of the organisation.
+    pub organisation: u16,
+    /// Index of the region that the caller is in.
+    pub region: u8,
+    /// Index of the engine pool; the number of pools for the plain service.
+    pub pool: u8,
+    /// Kind.
+    pub kind: CallKind,
+    /// Prompt tokens.
+    pub prompt: u32,
+    /// Tokens of the answer.
+    pub output: u32,
+    /// Identity of the document that the prompt begins with.
+    pub prefix: u32,
+    /// Tokens of that document.
+    pub prefix_tokens: u32,
+    /// Time by which the whole answer is needed, in microseconds.
+    pub deadline_us: Option<u64>,
+    /// Crashes each engine that runs it.
+    pub crashes: bool,
+    /// Belongs to the excess of a flood and is not counted as offered.
+    pub excess: bool,
+}
+
+/// Start and end of the flood and of the loss of a failure domain, in seconds.
+pub fn disturbance(scenario: &Scenario) -> (f64, f64) {
+    let third = scenario.length_s as f64 / 3.0;
+    (third, 2.0 * third)
+}
+
+/// All calls in the order of their arrival.
+pub fn calls(scenario: &Scenario, variant: Variant, seed: u64) -> Vec<Call> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ (variant as u64) << 32);
+    let mut calls = Vec::new();
+    for pool in 0..scenario.pools.len() {
+        for kind in [CallKind::Read, CallKind::Chat, CallKind::Urgent] {
+            let rate = |second: f64| {
+                let rates = scenario.rates(pool, variant, second);
+                match kind {
+                    CallKind::Read => rates.reads,
+                    CallKind::Chat => rates.chats,
+                    CallKind::Urgent => rates.urgent,
+                    CallKind::Plain => 0.0,
+                }
+            };
+            arrivals(scenario, variant, pool, kind, rate, &mut calls, &mut random);
+        }
+    }
+    let plain = scenario.pools.len();
+    let rate = |_| scenario.plain_rate;
+    arrivals(
+        scenario,
+        variant,
+        plain,
+        CallKind::Plain,
+        rate,
+        &mut calls,
+        &mut random,
+    );
+    if variant == Variant::CrashingRequest {
+        mark_crashing(&mut calls);
+    }
+    calls.sort_by_key(|call| call.arrival_us);
+    calls
+}
+
+/// Poisson arrivals of one kind at a varying rate.
+fn arrivals(
+    scenario: &Scenario,
+    variant: Variant,
+    pool: usize,
+    kind: CallKind,
+    rate: impl Fn(f64) -> f64,
+    calls: &mut Vec<Call>,
+    random: &mut ChaCha8Rng,
+) {
+    let (flood_from, flood_until) = disturbance(scenario);
+    // The largest organisation calls the first model and the plain service.
+    let calls_pool = pool == 0 || pool == scenario.pools.len();
+    let share = if calls_pool {
+        share_in_pool(scenario, pool)
+    } else {
+        0.0
+    };
+    let extra = share * (FLOOD_FACTOR - 1.0);
+    let mut second = 0.0;
+    loop {
+        let floods = variant == Variant::Flood && second >= flood_from && second < flood_until;
+        let base = rate(second);
+        let total = if floods { base * (1.0 + extra) } else { base };
+        if total <= 0.0 {
+            return;
+        }
+        let wait = -random.random::<f64>().max(f64::MIN_POSITIVE).ln() / total;
+        // The rate is taken anew at least each second, because it varies.
+        if wait > 1.0 {
+            second += 1.0;
+        } else {
+            second += wait;
+        }
+        if second >= scenario.length_s as f64 {
+            return;
+        }
+        if wait > 1.0 {
+            continue;
+        }
+        let is_excess = floods && random.random_bool(extra / (1.0 + extra));
+        let organisation = if is_excess {
+            0
+        } else {
+            pick(scenario, pool, random)
+        };
+        let mut call = draw(scenario, pool, kind, organisation, second, random);
+        call.excess = is_excess;
+        calls.push(call);
+    }
+}
+
+/// Share of the largest organisation in the calls of a pool that it calls.
+fn share_in_pool(scenario: &Scenario, pool: usize) -> f64 {
+    let pools = scenario.pools.len();
+    let weights = scenario.organisations.iter().enumerate();
+    let members = weights.filter(|(index, _)| pool == pools || index % pools == pool);
+    scenario.organisations[0] / members.map(|(_, weight)| weight).sum::<f64>()
+}
+
+/// Draws an organisation by weight. Each organisation calls one of the models; all call the plain
+/// service.
+fn pick(scenario: &Scenario, pool: usize, random: &mut ChaCha8Rng) -> usize {
+    let weights = &scenario.organisations;
+    let pools = scenario.pools.len();
+    let calls = |index: &usize| pool == pools || index % pools == pool;
+    let members = (0..weights.len()).filter(calls);
+    let sum: f64 = members.clone().map(|index| weights[index]).sum();
+    let mut left = random.random::<f64>() * sum;
+    let mut last = 0;
+    for index in members {
+        last = index;
+        left -= weights[index];
+        if left < 0.0 {
+            break;
+        }
+    }
+    last
+}
+
+fn draw(
+    scenario: &Scenario,
+    pool: usize,
+    kind: CallKind,
+    organisation: usize,
+    second: f64,
+    random: &mut ChaCha8Rng,
+) -> Call {
+    let arrival_us = (second * 1e6) as u64;
+    let share = scenario.organisations[organisation] / scenario.organisations[0];
+    let documents = (MOST_DOCUMENTS * share).ceil().max(2.0) as u32;
+    let document = random.random_range(0..documents);
+    let (prompt, prefix_tokens, output) = match kind {
+        CallKind::Read => {
+            let prefix = 3_000 + document % 4 * 1_000;
+            (
+                prefix + random.random_range(1_500..4_000),
+                prefix,
+                random.random_range(30..70),
+            )
+        }
+        CallKind::Chat => (
+            random.random_range(300..700),
+            0,
+            random.random_range(150..350),
+        ),
+        CallKind::Urgent => (1_000 + random.random_range(200..800), 1_000, 4),
+        CallKind::Plain => (0, 0, 1),
+    };
+    // Urgent calls of an organisation share one prompt; reads begin with one of its documents.
+    let document = if kind == CallKind::Read {
+        document + 1
+    } else {
+        0
+    };
+    Call {
+        arrival_us,
+        organisation: organisation as u16,
+        region: random.random_range(0..scenario.regions) as u8,
+        pool: pool as u8,
+        kind,
+        prompt,
+        output,
+        prefix: ((pool * scenario.organisations.len() + organisation) as u32) << 8 | document,
+        prefix_tokens,
+        deadline_us: (kind == CallKind::Urgent).then_some(arrival_us + URGENT_DEADLINE_US),
+        crashes: false,
+        excess: false,
+    }
+}
+
+/// Turns the first read after each interval into one that crashes its engine.
+fn mark_crashing(calls: &mut [Call]) {
+    let mut due_us = CRASHING_EVERY_S * 1e6;
+    for call in calls {
+        if call.kind == CallKind::Read && call.arrival_us as f64 >= due_us {
+            call.crashes = true;
+            due_us += CRASHING_EVERY_S * 1e6;
+        }
+    }
+}
