--- a/crates/oriolecrank-bench/src/policy/replay.rs
+++ b/crates/oriolecrank-bench/src/policy/replay.rs
@@ -6,7 +6,8 @@
 
 use oriolecrank_capacity::{DemandKey, DemandReport, ReporterId};
 use oriolecrank_schema::TimePoint;
-use oriolecrank_schema::control::{UpstreamLoad, UpstreamPhase, UpstreamRole};
+use oriolecrank_schema::control::{UpstreamPhase, UpstreamRole};
+use oriolecrank_schema::data_path::UpstreamLoad;
 use oriolecrank_schema::document::PriorityClass;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
--- a/crates/oriolecrank-bench/src/policy/request_path.rs
+++ b/crates/oriolecrank-bench/src/policy/request_path.rs
@@ -1,6 +1,7 @@
 //! Seam between the replay and the decisions of the request path.
 
-use oriolecrank_schema::control::{UpstreamLoad, UpstreamRole};
+use oriolecrank_schema::control::UpstreamRole;
+use oriolecrank_schema::data_path::UpstreamLoad;
 
 use super::engine_model::Sequence;
 use super::traffic::Call;
--- a/crates/oriolecrank-entry/src/admission.rs
+++ b/crates/oriolecrank-entry/src/admission.rs
@@ -60,7 +60,7 @@
             let share = LimitShare::try_from(message).ok()?;
             Some((LimitKey::from(message), share))
         });
-        let entries = EntryCount::new(answer.entries);
+        let entries = (answer.entries > 0).then(|| EntryCount::new(answer.entries));
         let lifetime = Duration::from_millis(answer.shares_lifetime_ms);
         self.control()
             .limiter()
@@ -69,7 +69,7 @@
 
     /// Demand since the last call.
     pub fn take_demand(&self) -> Vec<LimitDemand> {
-        self.control().limiter().take_demand()
+        self.control().limiter().take_demand(BootClock.now())
     }
 
     /// Admits or refuses a call.
