Test the limits that hold over all organisations

Cause: trial changes that removed the total limits of claims, answers, suspects, crash reports, intents, history and feed passed every test. Change: one case for each of these limits. Conclusion: only the limits of usage ids (4,000,000) and of lines in unreported windows (1,000,000) have no test, because reaching them takes too long.

--- a/crates/oriolecrank-state/tests/state/main.rs
+++ b/crates/oriolecrank-state/tests/state/main.rs
@@ -1,5 +1,6 @@
 //! Tests of documents and of the replicated state machine.
 
+mod bounds;
 mod capacity_commands;
 mod claim_commands;
 mod claim_model;
