--- a/crates/oriolecrank-bench/src/lib.rs
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -8,3 +8,4 @@
 
 pub mod arguments;
 pub mod measurement;
+pub mod route;
--- a/crates/oriolecrank-bench/src/main.rs
+++ b/crates/oriolecrank-bench/src/main.rs
@@ -8,12 +8,13 @@
 
 use oriolecrank_bench::arguments::BenchArguments;
 use oriolecrank_bench::measurement::{Measurement, Target, size};
+use oriolecrank_bench::route;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 /// Text for wrong arguments.
-const USAGE: &str = "usage: oriolecrank-bench codec [--seed N] [--seeds N] [--scenario NAME] \
+const USAGE: &str = "usage: oriolecrank-bench codec|route [--seed N] [--seeds N] [--scenario NAME] \
                      [--variant NAME] [--quick] [--json]";
 
 fn main() -> ExitCode {
@@ -26,6 +27,7 @@
     };
     let passed = match arguments.measure.as_str() {
         "codec" => codec_size(&arguments),
+        "route" => route::run(&arguments),
         _ => {
             eprintln!("{USAGE}");
             return ExitCode::from(2);
--- a/crates/oriolecrank-policy/src/load_estimate.rs
+++ b/crates/oriolecrank-policy/src/load_estimate.rs
@@ -23,7 +23,7 @@
 impl Default for EstimateSettings {
     fn default() -> Self {
         Self {
-            half_life: Duration::from_secs(2),
+            half_life: Duration::from_secs(4),
             longest_lag: Duration::from_secs(10),
         }
     }
--- a/crates/oriolecrank-policy/tests/upstream_chooser.rs
+++ b/crates/oriolecrank-policy/tests/upstream_chooser.rs
@@ -374,7 +374,7 @@
             let ended = sum(&|sent, finished| sent < since && finished.is_some_and(|end| end >= since));
             let usual = 0.3 * 50.0;
             let expected = own + last.map_or(usual, |(measured, blocks)| {
-                let weight = 0.5f64.powf((now - measured) as f64 / 2_000.0);
+                let weight = 0.5f64.powf((now - measured) as f64 / 4_000.0);
                 weight * (blocks - ended).max(0.0) + (1.0 - weight) * usual
             });
             let found = estimate.blocks(capacity, 0.3, &settings, at(now));
