--- a/crates/oriolecrank-bench/src/lib.rs
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod arguments;
 pub mod measurement;
 pub mod policy;
+pub mod route;
--- a/crates/oriolecrank-fakes/src/main.rs
+++ b/crates/oriolecrank-fakes/src/main.rs
@@ -32,8 +32,12 @@
                 other => return Err(other.unexpected()),
             }
         }
-        let [kind, address] = words.try_into().map_err(|_| "expected a kind and an address")?;
-        let address = address.parse().map_err(|_| "the address is not of the form IP:port")?;
+        let [kind, address] = words
+            .try_into()
+            .map_err(|_| "expected a kind and an address")?;
+        let address = address
+            .parse()
+            .map_err(|_| "the address is not of the form IP:port")?;
         Ok(Self { kind, address })
     }
 }
@@ -66,7 +70,10 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("oriolecrank-fakes: cannot listen on {}: {error}", arguments.address);
+            eprintln!(
+                "oriolecrank-fakes: cannot listen on {}: {error}",
+                arguments.address
+            );
             ExitCode::FAILURE
         }
     }
