--- a/crates/oriolecrank-entry/src/suspect_gate.rs
+++ b/crates/oriolecrank-entry/src/suspect_gate.rs
@@ -170,6 +170,7 @@
             fingerprint: plan.template.fingerprint.clone(),
             incarnation: dispatch.incarnation(),
             organisation: plan.template.organisation.clone(),
+            request_id: plan.template.request_id.clone(),
             upstream: upstream.clone(),
         };
         match context.control.command(&command, RERUN_TIMEOUT).await {
