Flush an answer before its connection is broken

hyper drops what it has buffered when a body fails, so an error event that was sent just before the abort never reached the caller. The body is now pending once before it reports the abort, which makes hyper flush.

--- a/crates/oriolecrank-net/src/answer_body.rs
+++ b/crates/oriolecrank-net/src/answer_body.rs
@@ -28,7 +28,48 @@
     /// Complete body; `None` once it is sent or if it is empty.
     Full(Option<Bytes>),
     /// Body that is produced while it is sent. It ends when the sender is dropped.
-    Stream(mpsc::Receiver<Result<Bytes, BodyAborted>>),
+    Stream(StreamedBody),
+}
+
+/// Receiving half of a streamed body.
+#[derive(Debug)]
+pub struct StreamedBody {
+    receiver: mpsc::Receiver<Result<Bytes, BodyAborted>>,
+    /// Bytes were handed over since the body was last pending.
+    unflushed: bool,
+    /// The body was aborted; reported once the bytes before have been flushed.
+    aborted: bool,
+}
+
+impl StreamedBody {
+    /// The HTTP connection drops bytes that it has buffered when the body fails, and flushes them
+    /// when the body is pending. An abort is therefore preceded by one pending poll, so that an
+    /// error event before it reaches the caller.
+    fn poll_next(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+        if self.aborted {
+            return Poll::Ready(Some(Err(BodyAborted)));
+        }
+        let polled = self.receiver.poll_recv(context);
+        match polled {
+            Poll::Pending => self.unflushed = false,
+            Poll::Ready(Some(Ok(bytes))) => {
+                self.unflushed = true;
+                return Poll::Ready(Some(Ok(Frame::data(bytes))));
+            }
+            Poll::Ready(None) => return Poll::Ready(None),
+            Poll::Ready(Some(Err(error))) => {
+                self.aborted = true;
+                if !self.unflushed {
+                    return Poll::Ready(Some(Err(error)));
+                }
+                context.waker().wake_by_ref();
+            }
+        }
+        Poll::Pending
+    }
 }
 
 impl AnswerBody {
@@ -41,7 +82,12 @@
     /// A streamed body and its sender.
     pub fn stream() -> (BodySender, Self) {
         let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
-        (sender, Self::Stream(receiver))
+        let body = StreamedBody {
+            receiver,
+            unflushed: false,
+            aborted: false,
+        };
+        (sender, Self::Stream(body))
     }
 }
 
@@ -55,9 +101,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         match &mut *self {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(receiver) => receiver
-                .poll_recv(context)
-                .map(|item| item.map(|result| result.map(Frame::data))),
+            Self::Stream(body) => body.poll_next(context),
         }
     }
 
--- a/crates/oriolecrank-net/src/lib.rs
+++ b/crates/oriolecrank-net/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod settings_file;
 pub mod shutdown;
 
-pub use answer_body::{AnswerBody, BodyAborted, BodySender};
+pub use answer_body::{AnswerBody, BodyAborted, BodySender, StreamedBody};
 pub use boot_clock::BootClock;
 pub use cluster_secret::{ClusterSecret, SecretError};
 pub use control_client::{ControlClient, ControlError, peer_request};
