--- a/crates/oriolecrank-entry/src/entry_metrics.rs
+++ b/crates/oriolecrank-entry/src/entry_metrics.rs
@@ -98,6 +98,7 @@
     first_byte: Family<ServiceLabels, Histogram>,
     retries: Family<RetryLabels, Counter>,
     refusals: Family<RefusalLabels, Counter>,
+    coalesced: Counter,
     state_age: Gauge<f64, AtomicU64>,
     revision: Gauge,
     pending_usage: Gauge,
@@ -114,6 +115,7 @@
             first_byte: Family::new_with_constructor(buckets),
             retries: Family::default(),
             refusals: Family::default(),
+            coalesced: Counter::default(),
             state_age,
             revision: Gauge::default(),
             pending_usage: Gauge::default(),
@@ -135,6 +137,11 @@
         );
         registry.register("retries", "Further attempts", self.retries.clone());
         registry.register("refusals", "Errors to callers", self.refusals.clone());
+        registry.register(
+            "coalesced",
+            "Reads that joined a running read",
+            self.coalesced.clone(),
+        );
         registry.register_with_unit(
             "state_age",
             "Age of the newest confirmation of the state",
@@ -196,6 +203,11 @@
         self.refusals.get_or_create(&labels).inc();
     }
 
+    /// Counts a read that joined a running read.
+    pub fn count_coalesced(&self) {
+        self.coalesced.inc();
+    }
+
     /// Shows the age of the state.
     pub fn set_state_age(&self, age: Option<Duration>) {
         let seconds = age.map_or(UNKNOWN_AGE_S, |age| age.as_secs_f64());
--- a/crates/oriolecrank-entry/src/read_coalescer.rs
+++ b/crates/oriolecrank-entry/src/read_coalescer.rs
@@ -53,6 +53,7 @@
         let key = read_key(plan);
         let mut running = self.running();
         if let Some(sender) = running.get(&key) {
+            context.metrics.count_coalesced();
             return sender.subscribe();
         }
         let (sender, receiver) = watch::channel(None);
--- a/crates/oriolecrank-fakes/src/lib.rs
+++ b/crates/oriolecrank-fakes/src/lib.rs
@@ -1,10 +1,21 @@
 //! Small fakes of the systems around oriolecrank, for tests, measurements and the local demo.
 //!
 //! [`FakeEngine`] answers OpenAI-style completions, [`FakeLedger`] is a plain service whose entries
-//! can be counted. Faults are switched on through [`EngineFaults`].
+//! can be counted. Faults are switched on through [`EngineFaults`]. [`FakeAgent`] and
+//! [`FakeControl`] stand for processes of oriolecrank in tests of others; [`FakeServer`] runs a fake
+//! on a port and can be killed.
 
+mod fake_agent;
+mod fake_control;
 mod fake_engine;
 mod fake_ledger;
+mod fake_server;
 
+pub use fake_agent::{
+    AgentCall, AgentLog, AgentStep, FakeAgent, accepted, chunk, end, failed, head, idle_load,
+    whole_answer,
+};
+pub use fake_control::{ControlLog, ControlScript, FakeControl};
 pub use fake_engine::{CRASH_MARKER, EngineFaults, EngineOptions, FakeEngine, expected_text};
 pub use fake_ledger::{FakeLedger, LedgerEntry};
+pub use fake_server::FakeServer;
