--- a/crates/oriolecrank-net/src/answer_body.rs
+++ b/crates/oriolecrank-net/src/answer_body.rs
@@ -28,47 +28,31 @@
     /// Complete body; `None` once it is sent or if it is empty.
     Full(Option<Bytes>),
     /// Body that is produced while it is sent. It ends when the sender is dropped.
-    Stream(StreamedBody),
+    Stream(BodyReceiver),
 }
 
 /// Receiving half of a streamed body.
 #[derive(Debug)]
-pub struct StreamedBody {
+pub struct BodyReceiver {
     receiver: mpsc::Receiver<Result<Bytes, BodyAborted>>,
-    /// Bytes were handed over since the body was last pending.
-    unflushed: bool,
-    /// The body was aborted; reported once the bytes before have been flushed.
+    /// The sender has aborted the body; the next poll reports it.
     aborted: bool,
 }
 
-impl StreamedBody {
-    /// The HTTP connection drops bytes that it has buffered when the body fails, and flushes them
-    /// when the body is pending. An abort is therefore preceded by one pending poll, so that an
-    /// error event before it reaches the caller.
-    fn poll_next(
-        &mut self,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+impl BodyReceiver {
+    fn poll_next(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyAborted>>> {
         if self.aborted {
             return Poll::Ready(Some(Err(BodyAborted)));
         }
-        let polled = self.receiver.poll_recv(context);
-        match polled {
-            Poll::Pending => self.unflushed = false,
-            Poll::Ready(Some(Ok(bytes))) => {
-                self.unflushed = true;
-                return Poll::Ready(Some(Ok(Frame::data(bytes))));
-            }
-            Poll::Ready(None) => return Poll::Ready(None),
-            Poll::Ready(Some(Err(error))) => {
-                self.aborted = true;
-                if !self.unflushed {
-                    return Poll::Ready(Some(Err(error)));
-                }
-                context.waker().wake_by_ref();
-            }
+        let received = self.receiver.poll_recv(context);
+        if matches!(received, Poll::Ready(Some(Err(_)))) {
+            // hyper drops what it has not yet written when a body fails. Yielding once lets it
+            // write the bytes before the abort, such as an error event for the caller.
+            self.aborted = true;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
         }
-        Poll::Pending
+        received
     }
 }
 
@@ -82,12 +66,13 @@
     /// A streamed body and its sender.
     pub fn stream() -> (BodySender, Self) {
         let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
-        let body = StreamedBody {
-            receiver,
-            unflushed: false,
-            aborted: false,
-        };
-        (sender, Self::Stream(body))
+        (
+            sender,
+            Self::Stream(BodyReceiver {
+                receiver,
+                aborted: false,
+            }),
+        )
     }
 }
 
@@ -101,7 +86,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
         match &mut *self {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(body) => body.poll_next(context),
+            Self::Stream(receiver) => receiver
+                .poll_next(context)
+                .map(|item| item.map(|result| result.map(Frame::data))),
         }
     }
 
