Add a fake platform and a fake usage interface

Cause: what the control leader sends to the platform and to the usage interface could not be tested. Change: FakePlatform starts, stops and lists upstreams and records each request with its arrival time; FakeUsage keeps each report byte for byte. Lost requests and answers, refusals and delays come from a queue of faults, crashed starts from a counter. The platform does not check idempotency ids, so that a repeated start is seen as a second upstream. Conclusion: the executors of the leader can be tested over TCP.

--- a/crates/oriolecrank-fakes/src/lib.rs
+++ b/crates/oriolecrank-fakes/src/lib.rs
@@ -1,10 +1,17 @@
 //! Small fakes of the systems around oriolecrank, for tests, measurements and the local demo.
 //!
 //! [`FakeEngine`] answers OpenAI-style completions, [`FakeLedger`] is a plain service whose entries
-//! can be counted. Faults are switched on through [`EngineFaults`].
+//! can be counted. [`FakePlatform`] starts and stops upstreams, [`FakeUsage`] receives usage
+//! reports. Faults are switched on through [`EngineFaults`] and [`FaultQueue`].
 
+mod answer_faults;
 mod fake_engine;
 mod fake_ledger;
+mod fake_platform;
+mod fake_usage;
 
+pub use answer_faults::{AnswerFault, FaultQueue};
 pub use fake_engine::{CRASH_MARKER, EngineFaults, EngineOptions, FakeEngine, expected_text};
 pub use fake_ledger::{FakeLedger, LedgerEntry};
+pub use fake_platform::{FakePlatform, PlatformRequest, RunningUpstream};
+pub use fake_usage::{FakeUsage, ReceivedReport};
