Carry out orders, starts, stops and usage reports

Cause: committed orders, intents and windows had nobody who acts on them. Change: OrderExecutor repeats an order under its number until its outcome is known and settles refusals, restarts and departures by stated rules; PlatformExecutor reconciles intents with what runs; UsageExecutor closes and reports windows with fixed bytes. The state tells whether a member was attributed to a start, so that a successor does not send a start whose upstream has already joined.

--- a/crates/oriolecrank-capacity/src/platform_reconciliation.rs
+++ b/crates/oriolecrank-capacity/src/platform_reconciliation.rs
@@ -125,6 +125,11 @@
         self.open.entry(id).or_insert(OpenIntent { intent, state });
     }
 
+    /// Drops an intent that was settled elsewhere.
+    pub fn forget(&mut self, id: IntentId) {
+        self.open.shift_remove(&id);
+    }
+
     /// States the upstreams that cannot be the effect of an open start, because they were members
     /// before the oldest of them was committed.
     pub fn set_known(&mut self, members: impl IntoIterator<Item = UpstreamId>) {
--- a/crates/oriolecrank-control/src/lib.rs
+++ b/crates/oriolecrank-control/src/lib.rs
@@ -7,25 +7,50 @@
 //!   tells the subscribers.
 //! - [`LeaderDuties`] are what only the leader does; [`LeaseTable`] and [`SubscriberTable`] hold its
 //!   view of upstreams and entries.
+//! - [`OrderExecutor`], [`PlatformExecutor`] and [`UsageExecutor`] are what the leader does outside
+//!   the log. They ask for a [`WritePermit`] immediately before each write, and those that write to
+//!   systems without fencing numbers wait first ([`AuthorityWait`]).
 //! - `request_server` answers the other processes.
 
+mod action_authority;
+mod cluster_label;
 mod command_replica;
+mod control_metrics;
+mod guarded_client;
 mod leader_duties;
 mod lease_table;
 mod local_log;
 mod local_replica;
 mod options;
+mod order_executor;
+mod platform_client;
+mod platform_executor;
 mod process;
 mod request_server;
 mod shared_state;
 mod subscriber_table;
 mod subscription_hub;
+mod usage_client;
+mod usage_executor;
 
+pub use action_authority::{
+    AuthorityWait, LeaderPermit, TermGuard, TimeSource, WaitSettings, WaitState, WritePermit,
+};
+pub use cluster_label::ClusterLabel;
 pub use command_replica::CommandReplica;
+pub use control_metrics::{ControlFigures, ControlMetrics};
+pub use guarded_client::{GuardedAnswer, GuardedError, VerdictError, send_guarded};
 pub use leader_duties::LeaderDuties;
 pub use lease_table::{LeaseReport, LeaseSettings, LeaseTable};
 pub use options::{ControlOptions, InitialMember};
+pub use order_executor::{OrderExecutor, OrderSettings};
+pub use platform_client::{
+    HttpPlatform, PlatformAnswer, PlatformClient, PlatformError, PlatformOrder, PlatformRequestId,
+};
+pub use platform_executor::{PlatformExecutor, PlatformSettings, StartOutcome, StartOutcomes};
 pub use process::{ControlError, ControlProcess};
 pub use shared_state::SharedState;
 pub use subscriber_table::{ForceReport, SubscriberRecord, SubscriberTable};
 pub use subscription_hub::SubscriptionHub;
+pub use usage_client::{HttpUsage, ReportAnswer, ReportId, UsageClient, UsageReport};
+pub use usage_executor::{UsageExecutor, UsageSettings};
--- /dev/null
+++ b/crates/oriolecrank-control/src/platform_executor.rs
@@ -0,0 +1,470 @@
+//! Carries out committed starts and stops through the platform.
+//!
+//! An intent stays pending until its upstream has announced itself or is known to have crashed, so
+//! that a successor treats it as possibly sent and reads back what runs.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oriolecrank_capacity::{
+    IntentId, PlatformInstance, PlatformIntent as WantedIntent, PlatformReconciler, PlatformStep,
+    ReconcilerSettings,
+};
+use oriolecrank_consensus::Term;
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::control::{
+    Command, CommandOutcome, IntentState, OrderResult, PlatformIntent,
+};
+use oriolecrank_schema::data_path::RunVerdict;
+use oriolecrank_schema::document::{FailureDomainId, ServiceId, UpstreamId};
+use oriolecrank_schema::event::LogEvent;
+use oriolecrank_state::ClusterState;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::action_authority::{
+    AuthorityWait, LeaderPermit, TermGuard, TimeSource, WaitSettings, WaitState, WritePermit as _,
+};
+use crate::cluster_label::ClusterLabel;
+use crate::command_replica::CommandReplica;
+use crate::control_metrics::ControlMetrics;
+use crate::guarded_client::VerdictError as _;
+use crate::platform_client::{PlatformAnswer, PlatformClient, PlatformOrder, PlatformRequestId};
+use crate::shared_state::SharedState;
+
+/// Interval of rounds.
+const ROUND_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Times of a [`PlatformExecutor`].
+#[derive(Debug, Clone)]
+pub struct PlatformSettings {
+    /// Wait of a new leader.
+    pub wait: WaitSettings,
+    /// Times of the comparison with what runs.
+    pub reconciler: ReconcilerSettings,
+    /// Wait before an order without effect is sent again; it doubles with each attempt.
+    pub first_retry: Duration,
+    /// Longest wait before an order without effect is sent again.
+    pub longest_retry: Duration,
+    /// Nothing is sent with less authority left, because its answer would not arrive in time.
+    pub least_authority: Duration,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            wait: WaitSettings::default(),
+            reconciler: ReconcilerSettings::default(),
+            first_retry: Duration::from_secs(2),
+            longest_retry: Duration::from_mins(1),
+            least_authority: Duration::from_millis(50),
+        }
+    }
+}
+
+/// How a start ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartOutcome {
+    /// Service of the upstream.
+    pub service: ServiceId,
+    /// Failure domain of the start.
+    pub failure_domain: FailureDomainId,
+    /// Whether the upstream announced itself.
+    pub succeeded: bool,
+}
+
+/// Ended starts on their way to the capacity planner; clones share them.
+#[derive(Debug, Clone, Default)]
+pub struct StartOutcomes(Arc<Mutex<Vec<StartOutcome>>>);
+
+impl StartOutcomes {
+    /// Largest number of outcomes that nobody has taken, so that a stopped planner costs no memory.
+    const MAX_KEPT: usize = 1_024;
+
+    fn push(&self, outcome: StartOutcome) {
+        let mut outcomes = self.0.lock().expect("no holder of the outcome lock panics");
+        if outcomes.len() < Self::MAX_KEPT {
+            outcomes.push(outcome);
+        }
+    }
+
+    /// Takes the outcomes since the last call.
+    pub fn take(&self) -> Vec<StartOutcome> {
+        let mut outcomes = self.0.lock().expect("no holder of the outcome lock panics");
+        std::mem::take(&mut *outcomes)
+    }
+}
+
+/// When an intent may be sent again.
+#[derive(Debug, Clone, Copy)]
+struct SendBackoff {
+    attempts: u32,
+    next_at: TimePoint,
+}
+
+/// Progress of the intents in one term.
+#[derive(Debug)]
+struct TermProgress {
+    term: Term,
+    reconciler: PlatformReconciler,
+    /// Intents that the reconciler has taken, with their service and failure domain.
+    tracked: IndexMap<IntentId, PlatformIntent>,
+    /// Results that are not committed yet.
+    results: IndexMap<IntentId, OrderResult>,
+    backoffs: IndexMap<IntentId, SendBackoff>,
+}
+
+/// What the state says about starts and stops.
+#[derive(Debug)]
+struct IntentView {
+    intents: Vec<PlatformIntent>,
+    /// Starts to which a member was attributed.
+    joined: Vec<IntentId>,
+    announced: Vec<UpstreamId>,
+    /// Running upstreams that have announced themselves at any time.
+    known: Vec<UpstreamId>,
+}
+
+/// Carries out starts and stops while this instance leads.
+#[derive(Debug)]
+pub struct PlatformExecutor<R, T, P> {
+    guard: TermGuard<R, T>,
+    replica: Arc<R>,
+    state: Arc<SharedState>,
+    time: T,
+    client: P,
+    cluster: ClusterLabel,
+    metrics: ControlMetrics,
+    outcomes: StartOutcomes,
+    settings: PlatformSettings,
+    wait: AuthorityWait,
+    progress: Option<TermProgress>,
+}
+
+impl<R: CommandReplica, T: TimeSource, P: PlatformClient> PlatformExecutor<R, T, P> {
+    /// An executor over the given platform.
+    pub fn new(
+        replica: Arc<R>,
+        state: Arc<SharedState>,
+        time: T,
+        client: P,
+        cluster: ClusterLabel,
+        metrics: ControlMetrics,
+        settings: PlatformSettings,
+    ) -> Self {
+        Self {
+            guard: TermGuard::new(Arc::clone(&replica), time.clone()),
+            replica,
+            state,
+            time,
+            client,
+            cluster,
+            metrics,
+            outcomes: StartOutcomes::default(),
+            wait: AuthorityWait::new(settings.wait.clone()),
+            settings,
+            progress: None,
+        }
+    }
+
+    /// Outcomes of starts, for the planner.
+    pub fn outcomes(&self) -> StartOutcomes {
+        self.outcomes.clone()
+    }
+
+    /// Carries out starts and stops for ever.
+    pub async fn run(&mut self) {
+        let mut ticks = interval(ROUND_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.round().await;
+        }
+    }
+
+    /// Compares intents with what runs and sends what is missing.
+    pub async fn round(&mut self) {
+        let now = self.time.now();
+        let WaitState::Open(term) = self.wait.observe(self.replica.authority(now), now) else {
+            return;
+        };
+        let Some(permit) = self.guard.permit().await else {
+            return;
+        };
+        if permit.term() != term {
+            return;
+        }
+        if self
+            .progress
+            .as_ref()
+            .is_some_and(|known| known.term != term)
+        {
+            self.progress = None;
+        }
+        let idle = self.state.read(|state| state.intents().next().is_none());
+        if idle && self.progress.is_some() {
+            self.forget_all();
+            return;
+        }
+        let began = self.time.now();
+        let running = match self.client.running().await {
+            Ok(running) => running,
+            Err(error) => {
+                let event = LogEvent::PlatformUnavailable.number();
+                tracing::warn!(event, %error, "cannot read what runs");
+                return;
+            }
+        };
+        let view = self.state.read(|state| intent_view(state, &running));
+        self.take_intents(term, &view, began);
+        let steps = self.reconcile(&running, &view, began);
+        self.commit_results().await;
+        for id in steps {
+            if !self.send(id, &permit).await {
+                return;
+            }
+        }
+    }
+
+    /// Drops the progress of intents that are all finished, but keeps the term.
+    fn forget_all(&mut self) {
+        let Some(progress) = &mut self.progress else {
+            return;
+        };
+        for (id, _) in progress.tracked.drain(..) {
+            progress.reconciler.forget(id);
+        }
+        progress.results.clear();
+        progress.backoffs.clear();
+    }
+
+    /// Adds new intents to the reconciler and drops those that are gone.
+    fn take_intents(&mut self, term: Term, view: &IntentView, began: TimePoint) {
+        let is_new_term = self.progress.is_none();
+        let settings = &self.settings.reconciler;
+        let progress = self.progress.get_or_insert_with(|| TermProgress {
+            term,
+            reconciler: PlatformReconciler::new(settings.clone()),
+            tracked: IndexMap::new(),
+            results: IndexMap::new(),
+            backoffs: IndexMap::new(),
+        });
+        if is_new_term {
+            progress.reconciler.set_known(view.known.iter().cloned());
+        }
+        let is_open = |id: IntentId| view.intents.iter().any(|one| one.intent_id == id.0);
+        let gone = progress.tracked.keys().copied();
+        let gone: Vec<IntentId> = gone.filter(|id| !is_open(*id)).collect();
+        for id in gone {
+            progress.tracked.shift_remove(&id);
+            progress.backoffs.shift_remove(&id);
+            progress.reconciler.forget(id);
+        }
+        progress.results.retain(|id, _| is_open(*id));
+        for intent in &view.intents {
+            let id = IntentId(intent.intent_id);
+            if progress.tracked.contains_key(&id) {
+                continue;
+            }
+            progress.tracked.insert(id, intent.clone());
+            if view.joined.contains(&id) {
+                progress.results.insert(id, OrderResult::Done);
+            } else if is_new_term {
+                let wanted = wanted_intent(intent);
+                progress.reconciler.add_possibly_sent(id, wanted, began);
+            } else {
+                progress.reconciler.add(id, wanted_intent(intent));
+            }
+        }
+    }
+
+    /// Applies the read-back and returns the intents to send.
+    fn reconcile(
+        &mut self,
+        running: &[PlatformInstance],
+        view: &IntentView,
+        began: TimePoint,
+    ) -> Vec<IntentId> {
+        let Some(progress) = &mut self.progress else {
+            return Vec::new();
+        };
+        let steps = progress
+            .reconciler
+            .reconcile(running, &view.announced, began);
+        let mut sends = Vec::new();
+        for step in steps {
+            let (id, result) = match step {
+                PlatformStep::ReadBack(_) => continue,
+                PlatformStep::Settled(id) => (id, OrderResult::Done),
+                PlatformStep::Crashed(id) => (id, OrderResult::Failed),
+                // An upstream that joined and left again was started all the same.
+                PlatformStep::Send(id) if view.joined.contains(&id) => {
+                    progress.reconciler.forget(id);
+                    (id, OrderResult::Done)
+                }
+                PlatformStep::Send(id) if is_awaited(progress, id) => {
+                    progress.reconciler.forget(id);
+                    (id, OrderResult::Failed)
+                }
+                PlatformStep::Send(id) => {
+                    sends.push(id);
+                    continue;
+                }
+            };
+            progress.results.insert(id, result);
+        }
+        sends
+    }
+
+    /// Commits the results; a result that cannot be committed is kept for the next round.
+    async fn commit_results(&mut self) {
+        let Some(progress) = &mut self.progress else {
+            return;
+        };
+        let results: Vec<_> = progress
+            .results
+            .iter()
+            .map(|(id, one)| (*id, *one))
+            .collect();
+        for (id, result) in results {
+            let command = Command::SettlePlatform {
+                intent_id: id.0,
+                result,
+            };
+            let outcome = self.replica.propose(command).await;
+            if !matches!(
+                outcome,
+                CommandOutcome::Accepted | CommandOutcome::Unchanged
+            ) {
+                continue;
+            }
+            // The id stays tracked while the state lists it, so that it is never sent again.
+            progress.results.shift_remove(&id);
+            if outcome == CommandOutcome::Unchanged {
+                continue;
+            }
+            self.metrics.count_intent(result);
+            tracing::info!(
+                event = LogEvent::PlatformOrderSettled.number(),
+                intent = id.0,
+                result = %result,
+                "start or stop settled"
+            );
+            let intent = progress.tracked.get(&id);
+            if let Some(start) = intent.filter(|intent| intent.upstream.is_none()) {
+                self.outcomes.push(StartOutcome {
+                    service: start.service.clone(),
+                    failure_domain: start.failure_domain.clone(),
+                    succeeded: result == OrderResult::Done,
+                });
+            }
+        }
+    }
+
+    /// Sends one intent; `false` if the authority does not suffice.
+    async fn send(&mut self, id: IntentId, permit: &LeaderPermit<R, T>) -> bool {
+        let Some(progress) = &mut self.progress else {
+            return false;
+        };
+        let now = self.time.now();
+        let backoff = progress.backoffs.get(&id);
+        if backoff.is_some_and(|backoff| now < backoff.next_at) {
+            return true;
+        }
+        let Some(intent) = progress.tracked.get(&id) else {
+            return true;
+        };
+        let order = platform_order(intent);
+        let remaining = permit.remaining();
+        if remaining.is_none_or(|left| left < self.settings.least_authority) {
+            return false;
+        }
+        let attempts = backoff.map_or(0, |backoff| backoff.attempts);
+        let factor = 2_u32.saturating_pow(attempts.min(16));
+        let wait = self.settings.first_retry.saturating_mul(factor);
+        let backoff = SendBackoff {
+            attempts: attempts + 1,
+            next_at: now + wait.min(self.settings.longest_retry),
+        };
+        progress.backoffs.insert(id, backoff);
+        progress.reconciler.sent(id, now);
+        let request_id = PlatformRequestId(format!("{}-intent-{}", self.cluster, id.0));
+        let answer = self.client.send(&request_id, &order, permit).await;
+        let answered_at = self.time.now();
+        let event = LogEvent::PlatformOrderSent.number();
+        match answer {
+            Ok(PlatformAnswer::Started(upstream)) => {
+                tracing::info!(event, intent = id.0, upstream = %*upstream, "upstream started");
+                progress.reconciler.answered(id, upstream, answered_at);
+            }
+            Ok(PlatformAnswer::Stopped) => {
+                tracing::info!(event, intent = id.0, "upstream stopped");
+            }
+            Ok(PlatformAnswer::Refused { reason }) => {
+                let event = LogEvent::PlatformOrderFailed.number();
+                tracing::warn!(event, intent = id.0, reason, "the platform refused");
+                progress.reconciler.forget(id);
+                progress.results.insert(id, OrderResult::Refused);
+            }
+            Err(error) => {
+                let event = LogEvent::PlatformOrderFailed.number();
+                tracing::warn!(event, intent = id.0, %error, "start or stop without answer");
+                // The bytes may have been written at any moment until now.
+                if error.verdict() == RunVerdict::MayHaveRun {
+                    progress.reconciler.sent(id, answered_at);
+                }
+            }
+        }
+        true
+    }
+}
+
+/// Whether an earlier leader knows that the platform accepted this start.
+fn is_awaited(progress: &TermProgress, id: IntentId) -> bool {
+    let intent = progress.tracked.get(&id);
+    intent.is_some_and(|intent| intent.state == IntentState::AwaitingAnnouncement)
+}
+
+fn intent_view(state: &ClusterState, running: &[PlatformInstance]) -> IntentView {
+    let intents: Vec<PlatformIntent> = state.intents().cloned().collect();
+    let joined = intents.iter().map(|intent| intent.intent_id);
+    let joined = joined.filter(|id| state.start_has_joined(*id));
+    let joined = joined.map(IntentId).collect();
+    let announced: Vec<UpstreamId> = state
+        .members()
+        .map(|record| record.upstream.clone())
+        .collect();
+    let running = running.iter().map(|instance| &instance.upstream);
+    let departed = running.filter(|upstream| state.fence(upstream).is_some());
+    let known = announced.iter().chain(departed).cloned().collect();
+    IntentView {
+        intents,
+        joined,
+        announced,
+        known,
+    }
+}
+
+fn wanted_intent(intent: &PlatformIntent) -> WantedIntent {
+    match &intent.upstream {
+        Some(upstream) => WantedIntent::Stop {
+            upstream: upstream.clone(),
+        },
+        None => WantedIntent::Start {
+            service: intent.service.clone(),
+            failure_domain: intent.failure_domain.clone(),
+        },
+    }
+}
+
+fn platform_order(intent: &PlatformIntent) -> PlatformOrder {
+    match &intent.upstream {
+        Some(upstream) => PlatformOrder::Stop {
+            upstream: upstream.clone(),
+        },
+        None => PlatformOrder::Start {
+            service: intent.service.clone(),
+            failure_domain: intent.failure_domain.clone(),
+        },
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-control/src/usage_client.rs
@@ -0,0 +1,150 @@
+//! Interface that receives usage reports.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HOST};
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use oriolecrank_schema::control::UsageWindow;
+use oriolecrank_schema::document::{OrganisationId, ServiceId};
+use serde::Serialize;
+
+use crate::action_authority::WritePermit;
+use crate::cluster_label::ClusterLabel;
+use crate::guarded_client::{GuardedError, VerdictError, send_guarded};
+
+/// Longest wait for the answer to a report. It is also bounded by the remaining authority.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Id of a report; the same for each attempt to send a window.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ReportId(pub String);
+
+/// A report of one closed window.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UsageReport {
+    /// Id of the report.
+    pub id: ReportId,
+    /// Encoded figures; they depend only on the committed window.
+    pub body: Bytes,
+}
+
+/// Fields of a report in their order. It must not change between versions, because a window may be
+/// sent again by a successor of another version.
+#[derive(Debug, Serialize)]
+struct ReportBody<'a> {
+    report_id: &'a str,
+    window_id: u64,
+    opened_ms: u64,
+    closed_ms: u64,
+    lines: Vec<ReportLine<'a>>,
+}
+
+#[derive(Debug, Serialize)]
+struct ReportLine<'a> {
+    organisation: &'a OrganisationId,
+    service: &'a ServiceId,
+    attempts: u64,
+    prompt_tokens: u64,
+    output_tokens: u64,
+    late: bool,
+}
+
+impl UsageReport {
+    /// The report of a closed window of `cluster`.
+    pub fn new(cluster: &ClusterLabel, window: &UsageWindow) -> Self {
+        let id = format!("{cluster}/window/{}", window.window_id);
+        let lines = window.lines.iter().map(|line| ReportLine {
+            organisation: &line.organisation,
+            service: &line.service,
+            attempts: line.attempts,
+            prompt_tokens: line.prompt_tokens,
+            output_tokens: line.output_tokens,
+            late: line.late,
+        });
+        let body = ReportBody {
+            report_id: &id,
+            window_id: window.window_id,
+            opened_ms: window.opened_ms,
+            closed_ms: window.closed_ms,
+            lines: lines.collect(),
+        };
+        let body = serde_json::to_vec(&body).expect("figures and names always encode into memory");
+        Self {
+            id: ReportId(id),
+            body: body.into(),
+        }
+    }
+}
+
+/// Answer to a report.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ReportAnswer {
+    /// The report is stored.
+    Accepted,
+    /// The report is not stored.
+    Refused {
+        /// Status and reason as stated by the receiver.
+        reason: String,
+    },
+}
+
+/// The usage interface as the control leader uses it.
+pub trait UsageClient: Send + Sync + 'static {
+    /// Failure of a request.
+    type Error: VerdictError;
+
+    /// Sends a report. Nothing is written without the permit, and the answer is awaited for no
+    /// longer than the permit holds.
+    fn report<P: WritePermit>(
+        &self,
+        report: &UsageReport,
+        permit: &P,
+    ) -> impl Future<Output = Result<ReportAnswer, Self::Error>> + Send;
+}
+
+/// The usage interface over HTTP: `POST /v1/usage` with a JSON body and the report id as
+/// idempotency key.
+#[derive(Debug, Clone)]
+pub struct HttpUsage {
+    address: SocketAddr,
+}
+
+impl HttpUsage {
+    /// The usage interface at `address`.
+    pub const fn new(address: SocketAddr) -> Self {
+        Self { address }
+    }
+}
+
+impl UsageClient for HttpUsage {
+    type Error = GuardedError;
+
+    async fn report<P: WritePermit>(
+        &self,
+        report: &UsageReport,
+        permit: &P,
+    ) -> Result<ReportAnswer, GuardedError> {
+        let bound = permit.remaining().unwrap_or_default().min(REPORT_TIMEOUT);
+        let request = Request::post("/v1/usage")
+            .header(HOST, "usage")
+            .header(CONTENT_TYPE, "application/json")
+            .header("idempotency-key", &report.id.0)
+            .body(Full::from(report.body.clone()))
+            .expect("path and headers are valid");
+        let answer = send_guarded(self.address, request, permit, bound).await?;
+        Ok(to_answer(answer.status, &answer.body))
+    }
+}
+
+fn to_answer(status: StatusCode, body: &[u8]) -> ReportAnswer {
+    if status.is_success() {
+        return ReportAnswer::Accepted;
+    }
+    let text = String::from_utf8_lossy(body);
+    ReportAnswer::Refused {
+        reason: format!("{status}: {text}"),
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-control/src/usage_executor.rs
@@ -0,0 +1,298 @@
+//! Closes usage windows and reports them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use oriolecrank_consensus::Term;
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::control::{Command, CommandOutcome, Query, QueryResult, UsageWindow};
+use oriolecrank_schema::event::LogEvent;
+use oriolecrank_state::ClusterState;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::action_authority::{
+    AuthorityWait, LeaderPermit, TermGuard, TimeSource, WaitSettings, WaitState, WritePermit as _,
+};
+use crate::cluster_label::ClusterLabel;
+use crate::command_replica::CommandReplica;
+use crate::control_metrics::ControlMetrics;
+use crate::shared_state::SharedState;
+use crate::usage_client::{ReportAnswer, UsageClient, UsageReport};
+
+/// Interval of rounds.
+const ROUND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Times of a [`UsageExecutor`].
+#[derive(Debug, Clone)]
+pub struct UsageSettings {
+    /// Wait of a new leader.
+    pub wait: WaitSettings,
+    /// Wait before a window is sent again; it doubles with each attempt.
+    pub first_retry: Duration,
+    /// Longest wait before a window is sent again. Several attempts fit into one window length.
+    pub longest_retry: Duration,
+    /// Nothing is sent with less authority left, because its answer would not arrive in time.
+    pub least_authority: Duration,
+    /// Interval at which closing is tried while nobody knows when the window opened.
+    pub unknown_opening: Duration,
+}
+
+impl Default for UsageSettings {
+    fn default() -> Self {
+        Self {
+            wait: WaitSettings::default(),
+            first_retry: Duration::from_millis(500),
+            longest_retry: Duration::from_secs(10),
+            least_authority: Duration::from_millis(50),
+            unknown_opening: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Log time at a point of the own clock, from the last own proposal.
+///
+/// Log time stands still between entries, so the own clock is added to it.
+#[derive(Debug, Clone, Copy)]
+struct LogClock {
+    log_time: TimePoint,
+    at: TimePoint,
+}
+
+impl LogClock {
+    fn log_time(self, now: TimePoint) -> TimePoint {
+        self.log_time + now.since(self.at)
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct ReportBackoff {
+    attempts: u32,
+    next_at: TimePoint,
+}
+
+/// Progress of one term.
+#[derive(Debug)]
+struct TermProgress {
+    term: Term,
+    clock: LogClock,
+    /// Earliest time of the next attempt to close the window.
+    close_at: TimePoint,
+    backoffs: IndexMap<u64, ReportBackoff>,
+    /// Windows that were counted as late.
+    late: IndexSet<u64>,
+}
+
+/// Closes windows and reports them while this instance leads.
+#[derive(Debug)]
+pub struct UsageExecutor<R, T, U> {
+    guard: TermGuard<R, T>,
+    replica: Arc<R>,
+    state: Arc<SharedState>,
+    time: T,
+    /// Receiver of the reports; without one, windows are closed and kept.
+    client: Option<U>,
+    cluster: ClusterLabel,
+    metrics: ControlMetrics,
+    settings: UsageSettings,
+    wait: AuthorityWait,
+    progress: Option<TermProgress>,
+}
+
+impl<R: CommandReplica, T: TimeSource, U: UsageClient> UsageExecutor<R, T, U> {
+    /// An executor over the given usage interface.
+    pub fn new(
+        replica: Arc<R>,
+        state: Arc<SharedState>,
+        time: T,
+        client: Option<U>,
+        cluster: ClusterLabel,
+        metrics: ControlMetrics,
+        settings: UsageSettings,
+    ) -> Self {
+        Self {
+            guard: TermGuard::new(Arc::clone(&replica), time.clone()),
+            replica,
+            state,
+            time,
+            client,
+            cluster,
+            metrics,
+            wait: AuthorityWait::new(settings.wait.clone()),
+            settings,
+            progress: None,
+        }
+    }
+
+    /// Closes and reports windows for ever.
+    pub async fn run(&mut self) {
+        let mut ticks = interval(ROUND_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.round().await;
+        }
+    }
+
+    /// Closes the open window if it has passed, and reports the windows that are due.
+    pub async fn round(&mut self) {
+        let now = self.time.now();
+        let wait = self.wait.observe(self.replica.authority(now), now);
+        let Some(permit) = self.guard.permit().await else {
+            return;
+        };
+        self.close_window(permit.term()).await;
+        self.note_late_windows();
+        if wait != WaitState::Open(permit.term()) {
+            return;
+        }
+        let windows: Vec<UsageWindow> = self
+            .state
+            .read(|state| state.unreported_windows().cloned().collect());
+        if let Some(progress) = &mut self.progress {
+            let is_open = |id: u64| windows.iter().any(|window| window.window_id == id);
+            progress.backoffs.retain(|id, _| is_open(*id));
+        }
+        for window in windows {
+            if !self.report(&window, &permit).await {
+                return;
+            }
+        }
+    }
+
+    async fn close_window(&mut self, term: Term) {
+        let now = self.time.now();
+        let known = self.progress.as_ref();
+        if known.is_some_and(|known| known.term == term && now < known.close_at) {
+            return;
+        }
+        // The first proposal of a term also tells the present log time.
+        let outcome = self.replica.propose(Command::CloseWindow).await;
+        match &outcome {
+            CommandOutcome::NotLeader { .. } | CommandOutcome::Unavailable => return,
+            CommandOutcome::Refused { reason } => {
+                let event = LogEvent::WindowNotClosed.number();
+                tracing::warn!(event, reason, "the window stays open");
+            }
+            _ => {}
+        }
+        let (log_time, opened_ms, length) = self.state.read(|state| {
+            let opened_ms = newest_close(state);
+            (state.log_time(), opened_ms, window_length(state))
+        });
+        let left = match opened_ms {
+            Some(opened_ms) => (TimePoint::from_millis(opened_ms) + length).since(log_time),
+            None => length.min(self.settings.unknown_opening),
+        };
+        // A window that could not be closed is tried again at the pace of retries.
+        let left = left.max(self.settings.first_retry);
+        let clock = LogClock { log_time, at: now };
+        let close_at = now + left;
+        match &mut self.progress {
+            Some(progress) if progress.term == term => {
+                progress.clock = clock;
+                progress.close_at = close_at;
+            }
+            progress => {
+                *progress = Some(TermProgress {
+                    term,
+                    clock,
+                    close_at,
+                    backoffs: IndexMap::new(),
+                    late: IndexSet::new(),
+                });
+            }
+        }
+    }
+
+    /// Counts windows that were not accepted within one window length after their close.
+    fn note_late_windows(&mut self) {
+        let Some(progress) = &mut self.progress else {
+            return;
+        };
+        let log_time = progress.clock.log_time(self.time.now());
+        let late: Vec<u64> = self.state.read(|state| {
+            let length = window_length(state);
+            let is_late = |window: &&UsageWindow| {
+                log_time > TimePoint::from_millis(window.closed_ms) + length
+            };
+            let windows = state.unreported_windows().filter(is_late);
+            windows.map(|window| window.window_id).collect()
+        });
+        for window_id in late {
+            if progress.late.insert(window_id) {
+                self.metrics.count_late_window();
+                let event = LogEvent::WindowLate.number();
+                tracing::warn!(event, window_id, "usage window is late");
+            }
+        }
+    }
+
+    /// Sends one window if it is due; `false` if the authority does not suffice.
+    async fn report(&mut self, window: &UsageWindow, permit: &LeaderPermit<R, T>) -> bool {
+        let (Some(client), Some(progress)) = (&self.client, &mut self.progress) else {
+            return false;
+        };
+        let window_id = window.window_id;
+        let now = self.time.now();
+        let backoff = progress.backoffs.get(&window_id);
+        if backoff.is_some_and(|backoff| now < backoff.next_at) {
+            return true;
+        }
+        let remaining = permit.remaining();
+        if remaining.is_none_or(|left| left < self.settings.least_authority) {
+            return false;
+        }
+        let attempts = backoff.map_or(0, |backoff| backoff.attempts);
+        let factor = 2_u32.saturating_pow(attempts.min(16));
+        let wait = self.settings.first_retry.saturating_mul(factor);
+        let backoff = ReportBackoff {
+            attempts: attempts + 1,
+            next_at: now + wait.min(self.settings.longest_retry),
+        };
+        progress.backoffs.insert(window_id, backoff);
+        let report = UsageReport::new(&self.cluster, window);
+        let reason = match client.report(&report, permit).await {
+            Ok(ReportAnswer::Accepted) => {
+                self.commit_report(window_id).await;
+                return true;
+            }
+            Ok(ReportAnswer::Refused { reason }) => reason,
+            Err(error) => error.to_string(),
+        };
+        let event = LogEvent::WindowNotAccepted.number();
+        tracing::warn!(event, window_id, reason, "usage window not accepted");
+        true
+    }
+
+    /// Records that a window was accepted. If that fails, it is sent again with the same bytes.
+    async fn commit_report(&self, window_id: u64) {
+        let command = Command::WindowReported { window_id };
+        if self.replica.propose(command).await == CommandOutcome::Accepted {
+            self.metrics.count_reported_window();
+            let event = LogEvent::WindowReported.number();
+            tracing::info!(event, window_id, "usage window reported");
+        }
+    }
+}
+
+fn window_length(state: &ClusterState) -> Duration {
+    Duration::from_secs(state.document().as_document().usage_window_s)
+}
+
+/// Log time at which the newest closed window ended and the open one began; `None` before the first
+/// close.
+fn newest_close(state: &ClusterState) -> Option<u64> {
+    let QueryResult::Summary { summary } = state.query(&Query::Summary) else {
+        return None;
+    };
+    let query = Query::Windows {
+        after_window_id: summary.open_window_id.saturating_sub(2),
+        limit: 1,
+        unreported: false,
+    };
+    match state.query(&query) {
+        QueryResult::Windows { windows, .. } => windows.last().map(|window| window.closed_ms),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-control/tests/leader/main.rs
@@ -0,0 +1,8 @@
+//! What the control leader does outside the log.
+#![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod authority;
+mod order_executor;
+mod platform_executor;
+mod support;
+mod usage_executor;
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -60,4 +60,19 @@
     UpstreamSuspected = 411, "An upstream is silent; it gets no new work when others can take it.";
     UpstreamsRemoved = 412, "Silent upstreams were removed.";
     StorageFailed = 420, "The data folder cannot be written; the process stops.";
+    OrderSettled = 430, "An order to an agent was settled; the result and the rule are in the line.";
+    OrderUnanswered = 431, "An order to an agent has an unknown outcome; the same number is repeated.";
+    PlatformUnavailable = 435, "The platform interface did not answer; starts and stops wait.";
+    PlatformOrderSent = 436, "A start or stop was sent to the platform.";
+    PlatformOrderFailed = 437, "A start or stop got no answer or was refused; it is reconciled with what runs.";
+    PlatformOrderSettled = 438, "A start or stop took effect or was given up; the result is in the line.";
+    WindowReported = 440, "The usage interface accepted a window.";
+    WindowNotAccepted = 441, "The usage interface did not accept a window; the same bytes are sent again.";
+    WindowLate = 442, "A window was not accepted within one window length after its close.";
+    WindowNotClosed = 443, "The open window could not be closed; too many windows are not reported.";
+    PlanCommitted = 450, "A capacity plan was committed.";
+    PlanStepFinished = 451, "A step of the capacity plan has ended; the state is in the line.";
+    PlanFrozen = 452, "Reports are stale or missing; the capacity plan is frozen.";
+    PlanResumed = 453, "A new leader takes over an unfinished capacity plan.";
+    CapacityRefused = 454, "The state machine refused a capacity change.";
 }
--- a/crates/oriolecrank-state/src/cluster/cluster_state.rs
+++ b/crates/oriolecrank-state/src/cluster/cluster_state.rs
@@ -145,6 +145,12 @@
         self.tables.intents.iter()
     }
 
+    /// Whether a member was attributed to this start. Such a start has taken effect and must not be
+    /// sent again, even if its answer was lost.
+    pub fn start_has_joined(&self, intent_id: u64) -> bool {
+        self.tables.intents.has_joined(intent_id)
+    }
+
     /// The newest capacity plan.
     pub fn plan(&self) -> Option<&CapacityPlan> {
         self.tables.plans.plan()
--- a/crates/oriolecrank-state/src/cluster/intent_table.rs
+++ b/crates/oriolecrank-state/src/cluster/intent_table.rs
@@ -155,6 +155,12 @@
         }
     }
 
+    /// Whether a member was attributed to this start, also before the start was settled.
+    pub(crate) fn has_joined(&self, intent_id: u64) -> bool {
+        let tracked = self.intents.get(&intent_id);
+        tracked.is_some_and(|tracked| tracked.joined)
+    }
+
     /// Gives up started upstreams that never announced themselves.
     pub(crate) fn expire(&mut self, now_ms: u64) {
         self.intents
