--- a/crates/oriolecrank-local/src/local_cluster.rs
+++ b/crates/oriolecrank-local/src/local_cluster.rs
@@ -101,91 +101,106 @@
     pub engines: Vec<FakeEngine>,
     /// Fake plain service.
     pub ledger: FakeLedger,
+    /// Process groups in the order in which they stop: the entry, the agents with their upstreams,
+    /// the control instance. Each one needs those after it until it has stopped.
+    groups: [ProcessGroup; 3],
+}
+
+/// Processes that start and stop together.
+#[derive(Debug)]
+struct ProcessGroup {
     trigger: ShutdownTrigger,
+    signal: ShutdownSignal,
     tasks: JoinSet<()>,
 }
 
+impl ProcessGroup {
+    fn new() -> Self {
+        let (trigger, signal) = shutdown_channel();
+        Self {
+            trigger,
+            signal,
+            tasks: JoinSet::new(),
+        }
+    }
+
+    fn spawn<E: std::fmt::Display>(
+        &mut self,
+        process: impl Future<Output = Result<(), E>> + Send + 'static,
+    ) {
+        self.tasks.spawn(async move { log_failure(process.await) });
+    }
+
+    async fn stop(mut self) {
+        self.trigger.trigger();
+        while self.tasks.join_next().await.is_some() {}
+    }
+}
+
 impl LocalCluster {
     /// Starts everything and submits the demo document.
     pub async fn start(options: LocalOptions) -> Result<Self, LocalError> {
         let secret = ClusterSecret::new("local-cluster-secret").expect("the secret is long enough");
-        let (trigger, signal) = shutdown_channel();
-        let mut tasks = JoinSet::new();
-
-        let control_options = control_options(&options.data_folder, &secret);
-        let process = ControlProcess::bind(control_options).await?;
+        let mut control_group = ProcessGroup::new();
+        let process = ControlProcess::bind(control_options(&options.data_folder, &secret)).await?;
         let control_address = process.address();
-        let running = process.run(signal.clone());
-        tasks.spawn(async move { log_failure(running.await) });
+        control_group.spawn(process.run(control_group.signal.clone()));
 
-        let mut starter = AgentStarter {
+        let mut agents = AgentGroup {
             secret: secret.clone(),
             control_address,
-            signal: signal.clone(),
+            group: ProcessGroup::new(),
         };
         let mut engines = Vec::new();
         for number in 1..=options.engines {
             let engine = FakeEngine::new(options.engine.clone());
             let name = format!("engine-{number}");
-            starter
-                .start(
-                    &mut tasks,
-                    engine.clone(),
-                    &name,
-                    "assistant",
-                    UpstreamRole::Mixed,
-                )
+            agents
+                .start(engine.clone(), &name, "assistant", UpstreamRole::Mixed)
                 .await?;
             engines.push(engine);
         }
         let ledger = FakeLedger::default();
-        starter
-            .start(
-                &mut tasks,
-                ledger.clone(),
-                "ledger-1",
-                "ledger",
-                UpstreamRole::Plain,
-            )
+        agents
+            .start(ledger.clone(), "ledger-1", "ledger", UpstreamRole::Plain)
             .await?;
 
-        let entry_options = entry_options(&options, &secret, control_address);
-        let entry = EntryProcess::bind(entry_options).await?;
+        let mut entry_group = ProcessGroup::new();
+        let entry = EntryProcess::bind(entry_options(&options, &secret, control_address)).await?;
         let caller_address = entry.address();
-        let running = entry.run(signal);
-        tasks.spawn(async move { log_failure(running.await) });
+        entry_group.spawn(entry.run(entry_group.signal.clone()));
 
         let control = ControlClient::new(HttpClient::default(), secret, &[control_address]);
         submit(&control, local_document()).await?;
+        let groups = [entry_group, agents.group, control_group];
         Ok(Self {
             caller_address,
             control,
             engines,
             ledger,
-            trigger,
-            tasks,
+            groups,
         })
     }
 
     /// Stops everything gracefully.
-    pub async fn stop(mut self) {
-        self.trigger.trigger();
-        while self.tasks.join_next().await.is_some() {}
+    pub async fn stop(self) {
+        for group in self.groups {
+            group.stop().await;
+        }
     }
 }
 
-/// Starts agents and the fakes behind them.
+/// Agents and the fakes behind them.
 #[derive(Debug)]
-struct AgentStarter {
+struct AgentGroup {
     secret: ClusterSecret,
     control_address: SocketAddr,
-    signal: ShutdownSignal,
+    group: ProcessGroup,
 }
 
-impl AgentStarter {
+impl AgentGroup {
     async fn start<H: HttpHandler>(
         &mut self,
-        tasks: &mut JoinSet<()>,
         upstream: H,
         name: &str,
         service: &str,
@@ -193,7 +208,10 @@
     ) -> Result<(), LocalError> {
         let listener = TcpListener::bind(loopback()).await.context(ListenSnafu)?;
         let upstream_address = listener.local_addr().context(ListenSnafu)?;
-        tasks.spawn(serve(listener, Arc::new(upstream), self.signal.clone()));
+        let signal = self.group.signal.clone();
+        self.group
+            .tasks
+            .spawn(serve(listener, Arc::new(upstream), signal.clone()));
         let options = AgentOptions {
             upstream: name.to_owned(),
             region: LOCAL_PLACE.to_owned(),
@@ -212,8 +230,8 @@
             shutdown_limit: Duration::from_secs(10),
             log_format: LogFormat::Text,
         };
-        let running = AgentProcess::bind(options).await?.run(self.signal.clone());
-        tasks.spawn(async move { log_failure(running.await) });
+        let process = AgentProcess::bind(options).await?;
+        self.group.spawn(process.run(signal));
         Ok(())
     }
 }
@@ -248,6 +266,7 @@
         secret: secret.clone(),
         control: vec![control_address],
         freshness_lease: Duration::from_secs(3),
+        drain_notice: Duration::ZERO,
         max_body_bytes: 4 * 1024 * 1024,
         shutdown_limit: Duration::from_secs(10),
         log_format: LogFormat::Text,
