--- a/crates/oriolecrank-consensus/src/founding.rs
+++ b/crates/oriolecrank-consensus/src/founding.rs
@@ -71,6 +71,11 @@
         known.then(|| self.founding.stored_tags())
     }
 
+    /// Progress of the founding check.
+    pub const fn founding_progress(&self) -> FoundingProgress {
+        self.founding.progress
+    }
+
     pub(crate) fn takes_part(&self) -> bool {
         self.founding.progress == FoundingProgress::Complete
     }
--- a/crates/oriolecrank-consensus/tests/repairs.rs
+++ b/crates/oriolecrank-consensus/tests/repairs.rs
@@ -291,6 +291,59 @@
     }
 }
 
+/// Cuts the links between two instances.
+fn cut(group: &mut Group, one: &InstanceId, other: &InstanceId) {
+    let links = [(one.clone(), other.clone()), (other.clone(), one.clone())];
+    group.network.blocked.extend(links);
+}
+
+/// Guards against a follower that hears its leader and still votes for an instance that does not.
+#[test]
+fn a_follower_that_hears_the_leader_withholds_its_vote() {
+    for seed in SEEDS {
+        let (mut group, leader) = working_group(seed);
+        let term = group.node(&leader).term();
+        let apart = followers(&group, &leader)[0].clone();
+        cut(&mut group, &leader, &apart);
+        group.run(10_000);
+        assert_eq!(
+            group.leaders(),
+            std::slice::from_ref(&leader),
+            "seed {seed}"
+        );
+        assert_eq!(group.node(&leader).term(), term, "seed {seed}");
+    }
+}
+
+/// Guards against a follower that confirms a lease, restarts, has forgotten it and votes for another
+/// leader while the lease runs. `Group` checks the leases.
+#[test]
+fn a_restart_does_not_end_the_promise_of_a_lease() {
+    let mut elected = 0;
+    for seed in 0..100 {
+        let (mut group, leader) = working_group(seed);
+        let others = followers(&group, &leader);
+        cut(&mut group, &leader, &others[0]);
+        // The cut-off follower now asks for votes again and again.
+        let wait = 1_000 + seed * 21;
+        group.run(wait);
+        cut(&mut group, &leader, &others[1]);
+        let restart = group.now + 1;
+        group.crash(&others[1], Some(restart));
+        group.run(400);
+        elected += usize::from(group.leaders().iter().any(|id| *id != leader));
+        group.run(3_000);
+        assert!(
+            group.leaders().iter().any(|id| *id != leader),
+            "seed {seed}"
+        );
+    }
+    assert_eq!(
+        elected, 0,
+        "a leader was elected within the lease of another one"
+    );
+}
+
 /// Guards against a returning instance that unseats a working leader.
 #[test]
 fn an_instance_that_was_cut_off_does_not_unseat_the_leader() {
