Add the replica thread and the peer transport

Cause: control instances need the consensus core behind async calls and connected over HTTP. Change: start_replica runs the core and its storage on a thread of its own; ReplicaHandle offers propose, read_barrier, change_membership, authority, status and stop. Each pass takes all inputs that wait, so that their records share one sync. PeerTransport posts batches to /v1/peer with a bounded queue for each member, PeerIngress receives them. A batch states the sender's address, because an instance that joins must answer before it knows the membership. Conclusion: the control process can use the replica in place of its local log.

--- a/crates/oriolecrank-control/src/lib.rs
+++ b/crates/oriolecrank-control/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`LeaderDuties`] are what only the leader does; [`LeaseTable`] and [`SubscriberTable`] hold its
 //!   view of upstreams and entries.
 //! - `request_server` answers the other processes.
+//! - [`start_replica`] runs the consensus core and its storage on a thread; [`ReplicaHandle`] gives
+//!   access to it. [`PeerTransport`] and [`PeerIngress`] connect the replicas over HTTP.
 
 mod command_replica;
 mod leader_duties;
@@ -15,9 +17,19 @@
 mod local_log;
 mod local_replica;
 mod options;
+mod peer_directory;
+mod peer_ingress;
+mod peer_sender;
+mod peer_transport;
 mod process;
+mod replica;
+mod replica_error;
+mod replica_input;
+mod replica_thread;
+mod replica_waiters;
 mod request_server;
 mod shared_state;
+mod state_machine;
 mod subscriber_table;
 mod subscription_hub;
 
@@ -25,7 +37,15 @@
 pub use leader_duties::LeaderDuties;
 pub use lease_table::{LeaseReport, LeaseSettings, LeaseTable};
 pub use options::{ControlOptions, InitialMember};
+pub use peer_directory::PeerDirectory;
+pub use peer_ingress::PeerIngress;
+pub use peer_sender::PeerSender;
+pub use peer_transport::{PEER_PATH, PeerTransport};
 pub use process::{ControlError, ControlProcess};
+pub use replica::{MAX_ENTRY_BYTES, ReplicaHandle, ReplicaPhase, ReplicaSettings, ReplicaStatus};
+pub use replica_error::{Applied, BarrierError, ChangeError, ProposeError, ReplicaError};
+pub use replica_thread::start_replica;
 pub use shared_state::SharedState;
+pub use state_machine::StateMachine;
 pub use subscriber_table::{ForceReport, SubscriberRecord, SubscriberTable};
 pub use subscription_hub::SubscriptionHub;
--- /dev/null
+++ b/crates/oriolecrank-control/src/replica_thread.rs
@@ -0,0 +1,350 @@
+//! The thread that runs the consensus core and its storage.
+//!
+//! Each pass takes all inputs that wait, so that all proposals among them share one sync.
+
+use std::sync::mpsc::{Receiver, RecvTimeoutError, sync_channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use oriolecrank_consensus::{
+    DiskFiles, DiskTag, EntryBody, EntryPosition, FolderRequest, FoundingProgress, InstanceId,
+    LogEntry, LogIndex, LogStorage, Membership, OpenedFolder, ProposalRefused, RaftNode, RoleName,
+    StorageError,
+};
+use oriolecrank_net::BootClock;
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::event::LogEvent;
+use rand::rngs::StdRng;
+use rand::{RngCore as _, SeedableRng as _};
+use snafu::ResultExt;
+use tokio::sync::watch;
+
+use crate::peer_sender::PeerSender;
+use crate::replica::{ReplicaHandle, ReplicaPhase, ReplicaSettings, ReplicaStatus, ReplicaView};
+use crate::replica_error::{ChangeError, ProposeError, ReplicaError, SpawnSnafu, StorageSnafu};
+use crate::replica_input::{ReadReply, ReplicaInput};
+use crate::replica_waiters::{EntryWaiter, EntryWaiters, ReadWaiters};
+use crate::state_machine::StateMachine;
+
+/// Inputs that may wait; more are refused or, in the case of messages, dropped.
+const INPUT_QUEUE: usize = 8_192;
+
+/// Most inputs taken in one pass, so that heartbeats are not delayed.
+const MAX_PASS_INPUTS: usize = 1_024;
+
+/// Shortest wait for inputs. The clock counts milliseconds, so a tick that is due within the present
+/// one would otherwise be waited for in a loop.
+const MIN_WAIT: Duration = Duration::from_millis(1);
+
+/// A replica and everything its thread owns.
+struct ReplicaThread<M: StateMachine, P> {
+    settings: ReplicaSettings,
+    node: RaftNode,
+    storage: LogStorage<DiskFiles>,
+    machine: M,
+    peers: P,
+    inputs: Receiver<ReplicaInput<M::Output>>,
+    entries: EntryWaiters<M::Output>,
+    reads: ReadWaiters,
+    applied: LogIndex,
+    /// Members that the sender knows.
+    members: Membership,
+    role: RoleName,
+    founding: FoundingProgress,
+    view: ReplicaView,
+}
+
+/// Opens the data folder and starts a replica on a thread of its own.
+///
+/// The state machine is restored from the snapshot before this function returns; entries after the
+/// snapshot are applied once a leader has confirmed that they are committed.
+pub fn start_replica<M: StateMachine, P: PeerSender>(
+    settings: ReplicaSettings,
+    mut machine: M,
+    peers: P,
+) -> Result<ReplicaHandle<M::Output>, ReplicaError> {
+    let mut random = StdRng::from_os_rng();
+    let request = FolderRequest {
+        cluster: settings.cluster.clone(),
+        name: InstanceId::new(&settings.name),
+        tag: DiskTag(random.next_u64()),
+        founders: settings.founders.clone(),
+    };
+    let opened = LogStorage::open(DiskFiles, &settings.data_folder, &request);
+    let OpenedFolder {
+        storage,
+        identity,
+        state,
+    } = opened.context(StorageSnafu)?;
+    let snapshot = state.snapshot.as_ref();
+    let applied = snapshot.map_or(LogIndex(0), |snapshot| snapshot.index);
+    if let Some(snapshot) = snapshot.filter(|snapshot| snapshot.index > LogIndex(0)) {
+        machine.restore(&snapshot.data);
+    }
+    let raft = settings.raft.clone();
+    let now = BootClock.now();
+    let node = RaftNode::new(identity.instance, identity.tag, raft, state, random, now);
+    let (sender, inputs) = sync_channel(INPUT_QUEUE);
+    let (status, status_receiver) = watch::channel(ReplicaStatus {
+        node: node.status(),
+        applied,
+    });
+    let (phase, phase_receiver) = watch::channel(ReplicaPhase::Running);
+    let authority = Arc::new(Mutex::new(None));
+    let handle = ReplicaHandle {
+        inputs: sender,
+        authority: Arc::clone(&authority),
+        status: status_receiver,
+        phase: phase_receiver,
+        propose_timeout: settings.propose_timeout,
+        barrier_timeout: settings.barrier_timeout,
+    };
+    let thread = ReplicaThread {
+        settings,
+        node,
+        storage,
+        machine,
+        peers,
+        inputs,
+        entries: EntryWaiters::default(),
+        reads: ReadWaiters::default(),
+        applied,
+        members: Membership::default(),
+        role: RoleName::Follower,
+        founding: FoundingProgress::Waiting,
+        view: ReplicaView {
+            authority,
+            status,
+            phase,
+        },
+    };
+    std::thread::Builder::new()
+        .name("replica".to_owned())
+        .spawn(move || thread.run())
+        .context(SpawnSnafu)?;
+    Ok(handle)
+}
+
+impl<M: StateMachine, P: PeerSender> ReplicaThread<M, P> {
+    fn run(mut self) {
+        let result = self.run_passes();
+        // Anything but a stop or a failed disk ends the thread by a panic, which drops the view.
+        let phase = match result {
+            Ok(()) => ReplicaPhase::Stopped,
+            Err(error) => {
+                let event = LogEvent::StorageFailed.number();
+                tracing::error!(event, %error, "the data folder cannot be written");
+                ReplicaPhase::Failed(error.to_string())
+            }
+        };
+        let Self {
+            view,
+            storage,
+            inputs,
+            ..
+        } = self;
+        // Whoever waits for the end may open the folder again at once, and finds later calls refused.
+        drop(storage);
+        drop(inputs);
+        *view
+            .authority
+            .lock()
+            .expect("no holder of the authority lock panics") = None;
+        view.phase.send_replace(phase);
+    }
+
+    fn run_passes(&mut self) -> Result<(), StorageError> {
+        loop {
+            self.publish();
+            let wait = self.node.next_tick().since(BootClock.now());
+            let first = match self.inputs.recv_timeout(wait.max(MIN_WAIT)) {
+                Ok(input) => Some(input),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            };
+            let later = self.inputs.try_iter().take(MAX_PASS_INPUTS - 1);
+            let inputs: Vec<_> = first.into_iter().chain(later).collect();
+            // The time is taken after the inputs, as `RaftNode::step` demands.
+            let now = BootClock.now();
+            if !self.take_inputs(inputs, now) {
+                return Ok(());
+            }
+            if self.node.next_tick() <= now {
+                self.node.tick(now);
+                self.reads.prune();
+            }
+            self.drive()?;
+            self.compact_if_due()?;
+        }
+    }
+
+    /// Hands inputs to the node; false if the replica is to stop.
+    fn take_inputs(&mut self, inputs: Vec<ReplicaInput<M::Output>>, now: TimePoint) -> bool {
+        let mut readers: Vec<ReadReply> = Vec::new();
+        for input in inputs {
+            match input {
+                ReplicaInput::Messages(messages) => {
+                    for message in messages {
+                        self.node.step(message, now);
+                    }
+                }
+                ReplicaInput::Propose { data, reply } => {
+                    match self.node.propose(data.into(), now) {
+                        Ok(position) => self.entries.add(position, EntryWaiter::Proposal(reply)),
+                        Err(refused) => drop(reply.send(Err(refused.into()))),
+                    }
+                }
+                ReplicaInput::Change { request, reply } => {
+                    match self.node.propose_membership(&request, now) {
+                        Ok(position) => self.entries.add(position, EntryWaiter::Change(reply)),
+                        Err(source) => {
+                            drop(reply.send(Err(ChangeError::ChangeRefused { source })));
+                        }
+                    }
+                }
+                ReplicaInput::Read { reply } => readers.push(reply),
+                ReplicaInput::Stop => return false,
+            }
+        }
+        if !readers.is_empty() {
+            let context = self.reads.open(readers);
+            self.node.read_index(context, now);
+        }
+        true
+    }
+
+    /// Does what the node asks for until there is nothing left.
+    fn drive(&mut self) -> Result<(), StorageError> {
+        loop {
+            let mut batch = self.node.ready(BootClock.now());
+            if batch.is_empty() {
+                return Ok(());
+            }
+            self.note_members();
+            self.send(std::mem::take(&mut batch.early_messages));
+            if let Some(snapshot) = batch.snapshot.take() {
+                self.store_snapshot(&snapshot)?;
+                self.machine.restore(&snapshot.data);
+                self.applied = snapshot.index;
+                self.entries.skip(snapshot.index);
+            }
+            if !batch.records.is_empty() {
+                self.storage.append(batch.records);
+                self.storage.sync()?;
+            }
+            self.node.synced(BootClock.now());
+            self.send(batch.messages);
+            for entry in batch.committed {
+                self.apply(&entry);
+            }
+            self.reads.applied(self.applied);
+            for read in batch.reads {
+                self.reads.finish(read, self.applied);
+            }
+        }
+    }
+
+    fn send(&mut self, messages: Vec<oriolecrank_consensus::PeerMessage>) {
+        if !messages.is_empty() {
+            self.peers.send(messages);
+        }
+    }
+
+    fn apply(&mut self, entry: &LogEntry) {
+        self.applied = entry.index;
+        let output = match &entry.body {
+            EntryBody::Data(data) => Some(self.machine.apply(entry.index, entry.term, data)),
+            EntryBody::Noop | EntryBody::Membership(_) => None,
+        };
+        if let Some(waiter) = self.entries.take(entry.index, entry.term) {
+            let position = EntryPosition {
+                index: entry.index,
+                term: entry.term,
+            };
+            waiter.committed(position, output);
+        }
+    }
+
+    fn compact_if_due(&mut self) -> Result<(), StorageError> {
+        let since = self.applied.0 - self.node.snapshot_index().0.min(self.applied.0);
+        if since < self.settings.snapshot_entries {
+            return Ok(());
+        }
+        let data = self.machine.snapshot().into();
+        let kept = self.settings.kept_entries;
+        match self.node.compact(self.applied, data, kept) {
+            Some(snapshot) => self.store_snapshot(&snapshot),
+            None => Ok(()),
+        }
+    }
+
+    fn store_snapshot(
+        &mut self,
+        snapshot: &oriolecrank_consensus::Snapshot,
+    ) -> Result<(), StorageError> {
+        let node = &self.node;
+        let entries = node.log_entries().cloned();
+        self.storage
+            .replace(snapshot, node.hard_state(), node.founding_tags(), entries)
+    }
+
+    fn note_members(&mut self) {
+        if *self.node.membership() != self.members {
+            self.members = self.node.membership().clone();
+            self.peers.set_members(&self.members);
+        }
+    }
+
+    /// Shows the present state to the handles and logs what has changed.
+    fn publish(&mut self) {
+        let authority = self.node.authority(BootClock.now());
+        *self
+            .view
+            .authority
+            .lock()
+            .expect("no holder of the authority lock panics") = authority;
+        let status = ReplicaStatus {
+            node: self.node.status(),
+            applied: self.applied,
+        };
+        self.log_changes(&status);
+        self.view.status.send_if_modified(|shown| {
+            let changed = *shown != status;
+            *shown = status;
+            changed
+        });
+    }
+
+    fn log_changes(&mut self, status: &ReplicaStatus) {
+        let (id, term) = (&status.node.id, status.node.term.0);
+        let leads = status.node.role == RoleName::Leader;
+        if leads && self.role != RoleName::Leader {
+            let event = LogEvent::LeaderElected.number();
+            tracing::info!(event, %id, term, "became leader");
+        }
+        if !leads && self.role == RoleName::Leader {
+            let event = LogEvent::LeaderResigned.number();
+            tracing::info!(event, %id, term, "is no longer leader");
+        }
+        let refused = status.node.founding == FoundingProgress::Refused;
+        if refused && self.founding != FoundingProgress::Refused {
+            let event = LogEvent::IdentityRefused.number();
+            tracing::error!(
+                event,
+                %id,
+                "the data folder is new but the identity is in use; start with a new name"
+            );
+        }
+        self.role = status.node.role;
+        self.founding = status.node.founding;
+    }
+}
+
+impl From<ProposalRefused> for ProposeError {
+    fn from(refused: ProposalRefused) -> Self {
+        match refused {
+            ProposalRefused::NotLeader { .. } => Self::NotLeader,
+            ProposalRefused::Overloaded => Self::Overloaded,
+        }
+    }
+}
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -64,6 +64,7 @@
     OrderFinished = 306, "An order was carried out; the result is in the line.";
     LeaderElected = 400, "This control instance became leader.";
     LeaderResigned = 401, "This control instance is no longer leader.";
+    IdentityRefused = 402, "The data folder is new, but its identity was in use with another folder.";
     DocumentAccepted = 410, "A document was committed.";
     UpstreamSuspected = 411, "An upstream is silent; it gets no new work when others can take it.";
     UpstreamsRemoved = 412, "Silent upstreams were removed.";
