--- a/crates/oriolecrank-control/src/process.rs
+++ b/crates/oriolecrank-control/src/process.rs
@@ -3,16 +3,24 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use oriolecrank_consensus::{InstanceId, Member, MemberRole};
 use oriolecrank_net::shutdown::ShutdownSignal;
 use oriolecrank_net::{HttpClient, OperatorListener, PeerGuard, ReadyFlag, serve};
 use oriolecrank_schema::event::LogEvent;
 use prometheus_client::registry::Registry;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
+use tokio::time::sleep;
 
 use crate::leader_duties::LeaderDuties;
-use crate::local_replica::LocalReplica;
 use crate::options::ControlOptions;
+use crate::peer_directory::PeerDirectory;
+use crate::peer_ingress::PeerIngress;
+use crate::peer_transport::PeerTransport;
+use crate::raft_replica::{CommandMachine, RaftReplica};
+use crate::replica::{ReplicaPhase, ReplicaSettings};
+use crate::replica_error::ReplicaError;
+use crate::replica_thread::start_replica;
 use crate::request_server::RequestServer;
 use crate::shared_state::SharedState;
 
@@ -27,11 +35,17 @@
         /// Cause.
         source: std::io::Error,
     },
-    /// The data folder cannot be used.
-    #[snafu(display("cannot use the data folder: {source}"))]
-    Storage {
+    /// The replica cannot start.
+    #[snafu(display("cannot start the replica: {source}"))]
+    Replica {
         /// Cause.
-        source: std::io::Error,
+        source: ReplicaError,
+    },
+    /// The replica stopped, because its data folder cannot be written.
+    #[snafu(display("the replica stopped: {reason}"))]
+    ReplicaFailed {
+        /// What went wrong.
+        reason: String,
     },
 }
 
@@ -60,35 +74,103 @@
         self.listener.local_addr().unwrap_or(self.options.listen)
     }
 
-    /// Runs until shutdown.
+    /// Runs until shutdown, or until the data folder cannot be written.
     pub async fn run(self, shutdown: ShutdownSignal) -> Result<(), ControlError> {
         let address = self.address();
+        let Self {
+            options,
+            listener,
+            operator_listener,
+        } = self;
         let state = Arc::new(SharedState::default());
-        let replica = LocalReplica::open(&self.options.data_folder, Arc::clone(&state));
-        let replica = Arc::new(replica.context(StorageSnafu)?);
+        let client = HttpClient::default();
+        let directory = PeerDirectory::default();
+        let secret = options.secret.clone();
+        let transport = PeerTransport::new(
+            options.cluster.clone(),
+            address,
+            client.clone(),
+            secret.clone(),
+            directory.clone(),
+        );
+        let settings = replica_settings(&options, address);
+        let machine = CommandMachine::new(Arc::clone(&state));
+        let handle = start_replica(settings, machine, transport).context(ReplicaSnafu)?;
+        let replica = Arc::new(RaftReplica::new(handle.clone()));
         let duties = Arc::new(LeaderDuties::new(Arc::clone(&replica), Arc::clone(&state)));
-        let secret = self.options.secret.clone();
         let guard = PeerGuard::new(secret.clone());
+        let ingress = PeerIngress::new(options.cluster.clone(), guard.clone(), handle, directory);
         let ready = ReadyFlag::default();
         let operator = OperatorListener::new(Registry::default(), ready.clone(), guard);
-        let client = HttpClient::default();
-        let server = RequestServer::new(secret, client, replica, state, Arc::clone(&duties));
+        let server = RequestServer::new(
+            ingress,
+            secret,
+            client,
+            Arc::clone(&replica),
+            state,
+            Arc::clone(&duties),
+        );
         tracing::info!(event = LogEvent::ProcessStarted.number(), %address, "control started");
         ready.set(true);
         let serving = async {
             tokio::join!(
-                serve(self.listener, Arc::new(server), shutdown.clone()),
-                serve(self.operator_listener, Arc::new(operator), shutdown),
+                serve(listener, Arc::new(server), shutdown.clone()),
+                serve(operator_listener, Arc::new(operator), shutdown.clone()),
             );
         };
+        let mut signal = shutdown.clone();
+        let stopping = async {
+            signal.triggered().await;
+            ready.set(false);
+            tracing::info!(event = LogEvent::ShutdownStarted.number(), "control stops");
+            sleep(options.shutdown_limit).await;
+        };
         tokio::select! {
             () = serving => {}
+            () = stopping => {
+                tracing::warn!(event = LogEvent::ShutdownForced.number(), "requests were cut off");
+            }
             () = duties.run() => {}
+            phase = replica.stopped() => {
+                if let ReplicaPhase::Failed(reason) = phase {
+                    return ReplicaFailedSnafu { reason }.fail();
+                }
+            }
         }
+        replica.stop();
+        replica.stopped().await;
+        tracing::info!(
+            event = LogEvent::ShutdownFinished.number(),
+            "control stopped"
+        );
         Ok(())
     }
 }
 
+/// Settings of the replica. The founders count only if this instance is one of them; another
+/// instance with an empty data folder waits until the leader adds it.
+fn replica_settings(options: &ControlOptions, address: SocketAddr) -> ReplicaSettings {
+    let founder = options
+        .members
+        .iter()
+        .any(|member| member.instance == options.instance);
+    let founders = options.members.iter().filter(|_| founder).map(|member| {
+        let own = member.instance == options.instance;
+        Member {
+            address: if own { address } else { member.address }.to_string(),
+            id: InstanceId::new(&member.instance),
+            role: MemberRole::Voter,
+        }
+    });
+    ReplicaSettings {
+        cluster: options.cluster.clone(),
+        name: options.instance.clone(),
+        data_folder: options.data_folder.clone(),
+        founders: founders.collect(),
+        ..ReplicaSettings::default()
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, ControlError> {
     TcpListener::bind(address)
         .await
--- a/crates/oriolecrank-local/src/local_cluster.rs
+++ b/crates/oriolecrank-local/src/local_cluster.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use oriolecrank_agent::{AgentError, AgentOptions, AgentProcess};
-use oriolecrank_control::{ControlError, ControlOptions, ControlProcess};
+use oriolecrank_control::{ControlError, ControlOptions, ControlProcess, InitialMember};
 use oriolecrank_entry::{EntryError, EntryOptions, EntryProcess};
 use oriolecrank_fakes::{EngineOptions, FakeEngine, FakeLedger};
 use oriolecrank_net::logging::LogFormat;
@@ -244,7 +244,10 @@
         operator_listen: loopback(),
         secret: secret.clone(),
         data_folder: folder.to_owned(),
-        members: Vec::new(),
+        members: vec![InitialMember {
+            instance: "control-1".to_owned(),
+            address: loopback(),
+        }],
         platform: None,
         usage: None,
         shutdown_limit: Duration::from_secs(10),
