Ask again when a control instance knows no leader

Cause: a control instance answers a query with 503 while a leader is elected, and the tool gave up with exit code 1. Change: only client errors, such as a wrong secret, end a query or a command at once; others are retried until the time limit and then reported as unavailable or as an unknown outcome. Conclusion: an election costs the operator a delay and no failed command.

--- a/crates/oriolecrank-ctl/src/control_session.rs
+++ b/crates/oriolecrank-ctl/src/control_session.rs
@@ -95,7 +95,7 @@
             Err(ControlError::Unavailable {
                 verdict: RunVerdict::NotRun,
             }) => Err(CtlError::Unavailable),
-            Err(error @ ControlError::Refused { .. }) => Err(error).context(MessageSnafu),
+            Err(error) if is_refusal(&error) => Err(error).context(MessageSnafu),
             Err(_) => OutcomeUnknownSnafu { advice }.fail(),
         }
     }
@@ -111,8 +111,9 @@
             match answer {
                 Ok(QueryResult::Refused { reason }) => return RefusedSnafu { reason }.fail(),
                 Ok(result) => return Ok(result),
-                Err(ControlError::Send { .. } | ControlError::Unavailable { .. }) => {}
-                Err(error) => return Err(error).context(MessageSnafu),
+                Err(error) if is_refusal(&error) => return Err(error).context(MessageSnafu),
+                // The connection failed, or the instance knows no leader at the moment.
+                Err(_) => {}
             }
             tried += 1;
             if tried % self.addresses.len() == 0 {
@@ -169,6 +170,11 @@
     }
 }
 
+/// Whether an instance refused a message itself, as with a wrong secret; another one would as well.
+fn is_refusal(error: &ControlError) -> bool {
+    matches!(error, ControlError::Refused { status } if status.is_client_error())
+}
+
 /// A new request id.
 pub(crate) fn new_request_id() -> Result<String, CtlError> {
     Ok(format!("ctl-{}", random_hex::<REQUEST_ID_BYTES>()?))
--- a/crates/oriolecrank-ctl/tests/ctl/control_stand_in.rs
+++ b/crates/oriolecrank-ctl/tests/ctl/control_stand_in.rs
@@ -64,6 +64,8 @@
     pub faults: VecDeque<CommandFault>,
     /// Lagging subscribers in the next answers; the last list is repeated.
     pub lagging: VecDeque<Vec<String>>,
+    /// Number of queries that find no leader.
+    pub leaderless_queries: u64,
 }
 
 impl StandInTable {
@@ -132,7 +134,12 @@
             .expect("a whole body");
         if path == "/v1/query" {
             let query: Query = codec::decode(&body).expect("a query");
-            return message_answer(&lock(&self.table).answer_query(&query));
+            let mut table = lock(&self.table);
+            if table.leaderless_queries > 0 {
+                table.leaderless_queries -= 1;
+                return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            return message_answer(&table.answer_query(&query));
         }
         if path != "/v1/command" {
             return empty_answer(StatusCode::NOT_FOUND);
--- a/crates/oriolecrank-ctl/tests/ctl/operations.rs
+++ b/crates/oriolecrank-ctl/tests/ctl/operations.rs
@@ -146,3 +146,15 @@
     }
     assert_eq!(stand_in.table().state.orders_in_flight().count(), 0);
 }
+
+/// Guards against a command that fails because a leader is being elected.
+#[tokio::test]
+async fn query_waits_for_a_leader() {
+    let stand_in = with_upstream().await;
+    stand_in.table().leaderless_queries = 2;
+    let output = stand_in.ctl(&["status"]).await;
+    assert_eq!(output.code, ExitCode::Success, "{output:?}");
+    stand_in.table().leaderless_queries = u64::MAX;
+    let output = stand_in.ctl(&["status", "--timeout-ms", "200"]).await;
+    assert_eq!(output.code, ExitCode::Unavailable, "{output:?}");
+}
