--- a/crates/oriolecrank-bench/src/lib.rs
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -8,3 +8,5 @@
 
 pub mod arguments;
 pub mod measurement;
+pub mod policy;
+pub mod route;
--- /dev/null
+++ b/crates/oriolecrank-control/src/request_server.rs
@@ -0,0 +1,200 @@
+//! Requests of other processes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use oriolecrank_net::{
+    AnswerBody, ClusterSecret, HttpClient, HttpHandler, PeerGuard, empty_answer, message_answer,
+    peer_request, read_body, text_answer,
+};
+use oriolecrank_schema::codec::{self, CodecError};
+use oriolecrank_schema::control::{Command, CommandOutcome, PingRequest, Query, QueryResult};
+
+use crate::command_replica::CommandReplica;
+use crate::leader_duties::LeaderDuties;
+use crate::shared_state::SharedState;
+
+/// Largest request body, in bytes.
+const MAX_REQUEST_BYTES: usize = 16 * 1024 * 1024;
+
+/// Longest wait for the leader when a request is forwarded.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Largest forwarded answer, in bytes.
+const MAX_FORWARDED_BYTES: usize = 16 * 1024 * 1024;
+
+/// Header of a forwarded request. It is not forwarded again, so that two instances with an old view
+/// of the leader do not send it back and forth.
+const FORWARDED_HEADER: &str = "x-oriolecrank-forwarded";
+
+/// Answers commands, queries, subscriptions and pings.
+#[derive(Debug)]
+pub struct RequestServer<R> {
+    guard: PeerGuard,
+    secret: ClusterSecret,
+    client: HttpClient,
+    replica: Arc<R>,
+    state: Arc<SharedState>,
+    duties: Arc<LeaderDuties<R>>,
+}
+
+impl<R: CommandReplica> RequestServer<R> {
+    /// A server over the given replica.
+    pub fn new(
+        secret: ClusterSecret,
+        client: HttpClient,
+        replica: Arc<R>,
+        state: Arc<SharedState>,
+        duties: Arc<LeaderDuties<R>>,
+    ) -> Self {
+        Self {
+            guard: PeerGuard::new(secret.clone()),
+            secret,
+            client,
+            replica,
+            state,
+            duties,
+        }
+    }
+
+    async fn command(&self, command: Command, peer: SocketAddr) -> CommandOutcome {
+        if !is_open_to_peers(&command) {
+            let reason = "only the leader itself issues this command".to_owned();
+            return CommandOutcome::Refused { reason };
+        }
+        let command = with_origin(command, peer);
+        let outcome = match command {
+            Command::Announce { .. } => self.duties.announce(command).await,
+            _ => self.replica.propose(command).await,
+        };
+        match outcome {
+            CommandOutcome::NotLeader { leader } => {
+                let known = self
+                    .replica
+                    .leader_address()
+                    .map(|address| address.to_string());
+                CommandOutcome::NotLeader {
+                    leader: leader.or(known),
+                }
+            }
+            outcome => outcome,
+        }
+    }
+
+    async fn query(&self, query: Query) -> Option<QueryResult> {
+        if !self.replica.read_barrier().await {
+            return None;
+        }
+        match query {
+            Query::Members => Some(QueryResult::Members {
+                members: self.replica.members(),
+            }),
+            Query::InForce { revision } => {
+                let report = self.duties.in_force(revision)?;
+                Some(QueryResult::InForce {
+                    lagging: report.lagging,
+                    lowest_revision: report.lowest.unwrap_or(revision),
+                    subscribers: report.live as u64,
+                })
+            }
+            query => Some(self.state.read(|state| state.query(&query))),
+        }
+    }
+
+    /// Passes a request on to the leader.
+    async fn forward(&self, path: &str, body: Bytes, forwarded: bool) -> Response<AnswerBody> {
+        let leader = self.replica.leader_address().filter(|_| !forwarded);
+        let Some(leader) = leader else {
+            return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        let mut request = peer_request(&self.secret, path, body);
+        let value = http::HeaderValue::from_static("1");
+        request.headers_mut().insert(FORWARDED_HEADER, value);
+        let Ok(response) = self.client.send(leader, request, FORWARD_TIMEOUT).await else {
+            return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        let status = response.status();
+        match response.collect(MAX_FORWARDED_BYTES, FORWARD_TIMEOUT).await {
+            Ok(bytes) => {
+                let mut answer = Response::new(AnswerBody::full(bytes));
+                *answer.status_mut() = status;
+                answer
+            }
+            Err(_) => empty_answer(StatusCode::SERVICE_UNAVAILABLE),
+        }
+    }
+}
+
+impl<R: CommandReplica> HttpHandler for RequestServer<R> {
+    async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
+        if let Some(refusal) = self.guard.refusal(request.headers()) {
+            return refusal;
+        }
+        if request.method() != Method::POST {
+            return empty_answer(StatusCode::METHOD_NOT_ALLOWED);
+        }
+        let (head, body) = request.into_parts();
+        let Some(bytes) = read_body(body, MAX_REQUEST_BYTES).await else {
+            return empty_answer(StatusCode::PAYLOAD_TOO_LARGE);
+        };
+        let forwarded = head.headers.contains_key(FORWARDED_HEADER);
+        let path = head.uri.path();
+        match path {
+            "/v1/command" => match codec::decode(&bytes) {
+                Ok(command) => message_answer(&self.command(command, peer).await),
+                Err(error) => bad_request(&error),
+            },
+            "/v1/query" => match codec::decode(&bytes) {
+                Ok(query) => match self.query(query).await {
+                    Some(result) => message_answer(&result),
+                    None => self.forward(path, bytes, forwarded).await,
+                },
+                Err(error) => bad_request(&error),
+            },
+            "/v1/ping" => match codec::decode::<PingRequest>(&bytes) {
+                Ok(ping) => match self.duties.ping(&ping).await {
+                    Some(answer) => message_answer(&answer),
+                    None => self.forward(path, bytes, forwarded).await,
+                },
+                Err(error) => bad_request(&error),
+            },
+            "/v1/subscribe" => Response::new(self.state.subscribe()),
+            _ => empty_answer(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+fn bad_request(error: &CodecError) -> Response<AnswerBody> {
+    text_answer(StatusCode::BAD_REQUEST, error.to_string())
+}
+
+/// Commands that other processes may send; the rest are decisions of the leader.
+const fn is_open_to_peers(command: &Command) -> bool {
+    matches!(
+        command,
+        Command::Submit { .. }
+            | Command::Announce { .. }
+            | Command::OpenClaim { .. }
+            | Command::CompleteClaim { .. }
+            | Command::ReleaseClaim { .. }
+            | Command::ReportUsage { .. }
+            | Command::ReportCrash { .. }
+            | Command::ClearSuspect { .. }
+            | Command::RerunSuspect { .. }
+            | Command::PlaceOperatorOrder { .. }
+    )
+}
+
+/// Adds the address that a change came from, for the audit trail; the sender cannot choose it.
+fn with_origin(mut command: Command, peer: SocketAddr) -> Command {
+    if let Command::Submit { origin, .. } | Command::PlaceOperatorOrder { origin, .. } =
+        &mut command
+    {
+        *origin = peer.ip().to_string();
+    }
+    command
+}
--- a/crates/oriolecrank-net/src/lib.rs
+++ b/crates/oriolecrank-net/src/lib.rs
@@ -18,10 +18,11 @@
 mod http_server;
 pub mod logging;
 mod operator_listener;
+mod process_main;
 pub mod settings_file;
 pub mod shutdown;
 
-pub use answer_body::{AnswerBody, BodyAborted, BodySender};
+pub use answer_body::{AnswerBody, BodyAborted, BodyReceiver, BodySender};
 pub use boot_clock::BootClock;
 pub use cluster_secret::{ClusterSecret, SecretError};
 pub use control_client::{ControlClient, ControlError, peer_request};
@@ -31,3 +32,4 @@
     HttpHandler, PeerGuard, empty_answer, message_answer, read_body, serve, text_answer,
 };
 pub use operator_listener::{OperatorListener, ReadyFlag};
+pub use process_main::{ProcessArguments, run_process};
