Let an entry give back a rerun that did not run

Cause: when the agent refused a granted rerun ("not run"), the permission was used up and the fingerprint, innocent or not, could not run for 10 min. Change: release_rerun takes the permission back from the request that holds it; control accepts the command from entries. Conclusion: a suspect is still rerun at most once; the entries do not send the command yet.

--- a/crates/oriolecrank-control/src/request_server.rs
+++ b/crates/oriolecrank-control/src/request_server.rs
@@ -185,6 +185,7 @@
             | Command::ReportCrash { .. }
             | Command::ClearSuspect { .. }
             | Command::RerunSuspect { .. }
+            | Command::ReleaseRerun { .. }
             | Command::PlaceOperatorOrder { .. }
     )
 }
--- a/crates/oriolecrank-state/src/cluster/command.rs
+++ b/crates/oriolecrank-state/src/cluster/command.rs
@@ -220,6 +220,24 @@
                 };
                 self.rerun_suspect(&key, grant, context)
             }
+            Command::ReleaseRerun {
+                fingerprint,
+                incarnation,
+                organisation,
+                request_id,
+                upstream,
+            } => {
+                let key = SuspectKey {
+                    organisation,
+                    fingerprint,
+                };
+                let grant = RerunGrant {
+                    upstream,
+                    incarnation,
+                    request_id,
+                };
+                accepted_if(self.suspects.release(&key, &grant))
+            }
             Command::ReportUsage { records, source: _ } => {
                 self.usage.report(&records, now_ms).into()
             }
--- a/crates/oriolecrank-state/src/cluster/suspect_table.rs
+++ b/crates/oriolecrank-state/src/cluster/suspect_table.rs
@@ -208,6 +208,20 @@
         RerunEffect::Granted
     }
 
+    /// Takes a permission back whose rerun did not run, so that the suspect can be rerun elsewhere.
+    ///
+    /// Returns false if this permission is not open.
+    pub(crate) fn release(&mut self, key: &SuspectKey, grant: &RerunGrant) -> bool {
+        let Some(tracked) = self.suspects.get_mut(key) else {
+            return false;
+        };
+        if tracked.open_rerun() != Some(grant) {
+            return false;
+        }
+        tracked.rerun = None;
+        true
+    }
+
     /// Forgets a suspect that ran to its end; a refused fingerprint stays refused.
     pub(crate) fn clear(&mut self, key: &SuspectKey) -> ClearEffect {
         let Some(tracked) = self.suspects.get(key) else {
--- a/crates/oriolecrank-state/tests/state/cluster_fixture.rs
+++ b/crates/oriolecrank-state/tests/state/cluster_fixture.rs
@@ -264,6 +264,16 @@
     }
 }
 
+pub fn release_rerun(fingerprint: &str, upstream: &str, request: &str) -> Command {
+    Command::ReleaseRerun {
+        fingerprint: fingerprint.to_owned(),
+        incarnation: 1,
+        organisation: "grove".to_owned(),
+        request_id: request.to_owned().into(),
+        upstream: UpstreamId(upstream.to_owned()),
+    }
+}
+
 pub fn clear(organisation: &str, fingerprint: &str) -> Command {
     Command::ClearSuspect {
         fingerprint: fingerprint.to_owned(),
--- a/crates/oriolecrank-state/tests/state/random_command.rs
+++ b/crates/oriolecrank-state/tests/state/random_command.rs
@@ -8,8 +8,8 @@
 use proptest::test_runner::RngSeed;
 
 use crate::cluster_fixture::{
-    announce, answer, clear, complete, crash, open_claim_at, place_order, record, release, remove,
-    report, rerun, settle_order, submit, usage,
+    announce, answer, clear, complete, crash, open_claim_at, place_order, record, release,
+    release_rerun, remove, report, rerun, settle_order, submit, usage,
 };
 use crate::fixtures::{document, organisation};
 
@@ -141,9 +141,13 @@
         .prop_map(|(upstream, crash_id, running)| crash(upstream, crash_id, &running));
     let rerun = (any_fingerprint(), any_upstream(), 0..2_u32)
         .prop_map(|(print, upstream, request)| rerun(print, upstream, &format!("r-{request}")));
+    let release =
+        (any_fingerprint(), any_upstream(), 0..2_u32).prop_map(|(print, upstream, request)| {
+            release_rerun(print, upstream, &format!("r-{request}"))
+        });
     let clear = (any_organisation(), any_fingerprint())
         .prop_map(|(organisation, print)| clear(organisation, print));
-    prop_oneof![2 => crash, 1 => rerun, 1 => clear]
+    prop_oneof![4 => crash, 2 => rerun, 1 => release, 2 => clear]
 }
 
 fn any_fingerprint() -> impl Strategy<Value = &'static str> {
--- a/crates/oriolecrank-state/tests/state/suspect_commands.rs
+++ b/crates/oriolecrank-state/tests/state/suspect_commands.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::cluster_fixture::{
-    CaseStep, TestCluster, announce, clear, crash, refused, remove, rerun,
+    CaseStep, TestCluster, announce, clear, crash, refused, release_rerun, remove, rerun,
 };
 
 /// A cluster with the additional member `engine-2`.
@@ -68,6 +68,31 @@
                 ),
             ],
         ),
+        (
+            "permission given back by its holder, and by others",
+            vec![
+                (
+                    crash("engine-1", 1, &[("grove", "f"), ("grove", "g")]),
+                    accepted.clone(),
+                ),
+                (rerun("f", "engine-2", "r-1"), accepted.clone()),
+                (release_rerun("f", "engine-2", "r-2"), unchanged.clone()),
+                (release_rerun("f", "desk-1", "r-1"), unchanged.clone()),
+                (
+                    rerun("f", "desk-1", "r-3"),
+                    refused("the suspect was rerun before"),
+                ),
+                (release_rerun("f", "engine-2", "r-1"), accepted.clone()),
+                // The upstream is free for another suspect, and the suspect for another upstream.
+                (rerun("g", "engine-2", "r-4"), accepted.clone()),
+                (rerun("f", "desk-1", "r-3"), accepted.clone()),
+                // A late repetition does not end the second permission.
+                (release_rerun("f", "engine-2", "r-1"), unchanged.clone()),
+                (crash("desk-1", 1, &[("grove", "f")]), accepted.clone()),
+                (release_rerun("f", "desk-1", "r-3"), unchanged.clone()),
+                (rerun("f", "engine-2", "r-5"), culprit.clone()),
+            ],
+        ),
         (
             "two suspects on one upstream",
             vec![
