Use the policy of hedges, ejection, suspects and shared reads in the entry

The entry had its own versions of these decisions because the policy crate had none yet. Each service has one ejection and one hedge policy beside its chooser; suspects are placed by the policy's table, and shared reads follow its roles.

--- a/crates/oriolecrank-entry/src/call_runner.rs
+++ b/crates/oriolecrank-entry/src/call_runner.rs
@@ -2,12 +2,14 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use oriolecrank_net::BootClock;
 use oriolecrank_policy::TokenCount;
+use oriolecrank_policy::hedge::FirstAttempt;
 use oriolecrank_policy::upstream_chooser::ChoiceRequest;
 use oriolecrank_schema::data_path::RunVerdict;
-use oriolecrank_schema::document::{PriorityClass, UpstreamId};
+use oriolecrank_schema::document::UpstreamId;
 use oriolecrank_schema::event::LogEvent;
 use tokio::time::sleep;
 
@@ -25,10 +27,6 @@
 /// Attempts of one request at most, hedges included.
 const MAX_ATTEMPTS: u32 = 5;
 
-/// An urgent call without an answer is sent a second time once this part of its time has passed, as
-/// a divisor: the second attempt then has most of the time left.
-const HEDGE_DIVISOR: u32 = 4;
-
 /// Upstreams that are looked at for one whose retry budget is left.
 const MAX_BUDGET_CHOICES: usize = 4;
 
@@ -61,7 +59,7 @@
     /// An attempt was running when its upstream crashed.
     crashed: bool,
     /// Held while a suspect runs.
-    suspect: Option<SuspectPermit>,
+    suspect: Option<Box<SuspectPermit>>,
     /// Failure after which the next attempt needs a retry budget; `None` before the first attempt
     /// and after refusals that a planned change causes.
     charged: Option<AttemptError>,
@@ -149,13 +147,13 @@
         self.suspect = None;
         let dispatch = self.choose_allowed().await?;
         let upstream = dispatch.upstream().clone();
+        let hedge_after = (resume_tokens == 0).then(|| self.hedge_after(&dispatch));
         let mut order = self.order(dispatch);
         order.resume_tokens = resume_tokens;
         let first = self.start(order);
-        let result = if resume_tokens == 0 && self.may_hedge() {
-            self.run_hedged(first, &upstream).await
-        } else {
-            first.await
+        let result = match hedge_after.flatten() {
+            Some(delay) => self.run_hedged(first, &upstream, delay).await,
+            None => first.await,
         };
         if result.is_err() {
             self.failed.push(upstream);
@@ -236,9 +234,19 @@
         })
     }
 
-    fn may_hedge(&self) -> bool {
-        let urgent = self.plan.template.class == PriorityClass::Urgent;
-        urgent && self.plan.safety == CallSafety::Repeatable && self.suspect.is_none()
+    /// Time after which a slow attempt gets a second one beside it; `None` if it gets none.
+    fn hedge_after(&self, dispatch: &Dispatch) -> Option<Duration> {
+        if self.suspect.is_some() {
+            return None;
+        }
+        let now = BootClock.now();
+        let first = FirstAttempt {
+            class: self.plan.template.class.into(),
+            idempotent: self.plan.safety == CallSafety::Repeatable,
+            sent_at: now,
+            deadline: self.plan.deadline,
+        };
+        dispatch.hedge_at(&first).map(|at| at.since(now))
     }
 
     /// Sends the call to a second upstream if the first one is slow; the answer that begins first
@@ -247,8 +255,8 @@
         &mut self,
         first: impl Future<Output = Result<RunningAttempt, AttemptError>>,
         upstream: &UpstreamId,
+        delay: Duration,
     ) -> Result<RunningAttempt, AttemptError> {
-        let delay = self.plan.time_left(BootClock.now()) / HEDGE_DIVISOR;
         tokio::pin!(first);
         tokio::select! {
             result = &mut first => return result,
--- a/crates/oriolecrank-entry/src/entry_context.rs
+++ b/crates/oriolecrank-entry/src/entry_context.rs
@@ -42,7 +42,7 @@
     /// Budgets of retries and hedges.
     pub retries: RetryGate,
     /// Placement of suspects.
-    pub suspects: SuspectGate,
+    pub suspects: Arc<SuspectGate>,
     /// Reads that are shared.
-    pub coalescer: ReadCoalescer,
+    pub coalescer: Arc<ReadCoalescer>,
 }
--- a/crates/oriolecrank-entry/src/entry_state.rs
+++ b/crates/oriolecrank-entry/src/entry_state.rs
@@ -41,9 +41,6 @@
     },
 }
 
-/// Key of a suspect fingerprint. The fingerprint already covers the organisation.
-type Fingerprint = String;
-
 /// One consistent view of configuration, upstreams and suspects.
 #[derive(Debug, Clone, Default)]
 pub struct StateView {
@@ -52,7 +49,8 @@
     document: Arc<CheckedDocument>,
     /// Holds the newest known incarnation of each upstream.
     upstreams: Arc<IndexMap<UpstreamId, UpstreamRecord>>,
-    suspects: Arc<IndexMap<Fingerprint, SuspectRecord>>,
+    /// All suspects and refused fingerprints.
+    suspects: Arc<Vec<SuspectRecord>>,
 }
 
 impl StateView {
@@ -77,9 +75,9 @@
         (record.incarnation == incarnation).then_some(record)
     }
 
-    /// What is known about a fingerprint after a crash; `None` if it is no suspect.
-    pub fn suspect(&self, fingerprint: &str) -> Option<&SuspectRecord> {
-        self.suspects.get(fingerprint)
+    /// Suspects and refused fingerprints.
+    pub fn suspects(&self) -> &[SuspectRecord] {
+        &self.suspects
     }
 
     /// Service that serves a model to an organisation.
@@ -160,12 +158,6 @@
             table.insert(record.upstream.clone(), record);
         }
     }
-
-    fn set_suspects(&mut self, records: Vec<SuspectRecord>) {
-        let entries = records.into_iter();
-        let table = entries.map(|record| (record.fingerprint.clone(), record));
-        self.suspects = Arc::new(table.collect());
-    }
 }
 
 /// State shared by all requests of an entry. Requests hold a view; changes replace it.
@@ -220,7 +212,7 @@
                 view.set_document(offered, document)?;
                 view.upstreams = Arc::default();
                 view.set_upstreams(upstreams, &[]);
-                view.set_suspects(suspects);
+                view.suspects = Arc::new(suspects);
             }
             SubscriptionFrame::Document {
                 base_revision,
@@ -230,7 +222,7 @@
             SubscriptionFrame::Upstreams { removed, updated } => {
                 view.set_upstreams(updated, &removed);
             }
-            SubscriptionFrame::Suspects { records } => view.set_suspects(records),
+            SubscriptionFrame::Suspects { records } => view.suspects = Arc::new(records),
             SubscriptionFrame::Heartbeat => return Ok(()),
         }
         *self
--- a/crates/oriolecrank-entry/src/process.rs
+++ b/crates/oriolecrank-entry/src/process.rs
@@ -10,6 +10,7 @@
 };
 use oriolecrank_policy::admission::AdmissionSettings;
 use oriolecrank_policy::rate_limiter::LimiterSettings;
+use oriolecrank_policy::read_coalescing::CoalescingSettings;
 use oriolecrank_policy::retry_budget::RetrySettings;
 use oriolecrank_policy::subset::EntryIdentity;
 use oriolecrank_policy::upstream_chooser::ChooserSettings;
@@ -31,7 +32,6 @@
 use crate::read_coalescer::ReadCoalescer;
 use crate::retry_gate::RetryGate;
 use crate::subscription::{ControlFollower, PING_INTERVAL};
-use crate::suspect_gate::SuspectGate;
 use crate::upstream_pool::UpstreamPool;
 use crate::usage_reporter::UsageReporter;
 
@@ -173,6 +173,8 @@
         }
         was_fresh = fresh;
         context.retries.forget_idle(now);
+        context.pool.return_ejected(now);
+        context.suspects.forget_expired(now);
     }
 }
 
@@ -201,8 +203,8 @@
         usage: Arc::new(usage),
         metrics,
         retries: RetryGate::new(RetrySettings::default()),
-        suspects: SuspectGate::default(),
-        coalescer: ReadCoalescer::default(),
+        suspects: Arc::default(),
+        coalescer: Arc::new(ReadCoalescer::new(CoalescingSettings::default())),
         options: options.clone(),
     }
 }
@@ -212,6 +214,7 @@
         client: context.control.clone(),
         state: Arc::clone(&context.state),
         pool: Arc::clone(&context.pool),
+        suspects: Arc::clone(&context.suspects),
         admission: Arc::clone(&context.admission),
         demand: Arc::clone(&context.demand),
         metrics: Arc::clone(&context.metrics),
--- a/crates/oriolecrank-entry/src/read_coalescer.rs
+++ b/crates/oriolecrank-entry/src/read_coalescer.rs
@@ -6,8 +6,10 @@
 use http::Response;
 use indexmap::IndexMap;
 use oriolecrank_net::{AnswerBody, BootClock};
+use oriolecrank_policy::read_coalescing::{CoalescingSettings, ReadKey, ReadRole, ReadTable};
 use oriolecrank_schema::data_path::RunVerdict;
 use oriolecrank_schema::digest;
+use oriolecrank_schema::document::RequestId;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -35,56 +37,118 @@
 
 type ReadSender = watch::Sender<Option<SharedRead>>;
 
+type ReadReceiver = watch::Receiver<Option<SharedRead>>;
+
 /// Reads that run now.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ReadCoalescer {
-    /// By digest of organisation, call and header fields. Lock order: locked alone and never across
-    /// an await.
-    running: Mutex<IndexMap<String, Arc<ReadSender>>>,
+    /// Lock order: locked alone and never across an await.
+    running: Mutex<RunningReads>,
+}
+
+#[derive(Debug)]
+struct RunningReads {
+    table: ReadTable,
+    /// Sender of each leading request; has the leaders of `table`.
+    senders: IndexMap<RequestId, Arc<ReadSender>>,
+}
+
+/// A caller that waits for a shared read.
+#[derive(Debug)]
+struct WaitingCaller {
+    coalescer: Arc<ReadCoalescer>,
+    key: ReadKey,
+    request: RequestId,
+    receiver: ReadReceiver,
+}
+
+impl Drop for WaitingCaller {
+    fn drop(&mut self) {
+        self.coalescer
+            .running()
+            .table
+            .leave(&self.key, &self.request);
+    }
 }
 
 impl ReadCoalescer {
-    /// Joins the running read of an equal call, or begins one.
-    fn join(
-        &self,
-        context: &Arc<EntryContext>,
-        plan: &Arc<CallPlan>,
-    ) -> watch::Receiver<Option<SharedRead>> {
-        let key = read_key(plan);
-        let mut running = self.running();
-        if let Some(sender) = running.get(&key) {
-            context.metrics.count_coalesced();
-            return sender.subscribe();
+    /// No reads.
+    pub fn new(settings: CoalescingSettings) -> Self {
+        let reads = RunningReads {
+            table: ReadTable::new(settings),
+            senders: IndexMap::new(),
+        };
+        Self {
+            running: Mutex::new(reads),
         }
-        let (sender, receiver) = watch::channel(None);
-        let sender = Arc::new(sender);
-        running.insert(key.clone(), Arc::clone(&sender));
+    }
+
+    /// Joins the running read of an equal call, or begins one; `None` if the call is to run alone.
+    fn join(context: &Arc<EntryContext>, plan: &Arc<CallPlan>) -> Option<WaitingCaller> {
+        let coalescer = &context.coalescer;
+        let key = read_key(plan)?;
+        let request = plan.template.request_id.clone();
+        let mut running = coalescer.running();
+        let receiver = match running.table.join(&key, &request) {
+            ReadRole::Alone => return None,
+            ReadRole::Join { leader } => {
+                context.metrics.count_coalesced();
+                running.senders.get(&leader)?.subscribe()
+            }
+            ReadRole::Lead => {
+                let (sender, receiver) = watch::channel(None);
+                let sender = Arc::new(sender);
+                running.senders.insert(request.clone(), Arc::clone(&sender));
+                let read = SharedCall {
+                    context: Arc::clone(context),
+                    plan: Arc::clone(plan),
+                    sender,
+                    key: key.clone(),
+                };
+                tokio::spawn(read.run());
+                receiver
+            }
+        };
         drop(running);
-        tokio::spawn(read(Arc::clone(context), Arc::clone(plan), sender, key));
-        receiver
+        Some(WaitingCaller {
+            coalescer: Arc::clone(coalescer),
+            key,
+            request,
+            receiver,
+        })
     }
 
-    fn running(&self) -> MutexGuard<'_, IndexMap<String, Arc<ReadSender>>> {
+    fn running(&self) -> MutexGuard<'_, RunningReads> {
         self.running
             .lock()
             .expect("no holder of the coalescer lock panics")
     }
 }
 
-/// Runs one read for all callers that join it; when all of them have left, it is cancelled.
-async fn read(
+/// The call that all callers of a read share. It is cancelled when all of them have left.
+#[derive(Debug)]
+struct SharedCall {
     context: Arc<EntryContext>,
     plan: Arc<CallPlan>,
     sender: Arc<ReadSender>,
-    key: String,
-) {
-    let result = tokio::select! {
-        result = read_whole(Arc::clone(&context), plan) => Some(result),
-        () = sender.closed() => None,
-    };
-    // A finished read is not kept: later calls begin a new one.
-    context.coalescer.running().swap_remove(&key);
-    sender.send_replace(result);
+    key: ReadKey,
+}
+
+impl SharedCall {
+    async fn run(self) {
+        let leader = self.plan.template.request_id.clone();
+        let coalescer = Arc::clone(&self.context.coalescer);
+        let result = tokio::select! {
+            result = read_whole(self.context, self.plan) => Some(result),
+            () = self.sender.closed() => None,
+        };
+        // A finished read is not kept: later calls begin a new one.
+        let mut running = coalescer.running();
+        running.table.finish(&self.key, &leader);
+        running.senders.swap_remove(&leader);
+        drop(running);
+        self.sender.send_replace(result);
+    }
 }
 
 async fn read_whole(context: Arc<EntryContext>, plan: Arc<CallPlan>) -> SharedRead {
@@ -106,9 +170,11 @@
     plan: Arc<CallPlan>,
     mut tracker: RequestTracker,
 ) -> Result<Response<AnswerBody>, CallerError> {
-    let mut receiver = context.coalescer.join(&context, &plan);
     let left = plan.time_left(BootClock.now());
-    let shared = await_read(&mut receiver, left).await;
+    let shared = match ReadCoalescer::join(&context, &plan) {
+        Some(mut waiting) => await_read(&mut waiting.receiver, left).await,
+        None => None,
+    };
     match shared {
         Some(SharedRead::Answered(answer)) => {
             tracker.note_first_byte();
@@ -124,10 +190,7 @@
 }
 
 /// Result of a read; `None` if it ended because its callers had left just before this one joined.
-async fn await_read(
-    receiver: &mut watch::Receiver<Option<SharedRead>>,
-    left: Duration,
-) -> Option<SharedRead> {
+async fn await_read(receiver: &mut ReadReceiver, left: Duration) -> Option<SharedRead> {
     match timeout(left, receiver.wait_for(Option::is_some)).await {
         Ok(Ok(shared)) => shared.clone(),
         Ok(Err(_)) => None,
@@ -140,8 +203,8 @@
     }
 }
 
-/// Digest of everything that may influence the answer.
-fn read_key(plan: &CallPlan) -> String {
+/// Identity of a read; `None` without an organisation.
+fn read_key(plan: &CallPlan) -> Option<ReadKey> {
     let fields = plan.template.headers.iter();
     let relevant = fields.filter(|field| {
         let name = field.name.to_ascii_lowercase();
@@ -155,5 +218,12 @@
         }
     }
     let template = &plan.template;
-    digest::call_digest(&template.organisation, "", &template.fingerprint, &text)
+    Some(ReadKey {
+        organisation: plan.organisation.clone()?,
+        service: template.service.clone(),
+        method: template.method.clone(),
+        target: template.target.clone(),
+        // The fingerprint covers the body.
+        variant: template.fingerprint.clone() + &digest::text_digest(&text),
+    })
 }
--- a/crates/oriolecrank-entry/src/running_attempt.rs
+++ b/crates/oriolecrank-entry/src/running_attempt.rs
@@ -7,7 +7,7 @@
 use oriolecrank_net::BootClock;
 use oriolecrank_policy::answer_assembly::AnswerHead;
 use oriolecrank_schema::data_path::{ClaimTicket, RunVerdict};
-use oriolecrank_schema::document::UpstreamId;
+use oriolecrank_schema::document::{PriorityClass, UpstreamId};
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt_stream::{AttemptError, AttemptEvent, AttemptStream};
@@ -129,6 +129,11 @@
             };
             let head = head.expect("assembly passes a body on only after the head");
             starting.note_status(head.status);
+            if let Some(dispatch) = &starting.dispatch
+                && plan.template.class == PriorityClass::Urgent
+            {
+                dispatch.record_first_byte(BootClock.now().since(now));
+            }
             return Ok(Self {
                 stream,
                 dispatch: starting.dispatch.take(),
--- a/crates/oriolecrank-entry/src/subscription.rs
+++ b/crates/oriolecrank-entry/src/subscription.rs
@@ -17,6 +17,7 @@
 use crate::entry_metrics::EntryMetrics;
 use crate::entry_state::EntryState;
 use crate::options::EntryOptions;
+use crate::suspect_gate::SuspectGate;
 use crate::upstream_pool::UpstreamPool;
 
 /// Longest silence of a subscription; control instances send a heartbeat each 500 ms.
@@ -45,6 +46,8 @@
     pub state: Arc<EntryState>,
     /// Upstreams that follow the state.
     pub pool: Arc<UpstreamPool>,
+    /// Suspects that follow the state.
+    pub suspects: Arc<SuspectGate>,
     /// Limits that follow the state and the answers to pings.
     pub admission: Arc<AdmissionControl>,
     /// Demand that is sent with pings.
@@ -110,7 +113,8 @@
         let before = self.state.view().revision();
         self.state.apply(frame)?;
         let view = self.state.view();
-        self.pool.update(&view, BootClock.now());
+        self.pool.update(&view);
+        self.suspects.update(view.suspects(), BootClock.now());
         let revision = view.revision();
         if revision != before {
             self.admission.set_document(view.document());
--- a/crates/oriolecrank-entry/src/suspect_gate.rs
+++ b/crates/oriolecrank-entry/src/suspect_gate.rs
@@ -4,14 +4,16 @@
 //! suspect, after control has committed the permission.
 
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
-
-use http::StatusCode;
-use indexmap::IndexSet;
-use oriolecrank_net::ControlClient;
-use oriolecrank_schema::control::{Command, CommandOutcome, SuspectState};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use oriolecrank_net::{BootClock, ControlClient};
+use oriolecrank_policy::suspect_placement::{
+    PlacementRefusal, PlacementRule, SuspectKey, SuspectTable,
+};
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::control::{Command, CommandOutcome, SuspectRecord};
 use oriolecrank_schema::data_path::RunVerdict;
-use oriolecrank_schema::document::UpstreamId;
+use oriolecrank_schema::document::{OrganisationId, UpstreamId};
 use oriolecrank_schema::event::LogEvent;
 use tokio::time::{Instant, sleep};
 
@@ -45,40 +47,55 @@
 /// Delay that is suggested for a suspect that must not run now.
 const HELD_RETRY_AFTER: Duration = Duration::from_secs(5);
 
-/// Upstreams that run a suspect of this entry.
+/// Suspects and where this entry runs them.
 #[derive(Debug, Default)]
 pub struct SuspectGate {
     /// Lock order: locked alone and never across an await.
-    busy: Arc<Mutex<IndexSet<UpstreamId>>>,
+    table: Mutex<SuspectTable>,
 }
 
 impl SuspectGate {
-    /// Takes an upstream for one suspect; false if it has one.
-    fn occupy(&self, upstream: &UpstreamId) -> bool {
-        lock(&self.busy).insert(upstream.clone())
+    /// Takes the complete list of suspects and refused fingerprints.
+    pub fn update(&self, records: &[SuspectRecord], now: TimePoint) {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+        let wall_ms = wall.map_or(0, |wall| wall.as_millis() as u64);
+        let keys: Vec<SuspectKey> = records.iter().map(SuspectKey::from).collect();
+        let mut table = self.table();
+        table.retain(&keys);
+        for (key, record) in keys.into_iter().zip(records) {
+            // The end is a log time. Clocks that differ only shift it; control removes the record.
+            let left = Duration::from_millis(record.until_ms.saturating_sub(wall_ms));
+            table.set(key, Some(record.state.into()), now + left);
+        }
+    }
+
+    /// Forgets expired fingerprints.
+    pub fn forget_expired(&self, now: TimePoint) {
+        self.table().forget_expired(now);
+    }
+
+    fn rule(&self, plan: &CallPlan) -> Result<PlacementRule, PlacementRefusal> {
+        self.table().rule(&suspect_key(plan), BootClock.now())
     }
 
-    fn busy_upstreams(&self) -> Vec<UpstreamId> {
-        lock(&self.busy).iter().cloned().collect()
+    fn table(&self) -> MutexGuard<'_, SuspectTable> {
+        self.table
+            .lock()
+            .expect("no holder of the suspect lock panics")
     }
 }
 
-fn lock(busy: &Mutex<IndexSet<UpstreamId>>) -> MutexGuard<'_, IndexSet<UpstreamId>> {
-    busy.lock().expect("no holder of the suspect lock panics")
+fn suspect_key(plan: &CallPlan) -> SuspectKey {
+    SuspectKey {
+        organisation: OrganisationId(plan.template.organisation.clone()),
+        fingerprint: plan.template.fingerprint.clone().into(),
+    }
 }
 
 /// Refuses a call whose fingerprint has crashed too many upstreams.
 pub fn refuse_crashing(context: &EntryContext, plan: &CallPlan) -> Result<(), CallerError> {
-    let view = context.state.view();
-    match view.suspect(&plan.template.fingerprint) {
-        Some(record) if record.state == SuspectState::Refused => {
-            let event = LogEvent::SuspectRefused.number();
-            let request_id = plan.request_id();
-            tracing::warn!(event, request_id, "request refused");
-            let status = StatusCode::UNPROCESSABLE_ENTITY;
-            let message = "this request has crashed several upstreams and is not run";
-            Err(CallerError::not_run(status, FINGERPRINT_REFUSED, message))
-        }
+    match context.suspects.rule(plan) {
+        Err(PlacementRefusal::Refused) => Err(refused(plan).into()),
         _ => Ok(()),
     }
 }
@@ -87,7 +104,7 @@
 #[derive(Debug)]
 pub enum RerunAnswer {
     /// It may; the permit is absent if it is no suspect any more.
-    Run(Option<SuspectPermit>),
+    Run(Option<Box<SuspectPermit>>),
     /// Another upstream is to be chosen.
     OtherUpstream,
 }
@@ -112,30 +129,19 @@
     ) -> Result<Option<Self>, AttemptError> {
         let deadline = Instant::now() + REPORT_WAIT;
         loop {
-            let view = context.state.view();
-            match view.suspect(&plan.template.fingerprint) {
-                Some(record) if record.state == SuspectState::Refused => {
-                    let event = LogEvent::SuspectRefused.number();
-                    let request_id = plan.request_id();
-                    tracing::warn!(event, request_id, "request refused");
-                    let message = "this request has crashed several upstreams and is not run";
-                    let verdict = RunVerdict::NotRun;
-                    return Err(AttemptError::new(verdict, FINGERPRINT_REFUSED, message));
+            match context.suspects.rule(plan) {
+                Err(PlacementRefusal::Refused) => return Err(refused(plan)),
+                Err(refusal) => return Err(held(&refusal.to_string())),
+                Ok(PlacementRule::Apart { excluded }) => {
+                    return Ok(Some(Self { excluded, asked: 0 }));
                 }
-                Some(_) => break,
-                None if !crashed => return Ok(None),
-                None if Instant::now() >= deadline => {
-                    let message = "an upstream crashed while the request ran";
-                    let verdict = RunVerdict::MayHaveRun;
-                    return Err(AttemptError::new(verdict, SUSPECT_HELD, message));
+                Ok(PlacementRule::Anywhere) if !crashed => return Ok(None),
+                Ok(PlacementRule::Anywhere) if Instant::now() >= deadline => {
+                    return Err(held("an upstream crashed while the request ran"));
                 }
-                None => sleep(REPORT_INTERVAL).await,
+                Ok(PlacementRule::Anywhere) => sleep(REPORT_INTERVAL).await,
             }
         }
-        Ok(Some(Self {
-            excluded: context.suspects.busy_upstreams(),
-            asked: 0,
-        }))
     }
 
     /// Upstreams on which the suspect must not run.
@@ -151,20 +157,15 @@
         dispatch: &Dispatch,
     ) -> Result<RerunAnswer, AttemptError> {
         let upstream = dispatch.upstream();
-        if self.asked >= MAX_ASKED {
-            return Err(held());
+        if self.asked >= MAX_ASKED || self.excluded.contains(upstream) {
+            return Err(held(
+                "the request has to run alone, and no upstream is free",
+            ));
         }
         self.asked += 1;
-        if !context.suspects.occupy(upstream) {
+        let Some(permit) = SuspectPermit::take(context, plan, upstream) else {
             self.excluded.push(upstream.clone());
             return Ok(RerunAnswer::OtherUpstream);
-        }
-        let permit = SuspectPermit {
-            busy: Arc::clone(&context.suspects.busy),
-            upstream: upstream.clone(),
-            control: context.control.clone(),
-            organisation: plan.template.organisation.clone(),
-            fingerprint: plan.template.fingerprint.clone(),
         };
         let command = Command::RerunSuspect {
             fingerprint: plan.template.fingerprint.clone(),
@@ -174,19 +175,26 @@
             upstream: upstream.clone(),
         };
         match context.control.command(&command, RERUN_TIMEOUT).await {
-            Ok(CommandOutcome::Accepted) => Ok(RerunAnswer::Run(Some(permit))),
+            Ok(CommandOutcome::Accepted) => Ok(RerunAnswer::Run(Some(Box::new(permit)))),
             Ok(CommandOutcome::Unchanged) => Ok(RerunAnswer::Run(None)),
             Ok(CommandOutcome::Refused { .. }) => {
                 self.excluded.push(upstream.clone());
                 Ok(RerunAnswer::OtherUpstream)
             }
-            Ok(_) | Err(_) => Err(held()),
+            Ok(_) | Err(_) => Err(held("the permission to run the request was not committed")),
         }
     }
 }
 
-fn held() -> AttemptError {
-    let message = "the request was running when an upstream crashed and has to wait";
+fn refused(plan: &CallPlan) -> AttemptError {
+    let event = LogEvent::SuspectRefused.number();
+    let request_id = plan.request_id();
+    tracing::warn!(event, request_id, "request refused");
+    let message = "this request has crashed several upstreams and is not run";
+    AttemptError::new(RunVerdict::NotRun, FINGERPRINT_REFUSED, message)
+}
+
+fn held(message: &str) -> AttemptError {
     AttemptError {
         retry_after: Some(HELD_RETRY_AFTER),
         ..AttemptError::new(RunVerdict::NotRun, SUSPECT_HELD, message)
@@ -197,21 +205,35 @@
 /// dropped.
 #[derive(Debug)]
 pub struct SuspectPermit {
-    busy: Arc<Mutex<IndexSet<UpstreamId>>>,
+    gate: Arc<SuspectGate>,
+    key: SuspectKey,
     upstream: UpstreamId,
     control: ControlClient,
-    organisation: String,
-    fingerprint: String,
+    /// Sent when the suspect has run to its end.
+    clearance: Command,
 }
 
 impl SuspectPermit {
+    /// Takes an upstream for a suspect; `None` if it runs another one.
+    fn take(context: &EntryContext, plan: &CallPlan, upstream: &UpstreamId) -> Option<Self> {
+        let gate = Arc::clone(&context.suspects);
+        let key = suspect_key(plan);
+        gate.table().begin(&key, upstream, BootClock.now()).ok()?;
+        Some(Self {
+            gate,
+            key,
+            upstream: upstream.clone(),
+            control: context.control.clone(),
+            clearance: Command::ClearSuspect {
+                fingerprint: plan.template.fingerprint.clone(),
+                organisation: plan.template.organisation.clone(),
+            },
+        })
+    }
+
     /// The suspect ran to its end without a crash; control forgets it.
     pub fn clear(self) {
-        let control = self.control.clone();
-        let command = Command::ClearSuspect {
-            fingerprint: self.fingerprint.clone(),
-            organisation: self.organisation.clone(),
-        };
+        let (control, command) = (self.control.clone(), self.clearance.clone());
         tokio::spawn(async move {
             if let Err(error) = control.command(&command, RERUN_TIMEOUT).await {
                 let event = LogEvent::SuspectNotCleared.number();
@@ -223,6 +245,6 @@
 
 impl Drop for SuspectPermit {
     fn drop(&mut self) {
-        lock(&self.busy).swap_remove(&self.upstream);
+        self.gate.table().end(&self.key, &self.upstream);
     }
 }
--- a/crates/oriolecrank-entry/src/upstream_pool.rs
+++ b/crates/oriolecrank-entry/src/upstream_pool.rs
@@ -6,7 +6,11 @@
 
 use indexmap::IndexMap;
 use oriolecrank_net::BootClock;
+use oriolecrank_policy::hedge::{FirstAttempt, HedgePolicy, HedgeSettings};
 use oriolecrank_policy::load_estimate::LoadReport;
+use oriolecrank_policy::outlier_ejection::{
+    EjectionSettings, OutlierEjection, UpstreamOutcome, WeightChange,
+};
 use oriolecrank_policy::subset::EntryIdentity;
 use oriolecrank_policy::upstream_chooser::{
     ChoiceRequest, ChooserSettings, NoUpstream, UpstreamChoice, UpstreamChooser,
@@ -34,6 +38,8 @@
 #[derive(Debug)]
 struct ServicePool {
     chooser: UpstreamChooser,
+    ejection: OutlierEjection,
+    hedges: HedgePolicy,
 }
 
 /// Lock order: a pool is locked after the table of pools and never across an await.
@@ -58,7 +64,7 @@
     }
 
     /// Takes the upstreams of a view.
-    pub fn update(&self, view: &StateView, now: TimePoint) {
+    pub fn update(&self, view: &StateView) {
         let mut lists = IndexMap::<ServiceId, Vec<UpstreamState>>::new();
         for record in view.upstreams() {
             match UpstreamState::try_from(record) {
@@ -76,18 +82,33 @@
         // A service without upstreams keeps its pool, because dispatches may still refer to it.
         for (service, pool) in &*services {
             if !lists.contains_key(service) {
-                lock(pool).update(&[], now);
+                lock(pool).update(&[]);
             }
         }
         for (service, list) in lists {
             let pool = services.entry(service).or_insert_with(|| self.empty_pool());
-            lock(pool).update(&list, now);
+            lock(pool).update(&list);
         }
     }
 
     fn empty_pool(&self) -> SharedPool {
         let chooser = UpstreamChooser::new(self.settings.clone(), self.entry.clone());
-        Arc::new(Mutex::new(ServicePool { chooser }))
+        Arc::new(Mutex::new(ServicePool {
+            chooser,
+            ejection: OutlierEjection::new(EjectionSettings::default()),
+            hedges: HedgePolicy::new(HedgeSettings::default()),
+        }))
+    }
+
+    /// Lets ejected upstreams return; called about each second.
+    pub fn return_ejected(&self, now: TimePoint) {
+        let services = self
+            .services
+            .read()
+            .expect("no holder of the pool table lock panics");
+        for pool in services.values() {
+            lock(pool).return_ejected(now);
+        }
     }
 
     fn pool(&self, service: &ServiceId) -> Option<SharedPool> {
@@ -140,8 +161,10 @@
 }
 
 impl ServicePool {
-    fn update(&mut self, upstreams: &[UpstreamState], _now: TimePoint) {
+    fn update(&mut self, upstreams: &[UpstreamState]) {
         self.chooser.update(upstreams);
+        let members = self.chooser.members().map(|state| &state.upstream);
+        self.ejection.set_upstreams(members);
     }
 
     fn choose(
@@ -155,6 +178,27 @@
     fn finish(&mut self, choice: &UpstreamChoice, outcome: DispatchOutcome, now: TimePoint) {
         let served = outcome == DispatchOutcome::Served;
         self.chooser.finish(&choice.ticket, served, now);
+        let outcome = match outcome {
+            DispatchOutcome::Served => UpstreamOutcome::Answered,
+            DispatchOutcome::Failed => UpstreamOutcome::Failed,
+            DispatchOutcome::Neutral => return,
+        };
+        if let Some(change) = self.ejection.record(&choice.upstream, outcome, now) {
+            let event = LogEvent::UpstreamEjected.number();
+            let upstream = change.upstream.as_str();
+            tracing::warn!(event, upstream, "upstream ejected");
+            self.set_weight(&change);
+        }
+    }
+
+    fn return_ejected(&mut self, now: TimePoint) {
+        for change in self.ejection.returned(now) {
+            self.set_weight(&change);
+        }
+    }
+
+    fn set_weight(&mut self, change: &WeightChange) {
+        self.chooser.set_weight(&change.upstream, change.weight);
     }
 }
 
@@ -190,6 +234,16 @@
             .report(&self.choice.upstream, report);
     }
 
+    /// Takes the time from sending an urgent call to the first byte of its answer.
+    pub fn record_first_byte(&self, time: Duration) {
+        lock(&self.pool).hedges.record(time);
+    }
+
+    /// When a hedge of this dispatch may start; `None` for calls that are not hedged.
+    pub fn hedge_at(&self, first: &FirstAttempt) -> Option<TimePoint> {
+        lock(&self.pool).hedges.hedge_at(first)
+    }
+
     /// Sets what the dispatch tells about its upstream.
     pub fn set_outcome(&mut self, outcome: DispatchOutcome) {
         self.outcome = outcome;
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -53,6 +53,7 @@
     ClaimFailed = 213, "A claim was not committed; nothing was sent to the service for this request.";
     SuspectRefused = 214, "A request was refused because its fingerprint crashed upstreams.";
     SuspectNotCleared = 215, "A suspect ran to its end, but control could not be told; it expires after a time.";
+    UpstreamEjected = 216, "An upstream is ejected for a time because its answers fail.";
     UsageReportFailed = 220, "A batch of usage records was not acknowledged; it is sent again.";
     UsageDropped = 221, "Usage records were dropped because too many waited, or not acknowledged before the end.";
     UpstreamAnnounced = 300, "An upstream was announced to the control group.";
