Test the parts of the entry and hold its pings within their budget

A ping with 24 entries of demand took 1,972 bytes, so that two a second exceeded the budget of 3 KB/s.

--- a/crates/oriolecrank-entry/src/demand_meter.rs
+++ b/crates/oriolecrank-entry/src/demand_meter.rs
@@ -6,9 +6,9 @@
 use oriolecrank_schema::control::DemandEntry;
 use oriolecrank_schema::document::ServiceId;
 
-/// Entries of one ping; with about 60 bytes each a ping stays below 1.5 KB, which keeps two pings a
-/// second within the budget of 3 KB/s.
-pub const MAX_PING_ENTRIES: usize = 24;
+/// Entries of one ping. They have about 80 bytes each, so that two pings a second take less than
+/// 2.4 KB/s and leave room for heads and heartbeats in the budget of 3 KB/s.
+pub const MAX_PING_ENTRIES: usize = 12;
 
 /// Entries that wait for a ping. 340 organisations call a few services each.
 const MAX_PENDING_ENTRIES: usize = 4_096;
--- a/crates/oriolecrank-entry/tests/entry/answers.rs
+++ b/crates/oriolecrank-entry/tests/entry/answers.rs
@@ -372,3 +372,39 @@
     organisations.sort();
     assert_eq!(organisations, ["grove", "press"]);
 }
+
+/// Guards against an urgent answer that waits for one slow upstream, and against the work that the
+/// slower attempt goes on with.
+#[tokio::test]
+async fn a_slow_urgent_call_is_hedged_and_the_loser_cancelled() {
+    /// Answers after which the policy knows how long an answer usually takes.
+    const SAMPLES: usize = 25;
+    let agent = scripted(
+        |number| {
+            let mut steps = whole_answer(200, JSON, GOOD);
+            if number == SAMPLES {
+                steps.insert(1, AgentStep::Gate);
+            }
+            steps
+        },
+        |_| vec![],
+    );
+    let entry = start(agent.clone()).await;
+    let urgent = || {
+        let body = "{\"model\":\"olive-7b\",\"priority\":\"urgent\",\"messages\":[]}";
+        crate::harness::completion(GROVE_KEY, false).body(body)
+    };
+    for _ in 0..=SAMPLES {
+        let reply = entry.send(urgent()).await;
+        assert_eq!((reply.status.as_u16(), &*reply.body), (200, GOOD));
+    }
+    let cancelled = agent.wait_for(|log| !log.cancels.is_empty());
+    let log = tokio::time::timeout(crate::harness::PATIENCE, cancelled)
+        .await
+        .expect("the loser is cancelled");
+    let (slow, hedge) = (&log.runs[SAMPLES].0, &log.runs[SAMPLES + 1].0);
+    assert_eq!(slow.request_id, hedge.request_id);
+    assert_eq!((slow.attempt, hedge.attempt), (1, 2));
+    assert_eq!(log.cancels[0].request_id, slow.request_id);
+    assert_eq!(log.cancels[0].attempt, 1);
+}
--- a/crates/oriolecrank-entry/tests/entry/main.rs
+++ b/crates/oriolecrank-entry/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod claims;
 mod harness;
 mod limits;
+mod parts;
 mod state;
 mod streams;
 mod suspects;
