Plan capacity and hand out limit shares

Cause: the leader had no plans, and entries got no shares of the limits. Change: announcements and pings feed CapacityInputs; CapacityExecutor commits a plan, carries out its steps through the executors of orders and of the platform, resumes it under a successor and undoes it after a failure or a crash. Without a platform address only roles change. ShareTable answers pings with the shares of the policy crate. ControlMetrics and the executors are wired into the process.

--- /dev/null
+++ b/crates/oriolecrank-control/src/leader_actions.rs
@@ -0,0 +1,167 @@
+//! Runs the executors of a control instance.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriolecrank_net::{BootClock, HttpClient};
+use oriolecrank_schema::control::ControlMember;
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::capacity_executor::{CapacityExecutor, CapacitySettings, CapacitySources};
+use crate::cluster_label::ClusterLabel;
+use crate::command_replica::CommandReplica;
+use crate::control_metrics::{ControlFigures, ControlMetrics};
+use crate::leader_duties::LeaderDuties;
+use crate::options::ControlOptions;
+use crate::order_executor::{OrderExecutor, OrderSettings};
+use crate::platform_client::HttpPlatform;
+use crate::platform_executor::{PlatformExecutor, PlatformSettings};
+use crate::shared_state::SharedState;
+use crate::usage_client::HttpUsage;
+use crate::usage_executor::{UsageExecutor, UsageSettings};
+
+/// Interval at which gauges are set.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What this instance does outside the log while it leads.
+#[derive(Debug)]
+pub struct LeaderActions<R> {
+    replica: Arc<R>,
+    state: Arc<SharedState>,
+    duties: Arc<LeaderDuties<R>>,
+    metrics: ControlMetrics,
+    orders: OrderExecutor<R, BootClock>,
+    platform: Option<PlatformExecutor<R, BootClock, HttpPlatform>>,
+    usage: UsageExecutor<R, BootClock, HttpUsage>,
+    capacity: CapacityExecutor<R, BootClock>,
+}
+
+impl<R: CommandReplica> LeaderActions<R> {
+    /// Executors with the addresses of the settings. Without a platform address no upstream is
+    /// started or stopped; without a usage address windows are closed and kept.
+    pub fn new(
+        options: &ControlOptions,
+        replica: &Arc<R>,
+        state: &Arc<SharedState>,
+        duties: &Arc<LeaderDuties<R>>,
+        metrics: &ControlMetrics,
+    ) -> Self {
+        let cluster = ClusterLabel::new(&options.cluster);
+        let orders = OrderExecutor::new(
+            Arc::clone(replica),
+            Arc::clone(state),
+            BootClock,
+            options.secret.clone(),
+            metrics.clone(),
+            OrderSettings::default(),
+        );
+        let platform = options.platform.map(|address| {
+            PlatformExecutor::new(
+                Arc::clone(replica),
+                Arc::clone(state),
+                BootClock,
+                HttpPlatform::new(address, HttpClient::default()),
+                cluster.clone(),
+                metrics.clone(),
+                PlatformSettings::default(),
+            )
+        });
+        let usage = UsageExecutor::new(
+            Arc::clone(replica),
+            Arc::clone(state),
+            BootClock,
+            options.usage.map(HttpUsage::new),
+            cluster,
+            metrics.clone(),
+            UsageSettings::default(),
+        );
+        let sources = CapacitySources {
+            inputs: duties.inputs(),
+            orders: orders.outcomes(),
+            starts: platform.as_ref().map(PlatformExecutor::outcomes),
+        };
+        let capacity = CapacityExecutor::new(
+            Arc::clone(replica),
+            Arc::clone(state),
+            BootClock,
+            sources,
+            metrics.clone(),
+            CapacitySettings::default(),
+        );
+        Self {
+            replica: Arc::clone(replica),
+            state: Arc::clone(state),
+            duties: Arc::clone(duties),
+            metrics: metrics.clone(),
+            orders,
+            platform,
+            usage,
+            capacity,
+        }
+    }
+
+    /// Runs all executors for ever, each as a task of its own, so that a long search for a plan
+    /// delays no order. The tasks end when the future is dropped.
+    pub async fn run(self) {
+        let Self {
+            replica,
+            state,
+            duties,
+            metrics,
+            mut orders,
+            platform,
+            mut usage,
+            mut capacity,
+        } = self;
+        let mut tasks = JoinSet::new();
+        tasks.spawn(async move { orders.run().await });
+        tasks.spawn(async move { usage.run().await });
+        tasks.spawn(async move { capacity.run().await });
+        if let Some(mut platform) = platform {
+            tasks.spawn(async move { platform.run().await });
+        }
+        tasks.spawn(async move {
+            let mut ticks = interval(GAUGE_INTERVAL);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                metrics.set_figures(&present_figures(&*replica, &state, &duties));
+            }
+        });
+        // No task ends by itself; one that panics ends the process with it.
+        if let Some(Err(error)) = tasks.join_next().await
+            && error.is_panic()
+        {
+            std::panic::resume_unwind(error.into_panic());
+        }
+    }
+}
+
+fn present_figures<R: CommandReplica>(
+    replica: &R,
+    state: &SharedState,
+    duties: &LeaderDuties<R>,
+) -> ControlFigures {
+    let authority = replica.authority(BootClock.now());
+    let members: Vec<ControlMember> = replica.members();
+    let figures = state.read(|state| ControlFigures {
+        leader: authority.is_some(),
+        term: authority.map_or(0, |authority| authority.term.0),
+        revision: state.revision().0,
+        applied_index: state.applied_index().0,
+        upstreams: state.members().count(),
+        members: members.len(),
+        lowest_in_force: state.revision().0,
+        orders_in_flight: state.orders_in_flight().count(),
+        intents: state.intents().count(),
+        unreported_windows: state.unreported_windows().count(),
+    });
+    let lowest = duties
+        .in_force(figures.revision)
+        .and_then(|report| report.lowest);
+    ControlFigures {
+        lowest_in_force: lowest.unwrap_or(figures.revision),
+        ..figures
+    }
+}
--- a/crates/oriolecrank-control/src/leader_duties.rs
+++ b/crates/oriolecrank-control/src/leader_duties.rs
@@ -9,12 +9,15 @@
 use oriolecrank_schema::control::{
     Command, CommandOutcome, DemandEntry, PingAnswer, PingRequest, UpstreamRecord,
 };
+use oriolecrank_schema::data_path::UpstreamLoad;
 use oriolecrank_schema::event::LogEvent;
 use oriolecrank_state::cluster::LEASE_MS;
 use tokio::time::interval;
 
+use crate::capacity_inputs::CapacityInputs;
 use crate::command_replica::CommandReplica;
 use crate::lease_table::{LeaseSettings, LeaseTable};
+use crate::share_table::ShareTable;
 use crate::shared_state::SharedState;
 use crate::subscriber_table::{ForceReport, SubscriberTable};
 
@@ -27,6 +30,7 @@
     term: Term,
     leases: LeaseTable,
     subscribers: SubscriberTable,
+    shares: ShareTable,
 }
 
 /// Leader's part of a control instance.
@@ -34,6 +38,7 @@
 pub struct LeaderDuties<R> {
     replica: Arc<R>,
     state: Arc<SharedState>,
+    inputs: CapacityInputs,
     /// Lock order: locked before the shared state and never across an await.
     tables: Mutex<Option<TermTables>>,
 }
@@ -44,17 +49,30 @@
         Self {
             replica,
             state,
+            inputs: CapacityInputs::default(),
             tables: Mutex::new(None),
         }
     }
 
+    /// Demand and load, for capacity decisions.
+    pub fn inputs(&self) -> CapacityInputs {
+        self.inputs.clone()
+    }
+
     /// Takes an announcement. A repeated one only renews the lease; others are committed.
     pub async fn announce(&self, command: Command) -> CommandOutcome {
-        let Command::Announce { record, .. } = &command else {
+        let Command::Announce {
+            record,
+            number,
+            load,
+        } = &command
+        else {
             return self.replica.propose(command).await;
         };
         let now = BootClock.now();
+        let (number, load) = (*number, load.clone());
         if self.is_renewal(record, now) {
+            self.note_load(record, number, load.as_ref(), now);
             let fence = self
                 .state
                 .read(|state| state.fence(&record.upstream).cloned());
@@ -65,16 +83,31 @@
                 };
             }
         }
-        let (upstream, incarnation) = (record.upstream.clone(), record.incarnation);
+        let record = record.clone();
         let outcome = self.replica.propose(command).await;
         if matches!(outcome, CommandOutcome::Announced { .. })
             && let Some(tables) = self.tables(now).as_mut()
         {
-            tables.leases.renew(&upstream, incarnation, now);
+            tables
+                .leases
+                .renew(&record.upstream, record.incarnation, now);
+            self.note_load(&record, number, load.as_ref(), now);
         }
         outcome
     }
 
+    fn note_load(
+        &self,
+        record: &UpstreamRecord,
+        number: u64,
+        load: Option<&UpstreamLoad>,
+        now: TimePoint,
+    ) {
+        if let Some(load) = load {
+            self.inputs.note_load(record, number, load, now);
+        }
+    }
+
     /// Whether an announcement says nothing new; its lease is then renewed.
     fn is_renewal(&self, record: &UpstreamRecord, now: TimePoint) -> bool {
         let mut tables = self.tables(now);
@@ -99,16 +132,18 @@
         }
         let now = BootClock.now();
         let mut tables = self.tables(now);
-        let subscribers = &mut tables.as_mut()?.subscribers;
-        subscribers.record(ping, now);
-        let entries = subscribers.live(now).count() as u32;
-        let revision = self.state.read(|state| state.revision().0);
-        Some(PingAnswer {
-            entries,
-            ping: ping.ping,
-            revision,
-            shares: Vec::new(),
-            shares_lifetime_ms: 0,
+        let tables = tables.as_mut()?;
+        tables.subscribers.record(ping, now);
+        self.state.read(|state| {
+            self.inputs.note_ping(ping, state.document(), now);
+            let grant = tables.shares.grant(ping, state, now);
+            Some(PingAnswer {
+                entries: grant.entries,
+                ping: ping.ping,
+                revision: state.revision().0,
+                shares: grant.shares,
+                shares_lifetime_ms: grant.lifetime.as_millis() as u64,
+            })
         })
     }
 
@@ -195,10 +230,12 @@
         let term = self.replica.authority(now).map(|authority| authority.term);
         let known = tables.as_ref().map(|tables| tables.term);
         if term != known {
+            self.inputs.reset();
             *tables = term.map(|term| TermTables {
                 term,
                 leases: LeaseTable::new(LeaseSettings::default(), now),
                 subscribers: SubscriberTable::default(),
+                shares: self.state.read(|state| ShareTable::new(state, now)),
             });
         }
         tables
--- a/crates/oriolecrank-control/src/lib.rs
+++ b/crates/oriolecrank-control/src/lib.rs
@@ -10,23 +10,32 @@
 //! - [`OrderExecutor`], [`PlatformExecutor`] and [`UsageExecutor`] are what the leader does outside
 //!   the log. They ask for a [`WritePermit`] immediately before each write, and those that write to
 //!   systems without fencing numbers wait first ([`AuthorityWait`]).
+//! - [`CapacityExecutor`] plans from [`CapacityInputs`] and carries plans out through the executors
+//!   of orders and of the platform; [`LeaderActions`] runs all four.
 //! - `request_server` answers the other processes.
 
 mod action_authority;
+mod capacity_executor;
+mod capacity_inputs;
+mod capacity_planner;
 mod cluster_label;
 mod command_replica;
 mod control_metrics;
 mod guarded_client;
+mod leader_actions;
 mod leader_duties;
 mod lease_table;
 mod local_log;
 mod local_replica;
 mod options;
 mod order_executor;
+mod ping_sequence;
+mod plan_chain;
 mod platform_client;
 mod platform_executor;
 mod process;
 mod request_server;
+mod share_table;
 mod shared_state;
 mod subscriber_table;
 mod subscription_hub;
@@ -36,19 +45,25 @@
 pub use action_authority::{
     AuthorityWait, LeaderPermit, TermGuard, TimeSource, WaitSettings, WaitState, WritePermit,
 };
+pub use capacity_executor::{CapacityExecutor, CapacitySettings, CapacitySources};
+pub use capacity_inputs::{CapacityInputs, InputTables, LoadReport};
+pub use capacity_planner::{CapacityPlanner, PlannedChanges, PlannerSettings, PlannerView};
 pub use cluster_label::ClusterLabel;
 pub use command_replica::CommandReplica;
 pub use control_metrics::{ControlFigures, ControlMetrics};
 pub use guarded_client::{GuardedAnswer, GuardedError, VerdictError, send_guarded};
+pub use leader_actions::LeaderActions;
 pub use leader_duties::LeaderDuties;
 pub use lease_table::{LeaseReport, LeaseSettings, LeaseTable};
 pub use options::{ControlOptions, InitialMember};
-pub use order_executor::{OrderExecutor, OrderSettings};
+pub use order_executor::{OrderExecutor, OrderOutcome, OrderOutcomes, OrderSettings};
+pub use ping_sequence::{PingSequence, SubscriberStart};
 pub use platform_client::{
     HttpPlatform, PlatformAnswer, PlatformClient, PlatformError, PlatformOrder, PlatformRequestId,
 };
 pub use platform_executor::{PlatformExecutor, PlatformSettings, StartOutcome, StartOutcomes};
 pub use process::{ControlError, ControlProcess};
+pub use share_table::{ShareGrant, ShareTable};
 pub use shared_state::SharedState;
 pub use subscriber_table::{ForceReport, SubscriberRecord, SubscriberTable};
 pub use subscription_hub::SubscriptionHub;
--- a/crates/oriolecrank-control/src/order_executor.rs
+++ b/crates/oriolecrank-control/src/order_executor.rs
@@ -17,7 +17,7 @@
 //! failed.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -116,6 +116,39 @@
     MayHaveRun(String),
 }
 
+/// A settled order.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OrderOutcome {
+    /// Upstream that got the order.
+    pub upstream: UpstreamId,
+    /// Number of the order.
+    pub fence: FencingNumber,
+    /// Result.
+    pub result: OrderResult,
+}
+
+/// Settled orders on their way to the capacity executor; clones share them.
+#[derive(Debug, Clone, Default)]
+pub struct OrderOutcomes(Arc<Mutex<Vec<OrderOutcome>>>);
+
+impl OrderOutcomes {
+    /// Largest number of outcomes that nobody has taken.
+    const MAX_KEPT: usize = 1_024;
+
+    fn push(&self, outcome: OrderOutcome) {
+        let mut outcomes = self.0.lock().expect("no holder of the outcome lock panics");
+        if outcomes.len() < Self::MAX_KEPT {
+            outcomes.push(outcome);
+        }
+    }
+
+    /// Takes the outcomes since the last call.
+    pub fn take(&self) -> Vec<OrderOutcome> {
+        let mut outcomes = self.0.lock().expect("no holder of the outcome lock panics");
+        std::mem::take(&mut *outcomes)
+    }
+}
+
 /// Carries out the orders in flight while this instance leads.
 #[derive(Debug)]
 pub struct OrderExecutor<R, T> {
@@ -125,6 +158,7 @@
     time: T,
     secret: ClusterSecret,
     metrics: ControlMetrics,
+    outcomes: OrderOutcomes,
     settings: OrderSettings,
     term: Option<Term>,
     progress: IndexMap<UpstreamId, OrderProgress>,
@@ -148,6 +182,7 @@
             time,
             secret,
             metrics,
+            outcomes: OrderOutcomes::default(),
             settings,
             term: None,
             progress: IndexMap::new(),
@@ -155,6 +190,11 @@
         }
     }
 
+    /// Results of settled orders, for the capacity executor.
+    pub fn outcomes(&self) -> OrderOutcomes {
+        self.outcomes.clone()
+    }
+
     /// Carries out orders for ever.
     pub async fn run(&mut self) {
         let mut ticks = interval(DISPATCH_INTERVAL);
@@ -303,6 +343,11 @@
         }
         self.progress.shift_remove(&order.upstream);
         self.metrics.count_order(result);
+        self.outcomes.push(OrderOutcome {
+            upstream: order.upstream.clone(),
+            fence: order.fence.clone(),
+            result,
+        });
         tracing::info!(
             event = LogEvent::OrderSettled.number(),
             upstream = %*order.upstream,
--- /dev/null
+++ b/crates/oriolecrank-control/src/ping_sequence.rs
@@ -0,0 +1,51 @@
+//! Recognises subscribers that restarted.
+
+use indexmap::IndexMap;
+use oriolecrank_schema::control::PingRequest;
+
+/// Pings that are late by less than this come from the same process; more than a minute of pings is
+/// never under way.
+const LATE_PINGS: u64 = 64;
+
+/// A process numbers its pings from one; these numbers are never late ones of a long-lived process
+/// that was heard within the last minute.
+const FIRST_PINGS: u64 = 2;
+
+/// Start number of a subscriber, counted by the leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct SubscriberStart(pub u64);
+
+/// Newest ping number and start number of each subscriber.
+///
+/// Pings carry no start number, so a number that falls far behind shows a restart.
+#[derive(Debug, Default)]
+pub struct PingSequence {
+    subscribers: IndexMap<String, (u64, SubscriberStart)>,
+}
+
+impl PingSequence {
+    /// Subscribers that are kept; the one that joined first is dropped beyond it.
+    const MAX_SUBSCRIBERS: usize = 16_384;
+
+    /// Takes a ping and returns the start number of its sender.
+    pub fn note(&mut self, ping: &PingRequest) -> SubscriberStart {
+        let number = ping.ping;
+        if let Some((newest, start)) = self.subscribers.get_mut(&ping.subscriber) {
+            let behind = newest.saturating_sub(number);
+            let restarted = behind >= LATE_PINGS || behind > 0 && number <= FIRST_PINGS;
+            if restarted {
+                start.0 += 1;
+                *newest = number;
+            }
+            *newest = number.max(*newest);
+            return *start;
+        }
+        if self.subscribers.len() >= Self::MAX_SUBSCRIBERS {
+            self.subscribers.shift_remove_index(0);
+        }
+        let start = SubscriberStart::default();
+        self.subscribers
+            .insert(ping.subscriber.clone(), (number, start));
+        start
+    }
+}
--- a/crates/oriolecrank-control/src/process.rs
+++ b/crates/oriolecrank-control/src/process.rs
@@ -10,6 +10,8 @@
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 
+use crate::control_metrics::ControlMetrics;
+use crate::leader_actions::LeaderActions;
 use crate::leader_duties::LeaderDuties;
 use crate::local_replica::LocalReplica;
 use crate::options::ControlOptions;
@@ -70,7 +72,12 @@
         let secret = self.options.secret.clone();
         let guard = PeerGuard::new(secret.clone());
         let ready = ReadyFlag::default();
-        let operator = OperatorListener::new(Registry::default(), ready.clone(), guard);
+        let metrics = ControlMetrics::default();
+        let mut registry = Registry::default();
+        metrics.register(&mut registry);
+        let operator = OperatorListener::new(registry, ready.clone(), guard);
+        let actions = LeaderActions::new(&self.options, &replica, &state, &duties, &metrics);
+        let actions = Box::pin(actions.run());
         let client = HttpClient::default();
         let server = RequestServer::new(secret, client, replica, state, Arc::clone(&duties));
         tracing::info!(event = LogEvent::ProcessStarted.number(), %address, "control started");
@@ -84,6 +91,7 @@
         tokio::select! {
             () = serving => {}
             () = duties.run() => {}
+            () = actions => {}
         }
         Ok(())
     }
--- /dev/null
+++ b/crates/oriolecrank-control/tests/leader/capacity_executor.rs
@@ -0,0 +1,693 @@
+//! Capacity plans from demand to orders, starts and stops.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use oriolecrank_control::TimeSource as _;
+use oriolecrank_control::{
+    CapacityExecutor, CapacityInputs, CapacitySettings, CapacitySources, ClusterLabel,
+    ControlMetrics, HttpPlatform, OrderExecutor, OrderSettings, PlatformExecutor, PlatformSettings,
+};
+use oriolecrank_fakes::FakePlatform;
+use oriolecrank_net::shutdown::ShutdownTrigger;
+use oriolecrank_net::{AnswerBody, HttpClient, HttpHandler, message_answer, read_body};
+use oriolecrank_schema::codec;
+use oriolecrank_schema::control::{
+    Command, DemandEntry, EngineOrder, OrderAction, OrderAnswer, OrderResult, PingRequest,
+    StepState, UpstreamPhase, UpstreamRemoval, UpstreamRole,
+};
+use oriolecrank_schema::data_path::UpstreamLoad;
+
+use crate::support::{
+    ManualTime, TestGroup, TestReplica, announce, document, engine_record, listen, secret, service,
+    submit, upstream,
+};
+
+/// Agents of all upstreams behind one address.
+#[derive(Debug, Clone, Default)]
+struct AgentFleet {
+    orders: Arc<Mutex<Vec<EngineOrder>>>,
+    /// Role changes fail.
+    fails_changes: Arc<Mutex<bool>>,
+}
+
+impl AgentFleet {
+    fn orders(&self) -> Vec<EngineOrder> {
+        self.orders.lock().unwrap().clone()
+    }
+}
+
+impl HttpHandler for AgentFleet {
+    async fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> Response<AnswerBody> {
+        let body = read_body(request.into_body(), 1 << 20).await.unwrap();
+        let order: EngineOrder = codec::decode(&body).unwrap();
+        let is_change = matches!(order.action, OrderAction::ChangeRole { .. });
+        let fails = is_change && *self.fails_changes.lock().unwrap();
+        let result = if fails {
+            OrderResult::Failed
+        } else {
+            OrderResult::Done
+        };
+        let fence = order.fence.clone();
+        self.orders.lock().unwrap().push(order);
+        message_answer(&OrderAnswer {
+            fence,
+            reason: None,
+            result,
+        })
+    }
+}
+
+/// State of one engine.
+#[derive(Debug, Clone)]
+struct Engine {
+    domain: &'static str,
+    role: UpstreamRole,
+    phase: UpstreamPhase,
+    incarnation: u64,
+    announcements: u64,
+    load: UpstreamLoad,
+    /// Requests that a drain has to wait for.
+    running: u32,
+    present: bool,
+}
+
+/// What the entries and engines report each second.
+#[derive(Debug, Clone, Copy)]
+struct Reports {
+    prefill: u64,
+    decode: u64,
+    pings: bool,
+    loads: bool,
+}
+
+impl Reports {
+    const fn of(prefill: u64, decode: u64) -> Self {
+        Self {
+            prefill,
+            decode,
+            pings: true,
+            loads: true,
+        }
+    }
+}
+
+type Executors = (
+    CapacityExecutor<TestReplica, ManualTime>,
+    OrderExecutor<TestReplica, ManualTime>,
+    Option<PlatformExecutor<TestReplica, ManualTime, HttpPlatform>>,
+);
+
+/// A control group with agents and, if wanted, a platform.
+struct Site {
+    group: TestGroup,
+    replica: Arc<TestReplica>,
+    inputs: CapacityInputs,
+    executors: Executors,
+    agents: AgentFleet,
+    agent_address: SocketAddr,
+    platform: Option<(FakePlatform, SocketAddr)>,
+    engines: BTreeMap<String, Engine>,
+    /// Orders that the engines have carried out.
+    applied: usize,
+    pings: u64,
+    settings: CapacitySettings,
+    _triggers: Vec<ShutdownTrigger>,
+}
+
+impl Site {
+    /// Eight engines in three failure domains.
+    async fn new(with_platform: bool) -> Self {
+        Self::with_settings(with_platform, CapacitySettings::default()).await
+    }
+
+    /// A site whose leader makes one plan, a minute after it was elected.
+    async fn with_one_plan() -> Self {
+        let settings = CapacitySettings {
+            warm_up: Duration::from_mins(1),
+            plan_interval: Duration::from_hours(1),
+            ..CapacitySettings::default()
+        };
+        Self::with_settings(false, settings).await
+    }
+
+    async fn with_settings(with_platform: bool, settings: CapacitySettings) -> Self {
+        let group = TestGroup::default();
+        // Roles that were there from the start are old.
+        group.time.advance(Duration::from_hours(1));
+        let replica = group.replica();
+        replica.lead(Duration::from_hours(100));
+        submit(&replica, document()).await;
+        let agents = AgentFleet::default();
+        let (agent_address, trigger) = listen(agents.clone()).await;
+        let mut triggers = vec![trigger];
+        let mut platform = None;
+        if with_platform {
+            let fake = FakePlatform::default();
+            let (address, trigger) = listen(fake.clone()).await;
+            triggers.push(trigger);
+            platform = Some((fake, address));
+        }
+        let inputs = CapacityInputs::default();
+        let platform_address = platform.as_ref().map(|(_, address)| *address);
+        let executors = executors(&group, &replica, &inputs, platform_address, &settings);
+        let mut site = Self {
+            group,
+            replica,
+            inputs,
+            executors,
+            agents,
+            agent_address,
+            platform,
+            engines: BTreeMap::new(),
+            applied: 0,
+            pings: 0,
+            settings,
+            _triggers: triggers,
+        };
+        for number in 0..8 {
+            let domain = ["piedmont", "black-belt", "gulf-coast"][number % 3];
+            site.add_engine(&format!("a-{number}"), domain);
+        }
+        site
+    }
+
+    fn add_engine(&mut self, name: &str, domain: &'static str) {
+        let engine = Engine {
+            domain,
+            role: UpstreamRole::Mixed,
+            phase: UpstreamPhase::Ready,
+            incarnation: 1,
+            announcements: 0,
+            load: UpstreamLoad {
+                decode_tokens: 0,
+                prefill_tokens: 0,
+                queued: 0,
+                running: 0,
+                tokens_in_flight: 0,
+            },
+            running: 0,
+            present: true,
+        };
+        if let Some((fake, _)) = &self.platform {
+            fake.add_running(oriolecrank_fakes::RunningUpstream {
+                upstream: name.to_owned(),
+                service: "assistant".to_owned(),
+                failure_domain: domain.to_owned(),
+            });
+        }
+        self.engines.insert(name.to_owned(), engine);
+    }
+
+    /// A new leader takes over; the old one is gone.
+    fn change_leader(&mut self) {
+        self.replica.resign();
+        self.replica = self.group.replica();
+        self.replica.lead(Duration::from_hours(100));
+        self.inputs = CapacityInputs::default();
+        let platform = self.platform.as_ref().map(|(_, address)| *address);
+        self.executors = executors(
+            &self.group,
+            &self.replica,
+            &self.inputs,
+            platform,
+            &self.settings,
+        );
+    }
+
+    /// Lets one second pass.
+    async fn second(&mut self, reports: Reports) {
+        self.group.time.advance(Duration::from_secs(1));
+        self.apply_orders();
+        self.announce(reports).await;
+        self.ping(reports);
+        let (capacity, orders, platform) = &mut self.executors;
+        capacity.round().await;
+        orders.round().await;
+        if let Some(platform) = platform {
+            platform.round().await;
+        }
+    }
+
+    async fn seconds(&mut self, count: u32, reports: Reports) {
+        for _ in 0..count {
+            self.second(reports).await;
+        }
+    }
+
+    /// Engines do what their agents were ordered.
+    fn apply_orders(&mut self) {
+        let orders = self.agents.orders();
+        let fails = *self.agents.fails_changes.lock().unwrap();
+        for order in &orders[self.applied..] {
+            let engine = self.engines.get_mut(&order.upstream.0).unwrap();
+            match order.action {
+                OrderAction::Drain => engine.phase = UpstreamPhase::Changing,
+                OrderAction::Undrain => engine.phase = UpstreamPhase::Ready,
+                OrderAction::ChangeRole { role } if !fails => engine.role = role,
+                _ => {}
+            }
+        }
+        self.applied = orders.len();
+    }
+
+    async fn announce(&mut self, reports: Reports) {
+        let now = self.group.time.now();
+        let count = self.engines.len() as u64;
+        for (name, engine) in &mut self.engines {
+            if !engine.present {
+                continue;
+            }
+            engine.announcements += 1;
+            engine.load.prefill_tokens += reports.prefill / count;
+            engine.load.decode_tokens += reports.decode / count;
+            engine.load.running = engine.running;
+            let mut record = engine_record(name, engine.domain, &self.agent_address.to_string());
+            record.incarnation = engine.incarnation;
+            record.role = engine.role;
+            record.phase = engine.phase;
+            if reports.loads {
+                let number = engine.announcements;
+                self.inputs.note_load(&record, number, &engine.load, now);
+            }
+            let known = self
+                .replica
+                .state
+                .read(|state| state.member(&record.upstream) == Some(&record));
+            if !known {
+                announce(&self.replica, record, engine.announcements).await;
+            }
+        }
+    }
+
+    fn ping(&mut self, reports: Reports) {
+        self.pings += 1;
+        if !reports.pings {
+            return;
+        }
+        let entry = DemandEntry {
+            organisation: "grove".to_owned(),
+            refused: 0,
+            requests: 10,
+            service: service("assistant"),
+            tokens: reports.prefill + reports.decode,
+        };
+        let ping = PingRequest {
+            demand: vec![entry],
+            ping: self.pings,
+            revision: 1,
+            subscriber: "entry-1".to_owned(),
+        };
+        let now = self.group.time.now();
+        self.replica
+            .state
+            .read(|state| self.inputs.note_ping(&ping, state.document(), now));
+    }
+
+    async fn remove(&mut self, name: &str) {
+        let engine = self.engines.get_mut(name).unwrap();
+        engine.present = false;
+        let removal = UpstreamRemoval {
+            incarnation: engine.incarnation,
+            upstream: upstream(name),
+        };
+        let command = Command::RemoveUpstreams {
+            reason: "test".to_owned(),
+            upstreams: vec![removal],
+        };
+        self.replica.commit(command).await;
+    }
+
+    fn plan_id(&self) -> u64 {
+        let state = &self.replica.state;
+        state.read(|state| state.plan().map_or(0, |plan| plan.plan_id))
+    }
+
+    fn step_states(&self) -> Vec<StepState> {
+        self.replica.state.read(|state| {
+            let steps = state.plan().into_iter().flat_map(|plan| &plan.steps);
+            steps.map(|step| step.state).collect()
+        })
+    }
+
+    fn intents(&self) -> usize {
+        self.replica.state.read(|state| state.intents().count())
+    }
+
+    fn actions_of(&self, name: &str) -> Vec<OrderAction> {
+        let orders = self.agents.orders().into_iter();
+        let orders = orders.filter(|order| order.upstream.0 == name);
+        orders.map(|order| order.action).collect()
+    }
+
+    /// No step is open, no order is in flight, and every engine takes work.
+    fn assert_settled(&self, case: &str) {
+        let open = |state: &StepState| matches!(state, StepState::Pending | StepState::Running);
+        let states = self.step_states();
+        assert!(!states.iter().any(open), "{case}: {states:?}");
+        let in_flight = self
+            .replica
+            .state
+            .read(|state| state.orders_in_flight().count());
+        assert_eq!(in_flight, 0, "{case}");
+        for (name, engine) in self.engines.iter().filter(|(_, engine)| engine.present) {
+            assert_eq!(engine.phase, UpstreamPhase::Ready, "{case}: {name}");
+        }
+    }
+}
+
+fn executors(
+    group: &TestGroup,
+    replica: &Arc<TestReplica>,
+    inputs: &CapacityInputs,
+    platform: Option<SocketAddr>,
+    settings: &CapacitySettings,
+) -> Executors {
+    let metrics = ControlMetrics::default();
+    let orders = OrderExecutor::new(
+        Arc::clone(replica),
+        Arc::clone(&replica.state),
+        group.time.clone(),
+        secret(),
+        metrics.clone(),
+        OrderSettings::default(),
+    );
+    let platform = platform.map(|address| {
+        PlatformExecutor::new(
+            Arc::clone(replica),
+            Arc::clone(&replica.state),
+            group.time.clone(),
+            HttpPlatform::new(address, HttpClient::default()),
+            ClusterLabel::new("grove"),
+            metrics.clone(),
+            PlatformSettings::default(),
+        )
+    });
+    let sources = CapacitySources {
+        inputs: inputs.clone(),
+        orders: orders.outcomes(),
+        starts: platform.as_ref().map(PlatformExecutor::outcomes),
+    };
+    let capacity = CapacityExecutor::new(
+        Arc::clone(replica),
+        Arc::clone(&replica.state),
+        group.time.clone(),
+        sources,
+        metrics,
+        settings.clone(),
+    );
+    (capacity, orders, platform)
+}
+
+/// Demand that fits eight mixed engines.
+const BALANCED: Reports = Reports::of(20_000, 2_400);
+
+/// Demand for more output than eight mixed engines generate.
+const MUCH_OUTPUT: Reports = Reports::of(10_000, 6_000);
+
+/// Runs until the first plan is committed.
+async fn until_plan(site: &mut Site, reports: Reports) {
+    for _ in 0..120 {
+        if site.plan_id() > 0 {
+            return;
+        }
+        site.second(reports).await;
+    }
+    panic!("no plan within two minutes");
+}
+
+/// Guards against a role change that is not drained first, never ends, changes too much at once, or
+/// takes the upstream out of work for ever.
+#[tokio::test]
+async fn a_swing_is_met_by_drained_role_changes() {
+    let mut site = Site::new(false).await;
+    site.seconds(60, BALANCED).await;
+    assert_eq!(site.plan_id(), 0, "balanced demand changes nothing");
+    until_plan(&mut site, MUCH_OUTPUT).await;
+    for _ in 0..30 {
+        site.second(MUCH_OUTPUT).await;
+        let changing = site.engines.values();
+        let changing = changing.filter(|engine| engine.phase == UpstreamPhase::Changing);
+        let mut domains: Vec<_> = changing.map(|engine| engine.domain).collect();
+        let count = domains.len();
+        domains.sort_unstable();
+        domains.dedup();
+        assert_eq!(
+            domains.len(),
+            count,
+            "one upstream of a failure domain at a time"
+        );
+    }
+    site.assert_settled("swing");
+    let changed: Vec<_> = site
+        .engines
+        .iter()
+        .filter(|(_, engine)| engine.role == UpstreamRole::Decode)
+        .map(|(name, _)| name.clone())
+        .collect();
+    assert!(!changed.is_empty());
+    for name in changed {
+        let role = UpstreamRole::Decode;
+        let expected = [
+            OrderAction::Drain,
+            OrderAction::ChangeRole { role },
+            OrderAction::Undrain,
+        ];
+        assert_eq!(site.actions_of(&name), expected, "{name}");
+    }
+    assert_eq!(site.intents(), 0);
+}
+
+/// Guards against a change of role while requests run, and against a drain without end.
+#[tokio::test]
+async fn a_role_changes_only_when_the_upstream_is_idle() {
+    let mut site = Site::with_one_plan().await;
+    for engine in site.engines.values_mut() {
+        engine.running = 1;
+    }
+    until_plan(&mut site, MUCH_OUTPUT).await;
+    site.seconds(55, MUCH_OUTPUT).await;
+    let is_change = |order: &EngineOrder| matches!(order.action, OrderAction::ChangeRole { .. });
+    assert!(!site.agents.orders().iter().any(is_change));
+    // The drain is given up after a minute, and the upstreams take work again.
+    site.seconds(15, MUCH_OUTPUT).await;
+    assert!(!site.agents.orders().iter().any(is_change));
+    site.assert_settled("busy");
+}
+
+/// Guards against changes that are based on old or missing reports.
+#[tokio::test]
+async fn stale_reports_change_nothing() {
+    let without_pings = Reports {
+        pings: false,
+        ..MUCH_OUTPUT
+    };
+    let without_loads = Reports {
+        loads: false,
+        ..MUCH_OUTPUT
+    };
+    let silent = Reports {
+        loads: false,
+        ..without_pings
+    };
+    let cases = [
+        ("no pings", without_pings),
+        ("no loads", without_loads),
+        ("nothing", silent),
+    ];
+    for (name, reports) in cases {
+        for warm in [false, true] {
+            let mut site = Site::new(true).await;
+            if warm {
+                site.seconds(60, BALANCED).await;
+                // Reports of the demand that follows are lost from here on.
+                site.seconds(
+                    20,
+                    Reports {
+                        ..reports_like(reports, BALANCED)
+                    },
+                )
+                .await;
+            }
+            site.seconds(900, reports).await;
+            assert_eq!(site.plan_id(), 0, "{name}, warm: {warm}");
+            assert!(site.agents.orders().is_empty(), "{name}, warm: {warm}");
+            assert_eq!(site.intents(), 0, "{name}, warm: {warm}");
+        }
+    }
+}
+
+/// The demand of one value with the gaps of the other.
+const fn reports_like(gaps: Reports, demand: Reports) -> Reports {
+    Reports {
+        pings: gaps.pings,
+        loads: gaps.loads,
+        ..demand
+    }
+}
+
+/// Guards against a plan that is forgotten or left half done when the leader changes at any stage.
+#[tokio::test]
+async fn a_successor_finishes_the_plan_at_any_stage() {
+    for stage in 0..8 {
+        let mut site = Site::with_one_plan().await;
+        until_plan(&mut site, MUCH_OUTPUT).await;
+        let plan = site.plan_id();
+        site.seconds(stage, MUCH_OUTPUT).await;
+        site.change_leader();
+        site.seconds(9, MUCH_OUTPUT).await;
+        assert_eq!(site.plan_id(), plan, "stage {stage}: no new plan meanwhile");
+        site.assert_settled(&format!("stage {stage}"));
+        let states = site.step_states();
+        assert!(
+            states.iter().all(|state| *state == StepState::Done),
+            "stage {stage}: {states:?}"
+        );
+    }
+}
+
+/// Guards against an engine that stays drained, or a plan that never ends, when the engine crashes
+/// in the middle of its change.
+#[tokio::test]
+async fn an_engine_crash_at_any_stage_ends_the_change() {
+    for stage in 0..8 {
+        for changes_leader in [false, true] {
+            let case = format!("stage {stage}, leader changes: {changes_leader}");
+            let mut site = Site::with_one_plan().await;
+            until_plan(&mut site, MUCH_OUTPUT).await;
+            site.seconds(stage, MUCH_OUTPUT).await;
+            site.apply_orders();
+            for engine in site.engines.values_mut() {
+                if engine.phase == UpstreamPhase::Changing {
+                    engine.incarnation += 1;
+                    engine.announcements = 0;
+                    engine.phase = UpstreamPhase::Ready;
+                    engine.role = UpstreamRole::Mixed;
+                }
+            }
+            if changes_leader {
+                site.change_leader();
+            }
+            site.seconds(9, MUCH_OUTPUT).await;
+            site.assert_settled(&case);
+        }
+    }
+}
+
+/// Guards against an engine that stays drained after its role change has failed.
+#[tokio::test]
+async fn a_failed_role_change_is_undone() {
+    let mut site = Site::with_one_plan().await;
+    *site.agents.fails_changes.lock().unwrap() = true;
+    until_plan(&mut site, MUCH_OUTPUT).await;
+    site.seconds(10, MUCH_OUTPUT).await;
+    site.assert_settled("failed change");
+    let states = site.step_states();
+    assert!(states.contains(&StepState::Undone), "{states:?}");
+    assert!(!states.contains(&StepState::Failed), "{states:?}");
+}
+
+/// Guards against a drain of the last capable upstream when others left after the plan was made.
+#[tokio::test]
+async fn the_last_capable_upstream_is_never_drained() {
+    let mut site = Site::new(false).await;
+    site.seconds(30, BALANCED).await;
+    // The plan is committed by a leader that is lost before its first step.
+    let planned = loop {
+        site.second(MUCH_OUTPUT).await;
+        let planned = site.replica.state.read(|state| {
+            let steps = state.plan().map(|plan| plan.steps.clone());
+            steps.unwrap_or_default()
+        });
+        if !planned.is_empty() {
+            break planned;
+        }
+    };
+    assert!(site.agents.orders().is_empty());
+    let first = planned.iter().find_map(|step| match &step.action {
+        oriolecrank_schema::control::PlanAction::Order { upstream, .. } => Some(upstream.0.clone()),
+        _ => None,
+    });
+    let first = first.unwrap();
+    let names: Vec<String> = site.engines.keys().cloned().collect();
+    for name in names.iter().filter(|name| **name != first) {
+        site.remove(name).await;
+    }
+    site.seconds(90, MUCH_OUTPUT).await;
+    assert!(
+        site.agents.orders().is_empty(),
+        "{:?}",
+        site.agents.orders()
+    );
+    site.assert_settled("last capable");
+}
+
+/// Guards against starts and stops without a platform, whatever the demand.
+#[tokio::test]
+async fn without_a_platform_only_roles_change() {
+    for reports in [Reports::of(200_000, 20_000), Reports::of(100, 10)] {
+        let mut site = Site::new(false).await;
+        site.seconds(1_200, reports).await;
+        assert_eq!(site.intents(), 0);
+        let is_role_step = |order: &EngineOrder| {
+            let action = &order.action;
+            matches!(
+                action,
+                OrderAction::Drain | OrderAction::Undrain | OrderAction::ChangeRole { .. }
+            )
+        };
+        assert!(site.agents.orders().iter().all(is_role_step));
+        assert!(site.engines.values().all(|engine| engine.present));
+    }
+}
+
+/// Guards against missing starts under growing demand, against starts beyond the budget, and against
+/// crashed starts that are repeated without backoff.
+#[tokio::test]
+async fn starts_follow_the_demand_the_budget_and_the_backoff() {
+    for (crashes, budget) in [(0, 10), (1_000, 12)] {
+        let mut site = Site::new(true).await;
+        let mut document = document();
+        document.services[0].budget = Some(oriolecrank_schema::document::BudgetConfig {
+            max_upstreams: Some(budget),
+        });
+        submit(&site.replica, document).await;
+        let platform = site.platform.as_ref().unwrap().0.clone();
+        platform.crash_next_starts(crashes);
+        site.seconds(300, Reports::of(60_000, 6_000)).await;
+        let started = platform.started();
+        if crashes == 0 {
+            assert_eq!(started, u64::from(budget) - 8);
+        } else {
+            // The backoff of a failure domain is 30, 60, 120 and 240 s. A round of starts orders
+            // at most four, in three domains.
+            assert!((4..=20).contains(&started), "{started} starts in 300 s");
+        }
+    }
+}
+
+/// Guards against a stop that cuts off requests, and against a stop of an upstream that is needed.
+#[tokio::test]
+async fn a_superfluous_upstream_is_drained_before_it_stops() {
+    let mut site = Site::new(true).await;
+    for engine in site.engines.values_mut() {
+        engine.running = 1;
+    }
+    let little = Reports::of(2_000, 200);
+    site.seconds(700, little).await;
+    let drains = site.agents.orders();
+    assert_eq!(drains.len(), 1, "{drains:?}");
+    assert_eq!(drains[0].action, OrderAction::Drain);
+    assert_eq!(site.intents(), 0, "the upstream still runs a request");
+    let name = drains[0].upstream.0.clone();
+    site.engines.get_mut(&name).unwrap().running = 0;
+    let platform = site.platform.as_ref().unwrap().0.clone();
+    site.seconds(3, little).await;
+    assert_eq!(platform.running().len(), 7);
+    assert!(!platform.running().iter().any(|one| one.upstream == name));
+    assert_eq!(site.actions_of(&name), [OrderAction::Drain]);
+}
--- a/crates/oriolecrank-control/tests/leader/main.rs
+++ b/crates/oriolecrank-control/tests/leader/main.rs
@@ -2,6 +2,7 @@
 #![expect(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
 mod authority;
+mod capacity_executor;
 mod order_executor;
 mod platform_executor;
 mod support;
