Announce the role and model that orders have set

Cause: the agent kept announcing the role of its settings after a role change, so that the control group planned from the old one. Change: the announcement follows ChangeRole and LoadModel orders that were carried out, and is sent at once. Conclusion: an agent that restarts alone announces its settings again; the role of a running engine cannot be read yet.

--- a/crates/oriolecrank-agent/src/announcer.rs
+++ b/crates/oriolecrank-agent/src/announcer.rs
@@ -73,6 +73,7 @@
     async fn announce(&mut self, phase: UpstreamPhase) {
         self.number += 1;
         self.record.phase = phase;
+        self.desk.engine_setup().apply_to(&mut self.record);
         let command = Command::Announce {
             load: Some(self.core.load()),
             number: self.number,
--- a/crates/oriolecrank-agent/src/lib.rs
+++ b/crates/oriolecrank-agent/src/lib.rs
@@ -16,6 +16,7 @@
 mod claim_register;
 mod control_reporter;
 mod crash_detector;
+mod engine_setup;
 mod failure_events;
 mod options;
 mod order_desk;
--- a/crates/oriolecrank-agent/src/order_desk.rs
+++ b/crates/oriolecrank-agent/src/order_desk.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Mutex as AsyncMutex;
 
 use crate::agent_core::AgentCore;
+use crate::engine_setup::EngineSetup;
 use crate::order_gate::{GateSettings, OrderGate, OrderVerdict};
 use crate::upstream_client::UpstreamClient;
 
@@ -21,6 +22,8 @@
     core: Arc<AgentCore<U>>,
     /// Lock order: locked alone and never across an await.
     gate: Mutex<OrderGate>,
+    /// Lock order: locked alone and never across an await.
+    setup: Mutex<EngineSetup>,
     /// Held while an order is carried out, so that only one is in flight.
     turn: AsyncMutex<()>,
 }
@@ -32,6 +35,7 @@
         Self {
             core,
             gate: Mutex::new(gate),
+            setup: Mutex::default(),
             turn: AsyncMutex::new(()),
         }
     }
@@ -49,6 +53,11 @@
             .drain(UpstreamPhase::Leaving, BootClock.now());
     }
 
+    /// What orders have set up.
+    pub fn engine_setup(&self) -> EngineSetup {
+        self.setup().clone()
+    }
+
     /// Whether a newer agent exists.
     pub fn is_superseded(&self) -> bool {
         self.gate().is_superseded()
@@ -83,6 +92,10 @@
             }
         };
         let (result, reason) = self.apply(order, until).await;
+        if result == OrderResult::Done {
+            self.setup().note(&order.action);
+            self.core.phase_changed().notify_one();
+        }
         self.gate().settle(&order.fence, result);
         let event = LogEvent::OrderFinished.number();
         tracing::info!(event, result = %result, sequence = order.fence.sequence, "order finished");
@@ -147,6 +160,12 @@
         }
     }
 
+    fn setup(&self) -> MutexGuard<'_, EngineSetup> {
+        self.setup
+            .lock()
+            .expect("no holder of the setup lock panics")
+    }
+
     fn gate(&self) -> MutexGuard<'_, OrderGate> {
         self.gate.lock().expect("no holder of the gate lock panics")
     }
--- a/crates/oriolecrank-agent/tests/agent/orders.rs
+++ b/crates/oriolecrank-agent/tests/agent/orders.rs
@@ -2,7 +2,7 @@
 
 use oriolecrank_fakes::{EngineOptions, FakeEngine};
 use oriolecrank_schema::control::{
-    EngineOrder, FencingNumber, OrderAction, OrderResult, UpstreamRole,
+    Command, EngineOrder, FencingNumber, OrderAction, OrderResult, UpstreamRole,
 };
 use oriolecrank_schema::data_path::{RunEvent, RunVerdict};
 use std::time::Duration;
@@ -130,3 +130,30 @@
         after.last
     );
 }
+
+/// Guards against plans from an old role: the control group only knows the announced one, and would
+/// change it again and again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_changed_role_and_model_are_announced() {
+    let agent = TestAgent::start(FakeEngine::default()).await;
+    let load = OrderAction::LoadModel {
+        model: "olive-7b".to_owned(),
+        version: "2".to_owned(),
+    };
+    for (sequence, action) in [(5, change_role()), (6, load)] {
+        let result = settled(&agent, &order(sequence, action)).await;
+        assert_eq!(result, OrderResult::Done);
+    }
+    let record = eventually(|| {
+        let commands = agent.control.commands().into_iter().rev();
+        let mut records = commands.filter_map(|command| match command {
+            Command::Announce { record, .. } => Some(record),
+            _ => None,
+        });
+        records.next().filter(|record| record.model.is_some())
+    })
+    .await;
+    assert_eq!(record.role, UpstreamRole::Decode);
+    assert_eq!(record.model.as_deref(), Some("olive-7b"));
+    assert_eq!(record.version.as_deref(), Some("2"));
+}
