--- a/crates/oriolecrank-control/src/capacity_executor.rs
+++ b/crates/oriolecrank-control/src/capacity_executor.rs
@@ -195,7 +195,15 @@
         }
         let now = self.time.now();
         let planner = &mut self.planner;
-        self.state.read(|state| planner.reset(state, now));
+        let inherited = self.state.read(|state| {
+            planner.reset(state, now);
+            let plan = state.plan().filter(|plan| !is_plan_over(plan));
+            plan.map(|plan| plan.plan_id)
+        });
+        if let Some(plan) = inherited {
+            let event = LogEvent::PlanResumed.number();
+            tracing::info!(event, plan, "unfinished capacity plan is resumed");
+        }
         self.progress = Some(TermProgress {
             term,
             plan_id: 0,
@@ -241,10 +249,6 @@
         progress.plan_id = plan.plan_id;
         progress.plan_seen = now;
         progress.chains = PlanChain::of_plan(plan, &in_flight);
-        if !is_plan_over(plan) {
-            let event = LogEvent::PlanResumed.number();
-            tracing::info!(event, plan = plan.plan_id, "capacity plan is carried out");
-        }
     }
 
     async fn continue_chain(&self, plan_id: u64, chain: &mut PlanChain) {
--- a/crates/oriolecrank-control/src/ping_sequence.rs
+++ b/crates/oriolecrank-control/src/ping_sequence.rs
@@ -7,8 +7,8 @@
 /// never under way.
 const LATE_PINGS: u64 = 64;
 
-/// A process numbers its pings from one; these numbers are never late ones of a long-lived process
-/// that was heard within the last minute.
+/// A process numbers its pings from one. Such a small number far behind the newest one comes from a
+/// new process; among the first pings it may only be late.
 const FIRST_PINGS: u64 = 2;
 
 /// Start number of a subscriber, counted by the leader.
@@ -32,7 +32,8 @@
         let number = ping.ping;
         if let Some((newest, start)) = self.subscribers.get_mut(&ping.subscriber) {
             let behind = newest.saturating_sub(number);
-            let restarted = behind >= LATE_PINGS || behind > 0 && number <= FIRST_PINGS;
+            let begins_anew = number <= FIRST_PINGS && behind > FIRST_PINGS;
+            let restarted = behind >= LATE_PINGS || begins_anew;
             if restarted {
                 start.0 += 1;
                 *newest = number;
--- a/crates/oriolecrank-control/tests/leader/main.rs
+++ b/crates/oriolecrank-control/tests/leader/main.rs
@@ -3,6 +3,7 @@
 
 mod authority;
 mod capacity_executor;
+mod limit_shares;
 mod order_executor;
 mod platform_executor;
 mod support;
--- a/crates/oriolecrank-fakes/src/main.rs
+++ b/crates/oriolecrank-fakes/src/main.rs
@@ -1,12 +1,12 @@
-//! Fake upstreams as a program, to try the separate processes by hand:
-//! `oriolecrank-fakes engine|ledger ADDRESS`.
+//! The fakes as a program, to try the separate processes by hand:
+//! `oriolecrank-fakes engine|ledger|platform|usage ADDRESS`.
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use lexopt::prelude::{Value, ValueExt as _};
-use oriolecrank_fakes::{FakeEngine, FakeLedger};
+use oriolecrank_fakes::{FakeEngine, FakeLedger, FakePlatform, FakeUsage};
 use oriolecrank_net::logging::{self, LogFormat};
 use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel, termination_signal};
 use oriolecrank_net::{HttpHandler, serve};
@@ -14,7 +14,7 @@
 use tokio::net::TcpListener;
 
 /// Text for wrong arguments.
-const USAGE: &str = "usage: oriolecrank-fakes engine|ledger ADDRESS";
+const USAGE: &str = "usage: oriolecrank-fakes engine|ledger|platform|usage ADDRESS";
 
 /// Kind and address of the fake.
 #[derive(Debug)]
@@ -62,6 +62,8 @@
     let result = match arguments.kind.as_str() {
         "engine" => run(arguments.address, FakeEngine::default(), signal).await,
         "ledger" => run(arguments.address, FakeLedger::default(), signal).await,
+        "platform" => run(arguments.address, FakePlatform::default(), signal).await,
+        "usage" => run(arguments.address, FakeUsage::default(), signal).await,
         _ => {
             eprintln!("{USAGE}");
             return ExitCode::from(2);
