--- a/crates/oriolecrank-control/src/process.rs
+++ b/crates/oriolecrank-control/src/process.rs
@@ -12,6 +12,8 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
+use crate::control_metrics::ControlMetrics;
+use crate::leader_actions::LeaderActions;
 use crate::leader_duties::LeaderDuties;
 use crate::options::ControlOptions;
 use crate::peer_directory::PeerDirectory;
@@ -101,7 +103,12 @@
         let guard = PeerGuard::new(secret.clone());
         let ingress = PeerIngress::new(options.cluster.clone(), guard.clone(), handle, directory);
         let ready = ReadyFlag::default();
-        let operator = OperatorListener::new(Registry::default(), ready.clone(), guard);
+        let metrics = ControlMetrics::default();
+        let mut registry = Registry::default();
+        metrics.register(&mut registry);
+        let operator = OperatorListener::new(registry, ready.clone(), guard);
+        let actions = LeaderActions::new(&options, &replica, &state, &duties, &metrics);
+        let actions = Box::pin(actions.run());
         let server = RequestServer::new(
             ingress,
             secret,
@@ -131,6 +138,7 @@
                 tracing::warn!(event = LogEvent::ShutdownForced.number(), "requests were cut off");
             }
             () = duties.run() => {}
+            () = actions => {}
             phase = replica.stopped() => {
                 if let ReplicaPhase::Failed(reason) = phase {
                     return ReplicaFailedSnafu { reason }.fail();
