Split limits only over entries with demand

Cause: at the design size of 410 entries and 340 limits, shares for every pair cost the leader and the subscribers too much. Change: with more than 8 entries, only those with demand for a limit take part in its split; the others use their part of the reserve until their next report. The ledger of one limit moves to limit_ledger. Conclusion: messages and cost now follow demand instead of entries times limits.

--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod header_cleaning;
 pub mod hedge;
 pub mod limit_key;
+mod limit_ledger;
 pub mod limit_shares;
 pub mod load_estimate;
 pub mod outlier_ejection;
--- a/crates/oriolecrank-policy/src/limit_shares.rs
+++ b/crates/oriolecrank-policy/src/limit_shares.rs
@@ -20,7 +20,8 @@
 
 use crate::freshness::PingNumber;
 use crate::grant_history::GrantHistory;
-use crate::limit_key::{EntryCount, LimitKey, LimitShare, OrganisationLimit, RESERVE_DIVISOR};
+use crate::limit_key::{EntryCount, LimitKey, LimitShare, OrganisationLimit};
+use crate::limit_ledger::{LimitLedger, ROUNDING};
 use crate::rate_limiter::LimitDemand;
 
 /// Rules of the split.
@@ -41,7 +42,12 @@
     pub concurrency_hold: Duration,
     /// Time after which demand counts half.
     pub demand_half_life: Duration,
-    /// Part of each limit that is divided evenly, so that an entry without demand can begin.
+    /// Up to this many entries, all take part in the split of each limit. With more, only those do
+    /// that have demand for it, to keep messages small; the others use their part of the reserve
+    /// until their next report.
+    pub idle_entries: usize,
+    /// Part of each limit that is divided evenly among those that take part, so that an entry
+    /// without demand can begin.
     pub even_part: f64,
     /// How long a single concurrent request stays with an entry while others want it. Moving it
     /// leaves it unused for the lifetime of a share, so it is not moved often.
@@ -58,6 +64,7 @@
             report_delay: Duration::from_secs(2),
             concurrency_hold: Duration::from_mins(1),
             demand_half_life: Duration::from_secs(2),
+            idle_entries: 8,
             even_part: 0.05,
             tenure: Duration::from_secs(30),
         }
@@ -151,65 +158,6 @@
     entries: Option<EntryCount>,
 }
 
-/// Demand that decays with time.
-#[derive(Debug, Clone, Copy, Default)]
-struct DecayingDemand {
-    value: f64,
-    updated: TimePoint,
-}
-
-impl DecayingDemand {
-    fn get(self, settings: &ShareSettings, now: TimePoint) -> f64 {
-        let age = now.since(self.updated).as_secs_f64();
-        let value = self.value * (-age / settings.demand_half_life.as_secs_f64()).exp2();
-        // Demand of long ago would otherwise compete for single concurrent requests for ever.
-        if value < 0.01 { 0.0 } else { value }
-    }
-
-    fn add(&mut self, value: f64, settings: &ShareSettings, now: TimePoint) {
-        self.value = self.get(settings, now) + value;
-        self.updated = now;
-    }
-}
-
-/// Shares of one limit at one entry.
-#[derive(Debug, Default)]
-struct EntryShares {
-    requests: GrantHistory,
-    tokens: GrantHistory,
-    /// Grants of concurrent requests that no report has settled.
-    concurrent: GrantHistory,
-    /// Concurrent requests that the last report showed, without those that the reserve allows.
-    running: f64,
-    /// Until when `running` counts if the entry does not say how many requests run.
-    running_until: Option<TimePoint>,
-    request_demand: DecayingDemand,
-    token_demand: DecayingDemand,
-    /// Since when the entry holds concurrent requests without interruption.
-    held_since: Option<TimePoint>,
-    /// Since when it wants one and has none.
-    waiting_since: Option<TimePoint>,
-}
-
-impl EntryShares {
-    /// Concurrent requests that the entry may run under its shares.
-    fn concurrent_in_use(&self) -> f64 {
-        self.concurrent.largest().max(self.running)
-    }
-
-    fn is_unused(&self) -> bool {
-        let grants = [&self.requests, &self.tokens, &self.concurrent];
-        grants.iter().all(|history| history.is_empty()) && self.running == 0.0
-    }
-}
-
-/// One limit.
-#[derive(Debug, Default)]
-struct LimitLedger {
-    limit: OrganisationLimit,
-    entries: BTreeMap<EntryName, EntryShares>,
-}
-
 /// Limits, demand and grants; in the memory of the control leader.
 #[derive(Debug)]
 pub struct ShareLedger {
@@ -312,11 +260,7 @@
     ) {
         if let Some(ledger) = self.limits.get_mut(key) {
             let shares = ledger.entries.entry(entry.clone()).or_default();
-            let settings = &self.settings;
-            shares
-                .request_demand
-                .add(demand.requests as f64, settings, now);
-            shares.token_demand.add(demand.tokens as f64, settings, now);
+            shares.add_demand(demand, &self.settings, now);
         }
     }
 
@@ -324,8 +268,7 @@
     fn take_back(&mut self, entry: &EntryName, key: &LimitKey) {
         let ledger = self.limits.get_mut(key);
         if let Some(shares) = ledger.and_then(|ledger| ledger.entries.get_mut(entry)) {
-            shares.concurrent = GrantHistory::default();
-            shares.held_since = None;
+            shares.take_back();
         }
     }
 
@@ -336,7 +279,7 @@
         }
     }
 
-    /// Shares for all live entries; called each second.
+    /// Shares for all live entries; called each second. Limits without a share are left out.
     pub fn allocate(&mut self, now: TimePoint) -> Vec<EntryGrant> {
         self.expire(now);
         let live = self.live_entries(now);
@@ -349,16 +292,16 @@
                 report: self.entries[entry].last_number,
                 entries,
                 lifetime: self.settings.lifetime,
-                shares: Vec::with_capacity(self.limits.len()),
+                shares: Vec::new(),
             })
             .collect();
         if now < self.shares_from {
             return grants;
         }
         for (key, ledger) in &mut self.limits {
-            let shares = ledger.allocate(&live, &self.settings, now);
-            for (grant, share) in grants.iter_mut().zip(shares) {
-                grant.shares.push((key.clone(), share));
+            for (entry, share) in ledger.allocate(&live, &self.settings, now) {
+                let index = live.binary_search(entry).expect("takers are live");
+                grants[index].shares.push((key.clone(), share));
             }
         }
         grants
@@ -428,228 +371,3 @@
         counts
     }
 }
-
-/// Differences below this come from rounding.
-const ROUNDING: f64 = 1e-9;
-
-impl EntryShares {
-    /// Takes the number of running requests of a report.
-    fn settle(
-        &mut self,
-        running: Option<u64>,
-        reserve: u64,
-        settings: &ShareSettings,
-        now: TimePoint,
-    ) {
-        // The report may have been under way for as long as this; a grant that was valid when it was
-        // sent may have been used since.
-        let sent_after = now
-            .as_millis()
-            .saturating_sub(settings.report_delay.as_millis() as u64);
-        let settled = self.concurrent.expire(TimePoint::from_millis(sent_after));
-        match running {
-            Some(running) => {
-                self.running = running.saturating_sub(reserve) as f64;
-                self.running_until = None;
-            }
-            None if settled > 0.0 => {
-                self.running = self.running.max(settled);
-                self.running_until = Some(now + settings.concurrency_hold);
-            }
-            None => {}
-        }
-    }
-
-    fn expire(&mut self, silent: bool, hold: Duration, now: TimePoint) {
-        self.requests.expire(now);
-        self.tokens.expire(now);
-        if self.running_until.is_some_and(|until| until <= now) {
-            self.running = 0.0;
-            self.running_until = None;
-        }
-        if silent {
-            let ended = now.as_millis().saturating_sub(hold.as_millis() as u64);
-            self.concurrent.expire(TimePoint::from_millis(ended));
-            self.running = 0.0;
-        }
-    }
-
-    fn wants_concurrency(&self, settings: &ShareSettings, now: TimePoint) -> bool {
-        self.running > 0.0 || self.request_demand.get(settings, now) > 0.0
-    }
-}
-
-impl LimitLedger {
-    /// Shares of the limit for each live entry.
-    fn allocate(
-        &mut self,
-        live: &[EntryName],
-        settings: &ShareSettings,
-        now: TimePoint,
-    ) -> Vec<LimitShare> {
-        for entry in live {
-            if !self.entries.contains_key(entry) {
-                self.entries.insert(entry.clone(), EntryShares::default());
-            }
-        }
-        let requests = self.allocate_rate(
-            live,
-            settings,
-            now,
-            |limit| limit.requests_per_s,
-            |shares| (&mut shares.requests, shares.request_demand),
-        );
-        let tokens = self.allocate_rate(
-            live,
-            settings,
-            now,
-            |limit| limit.tokens_per_s,
-            |shares| (&mut shares.tokens, shares.token_demand),
-        );
-        let concurrent = self.allocate_concurrent(live, settings, now);
-        let shares = requests.into_iter().zip(tokens).zip(concurrent);
-        shares
-            .map(|((requests_per_s, tokens_per_s), concurrent)| LimitShare {
-                requests_per_s,
-                tokens_per_s,
-                concurrent,
-            })
-            .collect()
-    }
-
-    /// Splits a rate by demand.
-    fn allocate_rate(
-        &mut self,
-        live: &[EntryName],
-        settings: &ShareSettings,
-        now: TimePoint,
-        limit: impl Fn(&OrganisationLimit) -> Option<u64>,
-        part: impl Fn(&mut EntryShares) -> (&mut GrantHistory, DecayingDemand),
-    ) -> Vec<f64> {
-        let Some(limit) = limit(&self.limit) else {
-            return vec![f64::INFINITY; live.len()];
-        };
-        let pool = limit as f64 * (1.0 - 1.0 / RESERVE_DIVISOR as f64);
-        let until = now + settings.lifetime.mul_f64(settings.clock_factor);
-        let mut in_use = 0.0;
-        let mut demands = BTreeMap::new();
-        for (entry, shares) in &mut self.entries {
-            let (history, demand) = part(shares);
-            in_use += history.largest();
-            demands.insert(entry, demand.get(settings, now));
-        }
-        let demands: Vec<f64> = live.iter().map(|entry| demands[entry]).collect();
-        let targets = split_by_demand(pool, &demands, settings.even_part);
-        let mut granted = Vec::with_capacity(live.len());
-        for (entry, target) in live.iter().zip(targets) {
-            let shares = self.entries.get_mut(entry).expect("the entry was inserted");
-            let (history, _) = part(shares);
-            let own = history.largest();
-            let available = (pool - (in_use - own)).max(0.0);
-            let share = target.min(available);
-            history.add(share, until);
-            in_use += history.largest() - own;
-            granted.push(share);
-        }
-        granted
-    }
-
-    /// Splits whole concurrent requests by demand.
-    fn allocate_concurrent(
-        &mut self,
-        live: &[EntryName],
-        settings: &ShareSettings,
-        now: TimePoint,
-    ) -> Vec<u64> {
-        let Some(limit) = self.limit.concurrent else {
-            return vec![u64::MAX; live.len()];
-        };
-        let pool = limit - limit / RESERVE_DIVISOR;
-        let until = now + settings.lifetime.mul_f64(settings.clock_factor);
-        let mut in_use: f64 = self
-            .entries
-            .values()
-            .map(EntryShares::concurrent_in_use)
-            .sum();
-        let targets = self.concurrent_targets(pool, live, settings, now);
-        let mut granted = Vec::with_capacity(live.len());
-        for (entry, target) in live.iter().zip(targets) {
-            let shares = self.entries.get_mut(entry).expect("the entry was inserted");
-            let own = shares.concurrent_in_use();
-            let available = (pool as f64 - (in_use - own)).max(0.0);
-            let share = (target as f64).min(available).floor();
-            if share > 0.0 {
-                shares.concurrent.add(share, until);
-                shares.held_since.get_or_insert(now);
-                shares.waiting_since = None;
-            } else {
-                shares.held_since = None;
-                let wants = shares.wants_concurrency(settings, now);
-                let since = shares.waiting_since.unwrap_or(now);
-                shares.waiting_since = wants.then_some(since);
-            }
-            in_use += shares.concurrent_in_use() - own;
-            granted.push(share as u64);
-        }
-        granted
-    }
-
-    /// Whole targets by largest remainder. If there are fewer requests than entries that want one,
-    /// an entry keeps its request for the tenure, and then the one that has waited longest gets it.
-    fn concurrent_targets(
-        &self,
-        pool: u64,
-        live: &[EntryName],
-        settings: &ShareSettings,
-        now: TimePoint,
-    ) -> Vec<u64> {
-        let states: Vec<&EntryShares> = live.iter().map(|entry| &self.entries[entry]).collect();
-        let demands: Vec<f64> = states
-            .iter()
-            .map(|shares| shares.running + shares.request_demand.get(settings, now))
-            .collect();
-        let ideal = split_by_demand(pool as f64, &demands, settings.even_part);
-        let mut targets: Vec<u64> = ideal
-            .iter()
-            .map(|ideal| (ideal + ROUNDING) as u64)
-            .collect();
-        // What is left over stays with the leader unless somebody wants it, because it could not be
-        // taken back quickly.
-        let mut order: Vec<usize> = (0..live.len())
-            .filter(|index| states[*index].wants_concurrency(settings, now))
-            .collect();
-        let rank = |index: usize| {
-            let shares = states[index];
-            let tenure = |since| now.since(since) < settings.tenure;
-            let without = targets[index] == 0;
-            let keeps = without && shares.held_since.is_some_and(tenure);
-            let waiting = shares.waiting_since.filter(|_| without);
-            // Ascending: entries that keep theirs, then the longest waiting, then the others.
-            (!keeps, waiting.is_none(), waiting)
-        };
-        let remainder = |index: usize| ideal[index] - targets[index] as f64;
-        order.sort_by(|&one, &other| {
-            let ranks = rank(one).cmp(&rank(other));
-            ranks.then(remainder(other).total_cmp(&remainder(one)))
-        });
-        let rest = pool.saturating_sub(targets.iter().sum()) as usize;
-        for index in order.into_iter().take(rest) {
-            targets[index] += 1;
-        }
-        targets
-    }
-}
-
-/// Splits `pool` in proportion to demand, after `even_part` of it was divided evenly. Without any
-/// demand everything is divided evenly.
-fn split_by_demand(pool: f64, demands: &[f64], even_part: f64) -> Vec<f64> {
-    let sum: f64 = demands.iter().sum();
-    let even = 1.0 / demands.len().max(1) as f64;
-    let part = |demand: &f64| {
-        if sum <= 0.0 {
-            return pool * even;
-        }
-        pool * (even_part * even + (1.0 - even_part) * demand / sum)
-    };
-    demands.iter().map(part).collect()
-}
--- a/crates/oriolecrank-policy/tests/limit_shares.rs
+++ b/crates/oriolecrank-policy/tests/limit_shares.rs
@@ -121,6 +121,18 @@
     assert!(held.iter().sum::<u64>() >= 140, "{held:?}");
 }
 
+/// Guards against messages that grow with the number of limits times entries.
+#[test]
+fn many_entries_get_only_shares_that_they_want() {
+    let mut ledger = ledger(limit(100, 40));
+    for entry in 0..20 {
+        report(&mut ledger, entry, u64::from(entry < 5), 0, 0);
+    }
+    let grants = ledger.allocate(at(0));
+    let with_shares = grants.iter().filter(|grant| !grant.shares.is_empty());
+    assert_eq!((grants.len(), with_shares.count()), (20, 5));
+}
+
 /// Guards against a new leader that grants what its predecessor has granted.
 #[test]
 fn a_new_leader_waits_for_earlier_grants() {
