Remove any known key from what an upstream sees

Cause: clean() knows only the key that the request runs with; the key of another organisation, or a key on an open route in a place from which keys are not read, would have passed. Conclusion: entries should call clean_all with their key table.

--- a/crates/oriolecrank-bench/src/route.rs
+++ b/crates/oriolecrank-bench/src/route.rs
@@ -140,6 +140,7 @@
         }
         means.push(histogram.mean());
     }
+    passed &= measure_update(seed);
     let first = COST_SIZES[0] as f64;
     for (count, mean) in COST_SIZES.into_iter().zip(&means).skip(1) {
         let measurement = Measurement {
@@ -159,6 +160,30 @@
     passed
 }
 
+/// Time in which an entry takes a changed list of upstreams, which happens at each join and leave.
+fn measure_update(seed: u64) -> bool {
+    let count = COST_SIZES[COST_SIZES.len() - 1];
+    let states = upstreams(count, 10);
+    let mut chooser = chooser(0, 10, &states);
+    let mut times: Vec<Duration> = (0..101)
+        .map(|round| {
+            let begin = Instant::now();
+            chooser.update(black_box(&states[round % 2..]));
+            begin.elapsed()
+        })
+        .collect();
+    times.sort();
+    let measurement = Measurement {
+        measure: "route_update_p50".to_owned(),
+        size: size([("upstreams", count as u64)]),
+        value: times[times.len() / 2].as_secs_f64() * 1e6,
+        unit: "us",
+        target: None,
+        seed,
+    };
+    measurement.print()
+}
+
 /// Times of choices of one entry, in nanoseconds, with reports and ends of requests in between.
 fn cost_histogram(count: usize, choices: u64, seed: u64) -> Histogram<u64> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- /dev/null
+++ b/crates/oriolecrank-policy/src/caller_key.rs
@@ -0,0 +1,191 @@
+//! The caller's key: where it may stand in a request, and recognising it elsewhere.
+
+use std::borrow::Cow;
+use std::fmt;
+
+use snafu::{OptionExt, ensure};
+
+use crate::header_cleaning::{
+    BadKeySnafu, CallerHead, ConflictingKeysSnafu, HeaderRefusal, canonical_name, query_of,
+};
+use crate::percent_encoding::{decoded, fully_decoded};
+
+/// Shortest part of a value that is looked up as a possible key. A 256-bit key has at least 39
+/// characters in any printable form.
+const MIN_KEY_BYTES: usize = 32;
+
+/// Names of cookies and query parameters that may carry the key, with `_` written as `-`.
+const KEY_PARAMETERS: [&str; 3] = ["api-key", "authorization", "x-api-key"];
+
+/// Key of the organisation, as the caller sent it. `Debug` does not show it.
+#[derive(Clone, PartialEq, Eq)]
+pub struct CallerKey<'a>(Cow<'a, str>);
+
+impl CallerKey<'_> {
+    /// The key's text; must not be logged or sent on.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for CallerKey<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("CallerKey(..)")
+    }
+}
+
+/// Finds the key in all places that a caller may use.
+pub(crate) fn find_key<'a>(head: &CallerHead<'a>) -> Result<Option<CallerKey<'a>>, HeaderRefusal> {
+    let mut found = None;
+    for field in head.fields {
+        match &*canonical_name(field.name) {
+            "authorization" => {
+                if let Some(token) = bearer_token(field.value) {
+                    note_key(&mut found, Cow::Borrowed(token))?;
+                }
+            }
+            "x-api-key" | "api-key" => note_key(&mut found, Cow::Borrowed(field.value))?,
+            "cookie" => {
+                for (name, value) in cookies(field.value) {
+                    if is_key_parameter(name) {
+                        note_key(&mut found, decoded(unquoted(value)))?;
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    for parameter in query_of(head.target).unwrap_or_default().split('&') {
+        let (name, value) = split_parameter(parameter.as_bytes());
+        if is_key_parameter(&decoded(name)) {
+            note_key(&mut found, decoded(value))?;
+        }
+    }
+    Ok(found)
+}
+
+/// Adds one place's key to `found`, without a `Bearer` before it; an empty value counts as no key.
+fn note_key<'a>(
+    found: &mut Option<CallerKey<'a>>,
+    value: Cow<'a, [u8]>,
+) -> Result<(), HeaderRefusal> {
+    let value = match value {
+        Cow::Borrowed(bytes) => Cow::Borrowed(without_scheme(bytes)),
+        Cow::Owned(bytes) => Cow::Owned(without_scheme(&bytes).to_vec()),
+    };
+    if value.is_empty() {
+        return Ok(());
+    }
+    // A comma or semicolon would let two parsers see two different keys.
+    let allowed = |byte: &u8| byte.is_ascii_graphic() && !matches!(*byte, b',' | b';');
+    ensure!(value.iter().all(allowed), BadKeySnafu);
+    let text = match value {
+        Cow::Borrowed(bytes) => std::str::from_utf8(bytes).ok().map(Cow::Borrowed),
+        Cow::Owned(bytes) => String::from_utf8(bytes).ok().map(Cow::Owned),
+    };
+    let key = CallerKey(text.context(BadKeySnafu)?);
+    ensure!(
+        found.as_ref().is_none_or(|other| *other == key),
+        ConflictingKeysSnafu
+    );
+    *found = Some(key);
+    Ok(())
+}
+
+fn without_scheme(value: &[u8]) -> &[u8] {
+    bearer_token(value).unwrap_or(value).trim_ascii()
+}
+
+/// The token after `Bearer`.
+fn bearer_token(value: &[u8]) -> Option<&[u8]> {
+    let value = value.trim_ascii();
+    let (scheme, token) = value.split_at_checked("bearer".len())?;
+    let separated = token.first().is_none_or(u8::is_ascii_whitespace);
+    (scheme.eq_ignore_ascii_case(b"bearer") && separated).then(|| token.trim_ascii())
+}
+
+fn cookies(value: &[u8]) -> impl Iterator<Item = (&[u8], &[u8])> {
+    value
+        .split(|byte| *byte == b';')
+        .map(|cookie| split_parameter(cookie.trim_ascii()))
+}
+
+pub(crate) fn split_parameter(parameter: &[u8]) -> (&[u8], &[u8]) {
+    match parameter.iter().position(|byte| *byte == b'=') {
+        None => (parameter, &[]),
+        Some(at) => (&parameter[..at], &parameter[at + 1..]),
+    }
+}
+
+fn unquoted(value: &[u8]) -> &[u8] {
+    let inner = value.strip_prefix(b"\"");
+    inner
+        .and_then(|inner| inner.strip_suffix(b"\""))
+        .unwrap_or(value)
+}
+
+pub(crate) fn is_key_parameter(name: &[u8]) -> bool {
+    let name = std::str::from_utf8(name).unwrap_or_default();
+    KEY_PARAMETERS.contains(&&*canonical_name(name.trim()))
+}
+
+/// Recognises keys in values that should not contain any.
+pub(crate) struct KeyFilter<'a, F> {
+    /// The caller's key.
+    key: Option<&'a CallerKey<'a>>,
+    /// Whether a text is the key of any organisation.
+    is_key: F,
+}
+
+impl<'a, F: Fn(&str) -> bool> KeyFilter<'a, F> {
+    pub(crate) fn new(key: Option<&'a CallerKey<'a>>, is_key: F) -> Self {
+        Self { key, is_key }
+    }
+
+    /// Whether `value` contains a key, also in percent-encoded form.
+    ///
+    /// The whole value is searched, because the key may follow a scheme (`Bearer`) or stand inside a
+    /// URL (`Referer`, `X-Original-URL`).
+    pub(crate) fn shows_key(&self, value: &[u8]) -> bool {
+        self.shows_plain(value)
+            || (value.contains(&b'%') && self.shows_plain(&fully_decoded(value)))
+    }
+
+    /// Whether a field name contains the caller's key; field names have no case.
+    pub(crate) fn name_shows_key(&self, name: &str) -> bool {
+        self.key.is_some_and(|key| {
+            let key = key.0.to_ascii_lowercase();
+            contains(name.to_ascii_lowercase().as_bytes(), key.as_bytes())
+        })
+    }
+
+    fn shows_plain(&self, value: &[u8]) -> bool {
+        let own = self
+            .key
+            .is_some_and(|key| contains(value, key.0.as_bytes()));
+        own || possible_keys(value).any(|text| (self.is_key)(text))
+    }
+}
+
+/// Parts of a value that may be keys: between separators, with and without what stands before `=`
+/// or `:`.
+fn possible_keys(value: &[u8]) -> impl Iterator<Item = &str> {
+    let parts = value.split(|byte| !byte.is_ascii_graphic() || b",;\"'&?()<>{}".contains(byte));
+    let parts = parts.filter(|part| part.len() >= MIN_KEY_BYTES);
+    let forms = parts.flat_map(|part| {
+        let after = |separator: u8| {
+            let at = part.iter().position(|byte| *byte == separator)?;
+            Some(&part[at + 1..])
+        };
+        let last_segment = part.rsplit(|byte| *byte == b'/').next();
+        [Some(part), after(b'='), after(b':'), last_segment]
+    });
+    forms
+        .flatten()
+        .filter(|form| form.len() >= MIN_KEY_BYTES)
+        .filter_map(|form| std::str::from_utf8(form).ok())
+}
+
+fn contains(text: &[u8], part: &[u8]) -> bool {
+    text.len() >= part.len() && text.windows(part.len()).any(|window| window == part)
+}
--- a/crates/oriolecrank-policy/src/header_cleaning.rs
+++ b/crates/oriolecrank-policy/src/header_cleaning.rs
@@ -5,12 +5,13 @@
 //! upstream: no key, no hop-by-hop field and none of this system's own headers.
 
 use std::borrow::Cow;
-use std::fmt;
 
 use http::header::HeaderName;
 use snafu::{OptionExt, Snafu, ensure};
 
-use crate::percent_encoding::{decoded, fully_decoded};
+pub use crate::caller_key::CallerKey;
+use crate::caller_key::{KeyFilter, find_key, is_key_parameter, split_parameter};
+use crate::percent_encoding::decoded;
 
 /// Prefix of this system's own headers.
 const INTERNAL_PREFIX: &str = "x-oriolecrank-";
@@ -46,9 +47,6 @@
     "x-proxy-authorization",
 ];
 
-/// Names of cookies and query parameters that may carry the key, with `_` written as `-`.
-const KEY_PARAMETERS: [&str; 3] = ["api-key", "authorization", "x-api-key"];
-
 /// Fields that `Connection` must not name, because removing them changes the framing or the route.
 const NOT_HOP_BY_HOP: [&str; 3] = ["content-length", "host", "transfer-encoding"];
 
@@ -78,6 +76,7 @@
 
 /// A request head that is refused. The request has not run.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum HeaderRefusal {
     /// The method is not a token, or is one that an upstream must not receive.
     #[snafu(display("the method is not allowed"))]
@@ -169,23 +168,6 @@
     pub fields: &'a [HeaderPair<'a>],
 }
 
-/// Key of the organisation, as the caller sent it. `Debug` does not show it.
-#[derive(Clone, PartialEq, Eq)]
-pub struct CallerKey<'a>(Cow<'a, str>);
-
-impl CallerKey<'_> {
-    /// The key's text; must not be logged or sent on.
-    pub fn expose(&self) -> &str {
-        &self.0
-    }
-}
-
-impl fmt::Debug for CallerKey<'_> {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("CallerKey(..)")
-    }
-}
-
 /// A request head that passed all checks.
 #[derive(Debug, Clone)]
 pub struct CheckedRequest<'a> {
@@ -225,12 +207,11 @@
     check_framing(head.fields)?;
     let route_path = check_target(head.target)?;
     let key = find_key(&head)?;
-    if let Some(key) = &key {
-        ensure!(
-            !reveals(path_of(head.target).as_bytes(), key),
-            KeyInPathSnafu
-        );
-    }
+    let filter = KeyFilter::new(key.as_ref(), |_: &str| false);
+    ensure!(
+        !filter.shows_key(path_of(head.target).as_bytes()),
+        KeyInPathSnafu
+    );
     Ok(CheckedRequest {
         head,
         key,
@@ -263,13 +244,33 @@
 
     /// Target and fields that an upstream may see.
     pub fn clean(&self) -> CleanedRequest<'a> {
+        self.clean_with(&KeyFilter::new(self.key(), |_: &str| false))
+    }
+
+    /// Like [`Self::clean`], and also removes keys of other organisations and keys in places from
+    /// which they are not read.
+    ///
+    /// `is_key` says whether a text is a valid key; it is asked about parts of values that are long
+    /// enough to be one.
+    pub fn clean_all<F: Fn(&str) -> bool>(
+        &self,
+        is_key: F,
+    ) -> Result<CleanedRequest<'a>, HeaderRefusal> {
+        let filter = KeyFilter::new(self.key(), is_key);
+        let path = path_of(self.head.target);
+        let mut segments = path.split('/');
+        let shown = segments.any(|segment| filter.shows_key(segment.as_bytes()));
+        ensure!(!shown, KeyInPathSnafu);
+        Ok(self.clean_with(&filter))
+    }
+
+    fn clean_with<F: Fn(&str) -> bool>(&self, filter: &KeyFilter<'_, F>) -> CleanedRequest<'a> {
         let named = named_by_connection(self.head.fields);
-        let key = self.key.as_ref();
         let fields = self.head.fields.iter();
         CleanedRequest {
-            target: clean_target(self.head.target, key),
+            target: clean_target(self.head.target, filter),
             fields: fields
-                .filter_map(|field| clean_field(field, &named, key))
+                .filter_map(|field| clean_field(field, &named, filter))
                 .collect(),
         }
     }
@@ -374,79 +375,10 @@
     Ok(route_path)
 }
 
-/// Finds the key in all places that a caller may use.
-fn find_key<'a>(head: &CallerHead<'a>) -> Result<Option<CallerKey<'a>>, HeaderRefusal> {
-    let mut found = None;
-    for field in head.fields {
-        match &*canonical_name(field.name) {
-            "authorization" => {
-                if let Some(token) = bearer_token(field.value) {
-                    note_key(&mut found, Cow::Borrowed(token))?;
-                }
-            }
-            "x-api-key" | "api-key" => {
-                let token = bearer_token(field.value).unwrap_or(field.value);
-                note_key(&mut found, Cow::Borrowed(token))?;
-            }
-            "cookie" => {
-                for (name, value) in cookies(field.value) {
-                    if is_key_parameter(name) {
-                        note_key(&mut found, decoded(unquoted(value)))?;
-                    }
-                }
-            }
-            _ => {}
-        }
-    }
-    for parameter in query_of(head.target).unwrap_or_default().split('&') {
-        let (name, value) = split_parameter(parameter.as_bytes());
-        if is_key_parameter(&decoded(name)) {
-            note_key(&mut found, decoded(value))?;
-        }
-    }
-    Ok(found)
-}
-
-/// Adds one place's key to `found`; an empty value counts as no key.
-fn note_key<'a>(
-    found: &mut Option<CallerKey<'a>>,
-    value: Cow<'a, [u8]>,
-) -> Result<(), HeaderRefusal> {
-    let value = match value {
-        Cow::Borrowed(bytes) => Cow::Borrowed(bytes.trim_ascii()),
-        Cow::Owned(bytes) => Cow::Owned(bytes.trim_ascii().to_vec()),
-    };
-    if value.is_empty() {
-        return Ok(());
-    }
-    // A comma or semicolon would let two parsers see two different keys.
-    let allowed = |byte: &u8| byte.is_ascii_graphic() && !matches!(*byte, b',' | b';');
-    ensure!(value.iter().all(allowed), BadKeySnafu);
-    let text = match value {
-        Cow::Borrowed(bytes) => std::str::from_utf8(bytes).ok().map(Cow::Borrowed),
-        Cow::Owned(bytes) => String::from_utf8(bytes).ok().map(Cow::Owned),
-    };
-    let key = CallerKey(text.context(BadKeySnafu)?);
-    ensure!(
-        found.as_ref().is_none_or(|other| *other == key),
-        ConflictingKeysSnafu
-    );
-    *found = Some(key);
-    Ok(())
-}
-
-/// The token after `Bearer`.
-fn bearer_token(value: &[u8]) -> Option<&[u8]> {
-    let value = value.trim_ascii();
-    let (scheme, token) = value.split_at_checked("bearer".len())?;
-    let separated = token.first().is_none_or(u8::is_ascii_whitespace);
-    (scheme.eq_ignore_ascii_case(b"bearer") && separated).then(|| token.trim_ascii())
-}
-
-fn clean_field<'a>(
+fn clean_field<'a, F: Fn(&str) -> bool>(
     field: &HeaderPair<'a>,
     named: &[String],
-    key: Option<&CallerKey<'_>>,
+    filter: &KeyFilter<'_, F>,
 ) -> Option<CleanedField<'a>> {
     let name = canonical_name(field.name);
     let dropped = HOP_BY_HOP.contains(&&*name)
@@ -458,14 +390,13 @@
         return None;
     }
     if name == "cookie" {
-        let value = clean_cookies(field.value, key)?;
+        let value = clean_cookies(field.value, filter)?;
         return Some(CleanedField {
             name: field.name,
             value,
         });
     }
-    let shows_key =
-        key.is_some_and(|key| reveals(field.value, key) || name_reveals(field.name, key));
+    let shows_key = filter.shows_key(field.value) || filter.name_shows_key(field.name);
     (!shows_key).then_some(CleanedField {
         name: field.name,
         value: Cow::Borrowed(field.value),
@@ -473,10 +404,13 @@
 }
 
 /// Cookies without those that carry a key; `None` if none remains.
-fn clean_cookies<'a>(value: &'a [u8], key: Option<&CallerKey<'_>>) -> Option<Cow<'a, [u8]>> {
+fn clean_cookies<'a, F: Fn(&str) -> bool>(
+    value: &'a [u8],
+    filter: &KeyFilter<'_, F>,
+) -> Option<Cow<'a, [u8]>> {
     let keep = |cookie: &[u8]| {
         let (name, _) = split_parameter(cookie);
-        !is_key_parameter(name) && key.is_none_or(|key| !reveals(cookie, key))
+        !is_key_parameter(name) && !filter.shows_key(cookie)
     };
     let parts = || value.split(|byte| *byte == b';').map(<[u8]>::trim_ascii);
     if parts().all(keep) {
@@ -488,14 +422,17 @@
     (!kept.is_empty()).then(|| Cow::Owned(kept.join(&b"; "[..])))
 }
 
-fn clean_target<'a>(target: &'a str, key: Option<&CallerKey<'_>>) -> Cow<'a, str> {
+fn clean_target<'a, F: Fn(&str) -> bool>(
+    target: &'a str,
+    filter: &KeyFilter<'_, F>,
+) -> Cow<'a, str> {
     let Some(query) = query_of(target) else {
         return Cow::Borrowed(target);
     };
     let keep = |parameter: &str| {
         let (name, _) = split_parameter(parameter.as_bytes());
         let named = is_key_parameter(&decoded(name));
-        !named && key.is_none_or(|key| !reveals(parameter.as_bytes(), key))
+        !named && !filter.shows_key(parameter.as_bytes())
     };
     if query.split('&').all(keep) {
         return Cow::Borrowed(target);
@@ -511,30 +448,8 @@
     Cow::Owned(format!("{path}?{}", kept.join("&")))
 }
 
-/// Whether `value` contains the key, also in percent-encoded form.
-///
-/// The whole value is searched, because the key may follow a scheme (`Bearer`) or stand inside a
-/// URL (`Referer`, `X-Original-URL`).
-fn reveals(value: &[u8], key: &CallerKey<'_>) -> bool {
-    let key = key.0.as_bytes();
-    if contains(value, key) {
-        return true;
-    }
-    value.contains(&b'%') && contains(&fully_decoded(value), key)
-}
-
-/// Whether a field name contains the key; field names have no case.
-fn name_reveals(name: &str, key: &CallerKey<'_>) -> bool {
-    let key = key.0.to_ascii_lowercase();
-    contains(name.to_ascii_lowercase().as_bytes(), key.as_bytes())
-}
-
-fn contains(text: &[u8], part: &[u8]) -> bool {
-    text.len() >= part.len() && text.windows(part.len()).any(|window| window == part)
-}
-
 /// Lower-case name with `_` written as `-`, as some servers read it.
-fn canonical_name(name: &str) -> String {
+pub(crate) fn canonical_name(name: &str) -> String {
     name.to_ascii_lowercase().replace('_', "-")
 }
 
@@ -555,31 +470,6 @@
     target.split_once('?').map_or(target, |(path, _)| path)
 }
 
-fn query_of(target: &str) -> Option<&str> {
+pub(crate) fn query_of(target: &str) -> Option<&str> {
     target.split_once('?').map(|(_, query)| query)
 }
-
-fn cookies(value: &[u8]) -> impl Iterator<Item = (&[u8], &[u8])> {
-    value
-        .split(|byte| *byte == b';')
-        .map(|cookie| split_parameter(cookie.trim_ascii()))
-}
-
-fn split_parameter(parameter: &[u8]) -> (&[u8], &[u8]) {
-    match parameter.iter().position(|byte| *byte == b'=') {
-        None => (parameter, &[]),
-        Some(at) => (&parameter[..at], &parameter[at + 1..]),
-    }
-}
-
-fn unquoted(value: &[u8]) -> &[u8] {
-    let inner = value.strip_prefix(b"\"");
-    inner
-        .and_then(|inner| inner.strip_suffix(b"\""))
-        .unwrap_or(value)
-}
-
-fn is_key_parameter(name: &[u8]) -> bool {
-    let name = std::str::from_utf8(name).unwrap_or_default();
-    KEY_PARAMETERS.contains(&&*canonical_name(name.trim()))
-}
--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod admission;
 pub mod answer_assembly;
 pub mod answer_buffer;
+mod caller_key;
 mod counts;
 pub mod freshness;
 mod grant_history;
@@ -40,6 +41,7 @@
 pub mod retry_budget;
 pub mod subset;
 pub mod suspect_placement;
+mod upstream_choice;
 pub mod upstream_chooser;
 pub mod upstream_state;
 mod work_class;
--- a/crates/oriolecrank-policy/tests/header_cleaning.rs
+++ b/crates/oriolecrank-policy/tests/header_cleaning.rs
@@ -62,8 +62,9 @@
     let bearer = format!("Bearer {KEY}");
     let lower = format!("bearer   {KEY}");
     let cookie = format!("theme=dark; api_key={KEY}; lang=es");
+    let scheme = format!("authorization=Bearer%20{KEY}");
     let quoted = format!("x-api-key=\"{KEY}\"");
-    let cases: [(&str, &str, &str, &[&str]); 9] = [
+    let cases: [(&str, &str, &str, &[&str]); 10] = [
         ("authorization", &bearer, "/v1/x", &[]),
         ("Authorization", &lower, "/v1/x", &[]),
         ("x-api-key", KEY, "/v1/x", &[]),
@@ -72,6 +73,7 @@
         ("api-key", KEY, "/v1/x", &[]),
         ("Cookie", &cookie, "/v1/x", &["Cookie: theme=dark; lang=es"]),
         ("cookie", &quoted, "/v1/x", &[]),
+        ("cookie", &scheme, "/v1/x", &[]),
         ("accept", "*/*", "QUERY", &["accept: */*"]),
     ];
     for (name, value, target, expected) in cases {
@@ -144,6 +146,45 @@
     assert_eq!((key, lines), (None, Vec::new()));
 }
 
+/// Guards against another organisation's key, and against a key on an open route in a place from
+/// which keys are not read.
+#[test]
+fn any_known_key_is_removed() {
+    let other = "ok_b7Qe1vYtR4uN9pLs0aWc6xKd2mZf5hGj";
+    let bearer = format!("Token {other}");
+    let pair = format!("user:{other}");
+    let cookie = format!("a=b; session={other}");
+    let encoded = percent_encoded(other);
+    let fields = [
+        ("x-token", other),
+        ("x-upstream-authorization", &bearer),
+        ("x-pair", &pair),
+        ("x-encoded", &encoded),
+        ("cookie", &cookie),
+        (
+            "x-trace",
+            "a-harmless-value-that-is-as-long-as-a-key-would-be",
+        ),
+    ];
+    let fields = pairs(&fields);
+    let clean = |target: &str| {
+        let head = CallerHead {
+            method: "GET",
+            target,
+            fields: &fields,
+        };
+        let checked = check_request(head, &HeaderLimits::default()).unwrap();
+        let cleaned = checked.clean_all(|text| text == other);
+        cleaned.map(|request| (request.target.to_string(), lines(&request)))
+    };
+    let (target, kept) = clean(&format!("/a?t={other}&u=1;v={other}&w=2")).unwrap();
+    assert_eq!(target, "/a?w=2");
+    let harmless = "x-trace: a-harmless-value-that-is-as-long-as-a-key-would-be";
+    assert_eq!(kept, ["cookie: a=b", harmless]);
+    let in_path = clean(&format!("/a/{other}/b"));
+    assert_eq!(in_path, Err(HeaderRefusal::KeyInPath));
+}
+
 /// Guards against heads that an upstream may read differently, and against oversize heads.
 #[test]
 fn unsafe_shapes_are_refused() {
