Test that a late report does not settle a grant

Change: a directed test around the end of a grant. Result: it passes, and fails without the report delay.

--- a/crates/oriolecrank-policy/tests/limit_shares.rs
+++ b/crates/oriolecrank-policy/tests/limit_shares.rs
@@ -178,6 +178,21 @@
     assert_eq!(shares(&ledger.allocate(at(80_000)))[0].concurrent, 3);
 }
 
+/// Guards against a late report that hides requests which began after it was sent: a report that
+/// arrives within the report delay after a grant has expired may be from before.
+#[test]
+fn a_late_report_does_not_settle_a_grant() {
+    let mut ledger = ledger(limit(100, 3));
+    report(&mut ledger, 0, 10, 0, 0);
+    assert_eq!(shares(&ledger.allocate(at(0)))[0].concurrent, 3);
+    for (millis, settled) in [(5_500, false), (7_400, false), (7_500, true)] {
+        report(&mut ledger, 0, 0, 0, millis);
+        report(&mut ledger, 1, 10, 0, millis);
+        let shares = shares(&ledger.allocate(at(millis)));
+        assert_eq!(shares[1].concurrent > 0, settled, "{millis}");
+    }
+}
+
 /// Guards against accounting errors of the ledger: each rate share equals the one that a search of
 /// the whole history of grants and reports gives.
 #[test]
