--- a/crates/oriolecrank-policy/tests/limit_shares.rs
+++ b/crates/oriolecrank-policy/tests/limit_shares.rs
@@ -121,6 +121,18 @@
     assert!(held.iter().sum::<u64>() >= 140, "{held:?}");
 }
 
+/// Guards against messages that grow with the number of limits times entries.
+#[test]
+fn many_entries_get_only_shares_that_they_want() {
+    let mut ledger = ledger(limit(100, 40));
+    for entry in 0..20 {
+        report(&mut ledger, entry, u64::from(entry < 5), 0, 0);
+    }
+    let grants = ledger.allocate(at(0));
+    let with_shares = grants.iter().filter(|grant| !grant.shares.is_empty());
+    assert_eq!((grants.len(), with_shares.count()), (20, 5));
+}
+
 /// Guards against a new leader that grants what its predecessor has granted.
 #[test]
 fn a_new_leader_waits_for_earlier_grants() {
@@ -166,6 +178,21 @@
     assert_eq!(shares(&ledger.allocate(at(80_000)))[0].concurrent, 3);
 }
 
+/// Guards against a late report that hides requests which began after it was sent: a report that
+/// arrives within the report delay after a grant has expired may be from before.
+#[test]
+fn a_late_report_does_not_settle_a_grant() {
+    let mut ledger = ledger(limit(100, 3));
+    report(&mut ledger, 0, 10, 0, 0);
+    assert_eq!(shares(&ledger.allocate(at(0)))[0].concurrent, 3);
+    for (millis, settled) in [(5_500, false), (7_400, false), (7_500, true)] {
+        report(&mut ledger, 0, 0, 0, millis);
+        report(&mut ledger, 1, 10, 0, millis);
+        let shares = shares(&ledger.allocate(at(millis)));
+        assert_eq!(shares[1].concurrent > 0, settled, "{millis}");
+    }
+}
+
 /// Guards against accounting errors of the ledger: each rate share equals the one that a search of
 /// the whole history of grants and reports gives.
 #[test]
