Add the path benchmark

bench path sends streamed completions through the local cluster and directly to the same fakes in random turns of one run, and prints what entry and agent add to the first token, processor time per request and memory per stream.

--- a/crates/oriolecrank-bench/src/lib.rs
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -8,5 +8,6 @@
 
 pub mod arguments;
 pub mod measurement;
+pub mod path;
 pub mod policy;
 pub mod route;
--- a/crates/oriolecrank-bench/src/main.rs
+++ b/crates/oriolecrank-bench/src/main.rs
@@ -28,6 +28,7 @@
     let passed = match arguments.measure.as_str() {
         "codec" => codec_size(&arguments),
         "policy" => oriolecrank_bench::policy::run(&arguments),
+        "path" => oriolecrank_bench::path::run(&arguments),
         "route" => route::run(&arguments),
         _ => {
             eprintln!("{USAGE}");
--- /dev/null
+++ b/crates/oriolecrank-bench/src/path.rs
@@ -0,0 +1,456 @@
+//! Cost of the path through entry and agent.
+//!
+//! A cluster runs in this process over loopback. Callers send streamed completions through the entry
+//! and, in the same run and in random turns, directly to the same fake engines; what the path adds
+//! is the difference.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use oriolecrank_fakes::EngineOptions;
+use oriolecrank_local::{LOCAL_KEY, LocalCluster, LocalOptions};
+use oriolecrank_net::{ClientResponse, ClientSettings, HttpClient};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rustix::time::{ClockId, clock_gettime};
+use serde_json::json;
+use snafu::{OptionExt, ResultExt, Snafu, whatever};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+use crate::arguments::BenchArguments;
+use crate::measurement::{Measurement, Target, size};
+
+/// Largest latency that the path may add to the first token in 99 of 100 cases, in milliseconds.
+const ADDED_LATENCY_MS: f64 = 2.0;
+
+/// Output tokens of a completion.
+const TOKENS: u64 = 8;
+
+/// Callers that send without pause, to find the highest rate.
+const CALLERS: usize = 256;
+
+/// Longest wait for anything.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Resident memory is counted in pages of this size.
+const PAGE_BYTES: f64 = 4_096.0;
+
+/// A measurement that cannot be finished.
+#[derive(Debug, Snafu)]
+enum PathError {
+    /// A step failed.
+    #[snafu(whatever, display("{message}{}", cause(source.as_deref())))]
+    Failed {
+        /// What failed.
+        message: String,
+        /// Cause.
+        #[snafu(source(from(Box<dyn std::error::Error + Send + Sync>, Some)))]
+        source: Option<Box<dyn std::error::Error + Send + Sync>>,
+    },
+}
+
+fn cause(source: Option<&(dyn std::error::Error + Send + Sync + 'static)>) -> String {
+    source
+        .map(|source| format!(": {source}"))
+        .unwrap_or_default()
+}
+
+/// Where a call goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallRoute {
+    /// To an engine.
+    Direct,
+    /// Through entry and agent.
+    Cluster,
+}
+
+/// Sizes of a run.
+#[derive(Debug, Clone)]
+struct PathSizes {
+    saturation: Duration,
+    latency: Duration,
+    streams: usize,
+}
+
+/// Runs the measurement and returns whether the targets are met.
+pub fn run(arguments: &BenchArguments) -> bool {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime can be started");
+    let sizes = if arguments.quick {
+        PathSizes {
+            saturation: Duration::from_secs(1),
+            latency: Duration::from_secs(2),
+            streams: 50,
+        }
+    } else {
+        PathSizes {
+            saturation: Duration::from_secs(4),
+            latency: Duration::from_secs(15),
+            streams: 200,
+        }
+    };
+    match runtime.block_on(measure(arguments.seed, &sizes)) {
+        Ok(passed) => passed,
+        Err(error) => {
+            eprintln!("oriolecrank-bench path: {error}");
+            false
+        }
+    }
+}
+
+async fn measure(seed: u64, sizes: &PathSizes) -> Result<bool, PathError> {
+    let engine = EngineOptions {
+        first_token: Duration::from_millis(5),
+        between_tokens: Duration::from_millis(1),
+    };
+    let bench = PathBench::start(engine).await?;
+    let direct = bench.saturate(CallRoute::Direct, sizes.saturation).await?;
+    let cluster = bench.saturate(CallRoute::Cluster, sizes.saturation).await?;
+    report_rates(seed, direct, cluster);
+    let rate = cluster.calls_per_s / 2.0;
+    let latencies = bench.latencies(rate, sizes.latency, seed).await?;
+    let passed = report_latencies(seed, rate, &latencies);
+    bench.stop().await;
+    measure_memory(seed, sizes.streams).await?;
+    Ok(passed)
+}
+
+/// A cluster and a client.
+#[derive(Debug)]
+struct PathBench {
+    cluster: LocalCluster,
+    client: HttpClient,
+    /// Deleted at the end.
+    _folder: tempfile::TempDir,
+}
+
+/// Result of a run without pauses.
+#[derive(Debug, Clone, Copy)]
+struct SaturationRate {
+    calls_per_s: f64,
+    /// Processor time of the whole process, callers and engines included.
+    cpu_per_call: Duration,
+}
+
+/// Times to the first token, in microseconds.
+#[derive(Debug)]
+struct PathLatencies {
+    direct: Histogram<u64>,
+    cluster: Histogram<u64>,
+}
+
+impl PathBench {
+    async fn start(engine: EngineOptions) -> Result<Self, PathError> {
+        let folder = tempfile::tempdir().whatever_context("no temporary folder")?;
+        let options = LocalOptions {
+            data_folder: folder.path().to_owned(),
+            engine,
+            ..LocalOptions::default()
+        };
+        let cluster = LocalCluster::start(options).await;
+        let settings = ClientSettings {
+            connect_timeout: PATIENCE,
+            idle_per_address: 1_024,
+            ..ClientSettings::default()
+        };
+        let bench = Self {
+            cluster: cluster.whatever_context("the cluster does not start")?,
+            client: HttpClient::new(settings),
+            _folder: folder,
+        };
+        bench.wait_ready().await?;
+        Ok(bench)
+    }
+
+    async fn stop(self) {
+        self.cluster.stop().await;
+    }
+
+    async fn wait_ready(&self) -> Result<(), PathError> {
+        let deadline = Instant::now() + PATIENCE;
+        while self.caller(CallRoute::Cluster).call(1).await.is_err() {
+            if Instant::now() > deadline {
+                whatever!("the cluster does not become ready");
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        Ok(())
+    }
+
+    fn caller(&self, route: CallRoute) -> PathCaller {
+        let addresses = match route {
+            CallRoute::Direct => self.cluster.engine_addresses.clone(),
+            CallRoute::Cluster => vec![self.cluster.caller_address],
+        };
+        PathCaller {
+            client: self.client.clone(),
+            addresses: addresses.into(),
+        }
+    }
+
+    /// Sends as many calls as [`CALLERS`] callers can.
+    async fn saturate(
+        &self,
+        route: CallRoute,
+        length: Duration,
+    ) -> Result<SaturationRate, PathError> {
+        let (cpu, start) = (process_time(), Instant::now());
+        let mut callers = JoinSet::new();
+        for _ in 0..CALLERS {
+            let caller = self.caller(route);
+            callers.spawn(async move {
+                let mut calls = 0_u32;
+                while start.elapsed() < length {
+                    caller.call(TOKENS).await?;
+                    calls += 1;
+                }
+                Ok::<_, PathError>(calls)
+            });
+        }
+        let mut calls = 0;
+        for result in callers.join_all().await {
+            calls += result?;
+        }
+        let cpu = process_time().saturating_sub(cpu);
+        Ok(SaturationRate {
+            calls_per_s: f64::from(calls) / start.elapsed().as_secs_f64(),
+            cpu_per_call: cpu / calls.max(1),
+        })
+    }
+
+    /// Sends calls at random times with the given mean rate, in random turns on both routes.
+    async fn latencies(
+        &self,
+        rate: f64,
+        length: Duration,
+        seed: u64,
+    ) -> Result<PathLatencies, PathError> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut calls = JoinSet::new();
+        let start = Instant::now();
+        let mut due = Duration::ZERO;
+        while due < length {
+            due += Duration::from_secs_f64(-rng.random::<f64>().max(1e-9).ln() / rate);
+            let route = if rng.random::<bool>() {
+                CallRoute::Direct
+            } else {
+                CallRoute::Cluster
+            };
+            sleep_until(start + due).await;
+            let caller = self.caller(route);
+            calls.spawn(async move { caller.call(TOKENS).await.map(|time| (route, time)) });
+        }
+        let mut latencies = PathLatencies {
+            direct: histogram()?,
+            cluster: histogram()?,
+        };
+        for result in calls.join_all().await {
+            let (route, time) = result?;
+            let target = match route {
+                CallRoute::Direct => &mut latencies.direct,
+                CallRoute::Cluster => &mut latencies.cluster,
+            };
+            let recorded = target.record(time.as_micros() as u64);
+            recorded.whatever_context("a time is out of range")?;
+        }
+        Ok(latencies)
+    }
+}
+
+/// Sends completions on one route.
+#[derive(Debug, Clone)]
+struct PathCaller {
+    client: HttpClient,
+    addresses: Arc<[SocketAddr]>,
+}
+
+impl PathCaller {
+    /// Runs one streamed completion to its end and returns the time to the first token.
+    async fn call(&self, tokens: u64) -> Result<Duration, PathError> {
+        let start = Instant::now();
+        let mut response = self.open(tokens).await?;
+        first_bytes(&mut response).await?;
+        let time = start.elapsed();
+        let mut tail = Bytes::new();
+        while let Some(frame) = response.body_mut().frame().await {
+            let frame = frame.whatever_context("the answer broke")?;
+            if let Ok(data) = frame.into_data() {
+                tail = data;
+            }
+        }
+        if !tail.ends_with(b"data: [DONE]\n\n") {
+            whatever!("the answer is not whole");
+        }
+        response.recycle();
+        Ok(time)
+    }
+
+    async fn open(&self, tokens: u64) -> Result<ClientResponse, PathError> {
+        let address = self.addresses[rand::rng().random_range(0..self.addresses.len())];
+        let messages = json!([{ "role": "user", "content": "is vat 7 cured?" }]);
+        let body = json!({
+            "model": "demo", "messages": messages, "stream": true, "max_tokens": tokens,
+        });
+        let request = Request::post("/v1/chat/completions")
+            .header("host", address.to_string())
+            .header("authorization", format!("Bearer {LOCAL_KEY}"))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body.to_string())))
+            .whatever_context("the request is not valid")?;
+        let sent = self.client.send(address, request, PATIENCE).await;
+        let response = sent.whatever_context("the call failed")?;
+        if response.status() != StatusCode::OK {
+            whatever!("the call was refused with status {}", response.status());
+        }
+        Ok(response)
+    }
+}
+
+async fn first_bytes(response: &mut ClientResponse) -> Result<(), PathError> {
+    let frame = timeout(PATIENCE, response.body_mut().frame()).await;
+    let frame = frame.whatever_context("no token arrived")?;
+    let frame = frame.whatever_context("the answer is empty")?;
+    frame.whatever_context("the answer broke")?;
+    Ok(())
+}
+
+fn histogram() -> Result<Histogram<u64>, PathError> {
+    Histogram::new(3).whatever_context("a histogram can be made")
+}
+
+/// Processor time of this process.
+fn process_time() -> Duration {
+    let time = clock_gettime(ClockId::ProcessCPUTime);
+    Duration::new(
+        u64::try_from(time.tv_sec).unwrap_or(0),
+        u32::try_from(time.tv_nsec).unwrap_or(0),
+    )
+}
+
+fn report_rates(seed: u64, direct: SaturationRate, cluster: SaturationRate) {
+    let rate = |measure: &str, value: f64, unit| Measurement {
+        measure: measure.to_owned(),
+        size: size([("callers", CALLERS as u64), ("tokens", TOKENS)]),
+        value,
+        unit,
+        target: None,
+        seed,
+    };
+    rate("path_rate_direct", direct.calls_per_s, "requests/s").print();
+    rate("path_rate", cluster.calls_per_s, "requests/s").print();
+    // Callers and engines cost the same on both routes, so the difference is entry and agent.
+    let added = cluster.cpu_per_call.saturating_sub(direct.cpu_per_call);
+    let added_us = added.as_secs_f64() * 1e6;
+    rate("path_cpu_per_request", added_us, "us").print();
+    let per_core = 1.0 / added.as_secs_f64().max(1e-9);
+    rate("path_rate_per_core", per_core, "requests/s").print();
+}
+
+fn report_latencies(seed: u64, rate: f64, latencies: &PathLatencies) -> bool {
+    let mut passed = true;
+    for (name, quantile) in [("p50", 0.5), ("p95", 0.95), ("p99", 0.99)] {
+        let direct = latencies.direct.value_at_quantile(quantile) as f64 / 1e3;
+        let cluster = latencies.cluster.value_at_quantile(quantile) as f64 / 1e3;
+        let sizes = size([
+            ("requests_per_s", rate as u64),
+            ("calls", latencies.cluster.len()),
+        ]);
+        let line = |measure: String, value, target| Measurement {
+            measure,
+            size: sizes.clone(),
+            value,
+            unit: "ms",
+            target,
+            seed,
+        };
+        line(format!("path_first_token_direct_{name}"), direct, None).print();
+        let target = (name == "p99").then_some(Target::AtMost(ADDED_LATENCY_MS));
+        let added = line(
+            format!("path_first_token_added_{name}"),
+            cluster - direct,
+            target,
+        );
+        passed &= added.print();
+    }
+    passed
+}
+
+/// Memory that a stream takes in entry and agent: what streams through the cluster take above
+/// streams to the engines.
+async fn measure_memory(seed: u64, streams: usize) -> Result<(), PathError> {
+    let idle = EngineOptions {
+        first_token: Duration::from_millis(1),
+        // Below the silence bound of agents on connections to their engines.
+        between_tokens: Duration::from_millis(500),
+    };
+    let running = EngineOptions {
+        first_token: Duration::from_millis(1),
+        between_tokens: Duration::from_millis(20),
+    };
+    for (name, engine) in [("idle", idle), ("running", running)] {
+        let bench = PathBench::start(engine).await?;
+        let direct = bench.memory_of(CallRoute::Direct, streams).await?;
+        let cluster = bench.memory_of(CallRoute::Cluster, streams).await?;
+        let measurement = Measurement {
+            measure: format!("path_memory_per_{name}_stream"),
+            size: size([("streams", streams as u64)]),
+            value: (cluster - direct) / streams as f64 / 1_024.0,
+            unit: "KiB",
+            target: None,
+            seed,
+        };
+        measurement.print();
+        // The engines stream for longer than anybody waits for them.
+        drop(bench);
+    }
+    Ok(())
+}
+
+impl PathBench {
+    /// Growth of the resident memory, in bytes, by streams that have sent their first token.
+    ///
+    /// As many streams are opened before, so that pools and buffers that are shared by all streams
+    /// are not counted.
+    async fn memory_of(&self, route: CallRoute, streams: usize) -> Result<f64, PathError> {
+        let _first = self.open_streams(route, streams).await?;
+        let before = resident_bytes()?;
+        let _second = self.open_streams(route, streams).await?;
+        Ok(resident_bytes()? - before)
+    }
+
+    async fn open_streams(
+        &self,
+        route: CallRoute,
+        streams: usize,
+    ) -> Result<Vec<ClientResponse>, PathError> {
+        let caller = self.caller(route);
+        let mut open = Vec::with_capacity(streams);
+        for _ in 0..streams {
+            let mut response = caller.open(1_000).await?;
+            first_bytes(&mut response).await?;
+            open.push(response);
+        }
+        // Streams that run pass some further tokens.
+        for response in &mut open {
+            let _ = timeout(Duration::from_millis(25), response.body_mut().frame()).await;
+        }
+        Ok(open)
+    }
+}
+
+/// Resident memory of this process.
+fn resident_bytes() -> Result<f64, PathError> {
+    let text = std::fs::read_to_string("/proc/self/statm");
+    let text = text.whatever_context("the memory of the process is not known")?;
+    let pages = text.split(' ').nth(1).and_then(|pages| pages.parse().ok());
+    let pages: f64 = pages.whatever_context("the memory of the process is not known")?;
+    Ok(pages * PAGE_BYTES)
+}
--- a/crates/oriolecrank-local/src/local_cluster.rs
+++ b/crates/oriolecrank-local/src/local_cluster.rs
@@ -99,6 +99,8 @@
     pub control: ControlClient,
     /// Fake engines.
     pub engines: Vec<FakeEngine>,
+    /// Addresses of the fake engines, in the same order.
+    pub engine_addresses: Vec<SocketAddr>,
     /// Fake plain service.
     pub ledger: FakeLedger,
     /// Process groups in the order in which they stop: the entry, the agents with their upstreams,
@@ -152,13 +154,15 @@
             group: ProcessGroup::new(),
         };
         let mut engines = Vec::new();
+        let mut engine_addresses = Vec::new();
         for number in 1..=options.engines {
             let engine = FakeEngine::new(options.engine.clone());
             let name = format!("engine-{number}");
-            agents
+            let address = agents
                 .start(engine.clone(), &name, "assistant", UpstreamRole::Mixed)
                 .await?;
             engines.push(engine);
+            engine_addresses.push(address);
         }
         let ledger = FakeLedger::default();
         agents
@@ -177,6 +181,7 @@
             caller_address,
             control,
             engines,
+            engine_addresses,
             ledger,
             groups,
         })
@@ -199,13 +204,14 @@
 }
 
 impl AgentGroup {
+    /// Starts an agent and its upstream; returns the address of the upstream.
     async fn start<H: HttpHandler>(
         &mut self,
         upstream: H,
         name: &str,
         service: &str,
         role: UpstreamRole,
-    ) -> Result<(), LocalError> {
+    ) -> Result<SocketAddr, LocalError> {
         let listener = TcpListener::bind(loopback()).await.context(ListenSnafu)?;
         let upstream_address = listener.local_addr().context(ListenSnafu)?;
         let signal = self.group.signal.clone();
@@ -232,7 +238,7 @@
         };
         let process = AgentProcess::bind(options).await?;
         self.group.spawn(process.run(signal));
-        Ok(())
+        Ok(upstream_address)
     }
 }
 
