Measure the speed of an engine by the work of its role

Cause: on swings the planner kept its roles, because a decode engine with few sequences processes prompts faster than stated and was taken for a fast engine.

Change: the measured speed follows the kind of work that the role is set up for.

--- a/crates/oriolecrank-capacity/src/capability_estimate.rs
+++ b/crates/oriolecrank-capacity/src/capability_estimate.rs
@@ -189,13 +189,20 @@
     interval: Duration,
 ) -> Option<f64> {
     let stated = settings.stated(role);
-    if stated == RoleAbility::default() {
-        return None;
-    }
     let seconds = interval.as_secs_f64();
     let rate = |before: u64, after: u64| TokenRate::per_second((after - before) as f64 / seconds);
     let prefill = rate(before.prefill_tokens, after.prefill_tokens).share_of(stated.prefill);
     let decode = rate(before.decode_tokens, after.decode_tokens).share_of(stated.decode);
-    // Both kinds are processed side by side, so the busier kind shows the speed.
-    Some(prefill.max(decode))
+    // An engine that lacks work of one kind is faster at the other than its stated ability, so only
+    // the kind that the role is set up for shows the speed. A mixed engine is judged between the
+    // busier kind, which is too high without the other, and the mean, which is too low.
+    match role {
+        UpstreamRole::Prefill => Some(prefill),
+        UpstreamRole::Decode => Some(decode),
+        UpstreamRole::Mixed => Some(f64::midpoint(
+            prefill.max(decode),
+            f64::midpoint(prefill, decode),
+        )),
+        UpstreamRole::Plain => None,
+    }
 }
--- a/crates/oriolecrank-capacity/tests/capacity/capability_estimate.rs
+++ b/crates/oriolecrank-capacity/tests/capacity/capability_estimate.rs
@@ -69,3 +69,21 @@
     let ability = estimator.ability(&name, UpstreamRole::Prefill);
     assert_eq!(ability, estimator.typical(UpstreamRole::Prefill));
 }
+
+/// Guards against a decode engine with few sequences that is taken for a fast one because it
+/// processes more prompt tokens than stated; the planner then saw no lack of decode ability.
+#[test]
+fn the_other_kind_of_work_shows_no_speed() {
+    for (role, prefill, decode) in [
+        (UpstreamRole::Decode, 40_000, 2_000),
+        (UpstreamRole::Prefill, 20_000, 4_000),
+    ] {
+        let mut estimator = CapabilityEstimator::default();
+        let name = upstream("u0");
+        for interval in 0..30 {
+            let load = load(0, prefill * interval, decode * interval);
+            estimator.observe(&name, role, &load, seconds(10 * interval));
+        }
+        assert_eq!(estimator.ability(&name, role), estimator.typical(role));
+    }
+}
