Replay the request path of oriolecrank-policy

Cause: the replay used a local stand-in for admission, queue and choice.

Change: ShippedPath drives AdmissionControl, UpstreamChooser, RequestQueue, RetryBudget and SuspectTable, one entry for each region.

--- a/crates/oriolecrank-bench/src/policy/engine_model.rs
+++ b/crates/oriolecrank-bench/src/policy/engine_model.rs
@@ -30,7 +30,7 @@
 const PLAIN_US: f64 = 40_000.0;
 
 /// Calls that a plain service works on at a time.
-const PLAIN_SLOTS: usize = 16;
+pub const PLAIN_SLOTS: usize = 16;
 
 /// A call on an engine.
 #[derive(Debug, Clone, Copy)]
--- a/crates/oriolecrank-bench/src/policy/mod.rs
+++ b/crates/oriolecrank-bench/src/policy/mod.rs
@@ -9,11 +9,11 @@
 
 pub mod capacity_control;
 pub mod engine_model;
-pub mod local_path;
 pub mod replay;
 pub mod request_path;
 pub mod scenario;
 pub mod score;
+mod shipped_path;
 mod static_path;
 pub mod summary;
 pub mod traffic;
@@ -22,10 +22,10 @@
 use std::sync::mpsc;
 
 use capacity_control::{BoundControl, ReactiveControl, ShippedControl, StaticControl};
-use local_path::LocalPath;
 use replay::Replay;
 use scenario::{Scenario, Variant};
 use score::ReplayScore;
+use shipped_path::ShippedPath;
 use static_path::StaticPath;
 use summary::{PolicyLine, PolicyName, VariantResults};
 
@@ -107,7 +107,7 @@
 /// Runs all policies on the calls of one variant and seed.
 pub fn replay_all(scenario: &Scenario, variant: Variant, seed: u64) -> Vec<PolicyLine> {
     let calls = traffic::calls(scenario, variant, seed);
-    let path = || LocalPath::new(scenario.regions, seed);
+    let path = || ShippedPath::new(scenario, seed);
     PolicyName::ALL
         .into_iter()
         .map(|policy| {
--- a/crates/oriolecrank-bench/src/policy/replay.rs
+++ b/crates/oriolecrank-bench/src/policy/replay.rs
@@ -15,7 +15,7 @@
     CapacityControl, DECISION_INTERVAL, EngineStatus, FleetAction, service_id,
 };
 use super::engine_model::EngineModel;
-use super::request_path::{Attempt, EngineInfo, LoadReport, RequestPath};
+use super::request_path::{Attempt, EngineInfo, LoadReport, OfferResult, RequestPath};
 use super::scenario::{Scenario, Variant};
 use super::score::{AnswerProgress, ReplayScore};
 use super::traffic::{Call, disturbance};
@@ -62,7 +62,7 @@
 const CLOCK_ORIGIN_MS: u64 = 3_600_000;
 
 /// A time of the replay on the clock of the decisions.
-fn time_point(us: u64) -> TimePoint {
+pub fn time_point(us: u64) -> TimePoint {
     TimePoint::from_millis(CLOCK_ORIGIN_MS + us / 1_000)
 }
 
@@ -274,6 +274,7 @@
     fn set_state(&mut self, engine: usize, state: EngineState) {
         self.engines[engine].state = state;
         self.infos[engine].ready = state == EngineState::Ready;
+        self.path.update_engine(engine, self.infos[engine]);
     }
 
     fn void_events(&mut self, engine: usize) -> u32 {
@@ -330,10 +331,14 @@
             return;
         };
         self.progress[attempt.id as usize].attempts += 1;
-        if self.path.offer(engine, &attempt, self.now_us) {
-            self.pump(engine);
-        } else {
-            self.end_call(attempt.id, false);
+        match self.path.offer(engine, &attempt, self.now_us) {
+            OfferResult::Queued { displaced } => {
+                if let Some(displaced) = displaced {
+                    self.end_call(displaced.id, false);
+                }
+                self.pump(engine);
+            }
+            OfferResult::Refused => self.end_call(attempt.id, false),
         }
     }
 
@@ -358,6 +363,9 @@
                 self.engines[engine].model.add(attempt.sequence());
                 self.engines[engine].attempts.push(attempt);
             }
+            for attempt in self.path.take_expired(engine, self.now_us) {
+                self.end_call(attempt.id, false);
+            }
         } else if !matches!(state, EngineState::Draining(_)) {
             return;
         }
@@ -577,6 +585,10 @@
     /// Reports once a second, and decides at a fixed interval.
     fn tick(&mut self) {
         self.schedule(self.now_us + SECOND_US, Event::Tick);
+        // Agents look at their queues at least once a second.
+        for engine in 0..self.engines.len() {
+            self.pump(engine);
+        }
         self.send_reports();
         self.deliver_reports();
         if !self
--- a/crates/oriolecrank-bench/src/policy/request_path.rs
+++ b/crates/oriolecrank-bench/src/policy/request_path.rs
@@ -64,6 +64,18 @@
     pub load: UpstreamLoad,
 }
 
+/// What an agent did with an attempt.
+#[derive(Debug, Clone, Copy)]
+pub enum OfferResult {
+    /// It waits.
+    Queued {
+        /// A less urgent attempt that lost its place.
+        displaced: Option<Attempt>,
+    },
+    /// It was refused.
+    Refused,
+}
+
 /// Admission, choice and queues of one policy.
 pub trait RequestPath {
     /// Whether attempts that failed without the fault of the caller are run again.
@@ -72,6 +84,9 @@
     /// Makes room for an engine that is added; engines are numbered in the order of addition.
     fn add_engine(&mut self, info: EngineInfo);
 
+    /// The role or the readiness of an engine has changed.
+    fn update_engine(&mut self, engine: usize, info: EngineInfo);
+
     /// Delivers a load report to all entries.
     fn observe(&mut self, report: &LoadReport, now_us: u64);
 
@@ -81,8 +96,11 @@
     /// Chooses the engine for an attempt, `None` to refuse it.
     fn choose(&mut self, attempt: &Attempt, engines: &[EngineInfo], now_us: u64) -> Option<usize>;
 
-    /// Queues the attempt at an engine; false if the agent refuses it.
-    fn offer(&mut self, engine: usize, attempt: &Attempt, now_us: u64) -> bool;
+    /// Queues the attempt at an engine.
+    fn offer(&mut self, engine: usize, attempt: &Attempt, now_us: u64) -> OfferResult;
+
+    /// Removes the attempts that waited too long.
+    fn take_expired(&mut self, engine: usize, now_us: u64) -> Vec<Attempt>;
 
     /// The next attempt to send to the engine.
     fn start_next(&mut self, engine: usize, now_us: u64) -> Option<Attempt>;
@@ -93,8 +111,9 @@
     /// Number of attempts waiting for the engine.
     fn waiting(&self, engine: usize) -> usize;
 
-    /// Removes everything from the queue of an engine that drains or crashed, and returns what waited.
-    fn withdraw(&mut self, engine: usize, crashed: bool) -> Vec<Attempt>;
+    /// Empties the queue of an engine that drains and returns what waited. If the engine is `lost`,
+    /// what it runs is forgotten as well.
+    fn withdraw(&mut self, engine: usize, lost: bool) -> Vec<Attempt>;
 
     /// Records which calls ran when an engine crashed.
     fn record_crash(&mut self, running: &[Attempt], now_us: u64);
--- a/crates/oriolecrank-bench/src/policy/static_path.rs
+++ b/crates/oriolecrank-bench/src/policy/static_path.rs
@@ -5,7 +5,7 @@
 use oriolecrank_schema::control::UpstreamRole;
 
 use super::engine_model::MEMORY_BLOCKS;
-use super::request_path::{Attempt, EngineInfo, LoadReport, RequestPath};
+use super::request_path::{Attempt, EngineInfo, LoadReport, OfferResult, RequestPath};
 use super::traffic::CallKind;
 
 /// Tokens in a block of engine memory.
@@ -33,6 +33,8 @@
         self.queues.push(FirstComeQueue::default());
     }
 
+    fn update_engine(&mut self, _engine: usize, _info: EngineInfo) {}
+
     fn observe(&mut self, _report: &LoadReport, _now_us: u64) {}
 
     fn admit(&mut self, _attempt: &Attempt, _now_us: u64) -> bool {
@@ -62,9 +64,13 @@
         Some(chosen)
     }
 
-    fn offer(&mut self, engine: usize, attempt: &Attempt, _now_us: u64) -> bool {
+    fn offer(&mut self, engine: usize, attempt: &Attempt, _now_us: u64) -> OfferResult {
         self.queues[engine].waiting.push_back(*attempt);
-        true
+        OfferResult::Queued { displaced: None }
+    }
+
+    fn take_expired(&mut self, _engine: usize, _now_us: u64) -> Vec<Attempt> {
+        Vec::new()
     }
 
     fn start_next(&mut self, engine: usize, _now_us: u64) -> Option<Attempt> {
@@ -90,9 +96,9 @@
         self.queues[engine].waiting.len()
     }
 
-    fn withdraw(&mut self, engine: usize, crashed: bool) -> Vec<Attempt> {
+    fn withdraw(&mut self, engine: usize, lost: bool) -> Vec<Attempt> {
         let queue = &mut self.queues[engine];
-        if crashed {
+        if lost {
             queue.running.clear();
         }
         queue.waiting.drain(..).collect()
