Prefer a suiting role to a near upstream

Cause: the choice took any upstream of the nearest failure domain before one farther away, so chats ran on prefill engines and reads on decode engines of the own region.

Change: upstreams whose role suits the request are tried first, by distance; the others follow when no suiting one meets the deadline.

Conclusion: kept; the latency to another region is small against the cost of the wrong role.

--- a/crates/oriolecrank-policy/src/upstream_chooser.rs
+++ b/crates/oriolecrank-policy/src/upstream_chooser.rs
@@ -279,23 +279,27 @@
         rng: &mut R,
     ) -> Result<UpstreamChoice, NoUpstream> {
         let usable = self.usable(request);
+        let suiting = self.suiting(usable, request);
         let mut best: Option<TierChoice> = None;
-        for distance in UpstreamDistance::ALL {
-            let candidates = usable.intersection(self.by_distance[distance as usize]);
-            if candidates.is_empty() {
-                continue;
-            }
-            let mut choice = self.choose_within(request, candidates, distance, now, rng);
-            let farther = best.is_some();
-            if farther {
-                choice.reason = ChoiceReason::Deadline;
-            }
-            let better = best.is_none_or(|best| choice.delay < best.delay);
-            if better || choice.meets_deadline {
-                best = Some(choice);
-            }
-            if choice.meets_deadline {
-                break;
+        // An engine of the wrong role costs seconds, another region only milliseconds.
+        'search: for group in [suiting, usable.difference(suiting)] {
+            for distance in UpstreamDistance::ALL {
+                let candidates = group.intersection(self.by_distance[distance as usize]);
+                if candidates.is_empty() {
+                    continue;
+                }
+                let mut choice = self.choose_within(request, candidates, distance, now, rng);
+                let farther = best.is_some();
+                if farther {
+                    choice.reason = ChoiceReason::Deadline;
+                }
+                let better = best.is_none_or(|best| choice.delay < best.delay);
+                if better || choice.meets_deadline {
+                    best = Some(choice);
+                }
+                if choice.meets_deadline {
+                    break 'search;
+                }
             }
         }
         let best = best.ok_or(NoUpstream)?;
@@ -364,6 +368,17 @@
         sets.find(|slots| !slots.is_empty()).unwrap_or_default()
     }
 
+    /// Slots whose role suits the request.
+    fn suiting(&self, slots: SlotSet, request: &ChoiceRequest<'_>) -> SlotSet {
+        let mut suiting = SlotSet::default();
+        for index in slots.iter() {
+            if self.role_suits(self.slot(index).state.role, request) {
+                suiting.insert(index);
+            }
+        }
+        suiting
+    }
+
     fn choose_within<R: Rng>(
         &self,
         request: &ChoiceRequest<'_>,
