--- a/crates/oriolecrank-bench/src/policy/engine_model.rs
+++ b/crates/oriolecrank-bench/src/policy/engine_model.rs
@@ -30,7 +30,7 @@
 const PLAIN_US: f64 = 40_000.0;
 
 /// Calls that a plain service works on at a time.
-const PLAIN_SLOTS: usize = 16;
+pub const PLAIN_SLOTS: usize = 16;
 
 /// A call on an engine.
 #[derive(Debug, Clone, Copy)]
@@ -159,6 +159,9 @@
             self.chunks = vec![0; self.sequences.len().min(slots)];
             return Some(PLAIN_US as u64);
         }
+        // Sequences continue after a role change without a drain, which only the bound makes.
+        let begun = self.sequences.partition_point(|sequence| sequence.begun);
+        let slots = slots.max(begun);
         self.look_up_prefixes(slots);
         let mut left = chunk;
         let mut generated = 0;
