Test kills, pauses and planned stops of separate processes

Cause: the promises of the design were only tested inside single processes. Change: a test cluster of separate programs with one or three control instances, several entries and agents; nine fault tests: paused entry and withdrawn key, entry without control, loss and pause of each control instance, killed agent during a booking, repeated booking at another entry, crashing request, planned stops during a stream, killed agent during a stream.

--- a/crates/oriolecrank-fakes/src/fake_ledger.rs
+++ b/crates/oriolecrank-fakes/src/fake_ledger.rs
@@ -12,6 +12,9 @@
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 
+/// Path at which a test asks the ledger itself for the number of its entries.
+pub const COUNT_PATH: &str = "/admin/count";
+
 /// One entry of the ledger.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LedgerEntry {
@@ -91,6 +94,9 @@
             .expect("no holder of the target lock panics")
             .push(target);
         let path = head.uri.path().to_owned();
+        if path == COUNT_PATH {
+            return text_answer(StatusCode::OK, self.entries().len().to_string());
+        }
         if head.method != Method::POST {
             state.reads.fetch_add(1, Ordering::SeqCst);
             return text_answer(StatusCode::OK, format!("status of {path}"));
--- a/crates/oriolecrank-fakes/src/lib.rs
+++ b/crates/oriolecrank-fakes/src/lib.rs
@@ -21,8 +21,10 @@
     whole_answer,
 };
 pub use fake_control::{ControlLog, ControlScript, FakeControl};
-pub use fake_engine::{CRASH_MARKER, EngineFaults, EngineOptions, FakeEngine, expected_text};
-pub use fake_ledger::{FakeLedger, LedgerEntry};
+pub use fake_engine::{
+    CRASH_MARKER, CRASHES_PATH, EngineFaults, EngineOptions, FakeEngine, expected_text,
+};
+pub use fake_ledger::{COUNT_PATH, FakeLedger, LedgerEntry};
 pub use fake_platform::{FakePlatform, PlatformRequest, RunningUpstream};
 pub use fake_server::FakeServer;
 pub use fake_usage::{FakeUsage, ReceivedReport};
--- a/crates/oriolecrank-fakes/src/main.rs
+++ b/crates/oriolecrank-fakes/src/main.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
-use lexopt::prelude::{Value, ValueExt as _};
-use oriolecrank_fakes::{FakeEngine, FakeLedger, FakePlatform, FakeUsage};
+use lexopt::prelude::{Long, Value, ValueExt as _};
+use oriolecrank_fakes::{EngineOptions, FakeEngine, FakeLedger, FakePlatform, FakeUsage};
 use oriolecrank_net::logging::{self, LogFormat};
 use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel, termination_signal};
 use oriolecrank_net::{HttpHandler, serve};
@@ -21,13 +23,26 @@
 struct FakeArguments {
     kind: String,
     address: SocketAddr,
+    /// Time between two tokens of an engine.
+    between_tokens: Duration,
+    /// Prompts with the crash marker crash the engine.
+    crash_on_marker: bool,
+    /// Writes to the ledger take effect, but their answers are lost.
+    lose_answers: bool,
 }
 
 impl FakeArguments {
     fn parse(mut parser: lexopt::Parser) -> Result<Self, lexopt::Error> {
         let mut words = Vec::new();
+        let mut between_tokens = EngineOptions::default().between_tokens;
+        let (mut crash_on_marker, mut lose_answers) = (false, false);
         while let Some(argument) = parser.next()? {
             match argument {
+                Long("between-tokens-ms") => {
+                    between_tokens = Duration::from_millis(parser.value()?.parse()?);
+                }
+                Long("crash-on-marker") => crash_on_marker = true,
+                Long("lose-answers") => lose_answers = true,
                 Value(word) => words.push(word.string()?),
                 other => return Err(other.unexpected()),
             }
@@ -38,7 +53,32 @@
         let address = address
             .parse()
             .map_err(|_| "the address is not of the form IP:port")?;
-        Ok(Self { kind, address })
+        Ok(Self {
+            kind,
+            address,
+            between_tokens,
+            crash_on_marker,
+            lose_answers,
+        })
+    }
+
+    fn engine(&self) -> FakeEngine {
+        let options = EngineOptions {
+            between_tokens: self.between_tokens,
+            ..EngineOptions::default()
+        };
+        let engine = FakeEngine::new(options);
+        engine
+            .faults()
+            .crash_on_marker
+            .store(self.crash_on_marker, Ordering::SeqCst);
+        engine
+    }
+
+    fn ledger(&self) -> FakeLedger {
+        let ledger = FakeLedger::default();
+        ledger.lose_answers(self.lose_answers);
+        ledger
     }
 }
 
@@ -60,8 +100,8 @@
         std::future::pending::<()>().await;
     });
     let result = match arguments.kind.as_str() {
-        "engine" => run(arguments.address, FakeEngine::default(), signal).await,
-        "ledger" => run(arguments.address, FakeLedger::default(), signal).await,
+        "engine" => run(arguments.address, arguments.engine(), signal).await,
+        "ledger" => run(arguments.address, arguments.ledger(), signal).await,
         "platform" => run(arguments.address, FakePlatform::default(), signal).await,
         "usage" => run(arguments.address, FakeUsage::default(), signal).await,
         _ => {
--- /dev/null
+++ b/crates/oriolecrank-local/tests/processes/cluster.rs
@@ -0,0 +1,296 @@
+//! A cluster of separate programs.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use oriolecrank_net::{ClientResponse, HttpClient};
+use tempfile::TempDir;
+
+use crate::program::{LONG, RunningProgram, binary};
+
+const SECRET: &str = "secret-of-the-process-tests";
+
+/// Key of the example document.
+pub const KEY: &str = "example-key";
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub struct CallerReply {
+    pub status: StatusCode,
+    pub body: String,
+}
+
+/// Programs with their settings in a temporary folder.
+pub struct TestCluster {
+    folder: TempDir,
+    pub control: Vec<RunningProgram>,
+    pub agents: Vec<RunningProgram>,
+    pub fakes: Vec<RunningProgram>,
+    pub entries: Vec<RunningProgram>,
+}
+
+/// What a [`TestCluster`] consists of.
+pub struct ClusterPlan<'a> {
+    pub control: usize,
+    pub entries: usize,
+    /// Arguments of each fake engine.
+    pub engines: &'a [&'a [&'a str]],
+    /// Arguments of the fake ledger.
+    pub ledger: &'a [&'a str],
+}
+
+impl Default for ClusterPlan<'_> {
+    fn default() -> Self {
+        Self {
+            control: 1,
+            entries: 1,
+            engines: &[&[]],
+            ledger: &[],
+        }
+    }
+}
+
+impl TestCluster {
+    /// Starts everything, submits the example document and waits until it is served.
+    pub async fn start(plan: ClusterPlan<'_>) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        std::fs::write(folder.path().join("secret"), SECRET).unwrap();
+        let mut cluster = Self {
+            folder,
+            control: Vec::new(),
+            agents: Vec::new(),
+            fakes: Vec::new(),
+            entries: Vec::new(),
+        };
+        cluster.start_control(plan.control);
+        for (index, arguments) in plan.engines.iter().enumerate() {
+            cluster.start_upstream("engine", index, arguments);
+        }
+        cluster.start_upstream("ledger", 0, plan.ledger);
+        for index in 0..plan.entries {
+            cluster.start_entry(index);
+        }
+        let output = cluster.ctl(&[
+            "submit",
+            "--wait",
+            example("document.toml").to_str().unwrap(),
+        ]);
+        assert!(output.status.success(), "{output:?}");
+        for index in 0..plan.entries {
+            cluster.wait_ready(index).await;
+        }
+        cluster
+    }
+
+    fn start_control(&mut self, count: usize) {
+        let listeners: Vec<_> = (0..count)
+            .map(|_| std::net::TcpListener::bind("127.0.0.1:0").unwrap())
+            .collect();
+        let addresses: Vec<_> = listeners
+            .iter()
+            .map(|listener| listener.local_addr().unwrap())
+            .collect();
+        drop(listeners);
+        let members = addresses.iter().enumerate().map(|(index, address)| {
+            format!("[[members]]\ninstance = \"control-{index}\"\naddress = \"{address}\"\n")
+        });
+        let members: String = members.collect();
+        for (index, address) in addresses.iter().enumerate() {
+            let text = format!(
+                "{}cluster = \"test\"\ninstance = \"control-{index}\"\nlisten = \"{address}\"\n\
+                 data_folder = \"{}\"\n{members}",
+                self.common(),
+                self.path(&format!("data-{index}")),
+            );
+            let program = self.run("oriolecrank-control", &format!("control-{index}"), &text);
+            self.control.push(program);
+        }
+    }
+
+    fn start_upstream(&mut self, kind: &str, index: usize, arguments: &[&str]) {
+        let arguments = [&[kind, "127.0.0.1:0"], arguments].concat();
+        let fake = RunningProgram::start("oriolecrank-fakes", &arguments);
+        self.start_agent(kind, index, fake.address);
+        self.fakes.push(fake);
+    }
+
+    /// Starts an agent beside a running upstream.
+    pub fn start_agent(&mut self, kind: &str, index: usize, upstream: SocketAddr) {
+        let (service, kind_name) = if kind == "engine" {
+            ("assistant", "engine")
+        } else {
+            ("ledger", "plain")
+        };
+        let text = format!(
+            "{}upstream = \"{kind}-{index}\"\nlisten = \"127.0.0.1:0\"\ncontrol = {}\n\
+             service = \"{service}\"\nkind = \"{kind_name}\"\nmodel = \"demo\"\n\
+             upstream_address = \"{upstream}\"\n",
+            self.common(),
+            self.control_list(),
+        );
+        let program = self.run("oriolecrank-agent", &format!("agent-{kind}-{index}"), &text);
+        self.agents.push(program);
+    }
+
+    fn start_entry(&mut self, index: usize) {
+        let text = format!(
+            "{}name = \"entry-{index}\"\ncaller_listen = \"127.0.0.1:0\"\ncontrol = {}\n",
+            self.common(),
+            self.control_list(),
+        );
+        let program = self.run("oriolecrank-entry", &format!("entry-{index}"), &text);
+        self.entries.push(program);
+    }
+
+    fn run(&self, program: &str, name: &str, text: &str) -> RunningProgram {
+        let path = self.folder.path().join(format!("{name}.toml"));
+        std::fs::write(&path, text).unwrap();
+        RunningProgram::start(program, &["--settings", path.to_str().unwrap()])
+    }
+
+    fn common(&self) -> String {
+        format!(
+            "region = \"local\"\nfailure_domain = \"local\"\nlog_format = \"json\"\n\
+             operator_listen = \"127.0.0.1:0\"\nsecret_file = \"{}\"\n",
+            self.path("secret")
+        )
+    }
+
+    fn control_list(&self) -> String {
+        let addresses = self
+            .control
+            .iter()
+            .map(|program| program.address.to_string());
+        format!("{:?}", addresses.collect::<Vec<_>>())
+    }
+
+    fn path(&self, name: &str) -> String {
+        self.folder.path().join(name).display().to_string()
+    }
+
+    /// Runs the operators' tool.
+    pub fn ctl(&self, arguments: &[&str]) -> Output {
+        let mut command = Command::new(binary("oriolecrank-ctl"));
+        for program in &self.control {
+            command.args(["--control", &program.address.to_string()]);
+        }
+        command.args([
+            "--secret-file",
+            &self.path("secret"),
+            "--operator",
+            "tester",
+        ]);
+        command.args(["--timeout-ms", "20000"]);
+        command.args(arguments).output().unwrap()
+    }
+
+    /// Opens an answer at an entry.
+    pub async fn open(
+        &self,
+        entry: usize,
+        key: &str,
+        method: Method,
+        path: &str,
+        body: String,
+    ) -> ClientResponse {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "entry")
+            .header("authorization", format!("Bearer {key}"))
+            .header("idempotency-key", "booking-1")
+            .body(Full::new(Bytes::from(body)))
+            .unwrap();
+        HttpClient::default()
+            .send(self.entries[entry].address, request, LONG)
+            .await
+            .unwrap()
+    }
+
+    /// Sends a completion.
+    pub async fn complete(&self, entry: usize, key: &str, prompt: &str) -> CallerReply {
+        let body = completion(prompt, 4, false);
+        let response = self
+            .open(entry, key, Method::POST, "/v1/chat/completions", body)
+            .await;
+        reply(response).await
+    }
+
+    /// Books once under a fixed idempotency key.
+    pub async fn book(&self, entry: usize) -> CallerReply {
+        let path = "/services/ledger/entries";
+        let response = self
+            .open(entry, KEY, Method::POST, path, "drain vat 7".to_owned())
+            .await;
+        reply(response).await
+    }
+
+    /// Waits until an entry serves both services.
+    pub async fn wait_ready(&self, entry: usize) {
+        let status = "/services/ledger/status";
+        wait_for(async || {
+            let ledger = self
+                .open(entry, KEY, Method::GET, status, String::new())
+                .await;
+            let engine = self.complete(entry, KEY, "ready").await;
+            ledger.status() == StatusCode::OK && engine.status == StatusCode::OK
+        })
+        .await;
+    }
+}
+
+/// Body of a completion.
+pub fn completion(prompt: &str, tokens: u64, stream: bool) -> String {
+    serde_json::json!({
+        "model": "demo", "max_tokens": tokens, "stream": stream,
+        "messages": [{ "role": "user", "content": prompt }],
+    })
+    .to_string()
+}
+
+/// Reads an answer to its end.
+pub async fn reply(response: ClientResponse) -> CallerReply {
+    let status = response.status();
+    let body = response.collect(1024 * 1024, LONG).await.unwrap();
+    CallerReply {
+        status,
+        body: String::from_utf8_lossy(&body).into_owned(),
+    }
+}
+
+/// Asks a fake itself for a number.
+pub async fn ask_fake(fake: &RunningProgram, path: &str) -> u32 {
+    let request = Request::get(path)
+        .header("host", "fake")
+        .body(Full::default())
+        .unwrap();
+    let response = HttpClient::default()
+        .send(fake.address, request, LONG)
+        .await
+        .unwrap();
+    reply(response).await.body.parse().unwrap()
+}
+
+/// Repeats a check until it holds.
+pub async fn wait_for(mut check: impl AsyncFnMut() -> bool) {
+    let deadline = Instant::now() + LONG;
+    while !check().await {
+        assert!(
+            Instant::now() < deadline,
+            "the expected state is not reached"
+        );
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// A file of the examples.
+pub fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples")
+        .join(name)
+}
--- /dev/null
+++ b/crates/oriolecrank-local/tests/processes/faults.rs
@@ -0,0 +1,218 @@
+//! Kills, pauses and planned stops of the programs.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use oriolecrank_fakes::{COUNT_PATH, CRASH_MARKER, CRASHES_PATH};
+
+use crate::cluster::{ClusterPlan, KEY, TestCluster, ask_fake, completion, reply, wait_for};
+
+/// Longer than the freshness lease of 3 s and than the promise of 4 s for a withdrawn key.
+const LONGER_THAN_LEASE: Duration = Duration::from_millis(4_200);
+
+/// Guards against a withdrawn key that still works at an entry which was paused while the key was
+/// withdrawn: the pause must count against the freshness lease.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_entry_does_not_serve_a_withdrawn_key() {
+    let cluster = TestCluster::start(ClusterPlan {
+        entries: 2,
+        ..ClusterPlan::default()
+    })
+    .await;
+    cluster.entries[0].signal("STOP");
+    let output = cluster.ctl(&["keys", "withdraw", "vat-watch", "first", "--wait"]);
+    assert!(output.status.success(), "{output:?}");
+    let other = cluster.complete(1, KEY, "x").await;
+    assert_eq!(other.status, StatusCode::UNAUTHORIZED, "{other:?}");
+    tokio::time::sleep(LONGER_THAN_LEASE).await;
+    cluster.entries[0].signal("CONT");
+    let paused = cluster.complete(0, KEY, "x").await;
+    let refused = [StatusCode::UNAUTHORIZED, StatusCode::SERVICE_UNAVAILABLE];
+    assert!(refused.contains(&paused.status), "{paused:?}");
+}
+
+/// Guards against keyed work on an entry that can no longer learn of withdrawn keys, and against the
+/// loss of an accepted document when every control instance is killed and started again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_without_control_refuses_keyed_work_and_serves_open_routes() {
+    let cluster = TestCluster::start(ClusterPlan::default()).await;
+    cluster.control[0].signal("STOP");
+    wait_for(async || {
+        cluster.complete(0, KEY, "x").await.status == StatusCode::SERVICE_UNAVAILABLE
+    })
+    .await;
+    let refusal = cluster.complete(0, KEY, "x").await;
+    assert!(
+        refusal.body.contains("\"verdict\":\"not_run\""),
+        "{refusal:?}"
+    );
+    let path = "/services/ledger/opening-hours";
+    let open = cluster.open(0, "", Method::GET, path, String::new()).await;
+    assert_eq!(open.status(), StatusCode::OK);
+    cluster.control[0].signal("CONT");
+    cluster.wait_ready(0).await;
+}
+
+/// Guards against a control group that does not survive the loss of its leader: with three instances,
+/// each one is killed in turn while the others accept changes, and no accepted change is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_control_group_survives_the_loss_of_any_instance() {
+    for lost in 0..3 {
+        let mut cluster = TestCluster::start(ClusterPlan {
+            control: 3,
+            ..ClusterPlan::default()
+        })
+        .await;
+        cluster.control[lost].kill();
+        let output = cluster.ctl(&["keys", "issue", "vat-watch", "second", "--wait"]);
+        assert!(output.status.success(), "{output:?}");
+        cluster.wait_ready(0).await;
+        let shown = cluster.ctl(&["show"]);
+        let text = String::from_utf8_lossy(&shown.stdout).into_owned();
+        assert!(text.contains("first") && text.contains("second"), "{text}");
+    }
+}
+
+/// Guards against a paused leader that, once it wakes, confirms an old configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_paused_control_instance_never_reverts_the_configuration() {
+    for paused in 0..3 {
+        let cluster = TestCluster::start(ClusterPlan {
+            control: 3,
+            ..ClusterPlan::default()
+        })
+        .await;
+        cluster.control[paused].signal("STOP");
+        let output = cluster.ctl(&["keys", "withdraw", "vat-watch", "first", "--wait"]);
+        assert!(output.status.success(), "{output:?}");
+        wait_for(async || cluster.complete(0, KEY, "x").await.status == StatusCode::UNAUTHORIZED)
+            .await;
+        cluster.control[paused].signal("CONT");
+        for _ in 0..20 {
+            let status = cluster.complete(0, KEY, "x").await.status;
+            assert_ne!(status, StatusCode::OK);
+        }
+    }
+}
+
+/// Guards against a booking that is written twice when the agent dies after the service has written
+/// it and the caller sends it again at another entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_runs_at_most_once_when_its_agent_is_killed() {
+    let plan = ClusterPlan {
+        entries: 2,
+        ledger: &["--lose-answers"],
+        ..ClusterPlan::default()
+    };
+    let mut cluster = TestCluster::start(plan).await;
+    let first = cluster.book(0).await;
+    assert!(first.body.contains("may_have_run"), "{first:?}");
+    cluster.agents.last_mut().unwrap().kill();
+    let upstream = cluster.fakes.last().unwrap().address;
+    cluster.start_agent("ledger", 0, upstream);
+    for entry in [1, 0, 1] {
+        let again = cluster.book(entry).await;
+        assert!(again.body.contains("may_have_run"), "{again:?}");
+    }
+    assert_eq!(ask_fake(cluster.fakes.last().unwrap(), COUNT_PATH).await, 1);
+}
+
+/// Guards against a stored answer that only the entry knows which ran the booking.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeated_booking_gets_the_stored_answer_at_another_entry() {
+    let mut cluster = TestCluster::start(ClusterPlan {
+        entries: 2,
+        ..ClusterPlan::default()
+    })
+    .await;
+    let first = cluster.book(0).await;
+    assert_eq!(first.status, StatusCode::CREATED, "{first:?}");
+    cluster.entries[0].kill();
+    let again = cluster.book(1).await;
+    assert_eq!((again.status, &again.body), (first.status, &first.body));
+    assert_eq!(ask_fake(cluster.fakes.last().unwrap(), COUNT_PATH).await, 1);
+}
+
+/// Guards against a request that takes down one engine after the other while its caller keeps
+/// sending it, at different entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashing_request_takes_down_at_most_two_engines() {
+    let crashing: &[&str] = &["--crash-on-marker"];
+    let plan = ClusterPlan {
+        entries: 2,
+        engines: &[crashing, crashing, crashing, crashing],
+        ..ClusterPlan::default()
+    };
+    let cluster = TestCluster::start(plan).await;
+    for round in 0..10 {
+        let answer = cluster.complete(round % 2, KEY, CRASH_MARKER).await;
+        assert_ne!(answer.status, StatusCode::OK);
+    }
+    let mut crashes = 0;
+    for engine in &cluster.fakes[..4] {
+        crashes += ask_fake(engine, CRASHES_PATH).await;
+    }
+    assert!((1..=2).contains(&crashes), "{crashes} crashes");
+    let innocent = cluster.complete(0, KEY, "innocent").await;
+    assert_eq!(innocent.status, StatusCode::OK, "{innocent:?}");
+}
+
+/// Guards against planned stops that cut off an answer: entry and agent get SIGTERM while they stream.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stops_cut_off_no_answer() {
+    let plan = ClusterPlan {
+        engines: &[&["--between-tokens-ms", "20"]],
+        ..ClusterPlan::default()
+    };
+    let mut cluster = TestCluster::start(plan).await;
+    let body = completion("long", 60, true);
+    let mut response = cluster
+        .open(0, KEY, Method::POST, "/v1/chat/completions", body)
+        .await;
+    assert_eq!(response.status(), StatusCode::OK);
+    // The answer has begun.
+    http_body_util::BodyExt::frame(response.body_mut())
+        .await
+        .unwrap()
+        .unwrap();
+    cluster.entries[0].signal("TERM");
+    cluster.agents[0].signal("TERM");
+    let rest = reply(response).await;
+    assert!(rest.body.trim_end().ends_with("data: [DONE]"), "{rest:?}");
+    assert_eq!(cluster.entries[0].wait(), Some(0));
+    assert_eq!(cluster.agents[0].wait(), Some(0));
+}
+
+/// Guards against an answer that is lost or mixed up when the engine's agent is killed in the middle:
+/// it continues on another upstream and is whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_continues_elsewhere_when_its_agent_is_killed() {
+    let slow: &[&str] = &["--between-tokens-ms", "20"];
+    let plan = ClusterPlan {
+        engines: &[slow, slow],
+        ..ClusterPlan::default()
+    };
+    let mut cluster = TestCluster::start(plan).await;
+    let body = completion("long", 60, true);
+    let mut response = cluster
+        .open(0, KEY, Method::POST, "/v1/chat/completions", body)
+        .await;
+    let first = http_body_util::BodyExt::frame(response.body_mut())
+        .await
+        .unwrap()
+        .unwrap();
+    let first = first.into_data().unwrap();
+    cluster.agents[0].kill();
+    let rest = reply(response).await;
+    let text = String::from_utf8_lossy(&first).into_owned() + &rest.body;
+    let events = text.lines().filter_map(|line| line.strip_prefix("data: {"));
+    let parts = events.filter_map(|event| {
+        let value: serde_json::Value = serde_json::from_str(&format!("{{{event}")).ok()?;
+        Some(value["choices"][0]["delta"]["content"].as_str()?.to_owned())
+    });
+    assert_eq!(
+        parts.collect::<String>(),
+        oriolecrank_fakes::expected_text("long", 60)
+    );
+    assert!(text.trim_end().ends_with("data: [DONE]"), "{text}");
+}
