Test rules of the core that schedules rarely exercise

Change: tests/core_rules.rs states these rules with messages written by hand. Conclusion: each rule has a test that names it.

--- /dev/null
+++ b/crates/oriolecrank-consensus/tests/core_rules.rs
@@ -0,0 +1,234 @@
+//! Rules of the core that random schedules rarely exercise, with messages written by hand.
+
+use oriolecrank_consensus::{
+    AppendReply, AppendRequest, DiskTag, EntryBody, FoundingTags, HardState, InstanceId, LogEntry,
+    LogIndex, LogRecord, Member, MemberRole, Membership, MembershipError, MembershipRequest,
+    MessageBody, PeerMessage, RaftNode, RaftSettings, ReadyBatch, RoundMark, Snapshot, StoredState,
+    Term, VoteReply,
+};
+use oriolecrank_schema::TimePoint;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+
+const START: TimePoint = TimePoint::from_millis(1_000);
+
+fn id(name: &str) -> InstanceId {
+    InstanceId::new(name)
+}
+
+fn entry(index: u64, term: u64) -> LogEntry {
+    LogEntry {
+        index: LogIndex(index),
+        term: Term(term),
+        body: EntryBody::Data(vec![index as u8, term as u8].into()),
+    }
+}
+
+/// Instance c1 of a group of voters, restarted with the given entries.
+fn restarted(voters: &[&str], term: u64, entries: Vec<LogEntry>) -> RaftNode {
+    let members = voters.iter().map(|name| Member {
+        id: id(name),
+        address: String::new(),
+        role: MemberRole::Voter,
+    });
+    let stored = StoredState {
+        hard_state: HardState {
+            term: Term(term),
+            vote: None,
+        },
+        founding: Some(FoundingTags::default()),
+        snapshot: Some(Snapshot {
+            index: LogIndex(0),
+            term: Term(0),
+            membership: Membership::founding(members.collect()),
+            data: Vec::new().into(),
+        }),
+        entries,
+    };
+    let random = StdRng::seed_from_u64(1);
+    let settings = RaftSettings::default();
+    RaftNode::new(id("c1"), DiskTag(1), settings, stored, random, START)
+}
+
+/// Takes everything that is ready, as if it was synced at once.
+fn settle(node: &mut RaftNode, now: TimePoint) -> Vec<ReadyBatch> {
+    let mut batches = Vec::new();
+    loop {
+        let batch = node.ready(now);
+        if batch.is_empty() {
+            return batches;
+        }
+        node.synced(now);
+        batches.push(batch);
+    }
+}
+
+fn step(node: &mut RaftNode, from: &str, term: Term, body: MessageBody, now: TimePoint) {
+    let message = PeerMessage {
+        from: id(from),
+        to: id("c1"),
+        term,
+        body,
+    };
+    node.step(message, now);
+}
+
+/// Makes c1 leader by the vote of c2.
+fn elect(node: &mut RaftNode) -> TimePoint {
+    let now = START + RaftSettings::default().election_max;
+    node.tick(now);
+    let granted = VoteReply {
+        candidate_term: node.term().next(),
+        granted: true,
+    };
+    step(
+        node,
+        "c2",
+        node.term(),
+        MessageBody::PreVoteReply(granted),
+        now,
+    );
+    step(
+        node,
+        "c2",
+        node.term(),
+        MessageBody::VoteReply(granted),
+        now,
+    );
+    assert!(node.is_leader());
+    now
+}
+
+fn accepted(index: u64, now: TimePoint) -> MessageBody {
+    MessageBody::AppendReply(AppendReply {
+        mark: RoundMark {
+            round: 1,
+            sent: now,
+        },
+        accepted: true,
+        previous_index: LogIndex(0),
+        match_index: LogIndex(index),
+    })
+}
+
+/// Guards against an entry of an earlier term that is counted as committed by its copies: another
+/// instance with an entry of a later term could still be elected and replace it.
+#[test]
+fn entries_of_earlier_terms_are_committed_only_by_one_of_the_own_term() {
+    let mut node = restarted(&["c1", "c2", "c3"], 3, vec![entry(1, 1), entry(2, 2)]);
+    let now = elect(&mut node);
+    settle(&mut node, now);
+    let term = node.term();
+    step(&mut node, "c2", term, accepted(2, now), now);
+    assert_eq!(node.status().commit, LogIndex(0));
+    assert_eq!(
+        node.authority(now),
+        None,
+        "no authority before the first commit"
+    );
+    step(&mut node, "c2", term, accepted(3, now), now);
+    assert_eq!(node.status().commit, LogIndex(3));
+    assert!(node.authority(now).is_some());
+}
+
+/// Guards against a commit that rests on the leader's copy before it is synced.
+#[test]
+fn the_own_copy_counts_only_once_it_is_synced() {
+    let mut node = restarted(&["c1", "c2", "c3"], 1, Vec::new());
+    let now = elect(&mut node);
+    let batch = node.ready(now);
+    let is_entry = |record: &LogRecord| matches!(record, LogRecord::Entry(_));
+    assert!(batch.records.iter().any(is_entry));
+    let term = node.term();
+    step(&mut node, "c2", term, accepted(1, now), now);
+    assert_eq!(
+        node.status().commit,
+        LogIndex(0),
+        "one synced copy of three"
+    );
+    node.synced(now);
+    assert_eq!(node.status().commit, LogIndex(1));
+}
+
+/// Guards against a leader of a term that leads the same term again after power was lost: nothing of
+/// a term may be sent before the term is stored.
+#[test]
+fn a_new_term_is_stored_before_anything_of_it_is_sent() {
+    let mut node = restarted(&["c1"], 1, Vec::new());
+    node.tick(START + RaftSettings::default().election_max);
+    assert!(node.is_leader());
+    let batch = node.ready(START + RaftSettings::default().election_max);
+    let stores = |record: &LogRecord| matches!(record, LogRecord::HardState(_));
+    assert!(batch.records.iter().any(stores));
+    assert!(batch.early_messages.is_empty());
+}
+
+/// Guards against a follower that takes an old message's commit index for its own unmatched tail.
+#[test]
+fn a_follower_commits_only_what_it_has_matched() {
+    let mut node = restarted(
+        &["c1", "c2", "c3"],
+        3,
+        vec![entry(1, 1), entry(2, 2), entry(3, 2)],
+    );
+    let append = |previous: u64, previous_term: u64, entries: Vec<LogEntry>| {
+        MessageBody::Append(AppendRequest {
+            mark: RoundMark {
+                round: 1,
+                sent: START,
+            },
+            previous_index: LogIndex(previous),
+            previous_term: Term(previous_term),
+            commit: LogIndex(3),
+            entries,
+        })
+    };
+    // Previous index and term, entries, commit index after the message.
+    let cases = [
+        ("does not match", append(2, 3, Vec::new()), 0),
+        ("matches the first entry only", append(1, 1, Vec::new()), 1),
+        (
+            "gap within the entries",
+            append(1, 1, vec![entry(2, 3), entry(4, 3)]),
+            1,
+        ),
+        (
+            "replaces the tail",
+            append(1, 1, vec![entry(2, 3), entry(3, 3)]),
+            3,
+        ),
+        ("repeated", append(1, 1, vec![entry(2, 3), entry(3, 3)]), 3),
+    ];
+    for (name, body, commit) in cases {
+        step(&mut node, "c2", Term(3), body, START);
+        assert_eq!(node.status().commit, LogIndex(commit), "{name}");
+    }
+    let terms: Vec<u64> = node.log_entries().map(|entry| entry.term.0).collect();
+    assert_eq!(terms, [1, 3, 3]);
+}
+
+/// Guards against two leaders whose memberships have quorums that do not overlap: a leader that has
+/// committed nothing in its term may hold a change that a later leader undoes.
+#[test]
+fn a_new_leader_changes_no_membership_before_its_first_commit() {
+    let mut node = restarted(&["c1", "c2", "c3"], 1, Vec::new());
+    let now = elect(&mut node);
+    settle(&mut node, now);
+    let known = node.membership().clone();
+    let mut members = known.members;
+    members.push(Member {
+        id: id("n1"),
+        address: String::new(),
+        role: MemberRole::Learner,
+    });
+    let request = MembershipRequest {
+        base_version: known.version,
+        members,
+        forced: false,
+    };
+    let early = node.propose_membership(&request, now);
+    assert_eq!(early, Err(MembershipError::LeaderNotReady));
+    let term = node.term();
+    step(&mut node, "c2", term, accepted(1, now), now);
+    node.propose_membership(&request, now).unwrap();
+}
