Measure committed changes and restart of the control group

Cause: rate, latency and restart of the replicated log were unknown. Change: `oriolecrank-bench control` runs 1, 3 and 5 members in one process over loopback, each with its own data folder, and measures changes/s and latency for 1, 32 and 256 callers, failed changes, and a restart after 500 changes.

--- /dev/null
+++ b/crates/oriolecrank-bench/src/control.rs
@@ -0,0 +1,337 @@
+//! Rate and latency of committed changes, and restart of a control instance.
+//!
+//! The members run in one process, each with its own thread, data folder and listener, and exchange
+//! messages over loopback. Data folders lie below the folder for temporary files; set `TMPDIR` to a
+//! folder on the disk to be measured, because a file system in memory does not sync.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use oriolecrank_consensus::{InstanceId, LogIndex, Member, MemberRole, RoleName, Term};
+use oriolecrank_control::{
+    PeerDirectory, PeerIngress, PeerTransport, ReplicaHandle, ReplicaSettings, StateMachine,
+    start_replica,
+};
+use oriolecrank_net::shutdown::{ShutdownTrigger, shutdown_channel};
+use oriolecrank_net::{AnswerBody, ClusterSecret, HttpClient, HttpHandler, PeerGuard, serve};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+use crate::arguments::BenchArguments;
+use crate::measurement::{Measurement, size};
+
+/// Numbers of voters that are measured.
+const MEMBER_COUNTS: [u64; 3] = [1, 3, 5];
+
+/// Callers that wait for their change before they send the next one.
+const CALLER_COUNTS: [u64; 3] = [1, 32, 256];
+
+/// Size of one change, in bytes; a key or a claim is of this order.
+const CHANGE_BYTES: usize = 256;
+
+/// Changes before a restart.
+const RESTART_CHANGES: u64 = 500;
+
+/// Longest wait for a leader or a restarted member.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Largest latency that is told apart, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+/// Runs the measurement and prints its lines.
+pub fn run(arguments: &BenchArguments) -> bool {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime can be started");
+    runtime.block_on(async {
+        let mut passed = true;
+        for members in MEMBER_COUNTS {
+            passed &= measure_group(members, arguments).await;
+        }
+        passed
+    })
+}
+
+/// A state machine that keeps a sum, so that little but the log is measured.
+#[derive(Debug, Default)]
+struct SumMachine(u64);
+
+impl StateMachine for SumMachine {
+    type Output = u64;
+
+    fn apply(&mut self, _index: LogIndex, _term: Term, data: &[u8]) -> u64 {
+        self.0 += data.len() as u64;
+        self.0
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.to_be_bytes().to_vec()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) {
+        let bytes = snapshot
+            .try_into()
+            .expect("a snapshot of the sum has 8 bytes");
+        self.0 = u64::from_be_bytes(bytes);
+    }
+}
+
+/// Passes peer messages on.
+struct PeerHandler(PeerIngress<u64>);
+
+impl HttpHandler for PeerHandler {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
+        self.0.answer(request).await
+    }
+}
+
+/// One member and what is needed to restart it.
+struct BenchMember {
+    name: String,
+    handle: ReplicaHandle<u64>,
+    address: SocketAddr,
+    shutdown: ShutdownTrigger,
+}
+
+/// Opens a member on a listener; the time is that until its state is loaded.
+fn open_member(
+    name: &str,
+    listener: TcpListener,
+    folder: &Path,
+    founders: &[Member],
+) -> (BenchMember, Duration) {
+    let address = listener
+        .local_addr()
+        .expect("a bound listener has an address");
+    let secret = ClusterSecret::new("bench-cluster-secret").expect("the secret is long enough");
+    let directory = PeerDirectory::default();
+    let cluster = "bench".to_owned();
+    let transport = PeerTransport::new(
+        cluster.clone(),
+        address,
+        HttpClient::default(),
+        secret.clone(),
+        directory.clone(),
+    );
+    let settings = ReplicaSettings {
+        cluster: cluster.clone(),
+        name: name.to_owned(),
+        data_folder: folder.join(name),
+        founders: founders.to_vec(),
+        ..ReplicaSettings::default()
+    };
+    let start = Instant::now();
+    let handle = start_replica(settings, SumMachine::default(), transport)
+        .expect("a data folder below the folder for temporary files can be used");
+    let loaded = start.elapsed();
+    let guard = PeerGuard::new(secret);
+    let ingress = PeerIngress::new(cluster, guard, handle.clone(), directory);
+    let (shutdown, signal) = shutdown_channel();
+    tokio::spawn(serve(listener, Arc::new(PeerHandler(ingress)), signal));
+    let member = BenchMember {
+        name: name.to_owned(),
+        handle,
+        address,
+        shutdown,
+    };
+    (member, loaded)
+}
+
+async fn listen(address: SocketAddr) -> TcpListener {
+    TcpListener::bind(address)
+        .await
+        .expect("a loopback port can be bound")
+}
+
+async fn measure_group(members: u64, arguments: &BenchArguments) -> bool {
+    let folder = tempfile::tempdir().expect("a temporary folder can be created");
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let mut listeners = Vec::new();
+    let mut founders = Vec::new();
+    for number in 1..=members {
+        let listener = listen(any_port).await;
+        let address = listener
+            .local_addr()
+            .expect("a bound listener has an address");
+        founders.push(Member {
+            id: InstanceId::new(&format!("c{number}")),
+            address: address.to_string(),
+            role: MemberRole::Voter,
+        });
+        listeners.push(listener);
+    }
+    let mut group = Vec::new();
+    for (founder, listener) in founders.iter().zip(listeners) {
+        let name = founder.id.as_str();
+        group.push(open_member(name, listener, folder.path(), &founders).0);
+    }
+    let mut passed = true;
+    for callers in CALLER_COUNTS {
+        passed &= measure_changes(&group, callers, arguments).await;
+    }
+    passed & measure_restart(group, folder.path(), &founders, arguments).await
+}
+
+/// The member that leads and can commit.
+async fn wait_for_leader(group: &[BenchMember]) -> &BenchMember {
+    let find = async {
+        loop {
+            let leads = |member: &&BenchMember| {
+                member.handle.status().node.role == RoleName::Leader
+                    && member.handle.authority().is_some()
+            };
+            if let Some(leader) = group.iter().find(leads) {
+                return leader;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, find)
+        .await
+        .expect("a healthy group elects a leader")
+}
+
+async fn measure_changes(group: &[BenchMember], callers: u64, arguments: &BenchArguments) -> bool {
+    let rounds = if arguments.quick { 20 } else { 400 };
+    let handle = &wait_for_leader(group).await.handle;
+    let failed = Arc::new(AtomicU64::new(0));
+    let mut tasks = JoinSet::new();
+    let start = Instant::now();
+    for _ in 0..callers {
+        let (handle, failed) = (handle.clone(), Arc::clone(&failed));
+        tasks.spawn(async move { propose_rounds(&handle, rounds, &failed).await });
+    }
+    let mut latencies = new_histogram();
+    while let Some(finished) = tasks.join_next().await {
+        let caller = finished.expect("no caller panics");
+        latencies
+            .add(caller)
+            .expect("all histograms have the same bounds");
+    }
+    let elapsed = start.elapsed().as_secs_f64();
+    let failed = failed.load(Ordering::Relaxed);
+    let changes = latencies.len();
+    let millis = |quantile| latencies.value_at_quantile(quantile) as f64 / 1_000.0;
+    let lines = [
+        ("control_changes_per_s", changes as f64 / elapsed, "1/s"),
+        ("control_change_p50", millis(0.5), "ms"),
+        ("control_change_p99", millis(0.99), "ms"),
+        ("control_changes_failed", failed as f64, "changes"),
+    ];
+    let members = group.len() as u64;
+    lines
+        .into_iter()
+        .fold(true, |passed, (measure, value, unit)| {
+            let numbers = size([
+                ("members", members),
+                ("callers", callers),
+                ("change_bytes", CHANGE_BYTES as u64),
+            ]);
+            passed & line(measure, numbers, value, unit, arguments)
+        })
+}
+
+async fn propose_rounds(
+    handle: &ReplicaHandle<u64>,
+    rounds: u64,
+    failed: &AtomicU64,
+) -> Histogram<u64> {
+    let mut latencies = new_histogram();
+    for _ in 0..rounds {
+        let start = Instant::now();
+        if handle.propose(vec![7; CHANGE_BYTES]).await.is_err() {
+            failed.fetch_add(1, Ordering::Relaxed);
+            continue;
+        }
+        latencies.saturating_record(start.elapsed().as_micros() as u64);
+    }
+    latencies
+}
+
+fn new_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, MAX_LATENCY_US, 3).expect("the bounds are valid")
+}
+
+/// Stops one member after changes in a folder of their own and starts it again: the only member, or
+/// a follower.
+async fn measure_restart(
+    mut group: Vec<BenchMember>,
+    folder: &Path,
+    founders: &[Member],
+    arguments: &BenchArguments,
+) -> bool {
+    let members = group.len() as u64;
+    let handle = wait_for_leader(&group).await.handle.clone();
+    let before = handle.status().applied.0;
+    while handle.status().applied.0 < before + RESTART_CHANGES {
+        // A failed change is not counted, so the loop goes on until enough are applied.
+        let _ = handle.propose(vec![7; CHANGE_BYTES]).await;
+    }
+    let leader = handle.status().node.id;
+    let follower = group
+        .iter()
+        .position(|member| member.handle.status().node.id != leader)
+        .unwrap_or(0);
+    let stopped = group.remove(follower);
+    stopped.handle.stop();
+    stopped.shutdown.trigger();
+    stopped.handle.stopped().await;
+    let listener = rebind(stopped.address).await;
+    let start = Instant::now();
+    let (restarted, loaded) = open_member(&stopped.name, listener, folder, founders);
+    let current = async { while restarted.handle.read_barrier().await.is_err() {} };
+    tokio::time::timeout(PATIENCE, current)
+        .await
+        .expect("a restarted member catches up");
+    let ready = start.elapsed();
+    for member in group.iter().chain([&restarted]) {
+        member.handle.stop();
+        member.handle.stopped().await;
+    }
+    let lines = [
+        ("control_restart_load", loaded),
+        ("control_restart_current", ready),
+    ];
+    lines.into_iter().fold(true, |passed, (measure, value)| {
+        let numbers = size([("members", members), ("changes", RESTART_CHANGES)]);
+        let millis = value.as_secs_f64() * 1_000.0;
+        passed & line(measure, numbers, millis, "ms", arguments)
+    })
+}
+
+/// Binds the address of a member that was stopped; its listener closes a moment after the stop.
+async fn rebind(address: SocketAddr) -> TcpListener {
+    let bind = async {
+        loop {
+            if let Ok(listener) = TcpListener::bind(address).await {
+                return listener;
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, bind)
+        .await
+        .expect("the listener of a stopped member closes")
+}
+
+fn line(
+    measure: &str,
+    size: serde_json::Map<String, serde_json::Value>,
+    value: f64,
+    unit: &'static str,
+    arguments: &BenchArguments,
+) -> bool {
+    let measurement = Measurement {
+        measure: measure.to_owned(),
+        size,
+        value,
+        unit,
+        target: None,
+        seed: arguments.seed,
+    };
+    measurement.print()
+}
--- a/crates/oriolecrank-bench/src/lib.rs
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -7,5 +7,6 @@
 //! [`Measurement`]: measurement::Measurement
 
 pub mod arguments;
+pub mod control;
 pub mod measurement;
 pub mod policy;
--- a/crates/oriolecrank-bench/src/main.rs
+++ b/crates/oriolecrank-bench/src/main.rs
@@ -13,7 +13,7 @@
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 /// Text for wrong arguments.
-const USAGE: &str = "usage: oriolecrank-bench (codec|policy) [--seed N] [--seeds N] [--scenario NAME] \
+const USAGE: &str = "usage: oriolecrank-bench (codec|control|policy) [--seed N] [--seeds N] [--scenario NAME] \
                      [--variant NAME] [--quick] [--json]";
 
 fn main() -> ExitCode {
@@ -26,6 +26,7 @@
     };
     let passed = match arguments.measure.as_str() {
         "codec" => codec_size(&arguments),
+        "control" => oriolecrank_bench::control::run(&arguments),
         "policy" => oriolecrank_bench::policy::run(&arguments),
         _ => {
             eprintln!("{USAGE}");
