--- a/crates/oriolecrank-bench/src/lib.rs
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod control;
 pub mod measurement;
 pub mod policy;
+pub mod route;
--- a/crates/oriolecrank-control/src/lib.rs
+++ b/crates/oriolecrank-control/src/lib.rs
@@ -7,21 +7,30 @@
 //!   tells the subscribers.
 //! - [`LeaderDuties`] are what only the leader does; [`LeaseTable`] and [`SubscriberTable`] hold its
 //!   view of upstreams and entries.
+//! - [`OrderExecutor`], [`PlatformExecutor`] and [`UsageExecutor`] are what the leader does outside
+//!   the log. They ask for a [`WritePermit`] immediately before each write, and those that write to
+//!   systems without fencing numbers wait first ([`AuthorityWait`]).
 //! - `request_server` answers the other processes.
 //! - [`start_replica`] runs the consensus core and its storage on a thread; [`ReplicaHandle`] gives
 //!   access to it. [`PeerTransport`] and [`PeerIngress`] connect the replicas over HTTP.
 
+mod action_authority;
+mod cluster_label;
 mod command_replica;
+mod control_metrics;
+mod guarded_client;
 mod leader_duties;
 mod lease_table;
-mod local_log;
-mod local_replica;
 mod options;
+mod order_executor;
 mod peer_directory;
 mod peer_ingress;
 mod peer_sender;
 mod peer_transport;
+mod platform_client;
+mod platform_executor;
 mod process;
+mod raft_replica;
 mod replica;
 mod replica_error;
 mod replica_input;
@@ -32,16 +41,30 @@
 mod state_machine;
 mod subscriber_table;
 mod subscription_hub;
+mod usage_client;
+mod usage_executor;
 
+pub use action_authority::{
+    AuthorityWait, LeaderPermit, TermGuard, TimeSource, WaitSettings, WaitState, WritePermit,
+};
+pub use cluster_label::ClusterLabel;
 pub use command_replica::CommandReplica;
+pub use control_metrics::{ControlFigures, ControlMetrics};
+pub use guarded_client::{GuardedAnswer, GuardedError, VerdictError, send_guarded};
 pub use leader_duties::LeaderDuties;
 pub use lease_table::{LeaseReport, LeaseSettings, LeaseTable};
 pub use options::{ControlOptions, InitialMember};
+pub use order_executor::{OrderExecutor, OrderSettings};
 pub use peer_directory::PeerDirectory;
 pub use peer_ingress::PeerIngress;
 pub use peer_sender::PeerSender;
 pub use peer_transport::{PEER_PATH, PeerTransport};
+pub use platform_client::{
+    HttpPlatform, PlatformAnswer, PlatformClient, PlatformError, PlatformOrder, PlatformRequestId,
+};
+pub use platform_executor::{PlatformExecutor, PlatformSettings, StartOutcome, StartOutcomes};
 pub use process::{ControlError, ControlProcess};
+pub use raft_replica::{CommandMachine, RaftReplica};
 pub use replica::{MAX_ENTRY_BYTES, ReplicaHandle, ReplicaPhase, ReplicaSettings, ReplicaStatus};
 pub use replica_error::{Applied, BarrierError, ChangeError, ProposeError, ReplicaError};
 pub use replica_thread::start_replica;
@@ -49,3 +72,5 @@
 pub use state_machine::StateMachine;
 pub use subscriber_table::{ForceReport, SubscriberRecord, SubscriberTable};
 pub use subscription_hub::SubscriptionHub;
+pub use usage_client::{HttpUsage, ReportAnswer, ReportId, UsageClient, UsageReport};
+pub use usage_executor::{UsageExecutor, UsageSettings};
--- /dev/null
+++ b/crates/oriolecrank-control/src/raft_replica.rs
@@ -0,0 +1,148 @@
+//! The replicated log behind [`CommandReplica`].
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use oriolecrank_consensus::{
+    LeaderAuthority, LogIndex, Member, MemberRole, MembershipRequest, Term,
+};
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::codec;
+use oriolecrank_schema::control::{Command, CommandOutcome, ControlMember, LoggedCommand};
+
+use crate::command_replica::CommandReplica;
+use crate::replica::{ReplicaHandle, ReplicaPhase};
+use crate::replica_error::{ChangeError, ProposeError};
+use crate::shared_state::SharedState;
+use crate::state_machine::StateMachine;
+
+/// Applies committed commands to the shared state.
+#[derive(Debug)]
+pub struct CommandMachine(Arc<SharedState>);
+
+impl CommandMachine {
+    /// A machine over the given state.
+    pub const fn new(state: Arc<SharedState>) -> Self {
+        Self(state)
+    }
+}
+
+impl StateMachine for CommandMachine {
+    type Output = CommandOutcome;
+
+    fn apply(&mut self, index: LogIndex, term: Term, data: &[u8]) -> CommandOutcome {
+        // An instance that skipped a command it does not understand would diverge from the others.
+        let entry: LoggedCommand = codec::decode(data)
+            .expect("all control instances are upgraded before a new command is used");
+        let entry = LoggedCommand {
+            term: term.0,
+            ..entry
+        };
+        self.0.apply(oriolecrank_state::LogIndex(index.0), entry)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.snapshot()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) {
+        self.0
+            .restore(snapshot)
+            .expect("snapshots are written by the same or an older version");
+    }
+}
+
+/// A member of the replicated log.
+#[derive(Debug, Clone)]
+pub struct RaftReplica {
+    handle: ReplicaHandle<CommandOutcome>,
+}
+
+impl RaftReplica {
+    /// Uses the replica behind `handle`.
+    pub const fn new(handle: ReplicaHandle<CommandOutcome>) -> Self {
+        Self { handle }
+    }
+
+    /// Waits until the replica has stopped.
+    pub async fn stopped(&self) -> ReplicaPhase {
+        self.handle.stopped().await
+    }
+
+    /// Stops the replica.
+    pub fn stop(&self) {
+        self.handle.stop();
+    }
+
+    /// Changes the membership.
+    pub async fn change_membership(&self, request: MembershipRequest) -> Result<(), ChangeError> {
+        self.handle.change_membership(request).await.map(|_| ())
+    }
+}
+
+impl CommandReplica for RaftReplica {
+    async fn propose(&self, command: Command) -> CommandOutcome {
+        let time_ms = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |elapsed| elapsed.as_millis() as u64);
+        // The term is known only once the entry is in the log; it is filled in when it is applied.
+        let entry = LoggedCommand {
+            command,
+            term: 0,
+            time_ms,
+        };
+        match self.handle.propose(codec::encode(&entry)).await {
+            Ok(applied) => applied.output,
+            Err(error @ ProposeError::TooLarge { .. }) => CommandOutcome::Refused {
+                reason: error.to_string(),
+            },
+            Err(ProposeError::OutcomeUnknown) => CommandOutcome::Unavailable,
+            Err(
+                ProposeError::NotLeader
+                | ProposeError::Overloaded
+                | ProposeError::Replaced
+                | ProposeError::ProposeStopped,
+            ) => CommandOutcome::NotLeader { leader: None },
+        }
+    }
+
+    async fn read_barrier(&self) -> bool {
+        self.handle.read_barrier().await.is_ok()
+    }
+
+    fn authority(&self, now: TimePoint) -> Option<LeaderAuthority> {
+        self.handle
+            .authority()
+            .filter(|authority| now < authority.until)
+    }
+
+    fn leader_address(&self) -> Option<SocketAddr> {
+        let leader = self.handle.leader()?;
+        let own = leader.id == self.handle.status().node.id;
+        if own {
+            None
+        } else {
+            leader.address.parse().ok()
+        }
+    }
+
+    fn members(&self) -> Vec<ControlMember> {
+        let status = self.handle.status();
+        let leader = status.node.leader.as_ref();
+        let member = |member: &Member| ControlMember {
+            address: member.address.clone(),
+            instance: member.id.as_str().to_owned(),
+            leader: leader == Some(&member.id),
+            live: member.id == status.node.id,
+            matched_index: if member.id == status.node.id {
+                status.node.last.0
+            } else {
+                0
+            },
+            failure_domain: String::new(),
+            voter: member.role == MemberRole::Voter,
+        };
+        status.node.membership.members.iter().map(member).collect()
+    }
+}
