Bound the memory of proposals and heed only committed removals

(2) Proposals were bounded by number only, so 16,384 large ones could take far more than 256 MB, and the log was truncated only after 4,096 entries of any size. (3) A sole voter waited 0.5 to 1 s for an election at each start. Tests for each, for late founding replies and for a replaced membership entry. Conclusion: removals take effect for the removed instance only once they are final.

--- a/crates/oriolecrank-consensus/src/election.rs
+++ b/crates/oriolecrank-consensus/src/election.rs
@@ -79,7 +79,7 @@
         let own_last = (self.log.last_term(), self.log.last_index());
         !self.withholds_votes(now)
             && !membership.is_empty()
-            && !membership.is_retired(&self.id)
+            && !self.is_removed(&self.id)
             && (request.last_term, request.last_index) >= own_last
     }
 
--- a/crates/oriolecrank-consensus/src/node.rs
+++ b/crates/oriolecrank-consensus/src/node.rs
@@ -121,10 +121,18 @@
             messages: Vec::new(),
             reads: Vec::new(),
         };
-        node.reset_election_deadline(now);
+        // Nobody else can lead beside a sole voter: a second voter cannot have been added without an
+        // entry in this log.
+        if !node.is_sole_voter() {
+            node.reset_election_deadline(now);
+        }
         node
     }
 
+    fn is_sole_voter(&self) -> bool {
+        self.membership().voters().eq([&self.id])
+    }
+
     /// Identity of this instance.
     pub const fn id(&self) -> &InstanceId {
         &self.id
@@ -210,7 +218,7 @@
             }
             _ => {}
         }
-        if !self.takes_part() || self.membership().is_retired(&message.from) {
+        if !self.takes_part() || self.is_removed(&message.from) {
             return;
         }
         if message.term > self.hard_state.term && !self.accept_newer_term(&message, now) {
@@ -238,6 +246,12 @@
         }
     }
 
+    /// Whether the removal of an instance is committed. A removal that is not committed may be undone
+    /// by the very instance that it removes.
+    pub(crate) fn is_removed(&self, id: &InstanceId) -> bool {
+        self.log.membership_at(self.commit).is_retired(id)
+    }
+
     /// Adopts the newer term of a message; false if the message must be ignored.
     fn accept_newer_term(&mut self, message: &PeerMessage, now: TimePoint) -> bool {
         match &message.body {
--- a/crates/oriolecrank-consensus/tests/core_rules.rs
+++ b/crates/oriolecrank-consensus/tests/core_rules.rs
@@ -1,10 +1,10 @@
 //! Rules of the core that random schedules rarely exercise, with messages written by hand.
 
 use oriolecrank_consensus::{
-    AppendReply, AppendRequest, DiskTag, EntryBody, FoundingTags, HardState, InstanceId, LogEntry,
-    LogIndex, LogRecord, Member, MemberRole, Membership, MembershipError, MembershipRequest,
-    MessageBody, PeerMessage, RaftNode, RaftSettings, ReadyBatch, RoundMark, Snapshot, StoredState,
-    Term, VoteReply,
+    AppendReply, AppendRequest, DiskTag, EntryBody, FoundingProgress, FoundingReply, FoundingTags,
+    HardState, InstanceId, LogEntry, LogIndex, LogRecord, Member, MemberRole, Membership,
+    MembershipError, MembershipRequest, MembershipVersion, MessageBody, PeerMessage, RaftNode,
+    RaftSettings, ReadyBatch, RoundMark, Snapshot, StoredState, Term, VoteReply,
 };
 use oriolecrank_schema::TimePoint;
 use rand::SeedableRng as _;
@@ -232,3 +232,87 @@
     step(&mut node, "c2", term, accepted(1, now), now);
     node.propose_membership(&request, now).unwrap();
 }
+
+/// Guards against a late answer to a lost folder that admits the folder which replaced it.
+#[test]
+fn an_answer_to_an_earlier_folder_does_not_complete_the_founding_check() {
+    let members = ["c1", "c2"].map(|name| Member {
+        id: id(name),
+        address: String::new(),
+        role: MemberRole::Voter,
+    });
+    let stored = StoredState {
+        snapshot: Some(Snapshot {
+            index: LogIndex(0),
+            term: Term(0),
+            membership: Membership::founding(members.to_vec()),
+            data: Vec::new().into(),
+        }),
+        ..StoredState::default()
+    };
+    let (random, settings) = (StdRng::seed_from_u64(1), RaftSettings::default());
+    let mut node = RaftNode::new(id("c1"), DiskTag(1), settings, stored, random, START);
+    let cases = [
+        ("earlier folder", 9, true, FoundingProgress::Waiting),
+        ("this folder", 1, true, FoundingProgress::Complete),
+        ("later refusal", 1, false, FoundingProgress::Complete),
+    ];
+    for (name, probe_tag, admitted, expected) in cases {
+        let reply = FoundingReply {
+            probe_tag: DiskTag(probe_tag),
+            tag: DiskTag(2),
+            admitted,
+        };
+        let body = MessageBody::FoundingReply(reply);
+        step(&mut node, "c2", Term(0), body, START);
+        assert_eq!(node.founding_progress(), expected, "{name}");
+    }
+}
+
+/// Guards against a sole voter that waits for an election timeout at each start although nobody else
+/// can lead, and against one of several that does not wait.
+#[test]
+fn only_a_sole_voter_leads_at_once() {
+    for (voters, leads) in [(&["c1"][..], true), (&["c1", "c2"][..], false)] {
+        let mut node = restarted(voters, 1, Vec::new());
+        node.tick(START);
+        assert_eq!(node.is_leader(), leads, "{voters:?}");
+        assert!(node.next_tick() > START, "{voters:?}");
+    }
+}
+
+/// Guards against a membership that stays in effect although its entry was replaced, and against an
+/// instance that ignores the leader because an entry which is not committed removes that leader.
+#[test]
+fn a_replaced_membership_entry_is_no_longer_in_effect() {
+    let changed = Membership {
+        version: MembershipVersion(2),
+        members: Vec::new(),
+        retired: vec![id("c2")],
+    };
+    let change = LogEntry {
+        body: EntryBody::Membership(changed),
+        ..entry(2, 2)
+    };
+    let mut node = restarted(&["c1", "c2", "c3"], 2, vec![entry(1, 1), change]);
+    assert_eq!(node.membership().version, MembershipVersion(2));
+    let request = AppendRequest {
+        mark: RoundMark {
+            round: 1,
+            sent: START,
+        },
+        previous_index: LogIndex(1),
+        previous_term: Term(1),
+        commit: LogIndex(0),
+        entries: vec![entry(2, 3)],
+    };
+    step(
+        &mut node,
+        "c2",
+        Term(3),
+        MessageBody::Append(request),
+        START,
+    );
+    assert_eq!(node.membership().version, MembershipVersion(1));
+    assert_eq!(node.membership().voters().count(), 3);
+}
--- a/crates/oriolecrank-control/src/replica.rs
+++ b/crates/oriolecrank-control/src/replica.rs
@@ -11,7 +11,7 @@
 };
 use oriolecrank_net::BootClock;
 use snafu::ensure;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Semaphore, oneshot, watch};
 use tokio::time::timeout;
 
 use crate::replica_error::{
@@ -25,6 +25,10 @@
 /// delay heartbeats.
 pub const MAX_ENTRY_BYTES: usize = 4 * 1024 * 1024;
 
+/// Memory for proposals that are not settled, in KiB. More would push a control instance towards its
+/// limit of 256 MB.
+const PROPOSAL_KIB: usize = 64 * 1024;
+
 /// Settings of a replica.
 #[derive(Debug, Clone)]
 pub struct ReplicaSettings {
@@ -40,8 +44,12 @@
     pub raft: RaftSettings,
     /// Entries applied between two snapshots.
     pub snapshot_entries: u64,
+    /// Size of the entries applied between two snapshots, in bytes.
+    pub snapshot_bytes: usize,
     /// Entries kept in memory before a snapshot for members that lag a little.
     pub kept_entries: u64,
+    /// Size of these entries, in bytes.
+    pub kept_bytes: usize,
     /// Longest wait for a proposal or a membership change.
     pub propose_timeout: Duration,
     /// Longest wait for a read barrier.
@@ -57,7 +65,9 @@
             founders: Vec::new(),
             raft: RaftSettings::default(),
             snapshot_entries: 4_096,
+            snapshot_bytes: 16 * 1024 * 1024,
             kept_entries: 1_024,
+            kept_bytes: 8 * 1024 * 1024,
             propose_timeout: Duration::from_secs(5),
             barrier_timeout: Duration::from_secs(1),
         }
@@ -101,6 +111,8 @@
     pub(crate) authority: Arc<Mutex<Option<LeaderAuthority>>>,
     pub(crate) status: watch::Receiver<ReplicaStatus>,
     pub(crate) phase: watch::Receiver<ReplicaPhase>,
+    /// KiB that proposals may still take.
+    pub(crate) memory: Arc<Semaphore>,
     pub(crate) propose_timeout: Duration,
     pub(crate) barrier_timeout: Duration,
 }
@@ -113,6 +125,7 @@
             authority: Arc::clone(&self.authority),
             status: self.status.clone(),
             phase: self.phase.clone(),
+            memory: Arc::clone(&self.memory),
             propose_timeout: self.propose_timeout,
             barrier_timeout: self.barrier_timeout,
         }
@@ -124,8 +137,16 @@
     pub async fn propose(&self, data: Vec<u8>) -> Result<Applied<O>, ProposeError> {
         let (size, limit) = (data.len(), MAX_ENTRY_BYTES);
         ensure!(size <= limit, TooLargeSnafu { size, limit });
+        let Ok(permit) = Arc::clone(&self.memory).try_acquire_many_owned(kibibytes(size)) else {
+            return OverloadedSnafu.fail();
+        };
         let (reply, outcome) = oneshot::channel();
-        match self.inputs.try_send(ReplicaInput::Propose { data, reply }) {
+        let input = ReplicaInput::Propose {
+            data,
+            reply,
+            permit,
+        };
+        match self.inputs.try_send(input) {
             Ok(()) => {}
             Err(TrySendError::Full(_)) => return OverloadedSnafu.fail(),
             Err(TrySendError::Disconnected(_)) => return ProposeStoppedSnafu.fail(),
@@ -223,3 +244,13 @@
         phase.clone()
     }
 }
+
+/// Memory for the proposals of one replica.
+pub(crate) fn proposal_memory() -> Arc<Semaphore> {
+    Arc::new(Semaphore::new(PROPOSAL_KIB))
+}
+
+/// Size in KiB, rounded up and counting what a proposal takes besides its data.
+fn kibibytes(bytes: usize) -> u32 {
+    (bytes / 1024 + 1) as u32
+}
--- a/crates/oriolecrank-control/src/replica_input.rs
+++ b/crates/oriolecrank-control/src/replica_input.rs
@@ -1,7 +1,7 @@
 //! Inputs of a replica's thread.
 
 use oriolecrank_consensus::{EntryPosition, LogIndex, MembershipRequest, PeerMessage};
-use tokio::sync::oneshot;
+use tokio::sync::{OwnedSemaphorePermit, oneshot};
 
 use crate::replica_error::{Applied, BarrierError, ChangeError, ProposeError};
 
@@ -21,6 +21,8 @@
     Propose {
         data: Vec<u8>,
         reply: ProposeReply<O>,
+        /// Share of the memory for proposals, given back when the proposal is settled.
+        permit: OwnedSemaphorePermit,
     },
     Change {
         request: MembershipRequest,
--- a/crates/oriolecrank-control/src/replica_thread.rs
+++ b/crates/oriolecrank-control/src/replica_thread.rs
@@ -20,7 +20,9 @@
 use tokio::sync::watch;
 
 use crate::peer_sender::PeerSender;
-use crate::replica::{ReplicaHandle, ReplicaPhase, ReplicaSettings, ReplicaStatus, ReplicaView};
+use crate::replica::{
+    ReplicaHandle, ReplicaPhase, ReplicaSettings, ReplicaStatus, ReplicaView, proposal_memory,
+};
 use crate::replica_error::{ChangeError, ProposeError, ReplicaError, SpawnSnafu, StorageSnafu};
 use crate::replica_input::{ReadReply, ReplicaInput};
 use crate::replica_waiters::{EntryWaiter, EntryWaiters, ReadWaiters};
@@ -47,6 +49,8 @@
     entries: EntryWaiters<M::Output>,
     reads: ReadWaiters,
     applied: LogIndex,
+    /// Size of the entries applied since the last snapshot, in bytes.
+    applied_bytes: usize,
     /// Members that the sender knows.
     members: Membership,
     role: RoleName,
@@ -96,6 +100,7 @@
         authority: Arc::clone(&authority),
         status: status_receiver,
         phase: phase_receiver,
+        memory: proposal_memory(),
         propose_timeout: settings.propose_timeout,
         barrier_timeout: settings.barrier_timeout,
     };
@@ -109,6 +114,7 @@
         entries: EntryWaiters::default(),
         reads: ReadWaiters::default(),
         applied,
+        applied_bytes: 0,
         members: Membership::default(),
         role: RoleName::Follower,
         founding: FoundingProgress::Waiting,
@@ -172,6 +178,7 @@
             if self.node.next_tick() <= now {
                 self.node.tick(now);
                 self.reads.prune();
+                self.entries.prune();
             }
             self.drive()?;
             self.compact_if_due()?;
@@ -188,12 +195,20 @@
                         self.node.step(message, now);
                     }
                 }
-                ReplicaInput::Propose { data, reply } => {
-                    match self.node.propose(data.into(), now) {
-                        Ok(position) => self.entries.add(position, EntryWaiter::Proposal(reply)),
-                        Err(refused) => drop(reply.send(Err(refused.into()))),
+                ReplicaInput::Propose {
+                    data,
+                    reply,
+                    permit,
+                } => match self.node.propose(data.into(), now) {
+                    Ok(position) => {
+                        let waiter = EntryWaiter::Proposal {
+                            reply,
+                            _permit: permit,
+                        };
+                        self.entries.add(position, waiter);
                     }
-                }
+                    Err(refused) => drop(reply.send(Err(refused.into()))),
+                },
                 ReplicaInput::Change { request, reply } => {
                     match self.node.propose_membership(&request, now) {
                         Ok(position) => self.entries.add(position, EntryWaiter::Change(reply)),
@@ -252,6 +267,7 @@
 
     fn apply(&mut self, entry: &LogEntry) {
         self.applied = entry.index;
+        self.applied_bytes += entry.size();
         let output = match &entry.body {
             EntryBody::Data(data) => Some(self.machine.apply(entry.index, entry.term, data)),
             EntryBody::Noop | EntryBody::Membership(_) => None,
@@ -267,17 +283,36 @@
 
     fn compact_if_due(&mut self) -> Result<(), StorageError> {
         let since = self.applied.0 - self.node.snapshot_index().0.min(self.applied.0);
-        if since < self.settings.snapshot_entries {
+        let settings = &self.settings;
+        let due =
+            since >= settings.snapshot_entries || self.applied_bytes >= settings.snapshot_bytes;
+        if !due || since == 0 {
             return Ok(());
         }
+        self.applied_bytes = 0;
         let data = self.machine.snapshot().into();
-        let kept = self.settings.kept_entries;
+        let kept = self.kept_entries();
         match self.node.compact(self.applied, data, kept) {
             Some(snapshot) => self.store_snapshot(&snapshot),
             None => Ok(()),
         }
     }
 
+    /// Number of applied entries to keep for members that lag a little.
+    fn kept_entries(&self) -> u64 {
+        let applied = self
+            .node
+            .log_entries()
+            .filter(|entry| entry.index <= self.applied);
+        let sizes: Vec<usize> = applied.map(LogEntry::size).collect();
+        let mut bytes = 0;
+        let fitting = sizes.iter().rev().take_while(|size| {
+            bytes += **size;
+            bytes <= self.settings.kept_bytes
+        });
+        (fitting.count() as u64).min(self.settings.kept_entries)
+    }
+
     fn store_snapshot(
         &mut self,
         snapshot: &oriolecrank_consensus::Snapshot,
--- a/crates/oriolecrank-control/src/replica_waiters.rs
+++ b/crates/oriolecrank-control/src/replica_waiters.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use oriolecrank_consensus::{EntryPosition, LogIndex, ReadContext, ReadOutcome, Term};
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::replica_error::{Applied, BarrierError, ChangeError, ProposeError};
 use crate::replica_input::{ChangeReply, ProposeReply, ReadReply};
@@ -10,7 +11,11 @@
 /// A caller that waits for an entry.
 #[derive(Debug)]
 pub(crate) enum EntryWaiter<O> {
-    Proposal(ProposeReply<O>),
+    Proposal {
+        reply: ProposeReply<O>,
+        /// Given back when the waiter is dropped.
+        _permit: OwnedSemaphorePermit,
+    },
     Change(ChangeReply),
 }
 
@@ -32,14 +37,14 @@
 impl<O> EntryWaiter<O> {
     fn replaced(self) {
         match self {
-            Self::Proposal(reply) => drop(reply.send(Err(ProposeError::Replaced))),
+            Self::Proposal { reply, .. } => drop(reply.send(Err(ProposeError::Replaced))),
             Self::Change(reply) => drop(reply.send(Err(ChangeError::ChangeUnknown))),
         }
     }
 
     fn unknown(self) {
         match self {
-            Self::Proposal(reply) => drop(reply.send(Err(ProposeError::OutcomeUnknown))),
+            Self::Proposal { reply, .. } => drop(reply.send(Err(ProposeError::OutcomeUnknown))),
             Self::Change(reply) => drop(reply.send(Err(ChangeError::ChangeUnknown))),
         }
     }
@@ -71,6 +76,14 @@
         None
     }
 
+    /// Forgets callers that have given up.
+    pub(crate) fn prune(&mut self) {
+        self.0.retain(|_, (_, waiter)| match waiter {
+            EntryWaiter::Proposal { reply, .. } => !reply.is_closed(),
+            EntryWaiter::Change(reply) => !reply.is_closed(),
+        });
+    }
+
     /// Gives up on entries that a snapshot has covered.
     pub(crate) fn skip(&mut self, until: LogIndex) {
         let later = self.0.split_off(&until.next());
@@ -84,13 +97,13 @@
     /// Tells the caller that its entry is committed.
     pub(crate) fn committed(self, position: EntryPosition, output: Option<O>) {
         match (self, output) {
-            (Self::Proposal(reply), Some(output)) => drop(reply.send(Ok(Applied {
+            (Self::Proposal { reply, .. }, Some(output)) => drop(reply.send(Ok(Applied {
                 index: position.index,
                 term: position.term,
                 output,
             }))),
             (Self::Change(reply), _) => drop(reply.send(Ok(position))),
-            (waiter @ Self::Proposal(_), None) => waiter.unknown(),
+            (waiter @ Self::Proposal { .. }, None) => waiter.unknown(),
         }
     }
 }
--- a/crates/oriolecrank-control/tests/replica_group.rs
+++ b/crates/oriolecrank-control/tests/replica_group.rs
@@ -13,8 +13,9 @@
     Term,
 };
 use oriolecrank_control::{
-    BarrierError, ChangeError, PEER_PATH, PeerDirectory, PeerIngress, PeerSender, PeerTransport,
-    ProposeError, ReplicaHandle, ReplicaPhase, ReplicaSettings, StateMachine, start_replica,
+    BarrierError, ChangeError, MAX_ENTRY_BYTES, PEER_PATH, PeerDirectory, PeerIngress, PeerSender,
+    PeerTransport, ProposeError, ReplicaHandle, ReplicaPhase, ReplicaSettings, StateMachine,
+    start_replica,
 };
 use oriolecrank_net::shutdown::{ShutdownTrigger, shutdown_channel};
 use oriolecrank_net::{
@@ -23,6 +24,7 @@
 };
 use tempfile::TempDir;
 use tokio::net::TcpListener;
+use tokio::task::JoinSet;
 
 /// Longest wait for anything that must happen; reached only by a failing test.
 const PATIENCE: Duration = Duration::from_secs(20);
@@ -418,3 +420,72 @@
     );
     open().unwrap();
 }
+
+/// Guards against proposals that fill the memory while no quorum answers, and against an entry that
+/// delays heartbeats by its size.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn memory_for_proposals_is_bounded() {
+    let folder = tempfile::tempdir().unwrap();
+    let instances = group(&folder).await;
+    let leader = commit(&instances, "first").await;
+    let handle = &instances[leader].handle;
+    let too_large = handle.propose(vec![0; MAX_ENTRY_BYTES + 1]).await;
+    assert!(
+        matches!(too_large, Err(ProposeError::TooLarge { .. })),
+        "{too_large:?}"
+    );
+    for (position, instance) in instances.iter().enumerate() {
+        if position != leader {
+            instance.stop().await;
+        }
+    }
+    // 64 MiB are allowed, and each proposal counts a little more than its data.
+    let mut proposals = JoinSet::new();
+    for _ in 0..20 {
+        let handle = handle.clone();
+        proposals.spawn(async move { handle.propose(vec![0; MAX_ENTRY_BYTES]).await });
+    }
+    let outcomes = proposals.join_all().await;
+    let count = |wanted: &ProposeError| {
+        let errors = outcomes.iter().map(|outcome| outcome.as_ref().unwrap_err());
+        errors.filter(|error| *error == wanted).count()
+    };
+    assert!(count(&ProposeError::Overloaded) >= 5, "{outcomes:?}");
+    let again = handle.propose(Vec::new()).await;
+    assert_ne!(
+        again,
+        Err(ProposeError::Overloaded),
+        "the memory was given back"
+    );
+}
+
+/// Guards against a log that grows without bound while entries are large but few.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_entries_bring_a_snapshot_early() {
+    let folder = tempfile::tempdir().unwrap();
+    let machine = ListMachine(AppliedLog::default());
+    let settings = ReplicaSettings {
+        snapshot_entries: 1_000_000,
+        snapshot_bytes: 100_000,
+        kept_bytes: 20_000,
+        ..settings(
+            "c1",
+            folder.path(),
+            &[founder("c1", "127.0.0.1:1".parse().unwrap())],
+        )
+    };
+    let handle = start_replica(settings, machine, NoPeers).unwrap();
+    let elected = handle.wait_for_status(|status| status.node.role == RoleName::Leader);
+    tokio::time::timeout(PATIENCE, elected)
+        .await
+        .unwrap()
+        .unwrap();
+    for _ in 0..30 {
+        handle.propose(vec![1; 10_000]).await.unwrap();
+    }
+    let compacted = handle.wait_for_status(|status| status.node.snapshot.0 >= 20);
+    tokio::time::timeout(PATIENCE, compacted)
+        .await
+        .unwrap()
+        .unwrap();
+}
