Average the first demand reports and freeze until they cover 40 s

Cause: the first report of an entry stood for its whole past.

Change: until a time scale is covered, its average is the mean of the reports, and the estimate is stale until the reports cover 40 s.

--- a/crates/oriolecrank-capacity/src/demand_estimate.rs
+++ b/crates/oriolecrank-capacity/src/demand_estimate.rs
@@ -94,7 +94,7 @@
 pub enum Freshness {
     /// Most reporters reported recently.
     Fresh,
-    /// Too many reporters are silent; plans are frozen.
+    /// Too many reporters are silent or new; plans are frozen.
     Stale,
 }
 
@@ -112,6 +112,9 @@
     pub forget_after: Duration,
     /// Smallest share of reporters that have to be heard for a fresh estimate.
     pub fresh_share: f64,
+    /// Time that the reports of a reporter have to cover before the estimate counts as fresh. The
+    /// first seconds of Poisson calls are off by half of their mean.
+    pub warm_up: Duration,
 }
 
 impl Default for DemandSettings {
@@ -122,6 +125,7 @@
             silent_after: Duration::from_secs(15),
             forget_after: Duration::from_mins(1),
             fresh_share: 0.5,
+            warm_up: Duration::from_secs(40),
         }
     }
 }
@@ -164,6 +168,8 @@
     /// Bit `i` is set if the report `newest - i` was counted.
     seen: u64,
     heard: TimePoint,
+    /// Time that the counted reports cover.
+    covered: Duration,
     keys: IndexMap<DemandKey, DemandSummary>,
 }
 
@@ -201,9 +207,9 @@
                 newest: report.sequence,
                 seen: 1,
                 heard: now,
+                covered: report.interval,
                 keys: IndexMap::new(),
             };
-            // The first report stands for the whole past, so that the averages need no warm-up.
             state.blend(report, 1.0, 1.0);
             self.reporters.insert(report.reporter.clone(), state);
             return ReportResult::Counted;
@@ -217,10 +223,14 @@
         if result != ReportResult::CountedLate {
             state.heard = now;
         }
+        state.covered += report.interval;
         let interval = report.interval.as_secs_f64();
+        // Until a scale is covered, its average is the plain mean of the reports.
+        let mean = interval / state.covered.as_secs_f64();
         let weight = |scale: Duration| {
             let scale = scale.as_secs_f64();
-            (1.0 - (-interval / scale).exp()) * (-interval * late_by as f64 / scale).exp()
+            let newest = (1.0 - (-interval / scale).exp()).max(mean);
+            newest * (-interval * late_by as f64 / scale).exp()
         };
         state.blend(
             report,
@@ -237,12 +247,14 @@
             .retain(|_, state| now.since(state.heard) <= bound);
     }
 
-    /// Whether enough reporters were heard recently; an estimate without reporters is stale.
+    /// Whether enough reporters were heard recently and for long enough; an estimate without
+    /// reporters is stale.
     pub fn freshness(&self, now: TimePoint) -> Freshness {
         let heard = self
             .reporters
             .values()
             .filter(|state| now.since(state.heard) <= self.settings.silent_after)
+            .filter(|state| state.covered >= self.settings.warm_up)
             .count();
         let needed = self.settings.fresh_share * self.reporters.len() as f64;
         if heard == 0 || (heard as f64) < needed {
--- a/crates/oriolecrank-capacity/tests/capacity/demand_estimate.rs
+++ b/crates/oriolecrank-capacity/tests/capacity/demand_estimate.rs
@@ -133,13 +133,14 @@
     ];
     for (name, heard, silent, expected) in cases {
         let mut estimator = DemandEstimator::default();
-        for index in 0..heard + silent {
-            estimator.observe(&report(&format!("e{index}"), 1, 100), seconds(0));
+        for second in 0..80 {
+            let reporting = if second < 60 { heard + silent } else { heard };
+            for index in 0..reporting {
+                let report = report(&format!("e{index}"), second, 100);
+                estimator.observe(&report, seconds(second));
+            }
         }
-        for index in 0..heard {
-            estimator.observe(&report(&format!("e{index}"), 2, 100), seconds(20));
-        }
-        assert_eq!(estimator.freshness(seconds(20)), expected, "{name}");
+        assert_eq!(estimator.freshness(seconds(80)), expected, "{name}");
     }
 }
 
@@ -148,7 +149,9 @@
 fn a_reporter_that_left_is_forgotten() {
     let mut estimator = DemandEstimator::default();
     estimator.observe(&report("e1", 1, 1_000), seconds(0));
-    estimator.observe(&report("e2", 1, 500), seconds(50));
+    for second in 1..=60 {
+        estimator.observe(&report("e2", second, 500), seconds(second));
+    }
     estimator.expire(seconds(61));
     let left = estimator.summary(&key()).short.prefill.as_f64();
     assert!((left - 500.0).abs() < 1e-6, "{left}");
@@ -184,3 +187,24 @@
     let forecast = summary.forecast(Duration::from_mins(5), &DemandSettings::default());
     assert_eq!(forecast, rate(0.0, 0.0));
 }
+
+/// Guards against plans that follow the first few calls a new leader hears of.
+#[test]
+fn the_first_reports_are_averaged_and_not_acted_on() {
+    let mut estimator = DemandEstimator::default();
+    let warm_up = DemandSettings::default().warm_up.as_secs();
+    for second in 1..warm_up {
+        let tokens = if second == 1 { 50_000 } else { 1_000 };
+        estimator.observe(&report("e1", second, tokens), seconds(second));
+        assert_eq!(
+            estimator.freshness(seconds(second)),
+            Freshness::Stale,
+            "{second}"
+        );
+    }
+    let long = estimator.summary(&key()).long.prefill.as_f64();
+    let mean = (50_000.0 + 1_000.0 * (warm_up - 2) as f64) / (warm_up - 1) as f64;
+    assert!((long - mean).abs() < 1.0, "{long} instead of {mean}");
+    estimator.observe(&report("e1", warm_up, 1_000), seconds(warm_up));
+    assert_eq!(estimator.freshness(seconds(warm_up)), Freshness::Fresh);
+}
