Find silent engine connections and probe idle ones

Cause: the agent waited 10 s for the next bytes of an engine, and a connection that was forgotten between the two ends during a prefill was found only at the deadline. Ruled out: a limit for unacknowledged bytes, which would also cut off slow callers. Change: 2 s of silence in the middle of an answer fail the attempt, so that the entry continues elsewhere; the first byte is bounded by the deadline; TCP probes each second on all connections.

--- a/crates/oriolecrank-agent/src/upstream_client.rs
+++ b/crates/oriolecrank-agent/src/upstream_client.rs
@@ -22,9 +22,10 @@
 /// Path at which an engine takes orders.
 const ORDER_PATH: &str = "/admin/orders";
 
-/// Longest silence of an upstream in the middle of an answer. Engines send no heartbeats, and a
-/// long prefill sends nothing, so the bound is far above the time between two tokens.
-const UPSTREAM_SILENCE: Duration = Duration::from_secs(10);
+/// Longest silence of an upstream in the middle of an answer. It is far above the 61 ms between two
+/// tokens; the time to the first byte is bounded by the deadline instead, because a long prefill
+/// sends nothing.
+const UPSTREAM_SILENCE: Duration = Duration::from_secs(2);
 
 /// One call to the upstream.
 #[derive(Debug, Clone)]
@@ -59,8 +60,11 @@
     #[snafu(display("the upstream closed the connection before the end of the answer"))]
     Broken,
     /// The upstream sent nothing for too long.
-    #[snafu(display("the upstream sent nothing for {} s", UPSTREAM_SILENCE.as_secs()))]
-    Silent,
+    #[snafu(display("the upstream sent nothing for {} ms", bound.as_millis()))]
+    Silent {
+        /// Longest wait.
+        bound: Duration,
+    },
 }
 
 impl CallError {
@@ -69,7 +73,7 @@
         match self {
             Self::BadRequest => RunVerdict::NotRun,
             Self::Send { source } => source.verdict(),
-            Self::Broken | Self::Silent => RunVerdict::MayHaveRun,
+            Self::Broken | Self::Silent { .. } => RunVerdict::MayHaveRun,
         }
     }
 }
@@ -141,7 +145,10 @@
             return BadRequestSnafu.fail();
         };
         let response = self.client.send(self.address, request, call.bound).await?;
-        Ok(HttpAnswer(response))
+        Ok(HttpAnswer {
+            response,
+            silence: call.bound,
+        })
     }
 
     async fn order(&self, order: &EngineOrder, bound: Duration) -> OrderResult {
@@ -193,15 +200,20 @@
 
 /// Answer of an [`HttpUpstream`].
 #[derive(Debug)]
-pub struct HttpAnswer(ClientResponse);
+pub struct HttpAnswer {
+    response: ClientResponse,
+    /// Longest wait for the next bytes: the time until the deadline before the first ones, then
+    /// [`UPSTREAM_SILENCE`].
+    silence: Duration,
+}
 
 impl UpstreamAnswer for HttpAnswer {
     fn status(&self) -> u16 {
-        self.0.status().as_u16()
+        self.response.status().as_u16()
     }
 
     fn headers(&self) -> Vec<HeaderField> {
-        let fields = self.0.headers().iter().filter_map(|(name, value)| {
+        let fields = self.response.headers().iter().filter_map(|(name, value)| {
             let value = value.to_str().ok()?.to_owned();
             Some(HeaderField {
                 name: name.as_str().to_owned(),
@@ -213,8 +225,11 @@
 
     async fn next(&mut self) -> Result<Option<Bytes>, CallError> {
         loop {
-            let Ok(frame) = timeout(UPSTREAM_SILENCE, self.0.body_mut().frame()).await else {
-                return SilentSnafu.fail();
+            let Ok(frame) = timeout(self.silence, self.response.body_mut().frame()).await else {
+                return SilentSnafu {
+                    bound: self.silence,
+                }
+                .fail();
             };
             match frame {
                 None => return Ok(None),
@@ -222,6 +237,7 @@
                 // Trailers carry nothing that callers need.
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.silence = UPSTREAM_SILENCE;
                         return Ok(Some(data));
                     }
                 }
--- a/crates/oriolecrank-agent/tests/agent/answers.rs
+++ b/crates/oriolecrank-agent/tests/agent/answers.rs
@@ -156,3 +156,64 @@
         matches!(command, Command::Announce { record, .. } if record.phase == UpstreamPhase::Leaving)
     })
 }
+
+/// Guards against an answer that waits for ever because the engine's connection went silent in the
+/// middle while new connections work.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_engine_connection_fails_the_attempt() {
+    let engine = FakeEngine::default();
+    engine
+        .faults()
+        .silent_after_tokens
+        .store(3, Ordering::SeqCst);
+    let agent = TestAgent::start(engine.clone()).await;
+    let answer = read_answer(
+        &mut agent.run(&agent.request("a"), &completion("x", 8)).await,
+        0,
+    )
+    .await;
+    let RunEvent::Failed {
+        verdict,
+        output_tokens,
+        ..
+    } = answer.last
+    else {
+        panic!()
+    };
+    assert_eq!((verdict, output_tokens), (RunVerdict::MayHaveRun, 3));
+    engine
+        .faults()
+        .silent_after_tokens
+        .store(0, Ordering::SeqCst);
+    let again = read_answer(
+        &mut agent.run(&agent.request("b"), &completion("x", 8)).await,
+        0,
+    )
+    .await;
+    assert!(
+        matches!(again.last, RunEvent::End { .. }),
+        "{:?}",
+        again.last
+    );
+}
+
+/// Guards against a long prefill that is taken for a silent connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_wait_for_the_first_token_is_no_silence() {
+    let first_token = Duration::from_millis(2_500);
+    let agent = TestAgent::start(FakeEngine::new(EngineOptions {
+        first_token,
+        ..EngineOptions::default()
+    }))
+    .await;
+    let answer = read_answer(
+        &mut agent.run(&agent.request("a"), &completion("x", 3)).await,
+        0,
+    )
+    .await;
+    assert!(
+        matches!(answer.last, RunEvent::End { .. }),
+        "{:?}",
+        answer.last
+    );
+}
--- a/crates/oriolecrank-net/src/http_client.rs
+++ b/crates/oriolecrank-net/src/http_client.rs
@@ -16,6 +16,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::socket_options::set_options;
+
 /// Times and sizes of an [`HttpClient`].
 #[derive(Debug, Clone)]
 pub struct ClientSettings {
@@ -182,8 +184,8 @@
             let stream = TcpStream::connect(address)
                 .await
                 .context(ConnectSnafu { address })?;
-            // Failure only costs latency, so the result is not needed.
-            let _ = stream.set_nodelay(true);
+            // A connection without these options still works; silence bounds of the callers remain.
+            let _ = set_options(&stream);
             let opened = handshake(TokioIo::new(stream)).await;
             opened.map_err(|_| ConnectTimeoutSnafu { address }.build())
         };
--- a/crates/oriolecrank-net/src/http_server.rs
+++ b/crates/oriolecrank-net/src/http_server.rs
@@ -23,6 +23,7 @@
 use crate::answer_body::AnswerBody;
 use crate::cluster_secret::ClusterSecret;
 use crate::shutdown::ShutdownSignal;
+use crate::socket_options::set_options;
 
 /// Longest time to receive the head of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -77,8 +78,8 @@
     handler: Arc<H>,
     mut shutdown: ShutdownSignal,
 ) {
-    // Failure only costs latency, so the result is not needed.
-    let _ = stream.set_nodelay(true);
+    // A connection without these options still works; silence bounds of the callers remain.
+    let _ = set_options(&stream);
     let service = service_fn(move |request| {
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(request, peer).await) }
--- a/crates/oriolecrank-net/src/lib.rs
+++ b/crates/oriolecrank-net/src/lib.rs
@@ -21,6 +21,7 @@
 mod process_main;
 pub mod settings_file;
 pub mod shutdown;
+mod socket_options;
 
 pub use answer_body::{AnswerBody, BodyAborted, BodyReceiver, BodySender};
 pub use boot_clock::BootClock;
@@ -33,3 +34,4 @@
 };
 pub use operator_listener::{OperatorListener, ReadyFlag};
 pub use process_main::{ProcessArguments, run_process};
+pub use socket_options::set_options;
--- a/crates/oriolecrank-net/tests/transport.rs
+++ b/crates/oriolecrank-net/tests/transport.rs
@@ -255,3 +255,13 @@
         let _ = decode_frame::<SubscriptionFrame>(&mut BytesMut::from(&bytes[..]));
     }
 }
+
+/// Guards against connections that hang for ever because the kernel never probes them.
+#[tokio::test]
+async fn connections_are_probed() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    oriolecrank_net::set_options(&stream).unwrap();
+    assert!(socket2::SockRef::from(&stream).keepalive().unwrap());
+}
