Let an instance lead until its own removal is committed

Change: a voter of the committed membership may campaign; its own vote counts only in a membership that contains it. A test states the rule. Conclusion: a change that removes the leader cannot stop the group.

--- a/crates/oriolecrank-consensus/src/election.rs
+++ b/crates/oriolecrank-consensus/src/election.rs
@@ -10,8 +10,14 @@
 use crate::vote_count::VoteCount;
 
 impl RaftNode {
+    /// Whether this instance is a voter, or was one until an entry that is not committed yet.
+    ///
+    /// In the second case it may be the only one whose log is long enough to be elected. It then
+    /// commits its own removal and resigns; its own vote does not count.
     pub(crate) fn may_campaign(&self) -> bool {
-        self.takes_part() && self.membership().is_voter(&self.id)
+        let committed = self.log.membership_at(self.commit);
+        let voter = self.membership().is_voter(&self.id) || committed.is_voter(&self.id);
+        self.takes_part() && voter
     }
 
     /// Whether a leader may still hold a lease that this instance has confirmed.
--- a/crates/oriolecrank-consensus/tests/core_rules.rs
+++ b/crates/oriolecrank-consensus/tests/core_rules.rs
@@ -316,3 +316,52 @@
     assert_eq!(node.membership().version, MembershipVersion(1));
     assert_eq!(node.membership().voters().count(), 3);
 }
+
+/// Guards against a group without a leader when the only instance with a long enough log is the one
+/// that an uncommitted entry removes.
+#[test]
+fn an_instance_leads_until_its_own_removal_is_committed() {
+    let known = restarted(&["c1", "c2", "c3"], 1, Vec::new());
+    let mut changed = known.membership().clone();
+    changed.version = MembershipVersion(2);
+    changed.members.retain(|member| member.id != id("c1"));
+    changed.retired.push(id("c1"));
+    let removal = LogEntry {
+        body: EntryBody::Membership(changed),
+        ..entry(1, 1)
+    };
+    let mut node = restarted(&["c1", "c2", "c3"], 1, vec![removal]);
+    let now = START + RaftSettings::default().election_max;
+    node.tick(now);
+    let granted = VoteReply {
+        candidate_term: node.term().next(),
+        granted: true,
+    };
+    // Both remaining voters are needed, because the own vote does not count.
+    for (voter, leads) in [("c2", false), ("c3", true)] {
+        let term = node.term();
+        step(
+            &mut node,
+            voter,
+            term,
+            MessageBody::PreVoteReply(granted),
+            now,
+        );
+        let term = node.term();
+        step(&mut node, voter, term, MessageBody::VoteReply(granted), now);
+        if voter == "c3" {
+            step(&mut node, "c2", term, MessageBody::VoteReply(granted), now);
+        }
+        assert_eq!(node.is_leader(), leads, "{voter}");
+    }
+    settle(&mut node, now);
+    let term = node.term();
+    step(&mut node, "c2", term, accepted(2, now), now);
+    assert!(node.is_leader());
+    step(&mut node, "c3", term, accepted(2, now), now);
+    assert_eq!(node.status().commit, LogIndex(2));
+    assert!(
+        !node.is_leader(),
+        "it resigns once the removal is committed"
+    );
+}
