Bound the work of the usage executor and test the whole process

Cause: without a receiver the leader proposed to close the window twice a second once 1,440 windows were kept, and a long backlog of windows was copied in each round. Change: a refused close is tried again after 10 s; at most 16 due windows are sent in a round; without a receiver no window counts as late.

--- a/crates/oriolecrank-control/src/usage_executor.rs
+++ b/crates/oriolecrank-control/src/usage_executor.rs
@@ -23,6 +23,10 @@
 /// Interval of rounds.
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Largest number of windows that are sent in one round, oldest first, so that a long backlog does
+/// not delay the close of the open window.
+const WINDOWS_PER_ROUND: usize = 16;
+
 /// Times of a [`UsageExecutor`].
 #[derive(Debug, Clone)]
 pub struct UsageSettings {
@@ -146,14 +150,7 @@
         if wait != WaitState::Open(permit.term()) {
             return;
         }
-        let windows: Vec<UsageWindow> = self
-            .state
-            .read(|state| state.unreported_windows().cloned().collect());
-        if let Some(progress) = &mut self.progress {
-            let is_open = |id: u64| windows.iter().any(|window| window.window_id == id);
-            progress.backoffs.retain(|id, _| is_open(*id));
-        }
-        for window in windows {
+        for window in self.due_windows() {
             if !self.report(&window, &permit).await {
                 return;
             }
@@ -167,15 +164,15 @@
             return;
         }
         // The first proposal of a term also tells the present log time.
-        let outcome = self.replica.propose(Command::CloseWindow).await;
-        match &outcome {
+        let retry = match self.replica.propose(Command::CloseWindow).await {
             CommandOutcome::NotLeader { .. } | CommandOutcome::Unavailable => return,
             CommandOutcome::Refused { reason } => {
                 let event = LogEvent::WindowNotClosed.number();
                 tracing::warn!(event, reason, "the window stays open");
+                self.settings.longest_retry
             }
-            _ => {}
-        }
+            _ => self.settings.first_retry,
+        };
         let (log_time, opened_ms, length) = self.state.read(|state| {
             let opened_ms = newest_close(state);
             (state.log_time(), opened_ms, window_length(state))
@@ -184,8 +181,7 @@
             Some(opened_ms) => (TimePoint::from_millis(opened_ms) + length).since(log_time),
             None => length.min(self.settings.unknown_opening),
         };
-        // A window that could not be closed is tried again at the pace of retries.
-        let left = left.max(self.settings.first_retry);
+        let left = left.max(retry);
         let clock = LogClock { log_time, at: now };
         let close_at = now + left;
         match &mut self.progress {
@@ -205,9 +201,10 @@
         }
     }
 
-    /// Counts windows that were not accepted within one window length after their close.
+    /// Counts windows that were not accepted within one window length after their close. Without a
+    /// receiver no window is late.
     fn note_late_windows(&mut self) {
-        let Some(progress) = &mut self.progress else {
+        let (Some(progress), true) = (&mut self.progress, self.client.is_some()) else {
             return;
         };
         let log_time = progress.clock.log_time(self.time.now());
@@ -228,7 +225,28 @@
         }
     }
 
-    /// Sends one window if it is due; `false` if the authority does not suffice.
+    /// The oldest windows that may be sent now.
+    fn due_windows(&mut self) -> Vec<UsageWindow> {
+        let (Some(progress), true) = (&mut self.progress, self.client.is_some()) else {
+            return Vec::new();
+        };
+        let now = self.time.now();
+        self.state.read(|state| {
+            let ids: IndexSet<u64> = state
+                .unreported_windows()
+                .map(|window| window.window_id)
+                .collect();
+            progress.backoffs.retain(|id, _| ids.contains(id));
+            let is_due = |window: &&UsageWindow| {
+                let backoff = progress.backoffs.get(&window.window_id);
+                backoff.is_none_or(|backoff| now >= backoff.next_at)
+            };
+            let due = state.unreported_windows().filter(is_due);
+            due.take(WINDOWS_PER_ROUND).cloned().collect()
+        })
+    }
+
+    /// Sends one window; `false` if the authority does not suffice.
     async fn report(&mut self, window: &UsageWindow, permit: &LeaderPermit<R, T>) -> bool {
         let (Some(client), Some(progress)) = (&self.client, &mut self.progress) else {
             return false;
@@ -236,9 +254,6 @@
         let window_id = window.window_id;
         let now = self.time.now();
         let backoff = progress.backoffs.get(&window_id);
-        if backoff.is_some_and(|backoff| now < backoff.next_at) {
-            return true;
-        }
         let remaining = permit.remaining();
         if remaining.is_none_or(|left| left < self.settings.least_authority) {
             return false;
--- a/crates/oriolecrank-control/tests/leader/main.rs
+++ b/crates/oriolecrank-control/tests/leader/main.rs
@@ -8,3 +8,4 @@
 mod platform_executor;
 mod support;
 mod usage_executor;
+mod whole_process;
--- a/crates/oriolecrank-control/tests/leader/usage_executor.rs
+++ b/crates/oriolecrank-control/tests/leader/usage_executor.rs
@@ -8,6 +8,7 @@
 use oriolecrank_control::{ClusterLabel, ControlMetrics, HttpUsage, UsageExecutor, UsageSettings};
 use oriolecrank_fakes::{AnswerFault, FakeUsage, ReceivedReport};
 use oriolecrank_schema::control::{Command, CommandOutcome, UsageRecord};
+use oriolecrank_state::cluster::MAX_UNREPORTED_WINDOWS;
 use serde_json::Value;
 
 use crate::support::{ManualTime, TestGroup, TestReplica, document, listen, submit, usage_record};
@@ -204,6 +205,43 @@
     Err(replica.checks() - before)
 }
 
+/// Guards against windows that are lost without a receiver, and against a log that fills with attempts
+/// to close a window once too many of them are kept.
+#[tokio::test]
+async fn without_a_receiver_windows_are_kept_up_to_their_bound() {
+    let group = TestGroup::default();
+    let replica = group.replica();
+    replica.lead(Duration::from_hours(100));
+    submit(&replica, document()).await;
+    let metrics = ControlMetrics::default();
+    let mut executor = UsageExecutor::<_, _, HttpUsage>::new(
+        Arc::clone(&replica),
+        Arc::clone(&replica.state),
+        group.time.clone(),
+        None,
+        ClusterLabel::new("grove"),
+        metrics.clone(),
+        UsageSettings::default(),
+    );
+    let kept = || {
+        replica
+            .state
+            .read(|state| state.unreported_windows().count())
+    };
+    // A window closes at least every 70 s.
+    for _ in 0..MAX_UNREPORTED_WINDOWS * 7 {
+        group.time.advance(Duration::from_secs(10));
+        executor.round().await;
+    }
+    assert_eq!(kept(), MAX_UNREPORTED_WINDOWS);
+    let entries = group.entries().len();
+    // At most one attempt in ten seconds, and one that comes after the last close.
+    rounds(&mut executor, &group.time, 600).await;
+    assert!(group.entries().len() <= entries + 61);
+    assert_eq!(kept(), MAX_UNREPORTED_WINDOWS);
+    assert_eq!(metrics.late_windows(), 0);
+}
+
 /// Guards against a late report that nobody sees, and against one that is counted more than once.
 #[tokio::test]
 async fn a_late_window_is_counted_once() {
