--- a/crates/oriolecrank-bench/src/lib.rs
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -7,6 +7,8 @@
 //! [`Measurement`]: measurement::Measurement
 
 pub mod arguments;
+pub mod control;
 pub mod measurement;
+pub mod path;
 pub mod policy;
 pub mod route;
--- a/crates/oriolecrank-control/src/lib.rs
+++ b/crates/oriolecrank-control/src/lib.rs
@@ -13,6 +13,8 @@
 //! - [`CapacityExecutor`] plans from [`CapacityInputs`] and carries plans out through the executors
 //!   of orders and of the platform; [`LeaderActions`] runs all four.
 //! - `request_server` answers the other processes.
+//! - [`start_replica`] runs the consensus core and its storage on a thread; [`ReplicaHandle`] gives
+//!   access to it. [`PeerTransport`] and [`PeerIngress`] connect the replicas over HTTP.
 
 mod action_authority;
 mod capacity_executor;
@@ -25,18 +27,27 @@
 mod leader_actions;
 mod leader_duties;
 mod lease_table;
-mod local_log;
-mod local_replica;
 mod options;
 mod order_executor;
+mod peer_directory;
+mod peer_ingress;
+mod peer_sender;
+mod peer_transport;
 mod ping_sequence;
 mod plan_chain;
 mod platform_client;
 mod platform_executor;
 mod process;
+mod raft_replica;
+mod replica;
+mod replica_error;
+mod replica_input;
+mod replica_thread;
+mod replica_waiters;
 mod request_server;
 mod share_table;
 mod shared_state;
+mod state_machine;
 mod subscriber_table;
 mod subscription_hub;
 mod usage_client;
@@ -57,14 +68,23 @@
 pub use lease_table::{LeaseReport, LeaseSettings, LeaseTable};
 pub use options::{ControlOptions, InitialMember};
 pub use order_executor::{OrderExecutor, OrderOutcome, OrderOutcomes, OrderSettings};
+pub use peer_directory::PeerDirectory;
+pub use peer_ingress::PeerIngress;
+pub use peer_sender::PeerSender;
+pub use peer_transport::{PEER_PATH, PeerTransport};
 pub use ping_sequence::{PingSequence, SubscriberStart};
 pub use platform_client::{
     HttpPlatform, PlatformAnswer, PlatformClient, PlatformError, PlatformOrder, PlatformRequestId,
 };
 pub use platform_executor::{PlatformExecutor, PlatformSettings, StartOutcome, StartOutcomes};
 pub use process::{ControlError, ControlProcess};
+pub use raft_replica::{CommandMachine, RaftReplica};
+pub use replica::{MAX_ENTRY_BYTES, ReplicaHandle, ReplicaPhase, ReplicaSettings, ReplicaStatus};
+pub use replica_error::{Applied, BarrierError, ChangeError, ProposeError, ReplicaError};
+pub use replica_thread::start_replica;
 pub use share_table::{ShareGrant, ShareTable};
 pub use shared_state::SharedState;
+pub use state_machine::StateMachine;
 pub use subscriber_table::{ForceReport, SubscriberRecord, SubscriberTable};
 pub use subscription_hub::SubscriptionHub;
 pub use usage_client::{HttpUsage, ReportAnswer, ReportId, UsageClient, UsageReport};
--- a/crates/oriolecrank-control/src/request_server.rs
+++ b/crates/oriolecrank-control/src/request_server.rs
@@ -16,6 +16,8 @@
 
 use crate::command_replica::CommandReplica;
 use crate::leader_duties::LeaderDuties;
+use crate::peer_ingress::PeerIngress;
+use crate::peer_transport::PEER_PATH;
 use crate::shared_state::SharedState;
 
 /// Largest request body, in bytes.
@@ -34,6 +36,7 @@
 /// Answers commands, queries, subscriptions and pings.
 #[derive(Debug)]
 pub struct RequestServer<R> {
+    ingress: PeerIngress<CommandOutcome>,
     guard: PeerGuard,
     secret: ClusterSecret,
     client: HttpClient,
@@ -45,6 +48,7 @@
 impl<R: CommandReplica> RequestServer<R> {
     /// A server over the given replica.
     pub fn new(
+        ingress: PeerIngress<CommandOutcome>,
         secret: ClusterSecret,
         client: HttpClient,
         replica: Arc<R>,
@@ -52,6 +56,7 @@
         duties: Arc<LeaderDuties<R>>,
     ) -> Self {
         Self {
+            ingress,
             guard: PeerGuard::new(secret.clone()),
             secret,
             client,
@@ -131,6 +136,9 @@
 
 impl<R: CommandReplica> HttpHandler for RequestServer<R> {
     async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
+        if request.uri().path() == PEER_PATH {
+            return self.ingress.answer(request).await;
+        }
         if let Some(refusal) = self.guard.refusal(request.headers()) {
             return refusal;
         }
@@ -185,6 +193,7 @@
             | Command::ReportCrash { .. }
             | Command::ClearSuspect { .. }
             | Command::RerunSuspect { .. }
+            | Command::ReleaseRerun { .. }
             | Command::PlaceOperatorOrder { .. }
     )
 }
--- a/crates/oriolecrank-entry/src/process.rs
+++ b/crates/oriolecrank-entry/src/process.rs
@@ -6,10 +6,12 @@
 
 use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel};
 use oriolecrank_net::{
-    BootClock, ControlClient, HttpClient, OperatorListener, PeerGuard, ReadyFlag, serve,
+    BootClock, ClientSettings, ControlClient, HttpClient, OperatorListener, PeerGuard, ReadyFlag,
+    serve,
 };
 use oriolecrank_policy::admission::AdmissionSettings;
 use oriolecrank_policy::rate_limiter::LimiterSettings;
+use oriolecrank_policy::read_coalescing::CoalescingSettings;
 use oriolecrank_policy::retry_budget::RetrySettings;
 use oriolecrank_policy::subset::EntryIdentity;
 use oriolecrank_policy::upstream_chooser::ChooserSettings;
@@ -31,13 +33,16 @@
 use crate::read_coalescer::ReadCoalescer;
 use crate::retry_gate::RetryGate;
 use crate::subscription::{ControlFollower, PING_INTERVAL};
-use crate::suspect_gate::SuspectGate;
 use crate::upstream_pool::UpstreamPool;
 use crate::usage_reporter::UsageReporter;
 
 /// Interval at which the age of the state is shown and idle entries of tables are forgotten.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Idle connections kept for each agent. A new connection costs about as much as a whole call, and
+/// bursts use more connections at once than the mean.
+const IDLE_PER_AGENT: usize = 128;
+
 /// Longest time to deliver the last usage records at shutdown.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -173,11 +178,16 @@
         }
         was_fresh = fresh;
         context.retries.forget_idle(now);
+        context.pool.return_ejected(now);
+        context.suspects.forget_expired(now);
     }
 }
 
 fn context(options: &EntryOptions) -> EntryContext {
-    let client = HttpClient::default();
+    let client = HttpClient::new(ClientSettings {
+        idle_per_address: IDLE_PER_AGENT,
+        ..ClientSettings::default()
+    });
     let secret = options.secret.clone();
     let entry = EntryIdentity {
         name: options.name.clone(),
@@ -201,8 +211,8 @@
         usage: Arc::new(usage),
         metrics,
         retries: RetryGate::new(RetrySettings::default()),
-        suspects: SuspectGate::default(),
-        coalescer: ReadCoalescer::default(),
+        suspects: Arc::default(),
+        coalescer: Arc::new(ReadCoalescer::new(CoalescingSettings::default())),
         options: options.clone(),
     }
 }
@@ -212,6 +222,7 @@
         client: context.control.clone(),
         state: Arc::clone(&context.state),
         pool: Arc::clone(&context.pool),
+        suspects: Arc::clone(&context.suspects),
         admission: Arc::clone(&context.admission),
         demand: Arc::clone(&context.demand),
         metrics: Arc::clone(&context.metrics),
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -53,6 +53,7 @@
     ClaimFailed = 213, "A claim was not committed; nothing was sent to the service for this request.";
     SuspectRefused = 214, "A request was refused because its fingerprint crashed upstreams.";
     SuspectNotCleared = 215, "A suspect ran to its end, but control could not be told; it expires after a time.";
+    UpstreamEjected = 216, "An upstream is ejected for a time because its answers fail.";
     UsageReportFailed = 220, "A batch of usage records was not acknowledged; it is sent again.";
     UsageDropped = 221, "Usage records were dropped because too many waited, or not acknowledged before the end.";
     UpstreamAnnounced = 300, "An upstream was announced to the control group.";
@@ -64,6 +65,7 @@
     OrderFinished = 306, "An order was carried out; the result is in the line.";
     LeaderElected = 400, "This control instance became leader.";
     LeaderResigned = 401, "This control instance is no longer leader.";
+    IdentityRefused = 402, "The data folder is new, but its identity was in use with another folder.";
     DocumentAccepted = 410, "A document was committed.";
     UpstreamSuspected = 411, "An upstream is silent; it gets no new work when others can take it.";
     UpstreamsRemoved = 412, "Silent upstreams were removed.";
