--- a/crates/oriolecrank-control/src/process.rs
+++ b/crates/oriolecrank-control/src/process.rs
@@ -104,7 +104,7 @@
         let ingress = PeerIngress::new(options.cluster.clone(), guard.clone(), handle, directory);
         let ready = ReadyFlag::default();
         let metrics = ControlMetrics::default();
-        let mut registry = Registry::default();
+        let mut registry = Registry::with_prefix("oriolecrank");
         metrics.register(&mut registry);
         let operator = OperatorListener::new(registry, ready.clone(), guard);
         let actions = LeaderActions::new(&options, &replica, &state, &duties, &metrics);
