Let operators change the control group

Cause: the membership could be changed only from inside the leader's process, the list of members showed no progress, and the identity of an instance that joins could be read only in its data folder.

Change: POST /v1/members takes a full list of members based on a version; the leader commits an audit record for each change, before the change if it is forced. A request that is in effect already is answered as changed, so that one whose answer was lost can be sent again. The list of members is answered by the leader with matched index and last answer of each member. Instances that wait announce themselves each second over POST /v1/join and are listed; oriolecrank-ctl gets members add, promote and remove.

Tests: oriolecrank-ctl sends the changes and maps the outcomes to exit codes in a table.

--- a/crates/oriolecrank-consensus/src/leader.rs
+++ b/crates/oriolecrank-consensus/src/leader.rs
@@ -16,7 +16,7 @@
 use crate::numbers::LogIndex;
 use crate::peer_progress::{PeerProgress, SendMode, SnapshotSend};
 use crate::read_queue::PendingRead;
-use crate::ready::LeaderAuthority;
+use crate::ready::{LeaderAuthority, MemberProgress};
 use snafu::{OptionExt, Snafu, ensure};
 
 /// State that only a leader has.
@@ -127,6 +127,24 @@
         live && peer.match_index.0 + self.settings.caught_up_entries >= self.log.last_index().0
     }
 
+    /// Progress of all members; empty unless this instance leads.
+    pub(crate) fn member_progress(&self) -> Vec<MemberProgress> {
+        let Some(state) = self.leader_state() else {
+            return Vec::new();
+        };
+        let own = MemberProgress {
+            id: self.id.clone(),
+            matched: self.log.synced(),
+            answered: None,
+        };
+        let others = state.peers.iter().map(|(id, peer)| MemberProgress {
+            id: id.clone(),
+            matched: peer.match_index,
+            answered: peer.acked_sent,
+        });
+        std::iter::once(own).chain(others).collect()
+    }
+
     /// Permission to act outside the log; `None` unless the lease runs and every entry of earlier
     /// terms is known to be committed.
     pub fn authority(&self, now: TimePoint) -> Option<LeaderAuthority> {
--- a/crates/oriolecrank-consensus/src/lib.rs
+++ b/crates/oriolecrank-consensus/src/lib.rs
@@ -40,8 +40,8 @@
 pub use node::{RaftNode, StoredState};
 pub use numbers::{DiskTag, LogIndex, MembershipVersion, ReadContext, Term};
 pub use ready::{
-    FoundingProgress, FoundingTag, FoundingTags, HardState, LeaderAuthority, LogRecord, NodeStatus,
-    ReadOutcome, ReadyBatch, RoleName,
+    FoundingProgress, FoundingTag, FoundingTags, HardState, LeaderAuthority, LogRecord,
+    MemberProgress, NodeStatus, ReadOutcome, ReadyBatch, RoleName,
 };
 pub use settings::RaftSettings;
 pub use snapshot::Snapshot;
--- a/crates/oriolecrank-consensus/src/node.rs
+++ b/crates/oriolecrank-consensus/src/node.rs
@@ -182,6 +182,7 @@
             snapshot: self.log.snapshot_index(),
             membership: self.membership().clone(),
             founding: self.founding.progress,
+            progress: self.member_progress(),
         }
     }
 
--- a/crates/oriolecrank-consensus/src/ready.rs
+++ b/crates/oriolecrank-consensus/src/ready.rs
@@ -126,6 +126,20 @@
     pub membership: Membership,
     /// Progress of the founding check.
     pub founding: FoundingProgress,
+    /// Progress of all members if this instance leads; otherwise empty.
+    pub progress: Vec<MemberProgress>,
+}
+
+/// What the leader knows of a member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberProgress {
+    /// Identity.
+    pub id: InstanceId,
+    /// Highest index known to be synced there.
+    pub matched: LogIndex,
+    /// Send time of the newest message that it has answered, by the leader's clock; `None` for the
+    /// leader itself and before the first answer.
+    pub answered: Option<TimePoint>,
 }
 
 impl ReadyBatch {
--- a/crates/oriolecrank-control/src/command_replica.rs
+++ b/crates/oriolecrank-control/src/command_replica.rs
@@ -25,6 +25,6 @@
     /// Address of the leader, if it is known and another instance.
     fn leader_address(&self) -> Option<SocketAddr>;
 
-    /// Instances of the control group.
+    /// Instances of the control group. Only the leader knows their progress; elsewhere none is live.
     fn members(&self) -> Vec<ControlMember>;
 }
--- a/crates/oriolecrank-control/src/lib.rs
+++ b/crates/oriolecrank-control/src/lib.rs
@@ -12,6 +12,8 @@
 //!   systems without fencing numbers wait first ([`AuthorityWait`]).
 //! - [`CapacityExecutor`] plans from [`CapacityInputs`] and carries plans out through the executors
 //!   of orders and of the platform; [`LeaderActions`] runs all four.
+//! - [`MembershipService`] changes the control group for operators and lists the instances that
+//!   wait to be added, which announce themselves by a [`JoinAnnouncer`].
 //! - `request_server` answers the other processes.
 //! - [`start_replica`] runs the consensus core and its storage on a thread; [`ReplicaHandle`] gives
 //!   access to it. [`PeerTransport`] and [`PeerIngress`] connect the replicas over HTTP.
@@ -23,10 +25,14 @@
 mod cluster_label;
 mod command_replica;
 mod control_metrics;
+mod group_membership;
 mod guarded_client;
+mod join_announcer;
+mod join_table;
 mod leader_actions;
 mod leader_duties;
 mod lease_table;
+mod membership_service;
 mod options;
 mod order_executor;
 mod peer_directory;
@@ -62,10 +68,14 @@
 pub use cluster_label::ClusterLabel;
 pub use command_replica::CommandReplica;
 pub use control_metrics::{ControlFigures, ControlMetrics};
+pub use group_membership::GroupMembership;
 pub use guarded_client::{GuardedAnswer, GuardedError, VerdictError, send_guarded};
+pub use join_announcer::JoinAnnouncer;
+pub use join_table::JoinTable;
 pub use leader_actions::LeaderActions;
 pub use leader_duties::LeaderDuties;
 pub use lease_table::{LeaseReport, LeaseSettings, LeaseTable};
+pub use membership_service::MembershipService;
 pub use options::{ControlOptions, InitialMember};
 pub use order_executor::{OrderExecutor, OrderOutcome, OrderOutcomes, OrderSettings};
 pub use peer_directory::PeerDirectory;
--- a/crates/oriolecrank-control/src/process.rs
+++ b/crates/oriolecrank-control/src/process.rs
@@ -6,6 +6,7 @@
 use oriolecrank_consensus::{InstanceId, Member, MemberRole};
 use oriolecrank_net::shutdown::ShutdownSignal;
 use oriolecrank_net::{HttpClient, OperatorListener, PeerGuard, ReadyFlag, serve};
+use oriolecrank_schema::control::{CommandOutcome, JoinRequest, JoiningInstance};
 use oriolecrank_schema::event::LogEvent;
 use prometheus_client::registry::Registry;
 use snafu::{ResultExt, Snafu};
@@ -13,14 +14,16 @@
 use tokio::time::sleep;
 
 use crate::control_metrics::ControlMetrics;
+use crate::join_announcer::JoinAnnouncer;
 use crate::leader_actions::LeaderActions;
 use crate::leader_duties::LeaderDuties;
+use crate::membership_service::MembershipService;
 use crate::options::ControlOptions;
 use crate::peer_directory::PeerDirectory;
 use crate::peer_ingress::PeerIngress;
 use crate::peer_transport::PeerTransport;
 use crate::raft_replica::{CommandMachine, RaftReplica};
-use crate::replica::{ReplicaPhase, ReplicaSettings};
+use crate::replica::{ReplicaHandle, ReplicaPhase, ReplicaSettings};
 use crate::replica_error::ReplicaError;
 use crate::replica_thread::start_replica;
 use crate::request_server::RequestServer;
@@ -100,6 +103,12 @@
         let handle = start_replica(settings, machine, transport).context(ReplicaSnafu)?;
         let replica = Arc::new(RaftReplica::new(handle.clone()));
         let duties = Arc::new(LeaderDuties::new(Arc::clone(&replica), Arc::clone(&state)));
+        let announcer = join_announcer(&options, address, &handle, &client);
+        let announcing = async {
+            announcer.run().await;
+            std::future::pending::<()>().await;
+        };
+        let members = MembershipService::new(options.cluster.clone(), Arc::clone(&replica));
         let guard = PeerGuard::new(secret.clone());
         let ingress = PeerIngress::new(options.cluster.clone(), guard.clone(), handle, directory);
         let ready = ReadyFlag::default();
@@ -116,6 +125,7 @@
             Arc::clone(&replica),
             state,
             Arc::clone(&duties),
+            members,
         );
         tracing::info!(event = LogEvent::ProcessStarted.number(), %address, "control started");
         ready.set(true);
@@ -139,6 +149,7 @@
             }
             () = duties.run() => {}
             () = actions => {}
+            () = announcing => {}
             phase = replica.stopped() => {
                 if let ReplicaPhase::Failed(reason) = phase {
                     return ReplicaFailedSnafu { reason }.fail();
@@ -179,6 +190,31 @@
     }
 }
 
+/// Announces this instance to the others named in the settings, as long as it is not a member.
+fn join_announcer(
+    options: &ControlOptions,
+    address: SocketAddr,
+    handle: &ReplicaHandle<CommandOutcome>,
+    client: &HttpClient,
+) -> JoinAnnouncer {
+    let targets = options.members.iter().map(|member| member.address);
+    let instance = JoiningInstance {
+        address: address.to_string(),
+        instance: handle.status().node.id.to_string(),
+        name: options.instance.clone(),
+    };
+    JoinAnnouncer {
+        replica: handle.clone(),
+        request: JoinRequest {
+            cluster: options.cluster.clone(),
+            instance,
+        },
+        targets: targets.filter(|target| *target != address).collect(),
+        client: client.clone(),
+        secret: options.secret.clone(),
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, ControlError> {
     TcpListener::bind(address)
         .await
--- a/crates/oriolecrank-control/src/raft_replica.rs
+++ b/crates/oriolecrank-control/src/raft_replica.rs
@@ -2,21 +2,27 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use oriolecrank_consensus::{
-    LeaderAuthority, LogIndex, Member, MemberRole, MembershipRequest, Term,
+    LeaderAuthority, LogIndex, Member, MemberRole, Membership, MembershipRequest, RoleName, Term,
 };
+use oriolecrank_net::BootClock;
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::codec;
 use oriolecrank_schema::control::{Command, CommandOutcome, ControlMember, LoggedCommand};
 
 use crate::command_replica::CommandReplica;
+use crate::group_membership::GroupMembership;
 use crate::replica::{ReplicaHandle, ReplicaPhase};
 use crate::replica_error::{ChangeError, ProposeError};
 use crate::shared_state::SharedState;
 use crate::state_machine::StateMachine;
 
+/// A member that has answered no message sent within this time is shown as silent. It is the minimum
+/// election timeout, after which a member no longer counts as live for a membership change.
+const LIVE_WITHIN: Duration = Duration::from_millis(500);
+
 /// Applies committed commands to the shared state.
 #[derive(Debug)]
 pub struct CommandMachine(Arc<SharedState>);
@@ -74,9 +80,18 @@
     pub fn stop(&self) {
         self.handle.stop();
     }
+}
+
+impl GroupMembership for RaftReplica {
+    fn membership(&self) -> Membership {
+        self.handle.status().node.membership
+    }
 
-    /// Changes the membership.
-    pub async fn change_membership(&self, request: MembershipRequest) -> Result<(), ChangeError> {
+    fn leads(&self) -> bool {
+        self.handle.status().node.role == RoleName::Leader
+    }
+
+    async fn change_membership(&self, request: MembershipRequest) -> Result<(), ChangeError> {
         self.handle.change_membership(request).await.map(|_| ())
     }
 }
@@ -130,18 +145,22 @@
     fn members(&self) -> Vec<ControlMember> {
         let status = self.handle.status();
         let leader = status.node.leader.as_ref();
-        let member = |member: &Member| ControlMember {
-            address: member.address.clone(),
-            instance: member.id.as_str().to_owned(),
-            leader: leader == Some(&member.id),
-            live: member.id == status.node.id,
-            matched_index: if member.id == status.node.id {
-                status.node.last.0
-            } else {
-                0
-            },
-            failure_domain: String::new(),
-            voter: member.role == MemberRole::Voter,
+        let progress = &status.node.progress;
+        let now = BootClock.now();
+        let lately = |sent: TimePoint| now < sent + LIVE_WITHIN;
+        let member = |member: &Member| {
+            let known = progress.iter().find(|known| known.id == member.id);
+            ControlMember {
+                address: member.address.clone(),
+                instance: member.id.as_str().to_owned(),
+                leader: leader == Some(&member.id),
+                live: known.is_some_and(|known| {
+                    known.id == status.node.id || known.answered.is_some_and(lately)
+                }),
+                matched_index: known.map_or(0, |known| known.matched.0),
+                failure_domain: String::new(),
+                voter: member.role == MemberRole::Voter,
+            }
         };
         status.node.membership.members.iter().map(member).collect()
     }
--- a/crates/oriolecrank-control/src/request_server.rs
+++ b/crates/oriolecrank-control/src/request_server.rs
@@ -14,8 +14,10 @@
 use oriolecrank_schema::codec::{self, CodecError};
 use oriolecrank_schema::control::{Command, CommandOutcome, PingRequest, Query, QueryResult};
 
-use crate::command_replica::CommandReplica;
+use crate::group_membership::GroupMembership;
+use crate::join_announcer::JOIN_PATH;
 use crate::leader_duties::LeaderDuties;
+use crate::membership_service::MembershipService;
 use crate::peer_ingress::PeerIngress;
 use crate::peer_transport::PEER_PATH;
 use crate::shared_state::SharedState;
@@ -43,9 +45,10 @@
     replica: Arc<R>,
     state: Arc<SharedState>,
     duties: Arc<LeaderDuties<R>>,
+    members: MembershipService<R>,
 }
 
-impl<R: CommandReplica> RequestServer<R> {
+impl<R: GroupMembership> RequestServer<R> {
     /// A server over the given replica.
     pub fn new(
         ingress: PeerIngress<CommandOutcome>,
@@ -54,6 +57,7 @@
         replica: Arc<R>,
         state: Arc<SharedState>,
         duties: Arc<LeaderDuties<R>>,
+        members: MembershipService<R>,
     ) -> Self {
         Self {
             ingress,
@@ -63,6 +67,7 @@
             replica,
             state,
             duties,
+            members,
         }
     }
 
@@ -95,9 +100,7 @@
             return None;
         }
         match query {
-            Query::Members => Some(QueryResult::Members {
-                members: self.replica.members(),
-            }),
+            Query::Members => self.members.list(),
             Query::InForce { revision } => {
                 let report = self.duties.in_force(revision)?;
                 Some(QueryResult::InForce {
@@ -134,7 +137,7 @@
     }
 }
 
-impl<R: CommandReplica> HttpHandler for RequestServer<R> {
+impl<R: GroupMembership> HttpHandler for RequestServer<R> {
     async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
         if request.uri().path() == PEER_PATH {
             return self.ingress.answer(request).await;
@@ -163,6 +166,18 @@
                 },
                 Err(error) => bad_request(&error),
             },
+            "/v1/members" => match codec::decode(&bytes) {
+                Ok(change) => {
+                    let origin = peer.ip().to_string();
+                    message_answer(&self.members.change(change, origin).await)
+                }
+                Err(error) => bad_request(&error),
+            },
+            JOIN_PATH => match codec::decode(&bytes) {
+                Ok(request) if self.members.join(&request) => empty_answer(StatusCode::NO_CONTENT),
+                Ok(_) => self.forward(path, bytes, forwarded).await,
+                Err(error) => bad_request(&error),
+            },
             "/v1/ping" => match codec::decode::<PingRequest>(&bytes) {
                 Ok(ping) => match self.duties.ping(&ping).await {
                     Some(answer) => message_answer(&answer),
--- a/crates/oriolecrank-ctl/src/arguments.rs
+++ b/crates/oriolecrank-ctl/src/arguments.rs
@@ -30,7 +30,12 @@
   undrain UPSTREAM                 let an upstream take work again
       --reason TEXT                reason for the audit trail
       --request-id ID              send a request again whose answer was lost
-  members                          list the instances of the control group
+  members                          list the instances of the control group and those that wait to
+                                   be added
+  members add NAME ADDRESS         add an instance that waits as a learner
+  members promote ID               make a learner that has caught up a voter
+  members remove ID                remove an instance; its identity never returns
+      --force                      remove it although the rest could not lose one more instance
   upstreams                        list the upstreams and their orders
   status                           print sizes and positions of the replicated state
   audit                            print the audit trail
@@ -51,7 +56,8 @@
   1  the control group refused the command; nothing changed
   2  the arguments or a file cannot be used; nothing was sent
   3  the document has errors; nothing changed
-  4  the base revision or the request id conflicts with another request; nothing changed
+  4  the base revision, the membership version or the request id conflicts with another request;
+     nothing changed
   5  no control instance answered; nothing changed
   6  the answer was lost; the command may have taken effect
   7  the document is committed, but not in force everywhere within the time limit";
@@ -127,6 +133,8 @@
     Drain(DrainOptions),
     /// Lists control instances.
     Members,
+    /// Changes the control group.
+    ChangeMembers(MemberAction),
     /// Lists upstreams.
     Upstreams,
     /// Prints the summary of the state.
@@ -140,6 +148,30 @@
     },
 }
 
+/// A change of the control group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum MemberAction {
+    /// Adds an instance that waits as a learner.
+    Add {
+        /// Name in its settings, or its identity.
+        name: String,
+        /// Address that it has announced.
+        address: SocketAddr,
+    },
+    /// Makes a learner a voter.
+    Promote {
+        /// Identity.
+        id: String,
+    },
+    /// Removes an instance.
+    Remove {
+        /// Identity.
+        id: String,
+        /// Skips the check that the rest could lose one more instance.
+        forced: bool,
+    },
+}
+
 /// Options of `submit`.
 #[derive(Debug, Clone)]
 pub struct SubmitOptions {
@@ -194,6 +226,7 @@
     json: bool,
     help: bool,
     dry_run: bool,
+    force: bool,
     wait: bool,
     base: Option<u64>,
     request_id: Option<String>,
@@ -243,6 +276,7 @@
                 Long("timeout-ms") => raw.timeout_ms = Some(parser.value()?.parse()?),
                 Long("json") => raw.json = true,
                 Long("help") | Short('h') => raw.help = true,
+                Long("force") => raw.force = true,
                 Long("dry-run") => raw.dry_run = true,
                 Long("wait") => raw.wait = true,
                 Long("base") => raw.base = Some(parser.value()?.parse()?),
@@ -278,6 +312,17 @@
             ["drain", upstream] => self.drain(upstream, OrderAction::Drain),
             ["undrain", upstream] => self.drain(upstream, OrderAction::Undrain),
             ["members"] => CtlCommand::Members,
+            ["members", "add", name, address] => CtlCommand::ChangeMembers(MemberAction::Add {
+                name: (*name).to_owned(),
+                address: parse_address(address)?,
+            }),
+            ["members", "promote", id] => CtlCommand::ChangeMembers(MemberAction::Promote {
+                id: (*id).to_owned(),
+            }),
+            ["members", "remove", id] => CtlCommand::ChangeMembers(MemberAction::Remove {
+                id: (*id).to_owned(),
+                forced: self.force,
+            }),
             ["upstreams"] => CtlCommand::Upstreams,
             ["status"] => CtlCommand::Status,
             ["audit"] => CtlCommand::Audit {
@@ -287,16 +332,19 @@
             [] => return usage("a command is missing"),
             _ => return usage(&format!("{:?} is not a command", words.join(" "))),
         };
-        self.check_options(words[0])?;
+        self.check_options(&words)?;
         Ok(command)
     }
 
     /// Refuses options that the command ignores, which would hide a mistake.
-    fn check_options(&self, command: &str) -> Result<(), CtlError> {
+    fn check_options(&self, words: &[&str]) -> Result<(), CtlError> {
+        let command = words[0];
+        let removes = words.starts_with(&["members", "remove"]);
         let submits = command == "submit";
         let drains = matches!(command, "drain" | "undrain");
         let options = [
             ("--dry-run", self.dry_run, submits),
+            ("--force", self.force, removes),
             ("--wait", self.wait, submits || command == "keys"),
             ("--base", self.base.is_some(), submits),
             ("--request-id", self.request_id.is_some(), submits || drains),
--- a/crates/oriolecrank-ctl/src/control_session.rs
+++ b/crates/oriolecrank-ctl/src/control_session.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use oriolecrank_net::{ClientSettings, ClusterSecret, ControlClient, ControlError, HttpClient};
-use oriolecrank_schema::control::{Command, CommandOutcome, Query, QueryResult};
+use oriolecrank_schema::control::{
+    Command, CommandOutcome, MembersOutcome, MembersRequest, Query, QueryResult,
+};
 use oriolecrank_schema::data_path::RunVerdict;
 use oriolecrank_state::{CheckedDocument, Revision};
 use rand::TryRngCore as _;
@@ -21,6 +23,13 @@
 /// Path of queries.
 const QUERY_PATH: &str = "/v1/query";
 
+/// Path of changes of the control group.
+const MEMBERS_PATH: &str = "/v1/members";
+
+/// Longest wait for the answer to a change of the control group; longer than the leader itself waits
+/// for its commit.
+const MEMBERS_TIMEOUT: Duration = Duration::from_secs(6);
+
 /// Longest wait for one control instance before the next one is asked.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -100,6 +109,42 @@
         }
     }
 
+    /// Sends a change of the control group until the leader answers. Sending it again is safe,
+    /// because the leader recognises a change that is in effect.
+    pub(crate) async fn change_members(
+        &self,
+        request: &MembersRequest,
+    ) -> Result<MembersOutcome, CtlError> {
+        let deadline = Instant::now() + self.timeout;
+        let mut verdict = RunVerdict::NotRun;
+        let mut hint = None;
+        let mut tried = 0;
+        while Instant::now() < deadline {
+            let address = hint.take().unwrap_or_else(|| self.client.address(tried));
+            let wait = MEMBERS_TIMEOUT.min(deadline - Instant::now());
+            let answer = self.client.post(address, MEMBERS_PATH, request, wait).await;
+            match answer {
+                Ok(MembersOutcome::NotLeader { leader }) => {
+                    hint = leader.and_then(|leader| leader.parse().ok());
+                }
+                Ok(MembersOutcome::Unknown) => verdict = RunVerdict::MayHaveRun,
+                Ok(outcome) => return Ok(outcome),
+                Err(error) if is_refusal(&error) => return Err(error).context(MessageSnafu),
+                Err(ControlError::Send { source }) if source.verdict() == RunVerdict::NotRun => {}
+                Err(_) => verdict = RunVerdict::MayHaveRun,
+            }
+            tried += 1;
+            if hint.is_none() {
+                sleep(ROUND_DELAY).await;
+            }
+        }
+        if verdict == RunVerdict::NotRun {
+            return Err(CtlError::Unavailable);
+        }
+        let advice = "compare the list of oriolecrank-ctl members";
+        OutcomeUnknownSnafu { advice }.fail()
+    }
+
     /// Asks the instances in turn until one answers.
     pub(crate) async fn query(&self, query: &Query) -> Result<QueryResult, CtlError> {
         let deadline = Instant::now() + self.timeout;
--- a/crates/oriolecrank-ctl/src/ctl_error.rs
+++ b/crates/oriolecrank-ctl/src/ctl_error.rs
@@ -19,8 +19,8 @@
     Usage = 2,
     /// The document has errors; nothing changed.
     Invalid = 3,
-    /// The stated base revision is not the current one, or the request id was used for something
-    /// else; nothing changed.
+    /// The stated base revision or membership version is not the current one, or the request id was
+    /// used for something else; nothing changed.
     Conflict = 4,
     /// No control instance answered; nothing changed.
     Unavailable = 5,
@@ -79,6 +79,17 @@
         /// Current revision.
         current: u64,
     },
+    /// The control group was changed by another request.
+    #[snafu(display(
+        "the control group was changed meanwhile: the command is based on version {base} of the \
+         membership, but the version is {current}"
+    ))]
+    MembersConflict {
+        /// Version that the command was based on.
+        base: u64,
+        /// Current version.
+        current: u64,
+    },
     /// The request id belongs to another request.
     #[snafu(display("request id {request_id} was used for another request"))]
     RequestIdReused {
@@ -147,7 +158,9 @@
         match self {
             Self::Usage { .. } | Self::ReadFile { .. } | Self::Secret { .. } => ExitCode::Usage,
             Self::Parse { .. } | Self::Invalid { .. } => ExitCode::Invalid,
-            Self::Conflict { .. } | Self::RequestIdReused { .. } => ExitCode::Conflict,
+            Self::Conflict { .. } | Self::MembersConflict { .. } | Self::RequestIdReused { .. } => {
+                ExitCode::Conflict
+            }
             Self::Unavailable => ExitCode::Unavailable,
             Self::OutcomeUnknown { .. } => ExitCode::OutcomeUnknown,
             Self::NotInForce { .. } | Self::ProgressUnknown { .. } => ExitCode::NotInForce,
--- a/crates/oriolecrank-ctl/src/lib.rs
+++ b/crates/oriolecrank-ctl/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`CtlArguments`] are the parsed arguments.
 //! - `ControlSession` sends commands and queries to the control instances.
 //! - `document_commands` validates, submits and shows documents; `key_commands` issues and withdraws
-//!   keys; `read_commands` and `drain_command` hold the rest.
+//!   keys; `member_commands` changes the control group; `read_commands` and `drain_command` hold the rest.
 
 mod arguments;
 mod control_session;
@@ -15,6 +15,7 @@
 mod document_commands;
 mod drain_command;
 mod key_commands;
+mod member_commands;
 mod read_commands;
 
 pub use arguments::{CtlArguments, CtlCommand, CtlEnvironment, HELP_TEXT};
@@ -42,7 +43,8 @@
         CtlCommand::IssueKey(options) => key_commands::issue(arguments, options).await,
         CtlCommand::WithdrawKey(options) => key_commands::withdraw(arguments, options).await,
         CtlCommand::Drain(options) => drain_command::place(arguments, options).await,
-        CtlCommand::Members => read_commands::members(arguments).await,
+        CtlCommand::Members => member_commands::list(arguments).await,
+        CtlCommand::ChangeMembers(action) => member_commands::change(arguments, action).await,
         CtlCommand::Upstreams => read_commands::upstreams(arguments).await,
         CtlCommand::Status => read_commands::status(arguments).await,
         CtlCommand::Audit { first_index, limit } => {
--- a/crates/oriolecrank-ctl/src/read_commands.rs
+++ b/crates/oriolecrank-ctl/src/read_commands.rs
@@ -1,8 +1,6 @@
-//! `members`, `upstreams`, `status` and `audit`.
+//! `upstreams`, `status` and `audit`.
 
-use oriolecrank_schema::control::{
-    AuditRecord, ControlMember, Query, QueryResult, UpstreamPhase, UpstreamStatus,
-};
+use oriolecrank_schema::control::{AuditRecord, Query, QueryResult, UpstreamPhase, UpstreamStatus};
 use serde_json::{Value, json};
 
 use crate::arguments::CtlArguments;
@@ -13,31 +11,6 @@
 /// Records asked for at once.
 const AUDIT_PAGE: u32 = 500;
 
-/// Lists the instances of the control group.
-pub(crate) async fn members(arguments: &CtlArguments) -> Result<CtlReport, CtlError> {
-    let session = ControlSession::open(arguments)?;
-    let QueryResult::Members { members } = session.query(&Query::Members).await? else {
-        return Err(CtlError::UnexpectedAnswer);
-    };
-    let line = |member: &ControlMember| {
-        let role = match (member.leader, member.voter) {
-            (true, _) => "leader",
-            (false, true) => "voter",
-            (false, false) => "learner",
-        };
-        let state = if member.live { "live" } else { "silent" };
-        format!(
-            "{} {} {} {role} {state} {}",
-            member.instance, member.address, member.failure_domain, member.matched_index
-        )
-    };
-    Ok(list_report(
-        "instance address failure_domain role state matched_index",
-        members.iter().map(line),
-        json!({ "members": members }),
-    ))
-}
-
 /// Lists the upstreams.
 pub(crate) async fn upstreams(arguments: &CtlArguments) -> Result<CtlReport, CtlError> {
     let session = ControlSession::open(arguments)?;
@@ -141,7 +114,11 @@
     )
 }
 
-fn list_report(header: &str, lines: impl Iterator<Item = String>, json: Value) -> CtlReport {
+pub(crate) fn list_report(
+    header: &str,
+    lines: impl Iterator<Item = String>,
+    json: Value,
+) -> CtlReport {
     let lines: Vec<String> = std::iter::once(header.to_owned()).chain(lines).collect();
     CtlReport::new(lines.join("\n"), json)
 }
--- a/crates/oriolecrank-ctl/tests/ctl/control_stand_in.rs
+++ b/crates/oriolecrank-ctl/tests/ctl/control_stand_in.rs
@@ -15,7 +15,8 @@
 };
 use oriolecrank_schema::codec;
 use oriolecrank_schema::control::{
-    Command, CommandOutcome, ControlMember, LoggedCommand, Query, QueryResult,
+    Command, CommandOutcome, ControlMember, JoiningInstance, LoggedCommand, MembersOutcome,
+    MembersRequest, Query, QueryResult,
 };
 use oriolecrank_schema::document::ConfigDocument;
 use oriolecrank_state::document::{DocumentFormat, parse_document};
@@ -64,6 +65,12 @@
     pub faults: VecDeque<CommandFault>,
     /// Lagging subscribers in the next answers; the last list is repeated.
     pub lagging: VecDeque<Vec<String>>,
+    /// Instances that wait to be added.
+    pub joining: Vec<JoiningInstance>,
+    /// Answers to the next changes of the group; the last one is repeated.
+    pub members_outcomes: VecDeque<MembersOutcome>,
+    /// Changes of the group that were asked for.
+    pub members_requests: Vec<MembersRequest>,
     /// Number of queries that find no leader.
     pub leaderless_queries: u64,
 }
@@ -83,6 +90,8 @@
     fn answer_query(&mut self, query: &Query) -> QueryResult {
         match query {
             Query::Members => QueryResult::Members {
+                joining: self.joining.clone(),
+                version: 3,
                 members: vec![ControlMember {
                     address: "10.0.0.2:7100".to_owned(),
                     failure_domain: "piedmont-1".to_owned(),
@@ -141,6 +150,16 @@
             }
             return message_answer(&table.answer_query(&query));
         }
+        if path == "/v1/members" {
+            let mut table = lock(&self.table);
+            let request = codec::decode(&body).expect("a change of the group");
+            table.members_requests.push(request);
+            let outcome = table.members_outcomes.front().cloned().expect("an outcome");
+            if table.members_outcomes.len() > 1 {
+                table.members_outcomes.pop_front();
+            }
+            return message_answer(&outcome);
+        }
         if path != "/v1/command" {
             return empty_answer(StatusCode::NOT_FOUND);
         }
--- a/crates/oriolecrank-ctl/tests/ctl/main.rs
+++ b/crates/oriolecrank-ctl/tests/ctl/main.rs
@@ -3,5 +3,6 @@
 mod control_stand_in;
 mod documents;
 mod keys;
+mod members;
 mod offline;
 mod operations;
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -66,6 +66,8 @@
     LeaderElected = 400, "This control instance became leader.";
     LeaderResigned = 401, "This control instance is no longer leader.";
     IdentityRefused = 402, "The data folder is new, but its identity was in use with another folder.";
+    MembershipAwaited = 403, "This control instance waits until an operator adds it; its identity is in the line.";
+    MembershipChanged = 404, "The membership of the control group has changed.";
     DocumentAccepted = 410, "A document was committed.";
     UpstreamSuspected = 411, "An upstream is silent; it gets no new work when others can take it.";
     UpstreamsRemoved = 412, "Silent upstreams were removed.";
