Promote a learner only once it has the membership

Change: a member counts as caught up only if it has the entry of the present membership. A test states the rule. Conclusion: every voter that is counted on can vote.

--- a/crates/oriolecrank-consensus/src/leader.rs
+++ b/crates/oriolecrank-consensus/src/leader.rs
@@ -116,7 +116,8 @@
         Ok(position)
     }
 
-    /// Whether a member has answered lately and lacks only a few entries.
+    /// Whether a member has answered lately, lacks only a few entries and has the membership. A
+    /// member without a membership does not vote, so it must not be counted on.
     fn is_caught_up(&self, id: &InstanceId, now: TimePoint) -> bool {
         let Some(peer) = self.leader_state().and_then(|state| state.peers.get(id)) else {
             return false;
@@ -124,7 +125,8 @@
         let live = peer
             .acked_sent
             .is_some_and(|sent| now < sent + self.settings.election_min);
-        live && peer.match_index.0 + self.settings.caught_up_entries >= self.log.last_index().0
+        live && peer.match_index >= self.log.membership().index
+            && peer.match_index.0 + self.settings.caught_up_entries >= self.log.last_index().0
     }
 
     /// Permission to act outside the log; `None` unless the lease runs and every entry of earlier
--- a/crates/oriolecrank-consensus/tests/core_rules.rs
+++ b/crates/oriolecrank-consensus/tests/core_rules.rs
@@ -365,3 +365,39 @@
         "it resigns once the removal is committed"
     );
 }
+
+/// Guards against a learner that becomes a voter before it knows the membership, and then never
+/// votes.
+#[test]
+fn a_learner_without_the_membership_is_not_promoted() {
+    let mut node = restarted(&["c1", "c2", "c3"], 1, Vec::new());
+    let now = elect(&mut node);
+    settle(&mut node, now);
+    let term = node.term();
+    step(&mut node, "c2", term, accepted(1, now), now);
+    let request = |node: &RaftNode, role| {
+        let mut members = node.membership().members.clone();
+        members.retain(|member| member.id != id("n1"));
+        members.push(Member {
+            id: id("n1"),
+            address: String::new(),
+            role,
+        });
+        MembershipRequest {
+            base_version: node.membership().version,
+            members,
+            forced: false,
+        }
+    };
+    let learner = request(&node, MemberRole::Learner);
+    node.propose_membership(&learner, now).unwrap();
+    settle(&mut node, now);
+    step(&mut node, "c2", term, accepted(2, now), now);
+    let promotion = request(&node, MemberRole::Voter);
+    // The membership entry has index 2.
+    step(&mut node, "n1", term, accepted(1, now), now);
+    let early = node.propose_membership(&promotion, now);
+    assert_eq!(early, Err(MembershipError::NotCaughtUp { id: id("n1") }));
+    step(&mut node, "n1", term, accepted(2, now), now);
+    node.propose_membership(&promotion, now).unwrap();
+}
