--- a/crates/oriolecrank-bench/src/path.rs
+++ b/crates/oriolecrank-bench/src/path.rs
@@ -38,6 +38,9 @@
 /// Longest wait for anything.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Time in which streams pass further tokens before their memory is measured.
+const SETTLE_TIME: Duration = Duration::from_millis(200);
+
 /// Resident memory is counted in pages of this size.
 const PAGE_BYTES: f64 = 4_096.0;
 
@@ -439,9 +442,7 @@
             open.push(response);
         }
         // Streams that run pass some further tokens.
-        for response in &mut open {
-            let _ = timeout(Duration::from_millis(25), response.body_mut().frame()).await;
-        }
+        sleep(SETTLE_TIME).await;
         Ok(open)
     }
 }
--- a/crates/oriolecrank-entry/src/call_runner.rs
+++ b/crates/oriolecrank-entry/src/call_runner.rs
@@ -37,7 +37,8 @@
 const RESUME_UNSUPPORTED: &str = "resume_unsupported";
 
 /// Failures after which another attempt would fail in the same way.
-const FINAL_CODES: [&str; 5] = [
+const FINAL_CODES: [&str; 6] = [
+    "deadline_passed",
     DEADLINE_EXCEEDED,
     NO_UPSTREAM,
     RESUME_UNSUPPORTED,
--- a/crates/oriolecrank-entry/src/process.rs
+++ b/crates/oriolecrank-entry/src/process.rs
@@ -6,8 +6,7 @@
 
 use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel};
 use oriolecrank_net::{
-    BootClock, ClientSettings, ControlClient, HttpClient, OperatorListener, PeerGuard, ReadyFlag,
-    serve,
+    BootClock, ControlClient, HttpClient, OperatorListener, PeerGuard, ReadyFlag, serve,
 };
 use oriolecrank_policy::admission::AdmissionSettings;
 use oriolecrank_policy::rate_limiter::LimiterSettings;
@@ -39,10 +38,6 @@
 /// Interval at which the age of the state is shown and idle entries of tables are forgotten.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Idle connections kept for each agent. A new connection costs about as much as a whole call, and
-/// bursts use more connections at once than the mean.
-const IDLE_PER_AGENT: usize = 128;
-
 /// Longest time to deliver the last usage records at shutdown.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -184,10 +179,7 @@
 }
 
 fn context(options: &EntryOptions) -> EntryContext {
-    let client = HttpClient::new(ClientSettings {
-        idle_per_address: IDLE_PER_AGENT,
-        ..ClientSettings::default()
-    });
+    let client = HttpClient::default();
     let secret = options.secret.clone();
     let entry = EntryIdentity {
         name: options.name.clone(),
--- a/crates/oriolecrank-net/src/http_client.rs
+++ b/crates/oriolecrank-net/src/http_client.rs
@@ -24,7 +24,8 @@
     /// A connection that was idle for longer is closed. Something between the two ends may have
     /// lost track of it, and a request on it would then hang.
     pub idle_limit: Duration,
-    /// Idle connections kept for each address.
+    /// Idle connections kept for each address. A new connection costs about as much as a whole call,
+    /// and bursts use more connections at once than the mean.
     pub idle_per_address: usize,
 }
 
@@ -33,7 +34,7 @@
         Self {
             connect_timeout: Duration::from_millis(500),
             idle_limit: Duration::from_secs(5),
-            idle_per_address: 32,
+            idle_per_address: 128,
         }
     }
 }
