--- a/crates/oriolecrank-bench/src/lib.rs
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`Measurement`]: measurement::Measurement
 
 pub mod arguments;
+pub mod control;
 pub mod measurement;
 pub mod path;
 pub mod policy;
--- a/crates/oriolecrank-bench/src/main.rs
+++ b/crates/oriolecrank-bench/src/main.rs
@@ -27,6 +27,7 @@
     };
     let passed = match arguments.measure.as_str() {
         "codec" => codec_size(&arguments),
+        "control" => oriolecrank_bench::control::run(&arguments),
         "policy" => oriolecrank_bench::policy::run(&arguments),
         "path" => oriolecrank_bench::path::run(&arguments),
         "route" => route::run(&arguments),
