Ask again when a learner is refused as not caught up

Cause: the loopback test of joining failed once after a learner had to acknowledge the membership entry: the learner had applied it, but its answer was still on its way when the promotion was asked for. The refusal is right; the test took it for final. Change: the test repeats the request on this refusal only, within its time limit. Conclusion: callers repeat a promotion that is refused as not caught up.

--- a/crates/oriolecrank-control/tests/replica_group.rs
+++ b/crates/oriolecrank-control/tests/replica_group.rs
@@ -9,8 +9,8 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use oriolecrank_consensus::{
-    InstanceId, LogIndex, Member, MemberRole, Membership, MembershipRequest, PeerMessage, RoleName,
-    Term,
+    InstanceId, LogIndex, Member, MemberRole, Membership, MembershipError, MembershipRequest,
+    PeerMessage, RoleName, Term,
 };
 use oriolecrank_control::{
     BarrierError, ChangeError, MAX_ENTRY_BYTES, PEER_PATH, PeerDirectory, PeerIngress, PeerSender,
@@ -334,10 +334,20 @@
         matches!(refused, Err(ChangeError::ChangeRefused { .. })),
         "{refused:?}"
     );
-    handle
-        .change_membership(request(MemberRole::Voter))
-        .await
-        .unwrap();
+    // The learner has applied everything, but its last answer may still be on its way to the leader,
+    // which then refuses and is to be asked again.
+    let promotion = async {
+        loop {
+            match handle.change_membership(request(MemberRole::Voter)).await {
+                Ok(_) => return,
+                Err(ChangeError::ChangeRefused {
+                    source: MembershipError::NotCaughtUp { .. },
+                }) => tokio::time::sleep(Duration::from_millis(5)).await,
+                Err(error) => panic!("{error}"),
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, promotion).await.unwrap();
     assert_eq!(handle.status().node.membership.voters().count(), 4);
 }
 
