--- a/crates/oriolecrank-bench/src/lib.rs
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod arguments;
 pub mod control;
 pub mod measurement;
+pub mod path;
 pub mod policy;
 pub mod route;
--- a/crates/oriolecrank-bench/src/main.rs
+++ b/crates/oriolecrank-bench/src/main.rs
@@ -29,6 +29,7 @@
         "codec" => codec_size(&arguments),
         "control" => oriolecrank_bench::control::run(&arguments),
         "policy" => oriolecrank_bench::policy::run(&arguments),
+        "path" => oriolecrank_bench::path::run(&arguments),
         "route" => route::run(&arguments),
         _ => {
             eprintln!("{USAGE}");
--- a/crates/oriolecrank-control/src/lib.rs
+++ b/crates/oriolecrank-control/src/lib.rs
@@ -10,23 +10,37 @@
 //! - [`OrderExecutor`], [`PlatformExecutor`] and [`UsageExecutor`] are what the leader does outside
 //!   the log. They ask for a [`WritePermit`] immediately before each write, and those that write to
 //!   systems without fencing numbers wait first ([`AuthorityWait`]).
+//! - [`CapacityExecutor`] plans from [`CapacityInputs`] and carries plans out through the executors
+//!   of orders and of the platform; [`LeaderActions`] runs all four.
+//! - [`MembershipService`] changes the control group for operators and lists the instances that
+//!   wait to be added, which announce themselves by a [`JoinAnnouncer`].
 //! - `request_server` answers the other processes.
 //! - [`start_replica`] runs the consensus core and its storage on a thread; [`ReplicaHandle`] gives
 //!   access to it. [`PeerTransport`] and [`PeerIngress`] connect the replicas over HTTP.
 
 mod action_authority;
+mod capacity_executor;
+mod capacity_inputs;
+mod capacity_planner;
 mod cluster_label;
 mod command_replica;
 mod control_metrics;
+mod group_membership;
 mod guarded_client;
+mod join_announcer;
+mod join_table;
+mod leader_actions;
 mod leader_duties;
 mod lease_table;
+mod membership_service;
 mod options;
 mod order_executor;
 mod peer_directory;
 mod peer_ingress;
 mod peer_sender;
 mod peer_transport;
+mod ping_sequence;
+mod plan_chain;
 mod platform_client;
 mod platform_executor;
 mod process;
@@ -37,6 +51,7 @@
 mod replica_thread;
 mod replica_waiters;
 mod request_server;
+mod share_table;
 mod shared_state;
 mod state_machine;
 mod subscriber_table;
@@ -47,18 +62,27 @@
 pub use action_authority::{
     AuthorityWait, LeaderPermit, TermGuard, TimeSource, WaitSettings, WaitState, WritePermit,
 };
+pub use capacity_executor::{CapacityExecutor, CapacitySettings, CapacitySources};
+pub use capacity_inputs::{CapacityInputs, InputTables, LoadReport};
+pub use capacity_planner::{CapacityPlanner, PlannedChanges, PlannerSettings, PlannerView};
 pub use cluster_label::ClusterLabel;
 pub use command_replica::CommandReplica;
 pub use control_metrics::{ControlFigures, ControlMetrics};
+pub use group_membership::GroupMembership;
 pub use guarded_client::{GuardedAnswer, GuardedError, VerdictError, send_guarded};
+pub use join_announcer::JoinAnnouncer;
+pub use join_table::JoinTable;
+pub use leader_actions::LeaderActions;
 pub use leader_duties::LeaderDuties;
 pub use lease_table::{LeaseReport, LeaseSettings, LeaseTable};
+pub use membership_service::MembershipService;
 pub use options::{ControlOptions, InitialMember};
-pub use order_executor::{OrderExecutor, OrderSettings};
+pub use order_executor::{OrderExecutor, OrderOutcome, OrderOutcomes, OrderSettings};
 pub use peer_directory::PeerDirectory;
 pub use peer_ingress::PeerIngress;
 pub use peer_sender::PeerSender;
 pub use peer_transport::{PEER_PATH, PeerTransport};
+pub use ping_sequence::{PingSequence, SubscriberStart};
 pub use platform_client::{
     HttpPlatform, PlatformAnswer, PlatformClient, PlatformError, PlatformOrder, PlatformRequestId,
 };
@@ -68,6 +92,7 @@
 pub use replica::{MAX_ENTRY_BYTES, ReplicaHandle, ReplicaPhase, ReplicaSettings, ReplicaStatus};
 pub use replica_error::{Applied, BarrierError, ChangeError, ProposeError, ReplicaError};
 pub use replica_thread::start_replica;
+pub use share_table::{ShareGrant, ShareTable};
 pub use shared_state::SharedState;
 pub use state_machine::StateMachine;
 pub use subscriber_table::{ForceReport, SubscriberRecord, SubscriberTable};
