--- a/crates/oriolecrank-consensus/tests/core_rules.rs
+++ b/crates/oriolecrank-consensus/tests/core_rules.rs
@@ -24,12 +24,16 @@
     }
 }
 
-/// Instance c1 of a group of voters, restarted with the given entries.
-fn restarted(voters: &[&str], term: u64, entries: Vec<LogEntry>) -> RaftNode {
-    let members = voters.iter().map(|name| Member {
+/// Instance c1 of a group, restarted with the given entries. Members named `n...` are learners.
+fn restarted(members: &[&str], term: u64, entries: Vec<LogEntry>) -> RaftNode {
+    let members = members.iter().map(|name| Member {
         id: id(name),
         address: String::new(),
-        role: MemberRole::Voter,
+        role: if name.starts_with('n') {
+            MemberRole::Learner
+        } else {
+            MemberRole::Voter
+        },
     });
     let stored = StoredState {
         hard_state: HardState {
@@ -154,13 +158,30 @@
 /// a term may be sent before the term is stored.
 #[test]
 fn a_new_term_is_stored_before_anything_of_it_is_sent() {
-    let mut node = restarted(&["c1"], 1, Vec::new());
-    node.tick(START + RaftSettings::default().election_max);
+    let mut node = restarted(&["c1", "n1"], 1, Vec::new());
+    let now = START + RaftSettings::default().election_max;
+    node.tick(now);
     assert!(node.is_leader());
-    let batch = node.ready(START + RaftSettings::default().election_max);
+    let batch = node.ready(now);
     let stores = |record: &LogRecord| matches!(record, LogRecord::HardState(_));
     assert!(batch.records.iter().any(stores));
-    assert!(batch.early_messages.is_empty());
+    assert_eq!(batch.early_messages, []);
+    assert_eq!(
+        batch.messages.len(),
+        1,
+        "the learner gets the entries after the sync"
+    );
+    node.synced(now);
+    node.propose(vec![1].into(), now).unwrap();
+    settle(&mut node, now);
+    step(&mut node, "n1", Term(2), accepted(2, now), now);
+    node.propose(vec![2].into(), now).unwrap();
+    let batch = node.ready(now);
+    assert_eq!(
+        batch.early_messages.len(),
+        1,
+        "later entries are sent before the sync"
+    );
 }
 
 /// Guards against a follower that takes an old message's commit index for its own unmatched tail.
