Change roles and stop upstreams only while they show the drain

Cause: after a restart of the agent in the middle of a change, a new leader changed the role of an upstream that took work again. Change: a role change or stop needs an announced phase without work; an upstream that takes work 5 s after its drain is taken as restarted, and the change is given up. Conclusion: a change never runs on an undrained upstream.

--- a/crates/oriolecrank-control/src/capacity_executor.rs
+++ b/crates/oriolecrank-control/src/capacity_executor.rs
@@ -13,7 +13,7 @@
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::control::{
     CapacityPlan, Command, CommandOutcome, EngineOrder, OrderAction, PlanAction, PlanStep,
-    StepState, UpstreamRecord,
+    StepState, UpstreamPhase, UpstreamRecord,
 };
 use oriolecrank_schema::document::ServiceId;
 use oriolecrank_schema::event::LogEvent;
@@ -51,6 +51,9 @@
     pub role_drain_limit: Duration,
     /// Longest drain before a stop; the upstream then takes work again.
     pub stop_drain_limit: Duration,
+    /// Time within which a drained upstream announces that it takes no work. One that does not has
+    /// restarted since, and its change is given up.
+    pub drain_shown_within: Duration,
     /// How long a change waits for an upstream that has lost its lease.
     pub rejoin_within: Duration,
     /// How long the result of an order that is no longer in flight may be on its way to the plan.
@@ -66,6 +69,7 @@
             begin_within: Duration::from_mins(1),
             role_drain_limit: Duration::from_mins(1),
             stop_drain_limit: Duration::from_mins(10),
+            drain_shown_within: Duration::from_secs(5),
             rejoin_within: Duration::from_mins(1),
             result_within: Duration::from_secs(1),
         }
@@ -320,7 +324,9 @@
         let now = self.time.now();
         let drained_for = chain.drained_for(now);
         let is_idle = record.is_none_or(|record| self.is_idle(chain, record));
-        let gives_up = self.starts.is_none() || drained_for >= self.settings.stop_drain_limit;
+        let limit = self.settings.stop_drain_limit;
+        let limit = record.map_or(limit, |record| self.drain_limit(record, limit));
+        let gives_up = self.starts.is_none() || drained_for >= limit;
         if state == StepState::Pending && gives_up && !(is_idle && self.starts.is_some()) {
             self.advance(plan_id, step, StepState::Cancelled).await;
             return false;
@@ -409,9 +415,10 @@
             }
             OrderAction::ChangeRole { .. } | OrderAction::LoadModel { .. } => {
                 let drained_for = chain.drained_for(now);
+                let limit = self.drain_limit(record, self.settings.role_drain_limit);
                 if self.is_idle(chain, record) {
                     StepGate::Go
-                } else if drained_for >= self.settings.role_drain_limit {
+                } else if drained_for >= limit {
                     StepGate::Skip
                 } else {
                     StepGate::Wait
@@ -451,11 +458,25 @@
         }
     }
 
-    /// Whether a drained upstream has reported since that it has no work.
+    /// How long a drain may take; short for an upstream that takes work in spite of it.
+    fn drain_limit(&self, record: &UpstreamRecord, limit: Duration) -> Duration {
+        if record.phase == UpstreamPhase::Ready {
+            return self.settings.drain_shown_within;
+        }
+        limit
+    }
+
+    /// Whether a drained upstream takes no work and has reported since that it has none.
     fn is_idle(&self, chain: &PlanChain, record: &UpstreamRecord) -> bool {
         let Some(drained_at) = chain.drained_at else {
             return false;
         };
+        if !matches!(
+            record.phase,
+            UpstreamPhase::Changing | UpstreamPhase::Leaving
+        ) {
+            return false;
+        }
         self.inputs.with(|inputs| {
             inputs.load(&record.upstream).is_some_and(|report| {
                 report.incarnation == record.incarnation
--- a/crates/oriolecrank-control/tests/leader/capacity_executor.rs
+++ b/crates/oriolecrank-control/tests/leader/capacity_executor.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use oriolecrank_control::TimeSource as _;
 use oriolecrank_control::{
@@ -14,7 +14,9 @@
 };
 use oriolecrank_fakes::FakePlatform;
 use oriolecrank_net::shutdown::ShutdownTrigger;
-use oriolecrank_net::{AnswerBody, HttpClient, HttpHandler, message_answer, read_body};
+use oriolecrank_net::{
+    AnswerBody, HttpClient, HttpHandler, empty_answer, message_answer, read_body,
+};
 use oriolecrank_schema::codec;
 use oriolecrank_schema::control::{
     Command, DemandEntry, EngineOrder, OrderAction, OrderAnswer, OrderResult, PingRequest,
@@ -33,6 +35,8 @@
     orders: Arc<Mutex<Vec<EngineOrder>>>,
     /// Role changes fail.
     fails_changes: Arc<Mutex<bool>>,
+    /// Orders are neither carried out nor answered.
+    is_unreachable: Arc<Mutex<bool>>,
 }
 
 impl AgentFleet {
@@ -45,6 +49,9 @@
     async fn handle(&self, request: Request<Incoming>, _: SocketAddr) -> Response<AnswerBody> {
         let body = read_body(request.into_body(), 1 << 20).await.unwrap();
         let order: EngineOrder = codec::decode(&body).unwrap();
+        if *self.is_unreachable.lock().unwrap() {
+            return empty_answer(StatusCode::BAD_GATEWAY);
+        }
         let is_change = matches!(order.action, OrderAction::ChangeRole { .. });
         let fails = is_change && *self.fails_changes.lock().unwrap();
         let result = if fails {
@@ -565,19 +572,35 @@
             until_plan(&mut site, MUCH_OUTPUT).await;
             site.seconds(stage, MUCH_OUTPUT).await;
             site.apply_orders();
-            for engine in site.engines.values_mut() {
+            let mut crashed = Vec::new();
+            for (name, engine) in &mut site.engines {
                 if engine.phase == UpstreamPhase::Changing {
+                    crashed.push(name.clone());
                     engine.incarnation += 1;
                     engine.announcements = 0;
                     engine.phase = UpstreamPhase::Ready;
                     engine.role = UpstreamRole::Mixed;
                 }
             }
+            let in_flight: Vec<EngineOrder> = site
+                .replica
+                .state
+                .read(|state| state.orders_in_flight().cloned().collect());
+            let before = site.agents.orders().len();
             if changes_leader {
                 site.change_leader();
             }
             site.seconds(TAKEOVER, MUCH_OUTPUT).await;
             site.assert_settled(&case);
+            // The new incarnation is not drained; its role changes only after another drain.
+            let orders = site.agents.orders().split_off(before);
+            for name in crashed {
+                let own = orders.iter().filter(|order| order.upstream.0 == name);
+                let own = own.filter(|order| !in_flight.contains(order));
+                let first = own.map(|order| order.action.clone()).next();
+                let changes = matches!(first, Some(OrderAction::ChangeRole { .. }));
+                assert!(!changes, "{case}: {name}");
+            }
         }
     }
 }
@@ -595,6 +618,37 @@
     assert!(!states.contains(&StepState::Failed), "{states:?}");
 }
 
+/// Guards against a plan that waits for ever for the result of an order that was settled by the late
+/// proposal of a deposed leader.
+#[tokio::test]
+async fn a_result_that_never_arrives_is_replaced_by_a_repetition() {
+    let mut site = Site::with_one_plan().await;
+    until_plan(&mut site, MUCH_OUTPUT).await;
+    *site.agents.is_unreachable.lock().unwrap() = true;
+    site.seconds(3, MUCH_OUTPUT).await;
+    let orders: Vec<EngineOrder> = site
+        .replica
+        .state
+        .read(|state| state.orders_in_flight().cloned().collect());
+    assert!(!orders.is_empty());
+    for order in orders {
+        let command = Command::SettleOrder {
+            fence: order.fence,
+            result: OrderResult::Done,
+            upstream: order.upstream,
+        };
+        site.replica.commit(command).await;
+    }
+    *site.agents.is_unreachable.lock().unwrap() = false;
+    site.seconds(15, MUCH_OUTPUT).await;
+    site.assert_settled("lost results");
+    let states = site.step_states();
+    assert!(
+        states.iter().all(|state| *state == StepState::Done),
+        "{states:?}"
+    );
+}
+
 /// Guards against a drain of the last capable upstream when others left after the plan was made.
 #[tokio::test]
 async fn the_last_capable_upstream_is_never_drained() {
