Test that no answer is awaited beyond the authority

Cause: the bound of the wait by the remaining lease was not tested. Change: a start whose answer is delayed by a minute ends with the lease and is found by the read-back. Conclusion: none.

--- a/crates/oriolecrank-control/tests/leader/platform_executor.rs
+++ b/crates/oriolecrank-control/tests/leader/platform_executor.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::StatusCode;
+use oriolecrank_consensus::Term;
 use oriolecrank_control::{
     ClusterLabel, ControlMetrics, HttpPlatform, PlatformExecutor, PlatformSettings, StartOutcome,
 };
@@ -265,6 +266,34 @@
     Err(replica.checks() - before)
 }
 
+/// Guards against a request that outlives the authority under which it was sent, and against a second
+/// upstream after it: the answer is not awaited for longer than the lease.
+#[tokio::test]
+async fn an_answer_is_not_awaited_beyond_the_authority() {
+    let group = TestGroup::default();
+    let replica = group.leader();
+    submit(&replica, document()).await;
+    let platform = FakePlatform::default();
+    let delay = Duration::from_mins(1);
+    platform.faults().push([AnswerFault::DelayAnswer(delay)]);
+    let (address, _trigger) = listen(platform.clone()).await;
+    let mut executor = executor(&replica, &group.time, address);
+    open(&mut executor, &group.time).await;
+    place_start(&replica).await;
+    replica.renew(Term(1), Duration::from_millis(200));
+    // Ends only if the wait is bounded by the lease; the request itself may take 2 s.
+    let sent_at = Instant::now();
+    executor.round().await;
+    assert!(sent_at.elapsed() < Duration::from_millis(1_900));
+    assert_eq!(platform.started(), 1);
+    replica.renew(Term(1), Duration::from_hours(10));
+    rounds(&mut executor, &group.time, 20).await;
+    assert_eq!(platform.started(), 1);
+    announce_running(&replica, &platform).await;
+    rounds(&mut executor, &group.time, 3).await;
+    assert_eq!(open_intents(&replica), 0);
+}
+
 /// Guards against a crashed start that is repeated without the backoff of the planner, or that keeps
 /// its place in the budget.
 #[tokio::test]
