Test whole control processes through losses of their leader

Change: a test starts three control processes with a TCP relay from each to each other and to the entry. ControlProcess::replica gives programs that hold the process access to its replica.

--- a/crates/oriolecrank-control/src/process.rs
+++ b/crates/oriolecrank-control/src/process.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::Registry;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::control_metrics::ControlMetrics;
@@ -60,6 +61,7 @@
     options: ControlOptions,
     listener: TcpListener,
     operator_listener: TcpListener,
+    replica: watch::Sender<Option<RaftReplica>>,
 }
 
 impl ControlProcess {
@@ -71,9 +73,15 @@
             options,
             listener,
             operator_listener,
+            replica: watch::Sender::default(),
         })
     }
 
+    /// The replica of this instance, once it runs; for programs that hold the process.
+    pub fn replica(&self) -> watch::Receiver<Option<RaftReplica>> {
+        self.replica.subscribe()
+    }
+
     /// Address for other processes.
     pub fn address(&self) -> SocketAddr {
         self.listener.local_addr().unwrap_or(self.options.listen)
@@ -86,6 +94,7 @@
             options,
             listener,
             operator_listener,
+            replica: shown_replica,
         } = self;
         let state = Arc::new(SharedState::default());
         let client = HttpClient::default();
@@ -102,6 +111,7 @@
         let machine = CommandMachine::new(Arc::clone(&state));
         let handle = start_replica(settings, machine, transport).context(ReplicaSnafu)?;
         let replica = Arc::new(RaftReplica::new(handle.clone()));
+        shown_replica.send_replace(Some(RaftReplica::clone(&replica)));
         let duties = Arc::new(LeaderDuties::new(Arc::clone(&replica), Arc::clone(&state)));
         let announcer = join_announcer(&options, address, &handle, &client);
         let announcing = async {
--- a/crates/oriolecrank-control/src/raft_replica.rs
+++ b/crates/oriolecrank-control/src/raft_replica.rs
@@ -71,6 +71,11 @@
         Self { handle }
     }
 
+    /// Access to the consensus core.
+    pub const fn handle(&self) -> &ReplicaHandle<CommandOutcome> {
+        &self.handle
+    }
+
     /// Waits until the replica has stopped.
     pub async fn stopped(&self) -> ReplicaPhase {
         self.handle.stopped().await
--- /dev/null
+++ b/crates/oriolecrank-control/tests/group/failover.rs
@@ -0,0 +1,151 @@
+//! Loss of the leader.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use oriolecrank_entry::{EntryOptions, EntryProcess};
+use oriolecrank_net::HttpClient;
+use oriolecrank_net::logging::LogFormat;
+use oriolecrank_net::shutdown::shutdown_channel;
+use oriolecrank_schema::control::{CommandOutcome, Query};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::harness::{Group, PATIENCE, document, loopback, secret, submission};
+
+const ACCEPTED_ONE: CommandOutcome = CommandOutcome::DocumentAccepted { revision: 1 };
+
+const ACCEPTED_TWO: CommandOutcome = CommandOutcome::DocumentAccepted { revision: 2 };
+
+/// An entry that subscribes at the given addresses.
+async fn start_entry(control: Vec<SocketAddr>) -> SocketAddr {
+    let options = EntryOptions {
+        name: "entry-1".to_owned(),
+        region: "piedmont".to_owned(),
+        failure_domain: "piedmont-1".to_owned(),
+        caller_listen: loopback(),
+        operator_listen: loopback(),
+        secret: secret(),
+        control,
+        freshness_lease: Duration::from_secs(3),
+        max_body_bytes: 1_024,
+        drain_notice: Duration::ZERO,
+        shutdown_limit: Duration::from_secs(10),
+        log_format: LogFormat::Text,
+    };
+    let process = EntryProcess::bind(options).await.unwrap();
+    let address = process.address();
+    tokio::spawn(async move {
+        let (_trigger, signal) = shutdown_channel();
+        process.run(signal).await.unwrap();
+    });
+    address
+}
+
+/// Status of a keyed call that reaches no upstream.
+async fn keyed_call(client: &HttpClient, entry: SocketAddr, key: &str) -> StatusCode {
+    let request = Request::get("/v1/models")
+        .header(http::header::HOST, "entry")
+        .header(http::header::AUTHORIZATION, format!("Bearer {key}"))
+        .body(Full::default())
+        .unwrap();
+    let response = client.send(entry, request, PATIENCE).await.unwrap();
+    let status = response.status();
+    response.collect(1 << 16, PATIENCE).await.unwrap();
+    status
+}
+
+async fn wait_for_key(entry: SocketAddr, key: &str) {
+    let client = HttpClient::default();
+    let accepted = async {
+        while keyed_call(&client, entry, key).await != StatusCode::OK {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(PATIENCE, accepted).await.unwrap();
+}
+
+/// How the group loses its leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LeaderLoss {
+    Killed,
+    CutOff,
+}
+
+/// Loses the leader that an entry is subscribed at, and checks that the entry refuses no keyed call
+/// until it has a revision of the new leader in force.
+async fn lose_leader(loss: LeaderLoss) {
+    let group = Group::start().await;
+    let old = group.leader(None).await;
+    let first = submission("r1", 0, document(&["first"]));
+    assert_eq!(group.submit(old, &first).await, ACCEPTED_ONE);
+    let entry = start_entry(group.entry_addresses(old)).await;
+    wait_for_key(entry, "first").await;
+    let (stop, mut stopped) = watch::channel(());
+    let caller = tokio::spawn(async move {
+        let client = HttpClient::default();
+        let mut statuses = Vec::new();
+        loop {
+            statuses.push(keyed_call(&client, entry, "first").await);
+            tokio::select! {
+                _ = stopped.changed() => return statuses,
+                () = sleep(Duration::from_millis(20)) => {}
+            }
+        }
+    });
+    match loss {
+        LeaderLoss::Killed => group.instances[old].kill().await,
+        LeaderLoss::CutOff => group.silence(old),
+    }
+    let new = group.leader(Some(old)).await;
+    let second = submission("r2", 1, document(&["first", "second"]));
+    assert_eq!(group.submit(new, &second).await, ACCEPTED_TWO);
+    wait_for_key(entry, "second").await;
+    drop(stop);
+    let statuses = caller.await.unwrap();
+    let refused = statuses.iter().filter(|status| **status != StatusCode::OK);
+    assert_eq!(refused.count(), 0, "of {}", statuses.len());
+}
+
+/// Guards against a change of leader that takes longer than the freshness lease of the entries or
+/// that they do not follow: they would refuse keyed work.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_entry_stays_fresh_when_its_leader_is_killed() {
+    lose_leader(LeaderLoss::Killed).await;
+}
+
+/// Guards against an entry that keeps to a leader whose connection is open but silent, or that waits
+/// for it so long that its lease ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_entry_stays_fresh_when_its_leader_falls_silent() {
+    lose_leader(LeaderLoss::CutOff).await;
+}
+
+/// Guards against a leader that does not notice that it is cut off: it would confirm an old state as
+/// current, or act outside the log together with its successor.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_leader_that_is_cut_off_silently_confirms_nothing() {
+    let group = Group::start().await;
+    let old = group.leader(None).await;
+    let first = submission("r1", 0, document(&["first"]));
+    assert_eq!(group.submit(old, &first).await, ACCEPTED_ONE);
+    group.silence(old);
+    let early = group.instances[old].ping("early");
+    let successor = async {
+        let new = group.leader(Some(old)).await;
+        // Seen after the successor had authority, so both would have had it.
+        assert!(!group.instances[old].has_authority());
+        new
+    };
+    let (early, new) = tokio::join!(early, successor);
+    assert_eq!(early, None);
+    let second = submission("r2", 1, document(&["first", "second"]));
+    assert_eq!(group.submit(new, &second).await, ACCEPTED_TWO);
+    assert!(!group.instances[old].has_authority());
+    assert_eq!(group.instances[old].ping("late").await, None);
+    assert!(group.query(old, &Query::Summary).await.is_err());
+    let confirmed = group.instances[new].ping("late").await.unwrap();
+    assert_eq!(confirmed.revision, 2);
+}
