Draw measurement lines as one page of plots

Cause: lines of JSON are hard to compare. Change: oriolecrank-bench report reads the lines of other measurements and prints one HTML page.

--- a/crates/oriolecrank-bench/src/lib.rs
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod measurement;
 pub mod path;
 pub mod policy;
+pub mod report;
 pub mod route;
--- a/crates/oriolecrank-bench/src/main.rs
+++ b/crates/oriolecrank-bench/src/main.rs
@@ -30,6 +30,7 @@
         "control" => oriolecrank_bench::control::run(&arguments),
         "policy" => oriolecrank_bench::policy::run(&arguments),
         "path" => oriolecrank_bench::path::run(&arguments),
+        "report" => oriolecrank_bench::report::run(&arguments),
         "route" => route::run(&arguments),
         _ => {
             eprintln!("{USAGE}");
--- a/crates/oriolecrank-bench/src/measurement.rs
+++ b/crates/oriolecrank-bench/src/measurement.rs
@@ -1,6 +1,6 @@
 //! One measurement, printed as one line of JSON.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
 /// A measured value and its target.
@@ -21,7 +21,7 @@
 }
 
 /// Bound that a value has to keep.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Target {
     /// The value must not be larger.
@@ -30,6 +30,15 @@
     AtLeast(f64),
 }
 
+impl Target {
+    /// The bound without its direction.
+    pub const fn bound(self) -> f64 {
+        match self {
+            Self::AtMost(bound) | Self::AtLeast(bound) => bound,
+        }
+    }
+}
+
 impl Measurement {
     /// Whether the target is met; true without a target.
     pub fn passed(&self) -> bool {
