--- a/crates/oriolecrank-agent/src/running_answer.rs
+++ b/crates/oriolecrank-agent/src/running_answer.rs
@@ -134,10 +134,7 @@
     }
 
     /// Appends bytes, waiting while the buffer is full.
-    pub async fn append(&self, bytes: Bytes) {
-        // A slice keeps the whole read buffer of the connection in memory, and a token is far smaller
-        // than that.
-        let mut bytes = Bytes::copy_from_slice(&bytes);
+    pub async fn append(&self, mut bytes: Bytes) {
         let mut changes = self.changes();
         while !bytes.is_empty() {
             changes.borrow_and_update();
