Plan roles by the shape of the calls

Cause: the prompts of chats saturate decode engines, but the planner counted them as work for prefill engines, so that swings to chat left too few decode engines.

Change: demand is reported for prompt-heavy and output-heavy calls and measured in engines of the role that serves them. Prefill engines are used up to 0.6, decode engines up to 0.9.

--- a/crates/oriolecrank-capacity/src/capability_estimate.rs
+++ b/crates/oriolecrank-capacity/src/capability_estimate.rs
@@ -7,7 +7,7 @@
 use oriolecrank_schema::control::{UpstreamLoad, UpstreamRole};
 use oriolecrank_schema::document::UpstreamId;
 
-use crate::TokenRate;
+use crate::{DemandRate, ShapedDemand, TokenRate};
 
 /// Tokens per second that an upstream is able to process and to generate at the same time.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -18,35 +18,48 @@
     pub decode: TokenRate,
 }
 
-impl std::ops::Add for RoleAbility {
-    type Output = Self;
-
-    fn add(self, other: Self) -> Self {
+impl RoleAbility {
+    /// The same mix of abilities, faster by `speed`.
+    #[must_use]
+    pub fn scaled(self, speed: f64) -> Self {
         Self {
-            prefill: self.prefill + other.prefill,
-            decode: self.decode + other.decode,
+            prefill: self.prefill * speed,
+            decode: self.decode * speed,
         }
     }
 }
 
-impl std::ops::Sub for RoleAbility {
+/// Number of engines of each role, in engines of stated speed.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct EngineCounts {
+    /// Prefill engines.
+    pub prefill: f64,
+    /// Decode engines.
+    pub decode: f64,
+    /// Mixed engines.
+    pub mixed: f64,
+}
+
+impl std::ops::Sub for EngineCounts {
     type Output = Self;
 
     fn sub(self, other: Self) -> Self {
         Self {
             prefill: self.prefill - other.prefill,
             decode: self.decode - other.decode,
+            mixed: self.mixed - other.mixed,
         }
     }
 }
 
-impl RoleAbility {
-    /// The same mix of abilities, faster by `speed`.
-    #[must_use]
-    pub fn scaled(self, speed: f64) -> Self {
-        Self {
-            prefill: self.prefill * speed,
-            decode: self.decode * speed,
+impl EngineCounts {
+    /// Adds an engine.
+    pub fn add(&mut self, role: UpstreamRole, speed: f64) {
+        match role {
+            UpstreamRole::Prefill => self.prefill += speed,
+            UpstreamRole::Decode => self.decode += speed,
+            UpstreamRole::Mixed => self.mixed += speed,
+            UpstreamRole::Plain => {}
         }
     }
 }
@@ -170,8 +183,36 @@
 
     /// Ability of an upstream in a role, whether or not it has that role now.
     pub fn ability(&self, upstream: &UpstreamId, role: UpstreamRole) -> RoleAbility {
-        let speed = self.upstreams.get(upstream).map_or(1.0, |one| one.speed);
-        self.settings.stated(role).scaled(speed)
+        self.settings.stated(role).scaled(self.speed(upstream))
+    }
+
+    /// Speed of an upstream relative to the stated ability.
+    pub fn speed(&self, upstream: &UpstreamId) -> f64 {
+        self.upstreams.get(upstream).map_or(1.0, |one| one.speed)
+    }
+
+    /// Engines that a demand keeps fully busy: prefill engines for prompt-heavy calls and decode
+    /// engines for output-heavy calls.
+    pub fn engines_for(&self, demand: ShapedDemand) -> EngineCounts {
+        EngineCounts {
+            prefill: busy_engines(demand.prompt_heavy, self.settings.prefill),
+            decode: busy_engines(demand.output_heavy, self.settings.decode),
+            mixed: 0.0,
+        }
+    }
+
+    /// Part of a prefill and of a decode engine that a mixed engine replaces.
+    pub fn mixed_parts(&self) -> (f64, f64) {
+        let CapabilitySettings {
+            prefill,
+            decode,
+            mixed,
+            ..
+        } = &self.settings;
+        (
+            mixed.prefill.share_of(prefill.prefill),
+            mixed.decode.share_of(decode.decode),
+        )
     }
 
     /// Ability of an upstream of average speed in a role, for starts.
@@ -180,6 +221,12 @@
     }
 }
 
+/// Engines that a rate keeps busy by prompts or by outputs, whichever is more.
+fn busy_engines(rate: DemandRate, ability: RoleAbility) -> f64 {
+    let prefill = rate.prefill.share_of(ability.prefill);
+    prefill.max(rate.decode.share_of(ability.decode))
+}
+
 /// Speed relative to the stated ability; `None` if the role processes no tokens.
 fn relative_speed(
     settings: &CapabilitySettings,
--- a/crates/oriolecrank-capacity/src/fleet_planner.rs
+++ b/crates/oriolecrank-capacity/src/fleet_planner.rs
@@ -8,7 +8,7 @@
 use oriolecrank_schema::document::{FailureDomainId, ServiceId, UpstreamId};
 
 use crate::{
-    CapabilityEstimator, DemandRate, DemandSettings, DemandSummary, Freshness, UpstreamView,
+    CapabilityEstimator, DemandSettings, DemandSummary, Freshness, ShapedDemand, UpstreamView,
 };
 
 /// Doublings of the backoff before it stays at its bound.
@@ -69,7 +69,7 @@
     /// Demand of all classes.
     pub demand: DemandSummary,
     /// Demand of the urgent class.
-    pub urgent: DemandRate,
+    pub urgent: ShapedDemand,
     /// Whether the demand may be acted on.
     pub freshness: Freshness,
     /// Settings the demand was estimated with.
@@ -212,11 +212,8 @@
     fn needed(&self, input: &FleetInput<'_>) -> usize {
         let ahead = self.settings.start_duration;
         let forecast = input.demand.forecast(ahead, input.demand_settings);
-        let largest = DemandRate {
-            prefill: larger(forecast.prefill, input.demand.short.prefill),
-            decode: larger(forecast.decode, input.demand.short.decode),
-        };
-        let by_demand = engines_for(input, largest) / self.settings.target_utilisation;
+        let largest = engines_for(input, forecast).max(engines_for(input, input.demand.short));
+        let by_demand = largest / self.settings.target_utilisation;
         let by_urgent = engines_for(input, input.urgent);
         let domains = input.domains.len().max(1) as f64;
         // With the upstreams spread evenly, the loss of one domain leaves this share.
@@ -324,15 +321,10 @@
         .collect()
 }
 
-fn larger(one: crate::TokenRate, other: crate::TokenRate) -> crate::TokenRate {
-    if one > other { one } else { other }
-}
-
 /// Number of fully used engines for a demand, with roles that fit it.
-fn engines_for(input: &FleetInput<'_>, demand: DemandRate) -> f64 {
-    let prefill = input.capability.typical(UpstreamRole::Prefill).prefill;
-    let decode = input.capability.typical(UpstreamRole::Decode).decode;
-    demand.prefill.share_of(prefill) + demand.decode.share_of(decode)
+fn engines_for(input: &FleetInput<'_>, demand: ShapedDemand) -> f64 {
+    let engines = input.capability.engines_for(demand);
+    engines.prefill + engines.decode
 }
 
 /// Number of upstreams that may still start.
--- a/crates/oriolecrank-capacity/src/lib.rs
+++ b/crates/oriolecrank-capacity/src/lib.rs
@@ -31,11 +31,11 @@
 pub use cache_transfer::{
     HotPrefix, TransferDecision, TransferLink, TransferPlanner, TransferSettings,
 };
-pub use capability_estimate::{CapabilityEstimator, CapabilitySettings, RoleAbility};
+pub use capability_estimate::{CapabilityEstimator, CapabilitySettings, EngineCounts, RoleAbility};
 pub use change_plan::{ChangePlan, PlanAction, PlanError, PlanId, PlanStep, StepState};
 pub use demand_estimate::{
-    DemandEstimator, DemandKey, DemandRate, DemandReport, DemandSettings, DemandSummary, Freshness,
-    ReportResult, ReporterId,
+    CallShape, DemandEstimator, DemandKey, DemandRate, DemandReport, DemandSettings, DemandSummary,
+    Freshness, ReportResult, ReporterId, ShapedDemand,
 };
 pub use fleet_planner::{
     FleetDecision, FleetInput, FleetPlanner, FleetSettings, StartRequest, StopRequest,
@@ -49,7 +49,8 @@
     ReconcilerSettings,
 };
 pub use role_planner::{
-    FreezeReason, PoolInput, RoleChange, RoleDecision, RolePlanner, RoleSettings, capacity_loss,
+    EngineUtilisation, FreezeReason, PoolInput, RoleChange, RoleDecision, RolePlanner,
+    RoleSettings, capacity_loss,
 };
 pub use token_rate::TokenRate;
 pub use upstream_view::UpstreamView;
--- a/crates/oriolecrank-capacity/src/role_planner.rs
+++ b/crates/oriolecrank-capacity/src/role_planner.rs
@@ -8,7 +8,7 @@
 use oriolecrank_schema::control::{Command, OrderAction, UpstreamRole};
 use oriolecrank_schema::document::{FailureDomainId, ServiceId, UpstreamId};
 
-use crate::{CapabilityEstimator, DemandRate, Freshness, RoleAbility, UpstreamView};
+use crate::{CapabilityEstimator, EngineCounts, Freshness, ShapedDemand, UpstreamView};
 
 /// Roles that an engine may take.
 const ENGINE_ROLES: [UpstreamRole; 3] = [
@@ -23,6 +23,34 @@
 /// Differences below this are rounding errors.
 const EPSILON: f64 = 1e-9;
 
+/// Parts of the engines that are used.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineUtilisation {
+    /// Part of the prefill engines.
+    pub prefill: f64,
+    /// Part of the decode engines.
+    pub decode: f64,
+}
+
+impl EngineUtilisation {
+    /// Engines that are used completely.
+    pub const FULL: Self = Self {
+        prefill: 1.0,
+        decode: 1.0,
+    };
+}
+
+impl Default for EngineUtilisation {
+    /// A prompt waits behind whole other prompts before its first token, while output tokens share
+    /// each iteration, so prefill engines need more headroom.
+    fn default() -> Self {
+        Self {
+            prefill: 0.6,
+            decode: 0.9,
+        }
+    }
+}
+
 /// Settings of [`RolePlanner`].
 #[derive(Debug, Clone, PartialEq)]
 pub struct RoleSettings {
@@ -32,8 +60,8 @@
     pub change_duration: Duration,
     /// Further cost of a change, in engine-seconds: lost cache and moved requests.
     pub change_penalty: f64,
-    /// Share of the ability that may be used before latency bounds are missed.
-    pub target_utilisation: f64,
+    /// Parts of the engines that may be used before latency bounds are missed.
+    pub target_utilisation: EngineUtilisation,
     /// The gain has to exceed the cost by this factor.
     pub hysteresis: f64,
     /// Shortest time that an engine keeps its role.
@@ -56,7 +84,7 @@
             horizon: Duration::from_mins(3),
             change_duration: Duration::from_secs(8),
             change_penalty: 12.0,
-            target_utilisation: 0.8,
+            target_utilisation: EngineUtilisation::default(),
             hysteresis: 1.5,
             minimum_stay: Duration::from_mins(3),
             domain_share: 0.25,
@@ -77,9 +105,9 @@
     /// Upstreams with unfinished plan steps.
     pub pending: &'a [UpstreamId],
     /// Demand of all classes on the short time scale.
-    pub demand: DemandRate,
+    pub demand: ShapedDemand,
     /// Demand of the urgent class alone.
-    pub urgent: DemandRate,
+    pub urgent: ShapedDemand,
     /// Whether the demand may be acted on.
     pub freshness: Freshness,
     /// Measured abilities.
@@ -130,26 +158,32 @@
     Change(Vec<RoleChange>),
 }
 
-/// Lack of ability for a demand, in engines.
+/// Lack of engines for a demand.
 ///
-/// Only `utilisation` of the ability counts, and each kind is measured in engines that specialise in
-/// it, so that prompt and output tokens can be added. A small share for the busier kind makes
-/// balanced roles preferable among equals.
+/// Only `utilisation` of the engines counts. What the specialised engines cannot serve goes to mixed
+/// ones, which process prompts and generate tokens side by side. A small share for the busier kind
+/// makes balanced roles preferable among equals.
 pub fn capacity_loss(
-    demand: DemandRate,
-    ability: RoleAbility,
-    utilisation: f64,
+    demand: ShapedDemand,
+    engines: EngineCounts,
+    utilisation: EngineUtilisation,
     capability: &CapabilityEstimator,
 ) -> f64 {
-    let prefill_engine = capability.typical(UpstreamRole::Prefill).prefill;
-    let decode_engine = capability.typical(UpstreamRole::Decode).decode;
-    let missing_prefill = demand.prefill * (1.0 / utilisation) - ability.prefill;
-    let missing_decode = demand.decode * (1.0 / utilisation) - ability.decode;
-    let prefill_use = demand.prefill.share_of(ability.prefill);
-    let decode_use = demand.decode.share_of(ability.decode);
-    missing_prefill.share_of(prefill_engine)
-        + missing_decode.share_of(decode_engine)
-        + BALANCE_WEIGHT * prefill_use.max(decode_use).min(1.0)
+    let needed = capability.engines_for(demand);
+    let (mixed_prefill, mixed_decode) = capability.mixed_parts();
+    let prefill = engines.mixed.mul_add(mixed_prefill, engines.prefill);
+    let decode = engines.mixed.mul_add(mixed_decode, engines.decode);
+    let missing_prefill = (needed.prefill / utilisation.prefill - prefill).max(0.0);
+    let missing_decode = (needed.decode / utilisation.decode - decode).max(0.0);
+    let part_used = |needed: f64, present: f64| {
+        if needed <= 0.0 {
+            0.0
+        } else {
+            (needed / present).min(1.0)
+        }
+    };
+    let used = part_used(needed.prefill, prefill).max(part_used(needed.decode, decode));
+    BALANCE_WEIGHT.mul_add(used, missing_prefill + missing_decode)
 }
 
 /// Engines that a fully used kind costs more than an idle one.
@@ -241,8 +275,8 @@
     index: usize,
     view: &'a UpstreamView,
     domain: usize,
-    /// Abilities in the order of [`ENGINE_ROLES`].
-    abilities: [RoleAbility; 3],
+    /// Measured speed.
+    speed: f64,
     /// Whether it works now.
     ready: bool,
     /// Whether it may change now.
@@ -298,8 +332,7 @@
                     domain: domains
                         .get_index_of(&view.failure_domain)
                         .expect("every domain was counted above"),
-                    abilities: ENGINE_ROLES
-                        .map(|role| input.capability.ability(&view.upstream, role)),
+                    speed: input.capability.speed(&view.upstream),
                     ready: view.is_ready() && !pending,
                     movable: view.is_ready() && !pending && stayed,
                 }
@@ -481,23 +514,24 @@
     fn loss(&self, roles: &[UpstreamRole]) -> f64 {
         capacity_loss(
             self.input.demand,
-            self.ability(roles, |_| true),
+            self.engines(roles, |_| true),
             self.settings.target_utilisation,
             self.input.capability,
         )
     }
 
-    fn ability(
+    fn engines(
         &self,
         roles: &[UpstreamRole],
         counts: impl Fn(&PoolMember<'_>) -> bool,
-    ) -> RoleAbility {
-        self.members
-            .iter()
-            .zip(roles)
-            .filter(|(member, _)| counts(member))
-            .map(|(member, role)| member.abilities[role_index(*role)])
-            .fold(RoleAbility::default(), |sum, one| sum + one)
+    ) -> EngineCounts {
+        let mut engines = EngineCounts::default();
+        for (member, role) in self.members.iter().zip(roles) {
+            if counts(member) {
+                engines.add(*role, member.speed);
+            }
+        }
+        engines
     }
 
     /// Whether any counted member is set up for prefill, and any for decode.
@@ -522,12 +556,17 @@
         roles: &[UpstreamRole],
         counts: impl Fn(&PoolMember<'_>) -> bool,
     ) -> f64 {
-        let total = self.ability(roles, &counts);
+        let total = self.engines(roles, &counts);
         (0..self.quota.len())
             .map(|domain| {
-                let lost = self.ability(roles, |member| counts(member) && member.domain == domain);
+                let lost = self.engines(roles, |member| counts(member) && member.domain == domain);
                 let left = total - lost;
-                capacity_loss(self.input.urgent, left, 1.0, self.input.capability)
+                capacity_loss(
+                    self.input.urgent,
+                    left,
+                    EngineUtilisation::FULL,
+                    self.input.capability,
+                )
             })
             .fold(0.0, f64::max)
     }
@@ -570,11 +609,3 @@
 
 /// Shortages that differ by less are equal; it covers the balance share of [`capacity_loss`].
 const SHORTAGE_TOLERANCE: f64 = 2.0 * BALANCE_WEIGHT;
-
-const fn role_index(role: UpstreamRole) -> usize {
-    match role {
-        UpstreamRole::Prefill => 0,
-        UpstreamRole::Decode => 1,
-        UpstreamRole::Mixed | UpstreamRole::Plain => 2,
-    }
-}
