--- a/crates/oriolecrank-entry/src/call_runner.rs
+++ b/crates/oriolecrank-entry/src/call_runner.rs
@@ -315,6 +315,11 @@
         kind: RetryKind,
     ) -> Result<(), AttemptError> {
         self.note_verdict(&error);
+        if error.verdict == RunVerdict::NotRun
+            && let Some(permit) = self.suspect.take()
+        {
+            permit.release().await;
+        }
         // A claimed call is run again only through its claim.
         let claimed = self.plan.safety == CallSafety::Claimed;
         let is_final = FINAL_CODES.contains(&&*error.code);
--- a/crates/oriolecrank-entry/tests/entry/suspects.rs
+++ b/crates/oriolecrank-entry/tests/entry/suspects.rs
@@ -5,6 +5,8 @@
     Command, CommandOutcome, SubscriptionFrame, SuspectRecord, SuspectState,
 };
 use oriolecrank_schema::data_path::RunVerdict;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::time::timeout;
 
 use crate::harness::{EntrySetup, PATIENCE, TestEntry, answering, scripted};
@@ -168,3 +170,29 @@
     let crashes = entry.agents[0].log().runs.len() - 1;
     assert!(crashes <= 2, "{crashes} crashes");
 }
+
+/// Guards against a suspect that can run nowhere for ten minutes, because the permission was spent on
+/// an agent that refused the request.
+#[tokio::test]
+async fn the_permission_of_a_refused_rerun_is_given_back() {
+    let refusing = Arc::new(AtomicBool::new(false));
+    let refuse = Arc::clone(&refusing);
+    let run = move |_| {
+        if refuse.load(Ordering::SeqCst) {
+            return vec![failed(RunVerdict::NotRun, "draining")];
+        }
+        whole_answer(200, JSON, "{}")
+    };
+    let entry = start(scripted(run, |_| vec![]), |_| CommandOutcome::Accepted).await;
+    make_suspect(&entry, SuspectState::Suspect).await;
+    refusing.store(true, Ordering::SeqCst);
+    let released = |command: &Command| matches!(command, Command::ReleaseRerun { .. });
+    let wait = async {
+        while !entry.control.log().commands.iter().any(released) {
+            assert_eq!(entry.complete(false).await.error("verdict"), "not_run");
+        }
+    };
+    timeout(PATIENCE, wait)
+        .await
+        .expect("permission given back");
+}
