--- a/crates/oriolecrank-control/src/capacity_executor.rs
+++ b/crates/oriolecrank-control/src/capacity_executor.rs
@@ -22,9 +22,8 @@
 
 use crate::action_authority::{TermGuard, TimeSource};
 use crate::capacity_inputs::CapacityInputs;
-use crate::capacity_planner::{
-    CapacityPlanner, PlannedChanges, PlannerSettings, PlannerView, is_last_capable,
-};
+use crate::capacity_planner::{CapacityPlanner, PlannedChanges, PlannerView, is_last_capable};
+use crate::capacity_settings::{CapacitySettings, CapacitySources};
 use crate::command_replica::CommandReplica;
 use crate::control_metrics::ControlMetrics;
 use crate::order_executor::OrderOutcomes;
@@ -35,58 +34,6 @@
 /// Interval at which a plan is continued.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Settings of a [`CapacityExecutor`].
-#[derive(Debug, Clone)]
-pub struct CapacitySettings {
-    /// Planners.
-    pub planner: PlannerSettings,
-    /// Time between two plans.
-    pub plan_interval: Duration,
-    /// A new leader plans nothing for this long, until it has heard from all subscribers and agents.
-    pub warm_up: Duration,
-    /// A step that would take an upstream out of work is dropped if it has not begun within this
-    /// time, because the plan no longer fits the demand.
-    pub begin_within: Duration,
-    /// Longest drain before a role change; the upstream then takes work again.
-    pub role_drain_limit: Duration,
-    /// Longest drain before a stop; the upstream then takes work again.
-    pub stop_drain_limit: Duration,
-    /// Time within which a drained upstream announces that it takes no work. One that does not has
-    /// restarted since, and its change is given up.
-    pub drain_shown_within: Duration,
-    /// How long a change waits for an upstream that has lost its lease.
-    pub rejoin_within: Duration,
-    /// How long the result of an order that is no longer in flight may be on its way to the plan.
-    pub result_within: Duration,
-}
-
-impl Default for CapacitySettings {
-    fn default() -> Self {
-        Self {
-            planner: PlannerSettings::default(),
-            plan_interval: Duration::from_secs(5),
-            warm_up: Duration::from_secs(10),
-            begin_within: Duration::from_mins(1),
-            role_drain_limit: Duration::from_mins(1),
-            stop_drain_limit: Duration::from_mins(10),
-            drain_shown_within: Duration::from_secs(5),
-            rejoin_within: Duration::from_mins(1),
-            result_within: Duration::from_secs(1),
-        }
-    }
-}
-
-/// What plans are made from besides the replicated state.
-#[derive(Debug, Clone, Default)]
-pub struct CapacitySources {
-    /// Demand and load.
-    pub inputs: CapacityInputs,
-    /// Results of orders.
-    pub orders: OrderOutcomes,
-    /// Ended starts; `None` without a platform, when only roles change.
-    pub starts: Option<StartOutcomes>,
-}
-
 /// Progress of one term.
 #[derive(Debug)]
 struct TermProgress {
--- a/crates/oriolecrank-control/src/leader_actions.rs
+++ b/crates/oriolecrank-control/src/leader_actions.rs
@@ -8,7 +8,8 @@
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::capacity_executor::{CapacityExecutor, CapacitySettings, CapacitySources};
+use crate::capacity_executor::CapacityExecutor;
+use crate::capacity_settings::{CapacitySettings, CapacitySources};
 use crate::cluster_label::ClusterLabel;
 use crate::command_replica::CommandReplica;
 use crate::control_metrics::{ControlFigures, ControlMetrics};
--- a/crates/oriolecrank-control/src/lib.rs
+++ b/crates/oriolecrank-control/src/lib.rs
@@ -22,6 +22,7 @@
 mod capacity_executor;
 mod capacity_inputs;
 mod capacity_planner;
+mod capacity_settings;
 mod cluster_label;
 mod command_replica;
 mod control_metrics;
@@ -62,9 +63,10 @@
 pub use action_authority::{
     AuthorityWait, LeaderPermit, TermGuard, TimeSource, WaitSettings, WaitState, WritePermit,
 };
-pub use capacity_executor::{CapacityExecutor, CapacitySettings, CapacitySources};
+pub use capacity_executor::CapacityExecutor;
 pub use capacity_inputs::{CapacityInputs, InputTables, LoadReport};
 pub use capacity_planner::{CapacityPlanner, PlannedChanges, PlannerSettings, PlannerView};
+pub use capacity_settings::{CapacitySettings, CapacitySources};
 pub use cluster_label::ClusterLabel;
 pub use command_replica::CommandReplica;
 pub use control_metrics::{ControlFigures, ControlMetrics};
