Report demand by the shape of calls; tell planned refusals apart

Cause: the role planner needs the demand of prompt-heavy and output-heavy calls, while pings only carried the sum of all tokens. Entries expect the codes upstream_leaving and upstream_changing for planned refusals, while the agent answered draining, which spent the retry budget of a drain. A repeated attempt was refused by a superseded agent although it ran there. Change: DemandEntry has the shape and the prompt tokens (8 entries a ping instead of 12, to stay below 1,200 bytes); the leader takes them instead of guessing by the mix of processed tokens; the agent answers with the codes that entries know, and attaches a repeated attempt first. Result: tests of agent, entry, control and capacity pass.

--- a/crates/oriolecrank-agent/src/run_server.rs
+++ b/crates/oriolecrank-agent/src/run_server.rs
@@ -51,6 +51,11 @@
         };
         let request = frame.header;
         let id = AttemptId::from(&request);
+        // A repeated attempt may already run, also while new work is refused.
+        let known = self.core.table().answer(&id);
+        if let Some(answer) = known {
+            return self.open_stream(id, answer, 0);
+        }
         if let Some(event) = self.refusal(&request) {
             return single_frame(&id, event);
         }
--- a/crates/oriolecrank-agent/src/work_table.rs
+++ b/crates/oriolecrank-agent/src/work_table.rs
@@ -145,10 +145,13 @@
     fn refuse(&mut self, claim_id: Option<u64>, refusal: &QueueRefusal) -> AdmittedCall {
         let message = refusal.to_string();
         let Some(claim_id) = claim_id else {
-            return AdmittedCall::Refused {
-                code: refusal.code(),
-                message,
+            // The entry tells a planned refusal, which costs no retry budget, by these codes.
+            let code = match (refusal, self.phase) {
+                (QueueRefusal::Draining, UpstreamPhase::Changing) => "upstream_changing",
+                (QueueRefusal::Draining, _) => "upstream_leaving",
+                _ => refusal.code(),
             };
+            return AdmittedCall::Refused { code, message };
         };
         self.release(claim_id);
         AdmittedCall::Refused {
@@ -273,12 +276,11 @@
     pub fn drain(&mut self, phase: UpstreamPhase, now: TimePoint) {
         self.phase = phase;
         for waiting in self.queue.begin_drain() {
-            self.drop_waiting(
-                &waiting.id,
-                "upstream_leaving",
-                "the upstream takes no new work",
-                now,
-            );
+            let code = match phase {
+                UpstreamPhase::Changing => "upstream_changing",
+                _ => "upstream_leaving",
+            };
+            self.drop_waiting(&waiting.id, code, "the upstream takes no new work", now);
         }
     }
 
--- a/crates/oriolecrank-control/src/capacity_executor.rs
+++ b/crates/oriolecrank-control/src/capacity_executor.rs
@@ -437,9 +437,7 @@
     fn is_stale(&self, service: &ServiceId, now: TimePoint) -> bool {
         self.state.read(|state| {
             let members = state.members().filter(|record| record.service == *service);
-            let freshness = self
-                .inputs
-                .with(|inputs| inputs.freshness(service, members, now));
+            let freshness = self.inputs.with(|inputs| inputs.freshness(members, now));
             freshness == Freshness::Stale
         })
     }
--- a/crates/oriolecrank-control/src/capacity_inputs.rs
+++ b/crates/oriolecrank-control/src/capacity_inputs.rs
@@ -5,11 +5,11 @@
 
 use indexmap::IndexMap;
 use oriolecrank_capacity::{
-    CapabilityEstimator, CapabilitySettings, DemandEstimator, DemandKey, DemandRate, DemandReport,
+    CallShape, CapabilityEstimator, CapabilitySettings, DemandEstimator, DemandKey, DemandReport,
     DemandSettings, DemandSummary, Freshness, ReporterId,
 };
 use oriolecrank_schema::TimePoint;
-use oriolecrank_schema::control::{PingRequest, UpstreamRecord};
+use oriolecrank_schema::control::{self as wire, PingRequest, UpstreamRecord};
 use oriolecrank_schema::data_path::UpstreamLoad;
 use oriolecrank_schema::document::{PriorityClass, ServiceId, UpstreamId};
 use oriolecrank_state::CheckedDocument;
@@ -24,9 +24,6 @@
 const SHORTEST_INTERVAL: Duration = Duration::from_millis(100);
 const LONGEST_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Time constant of the mix of prompt and output tokens; equal to that of the short demand.
-const MIX_TIME_CONSTANT: Duration = Duration::from_secs(20);
-
 /// A load report older than this is stale. It is below the removal time of silent members (10 s).
 const LOAD_LIFETIME: Duration = Duration::from_secs(5);
 
@@ -46,24 +43,14 @@
     pub at: TimePoint,
 }
 
-/// Decaying sums of the processed tokens of a service.
-#[derive(Debug, Clone, Copy)]
-struct TokenMix {
-    prefill: f64,
-    decode: f64,
-    at: TimePoint,
-}
-
 /// What decisions are based on; in leader memory and empty at the start of a term.
 #[derive(Debug, Default)]
 pub struct InputTables {
     sequence: PingSequence,
     heard: IndexMap<ReporterId, TimePoint>,
-    /// Demand in tokens of both kinds, counted as prompt tokens: pings do not tell them apart.
     demand: DemandEstimator,
     capability: CapabilityEstimator,
     loads: IndexMap<UpstreamId, LoadReport>,
-    mixes: IndexMap<ServiceId, TokenMix>,
 }
 
 impl InputTables {
@@ -74,16 +61,12 @@
 
     /// Demand of a service over all classes.
     pub fn demand(&self, service: &ServiceId) -> DemandSummary {
-        self.split(service, self.demand.service_summary(service))
+        self.demand.service_summary(service)
     }
 
     /// Demand of a service for one class.
     pub fn class_demand(&self, service: &ServiceId, class: PriorityClass) -> DemandSummary {
-        let key = DemandKey {
-            service: service.clone(),
-            class,
-        };
-        self.split(service, self.demand.summary(&key))
+        self.demand.summary(service, class)
     }
 
     /// Measured abilities.
@@ -96,11 +79,9 @@
         self.loads.get(upstream)
     }
 
-    /// Whether demand and loads of a service may be acted on. Before it has processed any tokens,
-    /// nobody knows how many of them are prompt tokens.
+    /// Whether demand and loads of a service may be acted on.
     pub fn freshness<'a>(
         &self,
-        service: &ServiceId,
         members: impl Iterator<Item = &'a UpstreamRecord>,
         now: TimePoint,
     ) -> Freshness {
@@ -113,8 +94,7 @@
             });
             fresh += u32::from(is_fresh);
         }
-        let is_known = self.prefill_share(service).is_some();
-        if !is_known || f64::from(fresh) < FRESH_LOAD_SHARE * f64::from(known) {
+        if f64::from(fresh) < FRESH_LOAD_SHARE * f64::from(known) {
             return Freshness::Stale;
         }
         self.demand.freshness(now)
@@ -147,8 +127,13 @@
             let key = DemandKey {
                 service: entry.service.clone(),
                 class,
+                shape: match entry.shape {
+                    wire::CallShape::PromptHeavy => CallShape::PromptHeavy,
+                    wire::CallShape::OutputHeavy => CallShape::OutputHeavy,
+                },
             };
-            Some((key, entry.tokens, 0))
+            let output = entry.tokens.saturating_sub(entry.prompt_tokens);
+            Some((key, entry.prompt_tokens, output))
         });
         let report = DemandReport {
             reporter,
@@ -172,14 +157,6 @@
         if newest.is_some_and(|newest| newest >= (record.incarnation, number)) {
             return;
         }
-        let same = known.filter(|known| known.incarnation == record.incarnation);
-        if let Some(known) = same {
-            let prefill = load
-                .prefill_tokens
-                .saturating_sub(known.load.prefill_tokens);
-            let decode = load.decode_tokens.saturating_sub(known.load.decode_tokens);
-            self.note_mix(&record.service, prefill, decode, now);
-        }
         self.capability
             .observe(&record.upstream, record.role, load, now);
         let report = LoadReport {
@@ -190,39 +167,6 @@
         };
         self.loads.insert(record.upstream.clone(), report);
     }
-
-    fn note_mix(&mut self, service: &ServiceId, prefill: u64, decode: u64, now: TimePoint) {
-        let mix = self.mixes.entry(service.clone()).or_insert(TokenMix {
-            prefill: 0.0,
-            decode: 0.0,
-            at: now,
-        });
-        let age = now.since(mix.at).as_secs_f64();
-        let kept = (-age / MIX_TIME_CONSTANT.as_secs_f64()).exp();
-        mix.prefill = mix.prefill.mul_add(kept, prefill as f64);
-        mix.decode = mix.decode.mul_add(kept, decode as f64);
-        mix.at = now;
-    }
-
-    /// Splits a demand by the present mix of processed tokens.
-    fn split(&self, service: &ServiceId, total: DemandSummary) -> DemandSummary {
-        let share = self.prefill_share(service).unwrap_or_default();
-        let split = |total: DemandRate| DemandRate {
-            prefill: total.prefill * share,
-            decode: total.prefill * (1.0 - share),
-        };
-        DemandSummary {
-            short: split(total.short),
-            long: split(total.long),
-        }
-    }
-
-    /// Share of prompt tokens in the processed tokens of a service; `None` if it processed none.
-    fn prefill_share(&self, service: &ServiceId) -> Option<f64> {
-        let mix = self.mixes.get(service)?;
-        let total = mix.prefill + mix.decode;
-        (total >= 1.0).then(|| mix.prefill / total)
-    }
 }
 
 /// Shared [`InputTables`]; clones share them.
--- a/crates/oriolecrank-control/src/capacity_planner.rs
+++ b/crates/oriolecrank-control/src/capacity_planner.rs
@@ -216,7 +216,7 @@
             }
             let members = view.members.iter();
             let members = members.filter(|record| record.service == service.name);
-            let freshness = inputs.freshness(&service.name, members, now);
+            let freshness = inputs.freshness(members, now);
             if freshness == Freshness::Stale {
                 changes.frozen.push(service.name.clone());
             }
--- a/crates/oriolecrank-control/src/share_table.rs
+++ b/crates/oriolecrank-control/src/share_table.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use oriolecrank_policy::freshness::PingNumber;
 use oriolecrank_policy::limit_key::{EntryCount, LimitKey, OrganisationLimit};
 use oriolecrank_policy::limit_shares::{EntryDemand, EntryName, ShareLedger, ShareSettings};
 use oriolecrank_schema::TimePoint;
-use oriolecrank_schema::control::{LimitShare, PingRequest};
+use oriolecrank_schema::control::{DemandEntry, LimitShare, PingRequest};
 use oriolecrank_state::{ClusterState, Revision};
 
 use crate::ping_sequence::PingSequence;
@@ -61,8 +62,7 @@
         let start = self.sequence.note(ping);
         let entry = EntryName::from(format!("{}#{}", ping.subscriber, start.0));
         let number = PingNumber::from(ping.ping);
-        let demand = ping.demand.iter();
-        let demand = demand.map(|one| (LimitKey::from(one), EntryDemand::from(one)));
+        let demand = demand_by_limit(&ping.demand);
         self.ledger.report(&entry, number, demand, now);
         let mut grants = self.ledger.allocate(now).into_iter();
         // The shares count from the newest report; the answer to an older ping carries none.
@@ -97,3 +97,19 @@
         self.ledger.set_limits(limits);
     }
 }
+
+/// Demand by limit. A ping has an entry for each shape of calls, which limits do not tell apart.
+fn demand_by_limit(entries: &[DemandEntry]) -> IndexMap<LimitKey, EntryDemand> {
+    let mut demand = IndexMap::new();
+    for entry in entries {
+        let one = EntryDemand::from(entry);
+        demand
+            .entry(LimitKey::from(entry))
+            .and_modify(|sum: &mut EntryDemand| {
+                sum.requests += one.requests;
+                sum.tokens += one.tokens;
+            })
+            .or_insert(one);
+    }
+    demand
+}
--- a/crates/oriolecrank-control/tests/leader/limit_shares.rs
+++ b/crates/oriolecrank-control/tests/leader/limit_shares.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use oriolecrank_control::{LeaderDuties, ShareTable, TimeSource as _};
-use oriolecrank_schema::control::{DemandEntry, LimitShare, PingRequest};
+use oriolecrank_schema::control::{CallShape, DemandEntry, LimitShare, PingRequest};
 use oriolecrank_schema::document::{ConfigDocument, LimitConfig};
 
 use crate::support::{TestGroup, TestReplica, document, service, submit};
@@ -29,9 +29,11 @@
 fn ping(subscriber: &str, number: u64, requests: u64) -> PingRequest {
     let entry = DemandEntry {
         organisation: "grove".to_owned(),
+        prompt_tokens: 0,
         refused: 0,
         requests,
         service: service("assistant"),
+        shape: CallShape::OutputHeavy,
         tokens: requests * 100,
     };
     PingRequest {
--- a/crates/oriolecrank-entry/src/admission.rs
+++ b/crates/oriolecrank-entry/src/admission.rs
@@ -19,7 +19,7 @@
 use crate::call_plan::CallPlan;
 use crate::call_runner::choice_request;
 use crate::caller_answer::CallerError;
-use crate::demand_meter::DemandSample;
+use crate::demand_meter::{DemandSample, call_shape};
 use crate::entry_context::EntryContext;
 
 /// Admission, shared by all requests.
@@ -67,7 +67,7 @@
             .apply_shares(shares, entries, lifetime, sent_at, now);
     }
 
-    /// Demand since the last call.
+    /// Ends the period of the limiter's own demand counts, after which it gives unused shares back.
     pub fn take_demand(&self) -> Vec<LimitDemand> {
         self.control().limiter().take_demand(BootClock.now())
     }
@@ -93,16 +93,14 @@
                 .unwrap_or_default(),
         };
         let admitted = self.control().admit(&request, now);
+        count_demand(context, plan, admitted.is_err());
         match admitted {
             Ok(admitted) => Ok(AdmissionPermit {
                 admission: Arc::clone(self),
                 admitted: Some(admitted),
                 served: Arc::clone(&plan.served),
             }),
-            Err(refusal) => {
-                count_refused(context, plan, refusal);
-                Err(caller_error(refusal))
-            }
+            Err(refusal) => Err(caller_error(refusal)),
         }
     }
 
@@ -113,17 +111,17 @@
     }
 }
 
-/// Counts demand that the limits have not seen.
-fn count_refused(context: &EntryContext, plan: &CallPlan, refusal: AdmissionRefusal) {
-    if matches!(refusal, AdmissionRefusal::Limit { .. }) {
-        return;
-    }
+/// Counts the demand of a call for the next ping.
+fn count_demand(context: &EntryContext, plan: &CallPlan, refused: bool) {
+    let (prompt, output) = (plan.size().prompt.get(), plan.size().output.get());
     context.demand.add(DemandSample {
         organisation: &plan.template.organisation,
         service: plan.service(),
         requests: 1,
-        tokens: plan.size().prompt.get() + plan.size().output.get(),
-        refused: 1,
+        shape: call_shape(prompt, output),
+        tokens: prompt + output,
+        prompt_tokens: prompt,
+        refused: u64::from(refused),
     });
 }
 
--- a/crates/oriolecrank-entry/src/demand_meter.rs
+++ b/crates/oriolecrank-entry/src/demand_meter.rs
@@ -3,12 +3,16 @@
 use std::sync::Mutex;
 
 use indexmap::IndexMap;
-use oriolecrank_schema::control::DemandEntry;
+use oriolecrank_schema::control::{CallShape, DemandEntry};
 use oriolecrank_schema::document::ServiceId;
 
-/// Entries of one ping. They have about 80 bytes each, so that two pings a second take less than
+/// A call is prompt-heavy if its prompt has this many times the tokens of its output. The choice of an
+/// upstream and the capacity decisions use the same rule.
+const PROMPT_HEAVY_FACTOR: u64 = 4;
+
+/// Entries of one ping. They have about 125 bytes each, so that two pings a second take less than
 /// 2.4 KB/s and leave room for heads and heartbeats in the budget of 3 KB/s.
-pub const MAX_PING_ENTRIES: usize = 12;
+pub const MAX_PING_ENTRIES: usize = 8;
 
 /// Entries that wait for a ping. 340 organisations call a few services each.
 const MAX_PENDING_ENTRIES: usize = 4_096;
@@ -18,16 +22,27 @@
 struct DemandKey {
     organisation: String,
     service: ServiceId,
+    shape: CallShape,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
 struct DemandCount {
     requests: u64,
     tokens: u64,
+    prompt_tokens: u64,
     refused: u64,
 }
 
-/// Demand of one organisation for one service.
+/// Shape of a call with the given numbers of prompt and output tokens.
+pub const fn call_shape(prompt: u64, output: u64) -> CallShape {
+    if prompt >= output.saturating_mul(PROMPT_HEAVY_FACTOR) {
+        CallShape::PromptHeavy
+    } else {
+        CallShape::OutputHeavy
+    }
+}
+
+/// Demand of one organisation for calls of one shape to one service.
 #[derive(Debug, Clone, Copy)]
 pub struct DemandSample<'a> {
     /// Organisation, or the name for open routes.
@@ -36,8 +51,12 @@
     pub service: &'a ServiceId,
     /// Requests.
     pub requests: u64,
-    /// Estimated tokens.
+    /// Shape of the calls.
+    pub shape: CallShape,
+    /// Estimated prompt and output tokens.
     pub tokens: u64,
+    /// Estimated prompt tokens.
+    pub prompt_tokens: u64,
     /// Requests that were refused because of limits or load.
     pub refused: u64,
 }
@@ -55,6 +74,7 @@
         let key = DemandKey {
             organisation: sample.organisation.to_owned(),
             service: sample.service.clone(),
+            shape: sample.shape,
         };
         let mut counts = self.counts();
         if counts.len() >= MAX_PENDING_ENTRIES && !counts.contains_key(&key) {
@@ -63,6 +83,7 @@
         let count = counts.entry(key).or_default();
         count.requests += sample.requests;
         count.tokens += sample.tokens;
+        count.prompt_tokens += sample.prompt_tokens;
         count.refused += sample.refused;
     }
 
@@ -78,9 +99,11 @@
         taken
             .map(|(key, count)| DemandEntry {
                 organisation: key.organisation,
+                prompt_tokens: count.prompt_tokens,
                 refused: count.refused,
                 requests: count.requests,
                 service: key.service,
+                shape: key.shape,
                 tokens: count.tokens,
             })
             .collect()
@@ -93,7 +116,9 @@
                 organisation: &entry.organisation,
                 service: &entry.service,
                 requests: entry.requests,
+                shape: entry.shape,
                 tokens: entry.tokens,
+                prompt_tokens: entry.prompt_tokens,
                 refused: entry.refused,
             });
         }
--- a/crates/oriolecrank-entry/src/subscription.rs
+++ b/crates/oriolecrank-entry/src/subscription.rs
@@ -13,7 +13,7 @@
 use tokio::time::{interval, sleep};
 
 use crate::admission::AdmissionControl;
-use crate::demand_meter::{DemandMeter, DemandSample};
+use crate::demand_meter::DemandMeter;
 use crate::entry_metrics::EntryMetrics;
 use crate::entry_state::EntryState;
 use crate::options::EntryOptions;
@@ -142,19 +142,8 @@
     }
 
     async fn ping(&self, address: SocketAddr, ping: PingNumber) -> Result<(), ControlError> {
-        for demand in self.admission.take_demand() {
-            // Demand for services is counted under their keys; there is no other.
-            let Some(service) = &demand.key.service else {
-                continue;
-            };
-            self.demand.add(DemandSample {
-                organisation: &demand.key.organisation,
-                service,
-                requests: demand.requests,
-                tokens: demand.tokens.get(),
-                refused: demand.refused,
-            });
-        }
+        // The demand itself is counted call by call, with the shape of each call.
+        self.admission.take_demand();
         let sent_at = BootClock.now();
         let demand = self.demand.take();
         let request = PingRequest {
--- a/crates/oriolecrank-entry/tests/entry/parts.rs
+++ b/crates/oriolecrank-entry/tests/entry/parts.rs
@@ -7,7 +7,7 @@
     MAX_PING_ENTRIES,
 };
 use oriolecrank_schema::TimePoint;
-use oriolecrank_schema::control::{DocumentDelta, PingRequest, SubscriptionFrame};
+use oriolecrank_schema::control::{CallShape, DocumentDelta, PingRequest, SubscriptionFrame};
 use oriolecrank_schema::document::ServiceId;
 use oriolecrank_schema::{codec, control::DemandEntry};
 use oriolecrank_state::Revision;
@@ -131,7 +131,9 @@
         organisation,
         service,
         requests: 1,
+        shape: CallShape::OutputHeavy,
         tokens,
+        prompt_tokens: tokens / 2,
         refused: 0,
     }
 }
