Allocate limit shares for many pings at once

Cause: the leader allocated the shares of all entries for each ping, so its CPU time grew with the square of the number of subscribers. The table of subscribers was searched for old ones at each ping as well.

Change: an allocation answers all pings since the one before and follows it by at least 100 ms; a ping waits for the next one. Shares still count from the send time of the ping that they answer. Old subscribers are searched for every 5 s. oriolecrank-bench subscribers measures the distribution of a document with 340 organisations to up to 2,010 subscribers.

--- a/crates/oriolecrank-bench/src/lib.rs
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod path;
 pub mod policy;
 pub mod route;
+pub mod subscribers;
--- a/crates/oriolecrank-bench/src/main.rs
+++ b/crates/oriolecrank-bench/src/main.rs
@@ -14,7 +14,7 @@
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
 /// Text for wrong arguments.
-const USAGE: &str = "usage: oriolecrank-bench codec|control|path|policy|route [--seed N] [--seeds N] [--scenario NAME] \
+const USAGE: &str = "usage: oriolecrank-bench codec|control|path|policy|route|subscribers [--seed N] [--seeds N] [--scenario NAME] \
                      [--variant NAME] [--quick] [--json]";
 
 fn main() -> ExitCode {
@@ -31,6 +31,7 @@
         "policy" => oriolecrank_bench::policy::run(&arguments),
         "path" => oriolecrank_bench::path::run(&arguments),
         "route" => route::run(&arguments),
+        "subscribers" => oriolecrank_bench::subscribers::run(&arguments),
         _ => {
             eprintln!("{USAGE}");
             return ExitCode::from(2);
--- /dev/null
+++ b/crates/oriolecrank-bench/src/subscribers.rs
@@ -0,0 +1,727 @@
+//! Distribution of the configuration to subscribers.
+//!
+//! One control instance serves subscribers over loopback. Each subscriber has its own connections
+//! and applies what it gets to a real [`EntryState`], as an entry does. The control instance and the
+//! subscribers run on threads of different names in this process, so that the CPU time of both is
+//! counted apart. Bytes are counted at the sockets of the subscribers, in both directions.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt as _, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use oriolecrank_control::{ControlOptions, ControlProcess, InitialMember};
+use oriolecrank_entry::EntryState;
+use oriolecrank_net::frame::decode_frame;
+use oriolecrank_net::logging::LogFormat;
+use oriolecrank_net::shutdown::shutdown_channel;
+use oriolecrank_net::{BootClock, ClusterSecret, ControlClient, HttpClient, peer_request};
+use oriolecrank_schema::codec;
+use oriolecrank_schema::control::{
+    Command, CommandOutcome, DemandEntry, PingAnswer, PingRequest, Query, QueryResult,
+    SubscribeRequest, SubscriptionFrame,
+};
+use oriolecrank_schema::digest::key_digest;
+use oriolecrank_schema::document::{
+    ConfigDocument, KeyConfig, LimitConfig, OrganisationConfig, PriorityClass, RegionConfig,
+    ServiceConfig, ServiceKind,
+};
+use oriolecrank_state::Revision;
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use snafu::{OptionExt as _, ResultExt as _, Snafu, whatever};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, interval, sleep, timeout};
+
+use crate::arguments::BenchArguments;
+use crate::measurement::{Measurement, Target, size};
+
+/// Longest time until a committed revision is in force everywhere, in seconds.
+const IN_FORCE_S: f64 = 4.0;
+
+/// Traffic that a node spends for control, in bytes per second.
+const NODE_BYTES_PER_S: f64 = 3_000.0;
+
+/// CPU time that a node spends for control, in percent of a core.
+const NODE_CPU_PERCENT: f64 = 2.7;
+
+/// Subscribers that are nodes in front of upstreams at the design size.
+const NODES: u64 = 410;
+
+/// All subscribers at the design size: nodes and agents.
+const DESIGN_SUBSCRIBERS: u64 = 2_010;
+
+/// Organisations in the document.
+const ORGANISATIONS: u64 = 340;
+
+/// Models in the document.
+const MODELS: u64 = 11;
+
+/// Demand entries in each ping of a node: at 2,200 requests/s a node has 2.7 requests between two
+/// pings.
+const DEMAND_ENTRIES: u64 = 3;
+
+/// Interval of pings, as entries send them.
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Freshness lease of entries.
+const LEASE: Duration = Duration::from_secs(3);
+
+/// Time between two changes at 3,000 a day.
+const CHANGE_INTERVAL: Duration = Duration::from_millis(28_800);
+
+/// Changes that are timed at each size; the slowest counts.
+const TIMED_CHANGES: u64 = 5;
+
+/// Time between two looks at the progress of a revision.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Longest wait for anything.
+const PATIENCE: Duration = Duration::from_mins(1);
+
+/// Names of the threads, at most 15 bytes.
+const CONTROL_THREADS: &str = "control-worker";
+const REPLICA_THREAD: &str = "replica";
+const SUBSCRIBER_THREADS: &str = "sub-worker";
+
+/// A measurement that cannot be finished.
+#[derive(Debug, Snafu)]
+#[snafu(whatever, display("{message}{}", cause(source.as_deref())))]
+struct BenchFault {
+    /// What failed.
+    message: String,
+    /// Cause.
+    #[snafu(source(from(Box<dyn std::error::Error + Send + Sync>, Some)))]
+    source: Option<Box<dyn std::error::Error + Send + Sync>>,
+}
+
+fn cause(source: Option<&(dyn std::error::Error + Send + Sync + 'static)>) -> String {
+    source
+        .map(|source| format!(": {source}"))
+        .unwrap_or_default()
+}
+
+/// Runs the measurement and returns whether the targets are met.
+pub fn run(arguments: &BenchArguments) -> bool {
+    let (sizes, idle, changes): (&[u64], _, _) = if arguments.quick {
+        (&[20, 40], Duration::from_secs(1), Duration::from_secs(2))
+    } else {
+        let sizes = &[250, 500, 1_000, DESIGN_SUBSCRIBERS];
+        (sizes, Duration::from_secs(5), CHANGE_INTERVAL)
+    };
+    let mut passed = true;
+    for (position, count) in sizes.iter().enumerate() {
+        let plan = RunPlan {
+            seed: arguments.seed,
+            subscribers: *count,
+            idle,
+            changes: (position + 1 == sizes.len()).then_some(changes),
+        };
+        match run_size(&plan) {
+            Ok(met) => passed &= met,
+            Err(error) => {
+                eprintln!("oriolecrank-bench subscribers: {error}");
+                return false;
+            }
+        }
+    }
+    passed
+}
+
+/// Sizes of one run.
+#[derive(Debug, Clone)]
+struct RunPlan {
+    seed: u64,
+    subscribers: u64,
+    /// Length of the idle window.
+    idle: Duration,
+    /// Length of a window with one change.
+    changes: Option<Duration>,
+}
+
+fn run_size(plan: &RunPlan) -> Result<bool, BenchFault> {
+    let control_runtime = named_runtime(CONTROL_THREADS)?;
+    let subscriber_runtime = named_runtime(SUBSCRIBER_THREADS)?;
+    let folder = tempfile::tempdir().whatever_context("no folder")?;
+    let options = control_options(&folder)?;
+    let (trigger, signal) = shutdown_channel();
+    let process = control_runtime
+        .block_on(ControlProcess::bind(options))
+        .whatever_context("the control instance cannot listen")?;
+    let address = process.address();
+    let running = control_runtime.spawn(process.run(signal));
+    let passed = subscriber_runtime.block_on(measure(plan, address));
+    // Connections end with the subscribers, so that the control instance can stop.
+    subscriber_runtime.shutdown_timeout(PATIENCE);
+    trigger.trigger();
+    let stopped = control_runtime.block_on(running);
+    let ended = stopped.whatever_context("the control instance panicked")?;
+    ended.whatever_context("the control instance failed")?;
+    passed
+}
+
+fn named_runtime(name: &str) -> Result<Runtime, BenchFault> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .thread_name(name)
+        .enable_all()
+        .build()
+        .whatever_context("a runtime cannot be started")
+}
+
+fn control_options(folder: &tempfile::TempDir) -> Result<ControlOptions, BenchFault> {
+    let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    Ok(ControlOptions {
+        cluster: "bench".to_owned(),
+        instance: "control-1".to_owned(),
+        listen: loopback,
+        operator_listen: loopback,
+        secret: secret()?,
+        data_folder: folder.path().join("control"),
+        members: vec![InitialMember {
+            instance: "control-1".to_owned(),
+            address: loopback,
+        }],
+        platform: None,
+        usage: None,
+        shutdown_limit: Duration::from_secs(5),
+        log_format: LogFormat::Text,
+    })
+}
+
+fn secret() -> Result<ClusterSecret, BenchFault> {
+    ClusterSecret::new("secret-of-the-benchmark").whatever_context("the secret is not valid")
+}
+
+/// Measures one size; control and subscribers run on their own threads.
+async fn measure(plan: &RunPlan, address: SocketAddr) -> Result<bool, BenchFault> {
+    let mut bench = SubscriberBench::start(plan, address).await?;
+    let mut passed = true;
+    // All subscribers start within half a second in this one process and have no lease yet.
+    bench.report_stale(plan, "start_stale_confirmations", None);
+    let (mut in_force, mut confirmed) = (Duration::ZERO, Duration::ZERO);
+    for _ in 0..TIMED_CHANGES {
+        let (applied, known) = bench.timed_change().await?;
+        in_force = in_force.max(applied);
+        confirmed = confirmed.max(known);
+    }
+    for (measure, value) in [
+        ("revision_in_force_slowest", in_force),
+        ("revision_known_in_force_slowest", confirmed),
+    ] {
+        let value = value.as_secs_f64();
+        passed &= plan.report(measure, value, "s", Some(Target::AtMost(IN_FORCE_S)));
+    }
+    let none = Some(Target::AtMost(0.0));
+    passed &= bench.report_stale(plan, "timed_changes_stale_confirmations", none);
+    let idle = bench.window(plan.idle, false).await?;
+    passed &= plan.report_window("idle", &idle);
+    passed &= bench.report_stale(plan, "idle_stale_confirmations", none);
+    if let Some(length) = plan.changes {
+        let changes = bench.window(length, true).await?;
+        passed &= plan.report_window("changes", &changes);
+        passed &= bench.report_stale(plan, "changes_stale_confirmations", none);
+    }
+    Ok(passed)
+}
+
+impl RunPlan {
+    fn report(
+        &self,
+        measure: &str,
+        value: f64,
+        unit: &'static str,
+        target: Option<Target>,
+    ) -> bool {
+        let measurement = Measurement {
+            measure: measure.to_owned(),
+            size: size([
+                ("subscribers", self.subscribers),
+                ("organisations", ORGANISATIONS),
+            ]),
+            value,
+            unit,
+            target,
+            seed: self.seed,
+        };
+        measurement.print()
+    }
+
+    fn report_window(&self, name: &str, figures: &WindowFigures) -> bool {
+        let cpu = Some(Target::AtMost(NODE_CPU_PERCENT));
+        let bytes = Some(Target::AtMost(NODE_BYTES_PER_S));
+        let (control, own) = (figures.control_percent, figures.subscriber_percent);
+        let count = self.subscribers as f64;
+        let lines = [
+            (
+                "bytes_per_subscriber",
+                figures.bytes_per_s / count,
+                "bytes/s",
+                bytes,
+            ),
+            (
+                "control_cpu_per_subscriber",
+                control / count,
+                "% of a core",
+                cpu,
+            ),
+            ("subscriber_cpu", own / count, "% of a core", cpu),
+            ("control_cpu", control, "% of a core", None),
+        ];
+        let mut passed = true;
+        for (measure, value, unit, target) in lines {
+            passed &= self.report(&format!("{name}_{measure}"), value, unit, target);
+        }
+        passed
+    }
+}
+
+/// Cost of a window of time over all subscribers.
+#[derive(Debug, Clone, Copy)]
+struct WindowFigures {
+    bytes_per_s: f64,
+    control_percent: f64,
+    subscriber_percent: f64,
+}
+
+/// Counters that all subscribers share; statistics only, so relaxed ordering is enough.
+#[derive(Debug, Default)]
+struct SharedCounters {
+    bytes: AtomicU64,
+    /// Confirmations that came after the lease had ended.
+    stale: AtomicU64,
+}
+
+/// Subscribers of one control instance.
+struct SubscriberBench {
+    client: ControlClient,
+    address: SocketAddr,
+    counters: Arc<SharedCounters>,
+    /// Revision and time at which a subscriber has it in force.
+    applied: mpsc::UnboundedReceiver<(Revision, Instant)>,
+    subscribers: u64,
+    revision: u64,
+    /// The subscribers end with it.
+    tasks: JoinSet<()>,
+}
+
+impl SubscriberBench {
+    /// Submits the document and starts the subscribers; returns once control knows that all of them
+    /// have it in force.
+    async fn start(plan: &RunPlan, address: SocketAddr) -> Result<Self, BenchFault> {
+        let client = ControlClient::new(HttpClient::default(), secret()?, &[address]);
+        let counters = Arc::<SharedCounters>::default();
+        let (sender, applied) = mpsc::unbounded_channel();
+        let mut bench = Self {
+            client,
+            address,
+            counters: Arc::clone(&counters),
+            applied,
+            subscribers: plan.subscribers,
+            revision: 0,
+            tasks: JoinSet::new(),
+        };
+        bench.submit().await?;
+        let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
+        let secret = secret()?;
+        for number in 0..plan.subscribers {
+            let subscriber = Subscriber {
+                number,
+                address,
+                secret: secret.clone(),
+                state: EntryState::new(LEASE, PING_INTERVAL),
+                counters: Arc::clone(&counters),
+                applied: sender.clone(),
+            };
+            let delay = PING_INTERVAL.mul_f64(random.random());
+            bench.tasks.spawn(async move {
+                sleep(delay).await;
+                if let Err(error) = subscriber.run().await {
+                    eprintln!("oriolecrank-bench subscribers: {error}");
+                }
+            });
+        }
+        bench.wait_applied().await?;
+        bench.wait_known().await?;
+        Ok(bench)
+    }
+
+    /// Reports the confirmations since the last report that came after the lease had ended.
+    fn report_stale(&self, plan: &RunPlan, measure: &str, target: Option<Target>) -> bool {
+        let stale = self.counters.stale.swap(0, Ordering::Relaxed);
+        plan.report(measure, stale as f64, "pings", target)
+    }
+
+    /// Commits the next revision.
+    async fn submit(&mut self) -> Result<(), BenchFault> {
+        let command = Command::Submit {
+            base_revision: self.revision,
+            document: document(self.revision),
+            operator: "bench".to_owned(),
+            origin: String::new(),
+            request_id: format!("bench-{}", self.revision),
+        };
+        let outcome = self.client.command(&command, PATIENCE).await;
+        let outcome = outcome.whatever_context("the document is not answered")?;
+        let CommandOutcome::DocumentAccepted { revision } = outcome else {
+            whatever!("the document is not accepted: {outcome:?}");
+        };
+        self.revision = revision;
+        Ok(())
+    }
+
+    /// Waits until all subscribers have the revision in force; returns when the last one had.
+    async fn wait_applied(&mut self) -> Result<Instant, BenchFault> {
+        let mut waiting = self.subscribers;
+        let mut last = Instant::now();
+        while waiting > 0 {
+            let applied = timeout(PATIENCE, self.applied.recv()).await;
+            let applied = applied.whatever_context("a subscriber lags")?;
+            let (revision, at) = applied.whatever_context("all subscribers have ended")?;
+            if revision.0 == self.revision {
+                waiting -= 1;
+                last = at;
+            }
+        }
+        Ok(last)
+    }
+
+    /// Waits until control knows that all subscribers have the revision in force.
+    async fn wait_known(&self) -> Result<Instant, BenchFault> {
+        let deadline = Instant::now() + PATIENCE;
+        let query = Query::InForce {
+            revision: self.revision,
+        };
+        while Instant::now() < deadline {
+            let answer = self
+                .client
+                .post(self.address, "/v1/query", &query, PATIENCE)
+                .await;
+            if let Ok(QueryResult::InForce {
+                lagging,
+                subscribers,
+                ..
+            }) = answer
+                && lagging.is_empty()
+                && subscribers == self.subscribers
+            {
+                return Ok(Instant::now());
+            }
+            sleep(LOOK_INTERVAL).await;
+        }
+        whatever!("control does not know all subscribers")
+    }
+
+    /// Times from the submission until all have the change in force and until control knows it.
+    async fn timed_change(&mut self) -> Result<(Duration, Duration), BenchFault> {
+        let start = Instant::now();
+        self.submit().await?;
+        let applied = self.wait_applied().await?;
+        let known = self.wait_known().await?;
+        Ok((applied - start, known - start))
+    }
+
+    /// Cost of a window, with a change at its beginning or none.
+    async fn window(
+        &mut self,
+        length: Duration,
+        change: bool,
+    ) -> Result<WindowFigures, BenchFault> {
+        let start = Instant::now();
+        let bytes = self.counters.bytes.load(Ordering::Relaxed);
+        let before = ThreadTimes::read()?;
+        if change {
+            self.submit().await?;
+            self.wait_applied().await?;
+        }
+        sleep(length.saturating_sub(start.elapsed())).await;
+        let after = ThreadTimes::read()?;
+        let bytes = self.counters.bytes.load(Ordering::Relaxed) - bytes;
+        let elapsed = start.elapsed().as_secs_f64();
+        let percent = |time: Duration| 100.0 * time.as_secs_f64() / elapsed;
+        Ok(WindowFigures {
+            bytes_per_s: bytes as f64 / elapsed,
+            control_percent: percent(after.control.saturating_sub(before.control)),
+            subscriber_percent: percent(after.subscribers.saturating_sub(before.subscribers)),
+        })
+    }
+}
+
+/// CPU time by the names of the threads.
+#[derive(Debug, Clone, Copy, Default)]
+struct ThreadTimes {
+    control: Duration,
+    subscribers: Duration,
+}
+
+impl ThreadTimes {
+    /// Reads the times of all threads of this process, in nanoseconds on a CPU.
+    fn read() -> Result<Self, BenchFault> {
+        let mut times = Self::default();
+        let threads = std::fs::read_dir("/proc/self/task");
+        for thread in threads.whatever_context("no list of threads")? {
+            let folder = thread.whatever_context("no list of threads")?.path();
+            let name = std::fs::read_to_string(folder.join("comm"));
+            let statistics = std::fs::read_to_string(folder.join("schedstat"));
+            // A thread may have ended since it was listed.
+            let (Ok(name), Ok(statistics)) = (name, statistics) else {
+                continue;
+            };
+            let first = statistics.split_whitespace().next();
+            let nanoseconds = first.and_then(|text| text.parse().ok());
+            let time = nanoseconds.whatever_context("no time of a thread")?;
+            let time = Duration::from_nanos(time);
+            match name.trim() {
+                CONTROL_THREADS | REPLICA_THREAD => times.control += time,
+                SUBSCRIBER_THREADS => times.subscribers += time,
+                _ => {}
+            }
+        }
+        Ok(times)
+    }
+}
+
+/// One subscriber with its own connections.
+struct Subscriber {
+    number: u64,
+    address: SocketAddr,
+    secret: ClusterSecret,
+    state: EntryState,
+    counters: Arc<SharedCounters>,
+    applied: mpsc::UnboundedSender<(Revision, Instant)>,
+}
+
+impl Subscriber {
+    fn name(&self) -> String {
+        format!("subscriber-{}", self.number)
+    }
+
+    async fn run(&self) -> Result<(), BenchFault> {
+        tokio::try_join!(self.follow(), self.ping_for_ever())?;
+        Ok(())
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, BenchFault> {
+        let stream = TcpStream::connect(self.address).await;
+        let stream = stream.whatever_context("no connection")?;
+        stream.set_nodelay(true).whatever_context("no connection")?;
+        let counted = CountedStream {
+            stream,
+            counters: Arc::clone(&self.counters),
+        };
+        let opened = handshake(TokioIo::new(counted)).await;
+        let (connection, driver) = opened.whatever_context("no HTTP connection")?;
+        tokio::spawn(driver);
+        Ok(connection)
+    }
+
+    async fn follow(&self) -> Result<(), BenchFault> {
+        let mut connection = self.connect().await?;
+        let message = SubscribeRequest {
+            failure_domain: "domain-1".to_owned().into(),
+            revision: 0,
+            subscriber: self.name(),
+        };
+        let request = peer_request(
+            &self.secret,
+            "/v1/subscribe",
+            codec::encode(&message).into(),
+        );
+        let answer = connection.send_request(request).await;
+        let mut answer = answer.whatever_context("no subscription")?;
+        let mut buffer = BytesMut::new();
+        loop {
+            let received = answer.body_mut().frame().await;
+            let received = received.whatever_context("the subscription ended")?;
+            let received = received.whatever_context("the subscription broke")?;
+            if let Ok(data) = received.into_data() {
+                buffer.extend_from_slice(&data);
+            }
+            loop {
+                let frame = decode_frame::<SubscriptionFrame>(&mut buffer);
+                let Some(frame) = frame.whatever_context("a frame cannot be decoded")? else {
+                    break;
+                };
+                self.apply(frame.header)?;
+            }
+        }
+    }
+
+    fn apply(&self, frame: SubscriptionFrame) -> Result<(), BenchFault> {
+        let before = self.state.view().revision();
+        let applied = self.state.apply(frame);
+        applied.whatever_context("a frame does not fit")?;
+        let revision = self.state.view().revision();
+        if revision != before {
+            // The receiver is gone when the measurement has ended.
+            let _ = self.applied.send((revision, Instant::now()));
+        }
+        Ok(())
+    }
+
+    async fn ping_for_ever(&self) -> Result<(), BenchFault> {
+        let mut connection = self.connect().await?;
+        let mut ticks = interval(PING_INTERVAL);
+        loop {
+            ticks.tick().await;
+            let Some(ping) = self.state.next_ping(BootClock.now()) else {
+                continue;
+            };
+            let message = PingRequest {
+                demand: self.demand(),
+                ping: ping.into(),
+                revision: self.state.view().revision().0,
+                subscriber: self.name(),
+            };
+            let request = peer_request(&self.secret, "/v1/ping", codec::encode(&message).into());
+            connection
+                .ready()
+                .await
+                .whatever_context("the connection for pings broke")?;
+            let answer = connection.send_request(request).await;
+            let answer = answer.whatever_context("a ping is not answered")?;
+            let body = answer.into_body().collect().await;
+            let body = body.whatever_context("a ping is not answered")?.to_bytes();
+            // While no state is confirmed, the instance answers without a body.
+            let Ok(answer) = codec::decode::<PingAnswer>(&body) else {
+                continue;
+            };
+            let fresh = self.state.fresh_until();
+            let late = fresh.is_some_and(|until| BootClock.now() >= until);
+            self.counters
+                .stale
+                .fetch_add(u64::from(late), Ordering::Relaxed);
+            self.state
+                .confirm(answer.ping.into(), Revision(answer.revision));
+        }
+    }
+
+    /// Demand of a node; agents have none.
+    fn demand(&self) -> Vec<DemandEntry> {
+        if self.number >= NODES {
+            return Vec::new();
+        }
+        let entry = |position| DemandEntry {
+            organisation: format!(
+                "organisation-{}",
+                (self.number * DEMAND_ENTRIES + position) % ORGANISATIONS
+            ),
+            refused: 0,
+            requests: 1,
+            service: format!("service-{}", position % MODELS).into(),
+            tokens: 1_000,
+        };
+        (0..DEMAND_ENTRIES).map(entry).collect()
+    }
+}
+
+/// A stream that counts its bytes.
+struct CountedStream {
+    stream: TcpStream,
+    counters: Arc<SharedCounters>,
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = buffer.filled().len() - before;
+        self.counters
+            .bytes
+            .fetch_add(read as u64, Ordering::Relaxed);
+        polled
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(context, data);
+        if let Poll::Ready(Ok(written)) = polled {
+            self.counters
+                .bytes
+                .fetch_add(written as u64, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn poll_flush(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// A document of the design size; `revision` changes the weight of one organisation.
+fn document(revision: u64) -> ConfigDocument {
+    let service = |number| format!("service-{number}");
+    let organisations = (0..ORGANISATIONS).map(|number| OrganisationConfig {
+        keys: (0..2)
+            .map(|key| KeyConfig {
+                digest: key_digest(&format!("key-{number}-{key}")),
+                name: format!("key-{key}"),
+            })
+            .collect(),
+        limits: vec![LimitConfig {
+            concurrent: Some(64),
+            requests_per_s: Some(100),
+            service: None,
+            tokens_per_s: Some(50_000),
+        }],
+        name: format!("organisation-{number}").into(),
+        services: (0..MODELS).map(|number| service(number).into()).collect(),
+        weight: if number == revision % ORGANISATIONS {
+            2
+        } else {
+            1
+        },
+    });
+    let services = (0..MODELS).map(|number| ServiceConfig {
+        budget: None,
+        class: PriorityClass::Standard,
+        deadline_ms: 30_000,
+        kind: ServiceKind::Engine,
+        models: vec![format!("model-{number}")],
+        name: service(number).into(),
+        routes: Vec::new(),
+    });
+    let regions = (0..4).map(|region| RegionConfig {
+        failure_domains: (0..3)
+            .filter(|domain| region * 3 + domain < 10)
+            .map(|domain| format!("domain-{}", region * 3 + domain).into())
+            .collect(),
+        name: format!("region-{region}").into(),
+    });
+    ConfigDocument {
+        budget: None,
+        organisations: organisations.collect(),
+        regions: regions.collect(),
+        services: services.collect(),
+        usage_window_s: 60,
+    }
+}
--- a/crates/oriolecrank-control/src/leader_duties.rs
+++ b/crates/oriolecrank-control/src/leader_duties.rs
@@ -11,13 +11,14 @@
 };
 use oriolecrank_schema::data_path::UpstreamLoad;
 use oriolecrank_schema::event::LogEvent;
+use oriolecrank_state::Revision;
 use oriolecrank_state::cluster::LEASE_MS;
-use tokio::time::interval;
+use tokio::time::{interval, sleep};
 
 use crate::capacity_inputs::CapacityInputs;
 use crate::command_replica::CommandReplica;
 use crate::lease_table::{LeaseSettings, LeaseTable};
-use crate::share_table::ShareTable;
+use crate::share_table::{ShareGrant, ShareReport, ShareTable};
 use crate::shared_state::SharedState;
 use crate::subscriber_table::{ForceReport, SubscriberTable};
 
@@ -130,23 +131,45 @@
         if !self.replica.read_barrier().await {
             return None;
         }
+        let (term, revision, report) = self.note_ping(ping)?;
+        let grant = self.grant(term, &report).await?;
+        Some(PingAnswer {
+            entries: grant.entries,
+            ping: ping.ping,
+            revision: revision.0,
+            shares: grant.shares,
+            shares_lifetime_ms: grant.lifetime.as_millis() as u64,
+        })
+    }
+
+    fn note_ping(&self, ping: &PingRequest) -> Option<(Term, Revision, ShareReport)> {
         let now = BootClock.now();
         let mut tables = self.tables(now);
         let tables = tables.as_mut()?;
         tables.subscribers.record(ping, now);
         self.state.read(|state| {
             self.inputs.note_ping(ping, state.document(), now);
-            let grant = tables.shares.grant(ping, state, now);
-            Some(PingAnswer {
-                entries: grant.entries,
-                ping: ping.ping,
-                revision: state.revision().0,
-                shares: grant.shares,
-                shares_lifetime_ms: grant.lifetime.as_millis() as u64,
-            })
+            let report = tables.shares.report(ping, state, now);
+            Some((tables.term, state.revision(), report))
         })
     }
 
+    /// Waits for the allocation that covers a report; `None` if the term has ended meanwhile.
+    async fn grant(&self, term: Term, report: &ShareReport) -> Option<ShareGrant> {
+        loop {
+            let wait = {
+                let now = BootClock.now();
+                let mut tables = self.tables(now);
+                let tables = tables.as_mut().filter(|tables| tables.term == term)?;
+                match tables.shares.grant_of(report, now) {
+                    Ok(grant) => return Some(grant),
+                    Err(wait) => wait,
+                }
+            };
+            sleep(wait).await;
+        }
+    }
+
     /// How far a revision is in force, or `None` if this instance is not the leader.
     pub fn in_force(&self, revision: u64) -> Option<ForceReport> {
         let now = BootClock.now();
--- a/crates/oriolecrank-control/src/lib.rs
+++ b/crates/oriolecrank-control/src/lib.rs
@@ -92,7 +92,7 @@
 pub use replica::{MAX_ENTRY_BYTES, ReplicaHandle, ReplicaPhase, ReplicaSettings, ReplicaStatus};
 pub use replica_error::{Applied, BarrierError, ChangeError, ProposeError, ReplicaError};
 pub use replica_thread::start_replica;
-pub use share_table::{ShareGrant, ShareTable};
+pub use share_table::{ShareGrant, ShareReport, ShareTable};
 pub use shared_state::SharedState;
 pub use state_machine::StateMachine;
 pub use subscriber_table::{ForceReport, SubscriberRecord, SubscriberTable};
--- a/crates/oriolecrank-control/src/share_table.rs
+++ b/crates/oriolecrank-control/src/share_table.rs
@@ -1,16 +1,23 @@
 //! Shares of the limits for the entries that ping.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use oriolecrank_policy::freshness::PingNumber;
 use oriolecrank_policy::limit_key::{EntryCount, LimitKey, OrganisationLimit};
-use oriolecrank_policy::limit_shares::{EntryDemand, EntryName, ShareLedger, ShareSettings};
+use oriolecrank_policy::limit_shares::{
+    EntryDemand, EntryGrant, EntryName, ShareLedger, ShareSettings,
+};
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::control::{LimitShare, PingRequest};
 use oriolecrank_state::{ClusterState, Revision};
 
 use crate::ping_sequence::PingSequence;
 
+/// Shortest time between two allocations. One allocation covers all live entries; with one for each
+/// ping, the leader's CPU time grew with the square of the number of entries.
+const ALLOCATION_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Part of an answer to a ping.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ShareGrant {
@@ -29,6 +36,20 @@
     sequence: PingSequence,
     /// Revision whose limits the ledger has.
     revision: Option<Revision>,
+    /// Number of allocations so far.
+    allocations: u64,
+    allocated_at: Option<TimePoint>,
+    /// Result of the newest allocation.
+    grants: HashMap<EntryName, EntryGrant>,
+}
+
+/// A report that waits for its shares.
+#[derive(Debug, Clone)]
+pub struct ShareReport {
+    entry: EntryName,
+    number: PingNumber,
+    /// Allocations before the report; a later one covers it.
+    allocations: u64,
 }
 
 impl ShareTable {
@@ -46,16 +67,19 @@
             ledger,
             sequence: PingSequence::default(),
             revision: None,
+            allocations: 0,
+            allocated_at: None,
+            grants: HashMap::new(),
         }
     }
 
-    /// Takes the demand of an entry and grants it its shares.
-    pub fn grant(
+    /// Takes the demand of an entry; [`grant_of`](Self::grant_of) then gives its shares.
+    pub fn report(
         &mut self,
         ping: &PingRequest,
         state: &ClusterState,
         now: TimePoint,
-    ) -> ShareGrant {
+    ) -> ShareReport {
         self.update_limits(state);
         // A restarted entry is a new one: what its predecessor was granted stays counted.
         let start = self.sequence.note(ping);
@@ -64,10 +88,52 @@
         let demand = ping.demand.iter();
         let demand = demand.map(|one| (LimitKey::from(one), EntryDemand::from(one)));
         self.ledger.report(&entry, number, demand, now);
-        let mut grants = self.ledger.allocate(now).into_iter();
+        ShareReport {
+            entry,
+            number,
+            allocations: self.allocations,
+        }
+    }
+
+    /// Shares that answer a report, or the time to wait before the next allocation that covers it.
+    pub fn grant_of(
+        &mut self,
+        report: &ShareReport,
+        now: TimePoint,
+    ) -> Result<ShareGrant, Duration> {
+        if self.allocations <= report.allocations {
+            let due = self.allocated_at.map(|at| at + ALLOCATION_INTERVAL);
+            if let Some(due) = due.filter(|due| now < *due) {
+                return Err(due.since(now));
+            }
+            self.allocate(now);
+        }
+        Ok(self.granted(report))
+    }
+
+    /// Takes the demand of an entry and allocates its shares at once.
+    pub fn grant(
+        &mut self,
+        ping: &PingRequest,
+        state: &ClusterState,
+        now: TimePoint,
+    ) -> ShareGrant {
+        let report = self.report(ping, state, now);
+        self.allocate(now);
+        self.granted(&report)
+    }
+
+    fn allocate(&mut self, now: TimePoint) {
+        self.allocations += 1;
+        self.allocated_at = Some(now);
+        let grants = self.ledger.allocate(now).into_iter();
+        self.grants = grants.map(|grant| (grant.entry.clone(), grant)).collect();
+    }
+
+    fn granted(&self, report: &ShareReport) -> ShareGrant {
         // The shares count from the newest report; the answer to an older ping carries none.
-        let grant = grants.find(|grant| grant.entry == entry && grant.report == number);
-        let Some(grant) = grant else {
+        let grant = self.grants.get(&report.entry);
+        let Some(grant) = grant.filter(|grant| grant.report == report.number) else {
             return ShareGrant::default();
         };
         ShareGrant {
--- a/crates/oriolecrank-control/src/subscriber_table.rs
+++ b/crates/oriolecrank-control/src/subscriber_table.rs
@@ -13,6 +13,9 @@
 /// A subscriber is forgotten after this time.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 
+/// Time between two searches for subscribers to forget.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
+
 /// What is known of a subscriber.
 #[derive(Debug, Clone)]
 pub struct SubscriberRecord {
@@ -38,6 +41,7 @@
 #[derive(Debug, Default)]
 pub struct SubscriberTable {
     subscribers: IndexMap<String, SubscriberRecord>,
+    pruned_at: TimePoint,
 }
 
 impl SubscriberTable {
@@ -49,6 +53,15 @@
             pinged_at: now,
         };
         self.subscribers.insert(ping.subscriber.clone(), record);
+        self.prune(now);
+    }
+
+    /// Forgets old subscribers, at most once each [`PRUNE_INTERVAL`], because it looks at all.
+    fn prune(&mut self, now: TimePoint) {
+        if now < self.pruned_at + PRUNE_INTERVAL {
+            return;
+        }
+        self.pruned_at = now;
         self.subscribers
             .retain(|_, record| now.since(record.pinged_at) <= FORGET_AFTER);
     }
--- a/crates/oriolecrank-control/tests/leader/limit_shares.rs
+++ b/crates/oriolecrank-control/tests/leader/limit_shares.rs
@@ -176,3 +176,31 @@
     replica.resign();
     assert!(duties.ping(&ping("e-1", 3, 100)).await.is_none());
 }
+
+/// Guards against an allocation for each ping, whose cost grew with the square of the entries, and
+/// against an entry that gets no shares because another one was just answered.
+#[tokio::test]
+async fn one_allocation_answers_the_pings_of_an_interval() {
+    let group = TestGroup::default();
+    let replica = limited_leader(&group).await;
+    let state = &replica.state;
+    let mut table = state.read(|state| ShareTable::new(state, group.time.now()));
+    group.time.advance(Duration::from_mins(1));
+    let now = group.time.now();
+    let first = state.read(|state| table.report(&ping("e-1", 1, 100), state, now));
+    table.grant_of(&first, now).unwrap();
+    let others = ["e-2", "e-3"].map(|name| {
+        let report = state.read(|state| table.report(&ping(name, 1, 100), state, now));
+        table.grant_of(&report, now).unwrap_err();
+        report
+    });
+    group
+        .time
+        .advance(table.grant_of(&others[0], now).unwrap_err());
+    let later = group.time.now();
+    let grants = others.map(|report| table.grant_of(&report, later).unwrap());
+    for grant in grants {
+        // The first entry holds the whole limit for now, but the answer covers this report.
+        assert_ne!(grant.lifetime, Duration::ZERO, "{grant:?}");
+    }
+}
