--- a/crates/oriolecrank-bench/src/lib.rs
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod measurement;
 pub mod path;
 pub mod policy;
+pub mod report;
 pub mod route;
 pub mod subscribers;
--- a/crates/oriolecrank-entry/src/suspect_gate.rs
+++ b/crates/oriolecrank-entry/src/suspect_gate.rs
@@ -163,7 +163,7 @@
             ));
         }
         self.asked += 1;
-        let Some(permit) = SuspectPermit::take(context, plan, upstream) else {
+        let Some(permit) = SuspectPermit::take(context, plan, dispatch) else {
             self.excluded.push(upstream.clone());
             return Ok(RerunAnswer::OtherUpstream);
         };
@@ -211,11 +211,14 @@
     control: ControlClient,
     /// Sent when the suspect has run to its end.
     clearance: Command,
+    /// Sent when the suspect was refused and has not run.
+    release: Command,
 }
 
 impl SuspectPermit {
     /// Takes an upstream for a suspect; `None` if it runs another one.
-    fn take(context: &EntryContext, plan: &CallPlan, upstream: &UpstreamId) -> Option<Self> {
+    fn take(context: &EntryContext, plan: &CallPlan, dispatch: &Dispatch) -> Option<Self> {
+        let upstream = dispatch.upstream();
         let gate = Arc::clone(&context.suspects);
         let key = suspect_key(plan);
         gate.table().begin(&key, upstream, BootClock.now()).ok()?;
@@ -228,9 +231,25 @@
                 fingerprint: plan.template.fingerprint.clone(),
                 organisation: plan.template.organisation.clone(),
             },
+            release: Command::ReleaseRerun {
+                fingerprint: plan.template.fingerprint.clone(),
+                incarnation: dispatch.incarnation(),
+                organisation: plan.template.organisation.clone(),
+                request_id: plan.template.request_id.clone(),
+                upstream: upstream.clone(),
+            },
         })
     }
 
+    /// The suspect was refused and has not run. Without giving the permission back it could not run
+    /// anywhere until the suspicion expires.
+    pub async fn release(self) {
+        if let Err(error) = self.control.command(&self.release, RERUN_TIMEOUT).await {
+            let event = LogEvent::SuspectNotCleared.number();
+            tracing::warn!(event, %error, "permission not given back");
+        }
+    }
+
     /// The suspect ran to its end without a crash; control forgets it.
     pub fn clear(self) {
         let (control, command) = (self.control.clone(), self.clearance.clone());
