--- a/crates/oriolecrank-bench/src/lib.rs
+++ b/crates/oriolecrank-bench/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod policy;
 pub mod report;
 pub mod route;
+pub mod subscribers;
