--- a/crates/oriolecrank-bench/src/subscribers.rs
+++ b/crates/oriolecrank-bench/src/subscribers.rs
@@ -619,6 +619,8 @@
             refused: 0,
             requests: 1,
             service: format!("service-{}", position % MODELS).into(),
+            prompt_tokens: 500,
+            shape: oriolecrank_schema::control::CallShape::OutputHeavy,
             tokens: 1_000,
         };
         (0..DEMAND_ENTRIES).map(entry).collect()
