--- a/crates/oriolecrank-bench/src/policy/shipped_path.rs
+++ b/crates/oriolecrank-bench/src/policy/shipped_path.rs
@@ -71,10 +71,13 @@
     upstream: Option<UpstreamId>,
 }
 
-/// The request path of all policies but the static one, with one entry per region.
+/// The request path of all policies but the static one, with one entry per failure domain.
 #[derive(Debug)]
 pub struct ShippedPath {
+    /// One entry per failure domain.
     entries: Vec<EntryPath>,
+    domains: usize,
+    regions: usize,
     agents: Vec<AgentPath>,
     open: HashMap<u32, OpenCall>,
     /// Crashes by call, as the replicated state machine counts them.
@@ -86,10 +89,10 @@
 impl ShippedPath {
     /// A path with default settings.
     pub fn new(scenario: &Scenario, seed: u64) -> Self {
-        let entry = |region: usize| {
+        let entry = |domain: usize| {
             let identity = EntryIdentity {
-                name: format!("entry-{region}"),
-                place: place(region, region),
+                name: format!("entry-{domain}"),
+                place: place(domain, domain % scenario.regions),
             };
             let chooser = || UpstreamChooser::new(ChooserSettings::default(), identity.clone());
             EntryPath {
@@ -104,7 +107,9 @@
         };
         let organisations = 0..scenario.organisations.len();
         Self {
-            entries: (0..scenario.regions).map(entry).collect(),
+            entries: (0..scenario.domains).map(entry).collect(),
+            domains: scenario.domains,
+            regions: scenario.regions,
             agents: Vec::new(),
             open: HashMap::new(),
             crashes: HashMap::new(),
@@ -126,7 +131,7 @@
 
     /// Uncounts the dispatch of a call and frees its upstream for other suspects.
     fn release(&mut self, attempt: &Attempt, served: bool, now: TimePoint) {
-        let entry = &mut self.entries[usize::from(attempt.call.region)];
+        let entry = &mut self.entries[entry_of(attempt, self.domains, self.regions)];
         let Some(open) = self.open.get_mut(&attempt.id) else {
             return;
         };
@@ -164,6 +169,13 @@
     }
 }
 
+/// Entry that a call goes to: the callers of a region spread over its failure domains.
+fn entry_of(attempt: &Attempt, domains: usize, regions: usize) -> usize {
+    let region = usize::from(attempt.call.region);
+    let in_region = (domains - region).div_ceil(regions);
+    region + attempt.id as usize % in_region * regions
+}
+
 fn suspect_key(organisations: &[OrganisationId], attempt: &Attempt) -> SuspectKey {
     SuspectKey {
         organisation: organisations[usize::from(attempt.call.organisation)].clone(),
@@ -275,7 +287,7 @@
 
     fn admit(&mut self, attempt: &Attempt, now_us: u64) -> bool {
         let now = time_point(now_us);
-        let entry = &mut self.entries[usize::from(attempt.call.region)];
+        let entry = &mut self.entries[entry_of(attempt, self.domains, self.regions)];
         let key = suspect_key(&self.organisations, attempt);
         if entry.suspects.rule(&key, now).is_err() {
             return false;
@@ -323,7 +335,7 @@
     fn choose(&mut self, attempt: &Attempt, _: &[EngineInfo], now_us: u64) -> Option<usize> {
         let now = time_point(now_us);
         self.release(attempt, false, now);
-        let entry = &mut self.entries[usize::from(attempt.call.region)];
+        let entry = &mut self.entries[entry_of(attempt, self.domains, self.regions)];
         let key = suspect_key(&self.organisations, attempt);
         let excluded = match entry.suspects.rule(&key, now) {
             Ok(PlacementRule::Anywhere) => Vec::new(),
@@ -456,7 +468,7 @@
             .get(&attempt.id)
             .and_then(|open| open.upstream.clone());
         self.release(attempt, false, now);
-        let entry = &mut self.entries[usize::from(attempt.call.region)];
+        let entry = &mut self.entries[entry_of(attempt, self.domains, self.regions)];
         let key = suspect_key(&self.organisations, attempt);
         if let Some(open) = self.open.remove(&attempt.id) {
             let served = good.then(|| size(&attempt.call));
