Deliver pending reports before an agent exits; test the rule for roles

Cause: an agent that stopped while no control instance answered forgot the completion of a claim, so that a repeated call would only learn that it may have run. Change: a graceful stop waits until reports are delivered or given up, within shutdown_ms.

--- a/crates/oriolecrank-agent/src/agent_core.rs
+++ b/crates/oriolecrank-agent/src/agent_core.rs
@@ -105,6 +105,11 @@
         &self.metrics
     }
 
+    /// Whether nothing runs or waits and every report is delivered or given up.
+    pub fn is_idle(&self) -> bool {
+        self.table().is_idle() && self.reporter.is_idle()
+    }
+
     /// Present load.
     pub fn load(&self) -> UpstreamLoad {
         self.table().load()
--- a/crates/oriolecrank-agent/src/control_reporter.rs
+++ b/crates/oriolecrank-agent/src/control_reporter.rs
@@ -1,5 +1,7 @@
 //! Commands of an agent that must reach the control group.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use oriolecrank_net::ControlClient;
@@ -25,22 +27,39 @@
 pub struct ControlReporter {
     sender: mpsc::Sender<Command>,
     client: ControlClient,
+    /// Commands that were queued and are neither delivered nor given up. A stale value only delays
+    /// the end of a shutdown, so relaxed ordering is enough.
+    pending: Arc<AtomicUsize>,
 }
 
 impl ControlReporter {
     /// A reporter and the future that delivers its commands until all reporters are dropped.
     pub fn new(client: ControlClient) -> (Self, impl Future<Output = ()>) {
         let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
-        let delivery = deliver(client.clone(), receiver);
-        (Self { sender, client }, delivery)
+        let pending = Arc::<AtomicUsize>::default();
+        let delivery = deliver(client.clone(), receiver, Arc::clone(&pending));
+        (
+            Self {
+                sender,
+                client,
+                pending,
+            },
+            delivery,
+        )
     }
 
     /// Queues a command; it is repeated until the control group has answered.
     pub async fn report(&self, command: Command) {
+        self.pending.fetch_add(1, Ordering::Relaxed);
         // An error means that the process stops and the delivery has ended.
         let _ = self.sender.send(command).await;
     }
 
+    /// Whether every queued command is delivered or given up.
+    pub fn is_idle(&self) -> bool {
+        self.pending.load(Ordering::Relaxed) == 0
+    }
+
     /// Queues a command without waiting.
     pub fn report_later(&self, command: Command) {
         let reporter = self.clone();
@@ -55,7 +74,11 @@
     }
 }
 
-async fn deliver(client: ControlClient, mut receiver: mpsc::Receiver<Command>) {
+async fn deliver(
+    client: ControlClient,
+    mut receiver: mpsc::Receiver<Command>,
+    pending: Arc<AtomicUsize>,
+) {
     while let Some(command) = receiver.recv().await {
         for attempt in 1..=DELIVERY_ATTEMPTS {
             match client.command(&command, DELIVERY_TIMEOUT).await {
@@ -67,5 +90,6 @@
             }
             tokio::time::sleep(DELIVERY_DELAY).await;
         }
+        pending.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/crates/oriolecrank-agent/src/process.rs
+++ b/crates/oriolecrank-agent/src/process.rs
@@ -151,7 +151,7 @@
 }
 
 async fn drained(core: &AgentCore<HttpUpstream>) {
-    while !core.table().is_idle() {
+    while !core.is_idle() {
         sleep(DRAIN_INTERVAL).await;
     }
 }
--- a/crates/oriolecrank-agent/tests/agent/claims.rs
+++ b/crates/oriolecrank-agent/tests/agent/claims.rs
@@ -92,3 +92,21 @@
     assert_eq!(verdict, RunVerdict::MayHaveRun);
     assert!(ledger.entries().is_empty());
 }
+
+/// Guards against a planned stop that forgets the answer of a booking while no control instance
+/// answers: the agent delivers it before it exits.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_agent_delivers_the_answer_of_a_claim() {
+    let agent = TestAgent::start(FakeLedger::default()).await;
+    let control = agent.control.clone();
+    control.refuse(true);
+    let request = booking(&agent, "a", 9);
+    let mut reader = agent.run(&request, b"drain").await;
+    read_answer(&mut reader, 0).await;
+    let stopped = agent.stop();
+    control.refuse(false);
+    stopped.await.unwrap();
+    let completed =
+        |command: &Command| matches!(command, Command::CompleteClaim { claim_id: 9, .. });
+    assert!(control.commands().iter().any(completed));
+}
--- a/crates/oriolecrank-agent/tests/agent/support.rs
+++ b/crates/oriolecrank-agent/tests/agent/support.rs
@@ -1,6 +1,7 @@
 //! An agent with fakes around it.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -33,6 +34,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct RecordingControl {
     commands: Arc<Mutex<Vec<Command>>>,
+    refusing: Arc<AtomicBool>,
 }
 
 impl RecordingControl {
@@ -40,6 +42,11 @@
         self.commands.lock().unwrap().clone()
     }
 
+    /// Whether commands are answered as by an instance without a leader.
+    pub fn refuse(&self, refuse: bool) {
+        self.refusing.store(refuse, Ordering::SeqCst);
+    }
+
     pub fn announced_incarnation(&self) -> Option<u64> {
         self.commands()
             .iter()
@@ -57,6 +64,9 @@
         let Ok(command) = codec::decode::<Command>(&bytes) else {
             return empty_answer(StatusCode::BAD_REQUEST);
         };
+        if self.refusing.load(Ordering::SeqCst) {
+            return message_answer(&CommandOutcome::NotLeader { leader: None });
+        }
         let outcome = match &command {
             Command::Announce { .. } => CommandOutcome::Announced {
                 fence: FencingNumber {
--- a/crates/oriolecrank-policy/tests/upstream_chooser.rs
+++ b/crates/oriolecrank-policy/tests/upstream_chooser.rs
@@ -275,6 +275,29 @@
     assert_eq!(choose(&mut chooser, &request(), 0).upstream, name(1));
 }
 
+/// Guards against a near engine of the wrong role that is preferred to a far one of the right role:
+/// the wrong role costs seconds, the distance milliseconds.
+#[test]
+fn a_suiting_role_goes_before_a_near_upstream() {
+    let states = [
+        UpstreamState {
+            role: UpstreamRole::Decode,
+            ..upstream(0, 0)
+        },
+        UpstreamState {
+            role: UpstreamRole::Prefill,
+            ..upstream(1, 1)
+        },
+    ];
+    let mut chooser = chooser(&states);
+    let read = ChoiceRequest {
+        prompt: TokenCount::new(4_000),
+        ..request()
+    };
+    assert_eq!(choose(&mut chooser, &read, 0).upstream, name(1));
+    assert_eq!(choose(&mut chooser, &request(), 0).upstream, name(0));
+}
+
 /// Guards against a new incarnation that inherits the load and cache of the one before.
 #[test]
 fn a_new_incarnation_starts_without_history() {
