--- a/crates/oriolecrank-bench/src/subscribers.rs
+++ b/crates/oriolecrank-bench/src/subscribers/mod.rs
@@ -5,11 +5,12 @@
 //! subscribers run on threads of different names in this process, so that the CPU time of both is
 //! counted apart. Bytes are counted at the sockets of the subscribers, in both directions.
 
+mod counted_stream;
+mod design_document;
+
 use std::net::{Ipv4Addr, SocketAddr};
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -27,22 +28,19 @@
     Command, CommandOutcome, DemandEntry, PingAnswer, PingRequest, Query, QueryResult,
     SubscribeRequest, SubscriptionFrame,
 };
-use oriolecrank_schema::digest::key_digest;
-use oriolecrank_schema::document::{
-    ConfigDocument, KeyConfig, LimitConfig, OrganisationConfig, PriorityClass, RegionConfig,
-    ServiceConfig, ServiceKind,
-};
 use oriolecrank_state::Revision;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use snafu::{OptionExt as _, ResultExt as _, Snafu, whatever};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, interval, sleep, timeout};
 
+use counted_stream::CountedStream;
+use design_document::document;
+
 use crate::arguments::BenchArguments;
 use crate::measurement::{Measurement, Target, size};
 
@@ -626,104 +624,3 @@
         (0..DEMAND_ENTRIES).map(entry).collect()
     }
 }
-
-/// A stream that counts its bytes.
-struct CountedStream {
-    stream: TcpStream,
-    counters: Arc<SharedCounters>,
-}
-
-impl AsyncRead for CountedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        let read = buffer.filled().len() - before;
-        self.counters
-            .bytes
-            .fetch_add(read as u64, Ordering::Relaxed);
-        polled
-    }
-}
-
-impl AsyncWrite for CountedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        data: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        let polled = Pin::new(&mut self.stream).poll_write(context, data);
-        if let Poll::Ready(Ok(written)) = polled {
-            self.counters
-                .bytes
-                .fetch_add(written as u64, Ordering::Relaxed);
-        }
-        polled
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
-
-/// A document of the design size; `revision` changes the weight of one organisation.
-fn document(revision: u64) -> ConfigDocument {
-    let service = |number| format!("service-{number}");
-    let organisations = (0..ORGANISATIONS).map(|number| OrganisationConfig {
-        keys: (0..2)
-            .map(|key| KeyConfig {
-                digest: key_digest(&format!("key-{number}-{key}")),
-                name: format!("key-{key}"),
-            })
-            .collect(),
-        limits: vec![LimitConfig {
-            concurrent: Some(64),
-            requests_per_s: Some(100),
-            service: None,
-            tokens_per_s: Some(50_000),
-        }],
-        name: format!("organisation-{number}").into(),
-        services: (0..MODELS).map(|number| service(number).into()).collect(),
-        weight: if number == revision % ORGANISATIONS {
-            2
-        } else {
-            1
-        },
-    });
-    let services = (0..MODELS).map(|number| ServiceConfig {
-        budget: None,
-        class: PriorityClass::Standard,
-        deadline_ms: 30_000,
-        kind: ServiceKind::Engine,
-        models: vec![format!("model-{number}")],
-        name: service(number).into(),
-        routes: Vec::new(),
-    });
-    let regions = (0..4).map(|region| RegionConfig {
-        failure_domains: (0..3)
-            .filter(|domain| region * 3 + domain < 10)
-            .map(|domain| format!("domain-{}", region * 3 + domain).into())
-            .collect(),
-        name: format!("region-{region}").into(),
-    });
-    ConfigDocument {
-        budget: None,
-        organisations: organisations.collect(),
-        regions: regions.collect(),
-        services: services.collect(),
-        usage_window_s: 60,
-    }
-}
