--- a/crates/oriolecrank-agent/src/agent_core.rs
+++ b/crates/oriolecrank-agent/src/agent_core.rs
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Work in hand; the lock must not be held across an await.
+    /// Queued and running requests; the lock must not be held across an await.
     pub fn table(&self) -> MutexGuard<'_, WorkTable> {
         self.table
             .lock()
--- a/crates/oriolecrank-agent/src/announcer.rs
+++ b/crates/oriolecrank-agent/src/announcer.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::agent_core::AgentCore;
-use crate::order_desk::OrderDesk;
+use crate::order_runner::OrderRunner;
 use crate::upstream_client::UpstreamClient;
 
 /// Interval of renewals; the lease is 3 s.
@@ -25,7 +25,7 @@
     client: ControlClient,
     record: UpstreamRecord,
     core: Arc<AgentCore<U>>,
-    desk: Arc<OrderDesk<U>>,
+    runner: Arc<OrderRunner<U>>,
     /// Number of the last announcement; a later one has a larger number.
     number: u64,
     announced: bool,
@@ -37,13 +37,13 @@
         client: ControlClient,
         record: UpstreamRecord,
         core: Arc<AgentCore<U>>,
-        desk: Arc<OrderDesk<U>>,
+        runner: Arc<OrderRunner<U>>,
     ) -> Self {
         Self {
             client,
             record,
             core,
-            desk,
+            runner,
             number: 0,
             announced: false,
         }
@@ -51,7 +51,7 @@
 
     /// Announces until shutdown.
     pub async fn run(&mut self, mut shutdown: ShutdownSignal) {
-        while !shutdown.is_triggered() && !self.desk.is_superseded() {
+        while !shutdown.is_triggered() && !self.runner.is_superseded() {
             let phase = self.core.table().phase();
             self.announce(phase).await;
             tokio::select! {
@@ -65,7 +65,7 @@
 
     /// Announces that the upstream leaves.
     pub async fn leave(&mut self) {
-        if !self.desk.is_superseded() {
+        if !self.runner.is_superseded() {
             self.announce(UpstreamPhase::Leaving).await;
         }
     }
@@ -73,7 +73,7 @@
     async fn announce(&mut self, phase: UpstreamPhase) {
         self.number += 1;
         self.record.phase = phase;
-        self.desk.engine_setup().apply_to(&mut self.record);
+        self.runner.engine_setup().apply_to(&mut self.record);
         let command = Command::Announce {
             load: Some(self.core.load()),
             number: self.number,
@@ -81,7 +81,7 @@
         };
         match self.client.command(&command, ANNOUNCE_TIMEOUT).await {
             Ok(CommandOutcome::Announced { fence, .. }) => {
-                self.desk.raise_floor(&fence);
+                self.runner.raise_floor(&fence);
                 if !self.announced {
                     self.announced = true;
                     let event = LogEvent::UpstreamAnnounced.number();
@@ -91,7 +91,7 @@
             Ok(CommandOutcome::Superseded { incarnation }) => {
                 let event = LogEvent::AgentSuperseded.number();
                 tracing::error!(event, incarnation, "a newer agent for this upstream exists");
-                self.desk.supersede();
+                self.runner.supersede();
             }
             Ok(_) => {}
             Err(error) => {
--- a/crates/oriolecrank-agent/src/order_desk.rs
+++ b/crates/oriolecrank-agent/src/order_runner.rs
@@ -18,7 +18,7 @@
 
 /// The only sender of orders to the upstream.
 #[derive(Debug)]
-pub struct OrderDesk<U> {
+pub struct OrderRunner<U> {
     core: Arc<AgentCore<U>>,
     /// Lock order: locked alone and never across an await.
     gate: Mutex<OrderGate>,
@@ -28,8 +28,8 @@
     turn: AsyncMutex<()>,
 }
 
-impl<U: UpstreamClient> OrderDesk<U> {
-    /// The desk of an agent that starts now.
+impl<U: UpstreamClient> OrderRunner<U> {
+    /// The runner of an agent that starts now.
     pub fn new(core: Arc<AgentCore<U>>, settings: GateSettings) -> Self {
         let gate = OrderGate::new(settings, BootClock.now());
         Self {
--- a/crates/oriolecrank-agent/src/process.rs
+++ b/crates/oriolecrank-agent/src/process.rs
@@ -21,8 +21,8 @@
 use crate::announcer::UpstreamAnnouncer;
 use crate::control_reporter::ControlReporter;
 use crate::options::AgentOptions;
-use crate::order_desk::OrderDesk;
 use crate::order_gate::GateSettings;
+use crate::order_runner::OrderRunner;
 use crate::run_server::RunServer;
 use crate::upstream_client::HttpUpstream;
 
@@ -96,10 +96,10 @@
             reporter,
             metrics,
         ));
-        let desk = Arc::new(OrderDesk::new(Arc::clone(&core), GateSettings::default()));
-        let server = RunServer::new(guard, Arc::clone(&core), Arc::clone(&desk));
+        let runner = Arc::new(OrderRunner::new(Arc::clone(&core), GateSettings::default()));
+        let server = RunServer::new(guard, Arc::clone(&core), Arc::clone(&runner));
         let record = record(&options, address, incarnation);
-        let mut announcer = UpstreamAnnouncer::new(control, record, Arc::clone(&core), desk);
+        let mut announcer = UpstreamAnnouncer::new(control, record, Arc::clone(&core), runner);
         tracing::info!(event = LogEvent::ProcessStarted.number(), %address, "agent started");
         ready.set(true);
 
--- a/crates/oriolecrank-agent/src/run_server.rs
+++ b/crates/oriolecrank-agent/src/run_server.rs
@@ -20,7 +20,7 @@
 use crate::agent_core::AgentCore;
 use crate::answer_stream::{AnswerStream, frame};
 use crate::failure_events::{may_have_run, not_run};
-use crate::order_desk::OrderDesk;
+use crate::order_runner::OrderRunner;
 use crate::running_answer::RunningAnswer;
 use crate::upstream_client::UpstreamClient;
 use crate::work_table::AdmittedCall;
@@ -33,13 +33,21 @@
 pub struct RunServer<U> {
     guard: PeerGuard,
     core: Arc<AgentCore<U>>,
-    desk: Arc<OrderDesk<U>>,
+    runner: Arc<OrderRunner<U>>,
 }
 
 impl<U: UpstreamClient> RunServer<U> {
     /// A server over the given work and orders.
-    pub const fn new(guard: PeerGuard, core: Arc<AgentCore<U>>, desk: Arc<OrderDesk<U>>) -> Self {
-        Self { guard, core, desk }
+    pub const fn new(
+        guard: PeerGuard,
+        core: Arc<AgentCore<U>>,
+        runner: Arc<OrderRunner<U>>,
+    ) -> Self {
+        Self {
+            guard,
+            core,
+            runner,
+        }
     }
 
     fn run(&self, bytes: &Bytes) -> Response<AnswerBody> {
@@ -70,7 +78,7 @@
     }
 
     fn refusal(&self, request: &RunRequest) -> Option<RunEvent> {
-        if self.desk.is_superseded() {
+        if self.runner.is_superseded() {
             return Some(not_run(
                 "agent_superseded",
                 "a newer agent for the upstream exists",
@@ -174,7 +182,7 @@
                 Err(error) => bad_request(&error.to_string()),
             },
             "/v1/order" => match codec::decode(&bytes) {
-                Ok(order) => message_answer(&self.desk.execute(&order, received_at).await),
+                Ok(order) => message_answer(&self.runner.execute(&order, received_at).await),
                 Err(error) => bad_request(&error.to_string()),
             },
             _ => empty_answer(StatusCode::NOT_FOUND),
--- a/crates/oriolecrank-agent/src/work_table.rs
+++ b/crates/oriolecrank-agent/src/work_table.rs
@@ -1,4 +1,4 @@
-//! Everything an agent has in work.
+//! Queued and running requests of an agent.
 
 use std::sync::Arc;
 
--- a/crates/oriolecrank-control/src/leader_actions.rs
+++ b/crates/oriolecrank-control/src/leader_actions.rs
@@ -13,7 +13,7 @@
 use crate::cluster_label::ClusterLabel;
 use crate::command_replica::CommandReplica;
 use crate::control_metrics::{ControlFigures, ControlMetrics};
-use crate::leader_duties::LeaderDuties;
+use crate::leader_tables::LeaderTables;
 use crate::options::ControlOptions;
 use crate::order_executor::{OrderExecutor, OrderSettings};
 use crate::platform_client::HttpPlatform;
@@ -30,7 +30,7 @@
 pub struct LeaderActions<R> {
     replica: Arc<R>,
     state: Arc<SharedState>,
-    duties: Arc<LeaderDuties<R>>,
+    tables: Arc<LeaderTables<R>>,
     metrics: ControlMetrics,
     orders: OrderExecutor<R, BootClock>,
     platform: Option<PlatformExecutor<R, BootClock, HttpPlatform>>,
@@ -45,7 +45,7 @@
         options: &ControlOptions,
         replica: &Arc<R>,
         state: &Arc<SharedState>,
-        duties: &Arc<LeaderDuties<R>>,
+        tables: &Arc<LeaderTables<R>>,
         metrics: &ControlMetrics,
     ) -> Self {
         let cluster = ClusterLabel::new(&options.cluster);
@@ -78,7 +78,7 @@
             UsageSettings::default(),
         );
         let sources = CapacitySources {
-            inputs: duties.inputs(),
+            inputs: tables.inputs(),
             orders: orders.outcomes(),
             starts: platform.as_ref().map(PlatformExecutor::outcomes),
         };
@@ -93,7 +93,7 @@
         Self {
             replica: Arc::clone(replica),
             state: Arc::clone(state),
-            duties: Arc::clone(duties),
+            tables: Arc::clone(tables),
             metrics: metrics.clone(),
             orders,
             platform,
@@ -108,7 +108,7 @@
         let Self {
             replica,
             state,
-            duties,
+            tables,
             metrics,
             mut orders,
             platform,
@@ -127,7 +127,7 @@
             ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
             loop {
                 ticks.tick().await;
-                metrics.set_figures(&present_figures(&*replica, &state, &duties));
+                metrics.set_figures(&present_figures(&*replica, &state, &tables));
             }
         });
         // No task ends by itself; one that panics ends the process with it.
@@ -142,7 +142,7 @@
 fn present_figures<R: CommandReplica>(
     replica: &R,
     state: &SharedState,
-    duties: &LeaderDuties<R>,
+    tables: &LeaderTables<R>,
 ) -> ControlFigures {
     let authority = replica.authority(BootClock.now());
     let members: Vec<ControlMember> = replica.members();
@@ -158,7 +158,7 @@
         intents: state.intents().count(),
         unreported_windows: state.unreported_windows().count(),
     });
-    let lowest = duties
+    let lowest = tables
         .in_force(figures.revision)
         .and_then(|report| report.lowest);
     ControlFigures {
--- a/crates/oriolecrank-control/src/leader_duties.rs
+++ b/crates/oriolecrank-control/src/leader_tables.rs
@@ -36,7 +36,7 @@
 
 /// Leader's part of a control instance.
 #[derive(Debug)]
-pub struct LeaderDuties<R> {
+pub struct LeaderTables<R> {
     replica: Arc<R>,
     state: Arc<SharedState>,
     inputs: CapacityInputs,
@@ -44,8 +44,8 @@
     tables: Mutex<Option<TermTables>>,
 }
 
-impl<R: CommandReplica> LeaderDuties<R> {
-    /// Duties over the given replica.
+impl<R: CommandReplica> LeaderTables<R> {
+    /// Empty tables over the given replica.
     pub fn new(replica: Arc<R>, state: Arc<SharedState>) -> Self {
         Self {
             replica,
--- a/crates/oriolecrank-control/src/lib.rs
+++ b/crates/oriolecrank-control/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! - [`CommandReplica`] is the replicated log; committed commands change the [`SharedState`], which
 //!   tells the subscribers.
-//! - [`LeaderDuties`] are what only the leader does; [`LeaseTable`] and [`SubscriberTable`] hold its
+//! - [`LeaderTables`] are what only the leader does; [`LeaseTable`] and [`SubscriberTable`] hold its
 //!   view of upstreams and entries.
 //! - [`OrderExecutor`], [`PlatformExecutor`] and [`UsageExecutor`] are what the leader does outside
 //!   the log. They ask for a [`WritePermit`] immediately before each write, and those that write to
@@ -31,7 +31,7 @@
 mod join_announcer;
 mod join_table;
 mod leader_actions;
-mod leader_duties;
+mod leader_tables;
 mod lease_table;
 mod membership_service;
 mod options;
@@ -75,7 +75,7 @@
 pub use join_announcer::JoinAnnouncer;
 pub use join_table::JoinTable;
 pub use leader_actions::LeaderActions;
-pub use leader_duties::LeaderDuties;
+pub use leader_tables::LeaderTables;
 pub use lease_table::{LeaseReport, LeaseSettings, LeaseTable};
 pub use membership_service::MembershipService;
 pub use options::{ControlOptions, InitialMember};
--- a/crates/oriolecrank-control/src/process.rs
+++ b/crates/oriolecrank-control/src/process.rs
@@ -17,7 +17,7 @@
 use crate::control_metrics::ControlMetrics;
 use crate::join_announcer::JoinAnnouncer;
 use crate::leader_actions::LeaderActions;
-use crate::leader_duties::LeaderDuties;
+use crate::leader_tables::LeaderTables;
 use crate::membership_service::MembershipService;
 use crate::options::ControlOptions;
 use crate::peer_directory::PeerDirectory;
@@ -112,7 +112,7 @@
         let handle = start_replica(settings, machine, transport).context(ReplicaSnafu)?;
         let replica = Arc::new(RaftReplica::new(handle.clone()));
         shown_replica.send_replace(Some(RaftReplica::clone(&replica)));
-        let duties = Arc::new(LeaderDuties::new(Arc::clone(&replica), Arc::clone(&state)));
+        let tables = Arc::new(LeaderTables::new(Arc::clone(&replica), Arc::clone(&state)));
         let announcer = join_announcer(&options, address, &handle, &client);
         let announcing = async {
             announcer.run().await;
@@ -126,7 +126,7 @@
         let mut registry = Registry::with_prefix("oriolecrank");
         metrics.register(&mut registry);
         let operator = OperatorListener::new(registry, ready.clone(), guard);
-        let actions = LeaderActions::new(&options, &replica, &state, &duties, &metrics);
+        let actions = LeaderActions::new(&options, &replica, &state, &tables, &metrics);
         let actions = Box::pin(actions.run());
         let server = RequestServer::new(
             ingress,
@@ -134,7 +134,7 @@
             client,
             Arc::clone(&replica),
             state,
-            Arc::clone(&duties),
+            Arc::clone(&tables),
             members,
         );
         tracing::info!(event = LogEvent::ProcessStarted.number(), %address, "control started");
@@ -157,7 +157,7 @@
             () = stopping => {
                 tracing::warn!(event = LogEvent::ShutdownForced.number(), "requests were cut off");
             }
-            () = duties.run() => {}
+            () = tables.run() => {}
             () = actions => {}
             () = announcing => {}
             phase = replica.stopped() => {
--- a/crates/oriolecrank-control/src/request_server.rs
+++ b/crates/oriolecrank-control/src/request_server.rs
@@ -16,7 +16,7 @@
 
 use crate::group_membership::GroupMembership;
 use crate::join_announcer::JOIN_PATH;
-use crate::leader_duties::LeaderDuties;
+use crate::leader_tables::LeaderTables;
 use crate::membership_service::MembershipService;
 use crate::peer_ingress::PeerIngress;
 use crate::peer_transport::PEER_PATH;
@@ -44,7 +44,7 @@
     client: HttpClient,
     replica: Arc<R>,
     state: Arc<SharedState>,
-    duties: Arc<LeaderDuties<R>>,
+    tables: Arc<LeaderTables<R>>,
     members: MembershipService<R>,
 }
 
@@ -56,7 +56,7 @@
         client: HttpClient,
         replica: Arc<R>,
         state: Arc<SharedState>,
-        duties: Arc<LeaderDuties<R>>,
+        tables: Arc<LeaderTables<R>>,
         members: MembershipService<R>,
     ) -> Self {
         Self {
@@ -66,7 +66,7 @@
             client,
             replica,
             state,
-            duties,
+            tables,
             members,
         }
     }
@@ -78,7 +78,7 @@
         }
         let command = with_origin(command, peer);
         let outcome = match command {
-            Command::Announce { .. } => self.duties.announce(command).await,
+            Command::Announce { .. } => self.tables.announce(command).await,
             _ => self.replica.propose(command).await,
         };
         match outcome {
@@ -102,7 +102,7 @@
         match query {
             Query::Members => self.members.list(),
             Query::InForce { revision } => {
-                let report = self.duties.in_force(revision)?;
+                let report = self.tables.in_force(revision)?;
                 Some(QueryResult::InForce {
                     lagging: report.lagging,
                     lowest_revision: report.lowest.unwrap_or(revision),
@@ -179,7 +179,7 @@
                 Err(error) => bad_request(&error),
             },
             "/v1/ping" => match codec::decode::<PingRequest>(&bytes) {
-                Ok(ping) => match self.duties.ping(&ping).await {
+                Ok(ping) => match self.tables.ping(&ping).await {
                     Some(answer) => message_answer(&answer),
                     None => self.forward(path, bytes, forwarded).await,
                 },
--- a/crates/oriolecrank-control/tests/leader/limit_shares.rs
+++ b/crates/oriolecrank-control/tests/leader/limit_shares.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriolecrank_control::{LeaderDuties, ShareTable, TimeSource as _};
+use oriolecrank_control::{LeaderTables, ShareTable, TimeSource as _};
 use oriolecrank_schema::control::{CallShape, DemandEntry, LimitShare, PingRequest};
 use oriolecrank_schema::document::{ConfigDocument, LimitConfig};
 
@@ -158,10 +158,10 @@
     let now = oriolecrank_net::BootClock.now();
     group.time.advance(Duration::from_millis(now.as_millis()));
     replica.lead(Duration::from_hours(1));
-    let duties = LeaderDuties::new(Arc::clone(&replica), Arc::clone(&replica.state));
+    let tables = LeaderTables::new(Arc::clone(&replica), Arc::clone(&replica.state));
     // The term begins before the first document, so that no earlier shares can exist.
     assert!(
-        duties
+        tables
             .ping(&ping("e-1", 1, 100))
             .await
             .unwrap()
@@ -169,14 +169,14 @@
             .is_empty()
     );
     submit(&replica, limited_document()).await;
-    let answer = duties.ping(&ping("e-1", 2, 100)).await.unwrap();
+    let answer = tables.ping(&ping("e-1", 2, 100)).await.unwrap();
     assert_eq!(answer.entries, 1);
     assert_eq!(answer.shares_lifetime_ms, 5_000);
     assert!(rate(&answer.shares) > 0.9 * GRANTED, "{answer:?}");
-    let late = duties.ping(&ping("e-1", 1, 100)).await.unwrap();
+    let late = tables.ping(&ping("e-1", 1, 100)).await.unwrap();
     assert!(late.shares.is_empty(), "a late ping carries no shares");
     replica.resign();
-    assert!(duties.ping(&ping("e-1", 3, 100)).await.is_none());
+    assert!(tables.ping(&ping("e-1", 3, 100)).await.is_none());
 }
 
 /// Guards against an allocation for each ping, whose cost grew with the square of the entries, and
