Remove every valid key from a request, also those of other organisations

Cause: the entry removed the caller's own key wherever it stood, but a key of another organisation in a header field of the caller's own reached the upstream. The new case of no_upstream_sees_the_key, key of another organisation, failed first.

--- a/crates/oriolecrank-entry/src/caller_head.rs
+++ b/crates/oriolecrank-entry/src/caller_head.rs
@@ -3,7 +3,7 @@
 use http::StatusCode;
 use http::request::Parts;
 use oriolecrank_policy::header_cleaning::{
-    CallerHead, HeaderLimits, HeaderPair, check_request, clean_answer_fields,
+    CallerHead, HeaderLimits, HeaderPair, HeaderRefusal, check_request, clean_answer_fields,
 };
 use oriolecrank_schema::data_path::HeaderField;
 use oriolecrank_schema::digest;
@@ -36,7 +36,14 @@
 
 impl CleanHead {
     /// Checks and cleans the head of a request.
-    pub fn read(parts: &Parts, limits: &HeaderLimits) -> Result<Self, CallerError> {
+    ///
+    /// `is_key` says whether a text is a valid key. Such a text is removed wherever it stands, also
+    /// when it is the key of another organisation or the route is open.
+    pub fn read(
+        parts: &Parts,
+        limits: &HeaderLimits,
+        is_key: impl Fn(&str) -> bool,
+    ) -> Result<Self, CallerError> {
         let target = parts.uri.to_string();
         let fields = parts.headers.iter();
         let fields: Vec<_> = fields
@@ -50,10 +57,11 @@
             target: &target,
             fields: &fields,
         };
-        let checked = check_request(head, limits).map_err(|refusal| {
+        let refused = |refusal: HeaderRefusal| {
             CallerError::not_run(refusal.status(), refusal.code(), refusal.to_string())
-        })?;
-        let cleaned = checked.clean();
+        };
+        let checked = check_request(head, limits).map_err(refused)?;
+        let cleaned = checked.clean_all(is_key).map_err(refused)?;
         let idempotency_key = idempotency_digest(parts)?;
         let fields = cleaned.fields.iter().filter_map(|field| {
             // Values that are not text cannot be sent to the agent; no upstream depends on them.
--- a/crates/oriolecrank-entry/src/caller_server.rs
+++ b/crates/oriolecrank-entry/src/caller_server.rs
@@ -8,6 +8,7 @@
 use oriolecrank_net::{AnswerBody, BootClock, HttpHandler};
 use oriolecrank_policy::header_cleaning::HeaderLimits;
 use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::digest::key_digest;
 use serde_json::json;
 use tokio::time::Instant;
 
@@ -51,7 +52,13 @@
     ) -> Result<Response<AnswerBody>, CallerError> {
         let started_at = Instant::now();
         let (parts, body) = request.into_parts();
-        let head = CleanHead::read(&parts, &self.limits)?;
+        let view = self.context.state.view();
+        let is_key = |text: &str| {
+            view.document()
+                .organisation_of_key(&key_digest(text))
+                .is_some()
+        };
+        let head = CleanHead::read(&parts, &self.limits, is_key)?;
         if head.route_path == MODELS_PATH && parts.method == Method::GET {
             return self.list_models(&head, request_id);
         }
--- a/crates/oriolecrank-entry/tests/entry/callers.rs
+++ b/crates/oriolecrank-entry/tests/entry/callers.rs
@@ -67,6 +67,10 @@
             "referer",
             get(status).key(GROVE_KEY).header("referer", &referer),
         ),
+        (
+            "key of another organisation",
+            get(status).key(GROVE_KEY).header("x-trace", PRESS_KEY),
+        ),
     ];
     for (name, request) in cases {
         let before = agent.log().runs.len();
@@ -74,7 +78,9 @@
         assert_eq!(reply.status, 200, "{name}: {}", reply.body);
         let (request, _) = &agent.log().runs[before];
         assert_eq!(request.organisation, "grove", "{name}");
-        assert!(!text_of(request).contains(GROVE_KEY), "{name}");
+        for key in [GROVE_KEY, PRESS_KEY] {
+            assert!(!text_of(request).contains(key), "{name}");
+        }
         assert!(request.target.contains("vat=7"), "{name}");
     }
 }
--- a/crates/oriolecrank-entry/tests/entry/harness.rs
+++ b/crates/oriolecrank-entry/tests/entry/harness.rs
@@ -28,7 +28,7 @@
 pub const GROVE_KEY: &str = "grove-key-4f1c";
 
 /// Key of the organisation `press`, which may call the assistant only.
-pub const PRESS_KEY: &str = "press-key-77aa";
+pub const PRESS_KEY: &str = "press-key-77aa-0b9e4c1d2f3a4b5c6d7e";
 
 /// Longest wait for anything a test waits for; only reached when the test fails.
 pub const PATIENCE: Duration = Duration::from_secs(20);
