--- a/crates/oriolecrank-agent/tests/agent/answers.rs
+++ b/crates/oriolecrank-agent/tests/agent/answers.rs
@@ -37,11 +37,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_new_connection_continues_at_its_offset() {
     let agent = TestAgent::start(FakeEngine::default()).await;
-    let whole = read_answer(
-        &mut agent.run(&agent.request("a"), &completion("x", 8)).await,
-        0,
-    )
-    .await;
+    let whole = agent.complete("a", "x", 8).await;
     let rest = read_answer(&mut agent.send("/v1/resume", resume("a", 40)).await, 40).await;
     assert_eq!(rest.body, whole.body[40..]);
     assert_eq!(rest.last, whole.last);
@@ -71,11 +67,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_acknowledged_offset_is_not_available() {
     let agent = TestAgent::start(FakeEngine::default()).await;
-    read_answer(
-        &mut agent.run(&agent.request("a"), &completion("x", 8)).await,
-        0,
-    )
-    .await;
+    agent.complete("a", "x", 8).await;
     let ack = AckRequest {
         attempt: 1,
         complete: false,
@@ -101,11 +93,7 @@
         .omit_end_marker
         .store(true, Ordering::SeqCst);
     let agent = TestAgent::start(engine).await;
-    let answer = read_answer(
-        &mut agent.run(&agent.request("a"), &completion("x", 3)).await,
-        0,
-    )
-    .await;
+    let answer = agent.complete("a", "x", 3).await;
     let RunEvent::Failed {
         verdict,
         output_tokens,
@@ -131,11 +119,7 @@
     agent.trigger_stop();
     let control = agent.control.clone();
     eventually(|| is_leaving(&control).then_some(())).await;
-    let late = read_answer(
-        &mut agent.run(&agent.request("b"), &completion("x", 1)).await,
-        0,
-    )
-    .await;
+    let late = agent.complete("b", "x", 1).await;
     let RunEvent::Failed { verdict, code, .. } = late.last else {
         panic!()
     };
@@ -170,11 +154,7 @@
         .silent_after_tokens
         .store(3, Ordering::SeqCst);
     let agent = TestAgent::start(engine.clone()).await;
-    let answer = read_answer(
-        &mut agent.run(&agent.request("a"), &completion("x", 8)).await,
-        0,
-    )
-    .await;
+    let answer = agent.complete("a", "x", 8).await;
     let RunEvent::Failed {
         verdict,
         output_tokens,
@@ -188,11 +168,7 @@
         .faults()
         .silent_after_tokens
         .store(0, Ordering::SeqCst);
-    let again = read_answer(
-        &mut agent.run(&agent.request("b"), &completion("x", 8)).await,
-        0,
-    )
-    .await;
+    let again = agent.complete("b", "x", 8).await;
     assert!(
         matches!(again.last, RunEvent::End { .. }),
         "{:?}",
@@ -209,11 +185,7 @@
         ..EngineOptions::default()
     }))
     .await;
-    let answer = read_answer(
-        &mut agent.run(&agent.request("a"), &completion("x", 3)).await,
-        0,
-    )
-    .await;
+    let answer = agent.complete("a", "x", 3).await;
     assert!(
         matches!(answer.last, RunEvent::End { .. }),
         "{:?}",
--- a/crates/oriolecrank-agent/tests/agent/crashes.rs
+++ b/crates/oriolecrank-agent/tests/agent/crashes.rs
@@ -64,11 +64,7 @@
         .faults()
         .omit_end_marker
         .store(true, Ordering::SeqCst);
-    let short = read_answer(
-        &mut agent.run(&agent.request("b"), &completion("y", 1)).await,
-        0,
-    )
-    .await;
+    let short = agent.complete("b", "y", 1).await;
     assert_eq!(failure_code(&short.last), Some("upstream_failed"));
     engine
         .faults()
--- a/crates/oriolecrank-agent/tests/agent/orders.rs
+++ b/crates/oriolecrank-agent/tests/agent/orders.rs
@@ -95,11 +95,7 @@
         agent.order(&order(2, OrderAction::Drain)).await.result,
         OrderResult::Done
     );
-    let late = read_answer(
-        &mut agent.run(&agent.request("b"), &completion("x", 1)).await,
-        0,
-    )
-    .await;
+    let late = agent.complete("b", "x", 1).await;
     let RunEvent::Failed { verdict, .. } = late.last else {
         panic!("{:?}", late.last)
     };
@@ -119,11 +115,7 @@
         agent.order(&order(4, OrderAction::Undrain)).await.result,
         OrderResult::Done
     );
-    let after = read_answer(
-        &mut agent.run(&agent.request("c"), &completion("x", 1)).await,
-        0,
-    )
-    .await;
+    let after = agent.complete("c", "x", 1).await;
     assert!(
         matches!(after.last, RunEvent::End { .. }),
         "{:?}",
--- a/crates/oriolecrank-agent/tests/agent/support.rs
+++ b/crates/oriolecrank-agent/tests/agent/support.rs
@@ -179,6 +179,14 @@
         self.send("/v1/run", encode_frame(request, body)).await
     }
 
+    /// Runs a streamed completion to its end.
+    pub async fn complete(&self, id: &str, prompt: &str, tokens: u64) -> ReceivedAnswer {
+        let mut reader = self
+            .run(&self.request(id), &completion(prompt, tokens))
+            .await;
+        read_answer(&mut reader, 0).await
+    }
+
     pub async fn send(&self, path: &str, body: Bytes) -> FrameReader {
         let secret = ClusterSecret::new(SECRET).unwrap();
         let request = peer_request(&secret, path, body);
--- a/crates/oriolecrank-fakes/src/fake_engine.rs
+++ b/crates/oriolecrank-fakes/src/fake_engine.rs
@@ -23,6 +23,9 @@
 /// Output tokens when the request states no limit.
 const DEFAULT_TOKENS: u64 = 16;
 
+/// Path at which a test asks the engine itself for the number of its calls.
+pub const CALLS_PATH: &str = "/admin/calls";
+
 /// Path at which a test asks the engine itself for the number of its crashes.
 pub const CRASHES_PATH: &str = "/admin/crashes";
 
@@ -325,6 +328,7 @@
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
         let (head, body) = request.into_parts();
         match head.uri.path() {
+            CALLS_PATH => text_answer(StatusCode::OK, self.calls().to_string()),
             CRASHES_PATH => text_answer(StatusCode::OK, self.crashes().to_string()),
             "/health" => empty_answer(StatusCode::OK),
             "/admin/orders" => match read_body(body, MAX_BODY_BYTES).await {
--- a/crates/oriolecrank-fakes/src/lib.rs
+++ b/crates/oriolecrank-fakes/src/lib.rs
@@ -22,7 +22,7 @@
 };
 pub use fake_control::{ControlLog, ControlScript, FakeControl};
 pub use fake_engine::{
-    CRASH_MARKER, CRASHES_PATH, EngineFaults, EngineOptions, FakeEngine, expected_text,
+    CALLS_PATH, CRASH_MARKER, CRASHES_PATH, EngineFaults, EngineOptions, FakeEngine, expected_text,
 };
 pub use fake_ledger::{COUNT_PATH, FakeLedger, LedgerEntry};
 pub use fake_platform::{FakePlatform, PlatformRequest, RunningUpstream};
--- a/crates/oriolecrank-local/tests/processes/faults.rs
+++ b/crates/oriolecrank-local/tests/processes/faults.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use http::{Method, StatusCode};
-use oriolecrank_fakes::{COUNT_PATH, CRASH_MARKER, CRASHES_PATH};
+use http_body_util::BodyExt as _;
+use oriolecrank_fakes::{CALLS_PATH, COUNT_PATH, CRASH_MARKER, CRASHES_PATH};
+
+use oriolecrank_net::ClientResponse;
 
 use crate::cluster::{ClusterPlan, KEY, TestCluster, ask_fake, completion, reply, wait_for};
 
@@ -157,6 +160,22 @@
     assert_eq!(innocent.status, StatusCode::OK, "{innocent:?}");
 }
 
+/// Opens a long stream and waits until it has begun.
+async fn open_stream(cluster: &TestCluster) -> (String, ClientResponse) {
+    let body = completion("long", 60, true);
+    let path = "/v1/chat/completions";
+    let mut response = cluster.open(0, KEY, Method::POST, path, body).await;
+    let first = response
+        .body_mut()
+        .frame()
+        .await
+        .unwrap()
+        .unwrap()
+        .into_data()
+        .unwrap();
+    (String::from_utf8_lossy(&first).into_owned(), response)
+}
+
 /// Guards against planned stops that cut off an answer: entry and agent get SIGTERM while they stream.
 #[tokio::test(flavor = "multi_thread")]
 async fn planned_stops_cut_off_no_answer() {
@@ -165,16 +184,7 @@
         ..ClusterPlan::default()
     };
     let mut cluster = TestCluster::start(plan).await;
-    let body = completion("long", 60, true);
-    let mut response = cluster
-        .open(0, KEY, Method::POST, "/v1/chat/completions", body)
-        .await;
-    assert_eq!(response.status(), StatusCode::OK);
-    // The answer has begun.
-    http_body_util::BodyExt::frame(response.body_mut())
-        .await
-        .unwrap()
-        .unwrap();
+    let (_first, response) = open_stream(&cluster).await;
     cluster.entries[0].signal("TERM");
     cluster.agents[0].signal("TERM");
     let rest = reply(response).await;
@@ -193,18 +203,11 @@
         ..ClusterPlan::default()
     };
     let mut cluster = TestCluster::start(plan).await;
-    let body = completion("long", 60, true);
-    let mut response = cluster
-        .open(0, KEY, Method::POST, "/v1/chat/completions", body)
-        .await;
-    let first = http_body_util::BodyExt::frame(response.body_mut())
-        .await
-        .unwrap()
-        .unwrap();
-    let first = first.into_data().unwrap();
-    cluster.agents[0].kill();
-    let rest = reply(response).await;
-    let text = String::from_utf8_lossy(&first).into_owned() + &rest.body;
+    let calls = ask_fake(&cluster.fakes[0], CALLS_PATH).await;
+    let (first, response) = open_stream(&cluster).await;
+    let on_first = ask_fake(&cluster.fakes[0], CALLS_PATH).await > calls;
+    cluster.agents[usize::from(!on_first)].kill();
+    let text = first + &reply(response).await.body;
     let events = text.lines().filter_map(|line| line.strip_prefix("data: {"));
     let parts = events.filter_map(|event| {
         let value: serde_json::Value = serde_json::from_str(&format!("{{{event}")).ok()?;
--- a/crates/oriolecrank-schema/tests/messages.rs
+++ b/crates/oriolecrank-schema/tests/messages.rs
@@ -101,7 +101,7 @@
         .collect();
     assert_eq!(
         documented, expected,
-        "run the test `print_event_catalogue` with --nocapture"
+        "copy the rows on the right into docs/EVENTS.md"
     );
     let mut numbers: Vec<u16> = LogEvent::ALL.iter().map(|event| event.number()).collect();
     numbers.sort_unstable();
@@ -109,14 +109,6 @@
     assert_eq!(numbers.len(), LogEvent::ALL.len());
 }
 
-/// Prints the rows of the catalogue, to be copied after a change.
-#[test]
-fn print_event_catalogue() {
-    for event in LogEvent::ALL {
-        println!("| {} | `{event:?}` | {} |", event.number(), event.meaning());
-    }
-}
-
 proptest! {
     /// Guards against a panic or unbounded memory on bytes that are not a message.
     #[test]
