--- a/crates/oriolecrank-control/src/leader_tables.rs
+++ b/crates/oriolecrank-control/src/leader_tables.rs
@@ -1,4 +1,4 @@
-//! What only the leader does: leases of upstreams and the view of subscribers.
+//! What only the leader knows: leases of upstreams and the view of subscribers.
 
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
--- a/crates/oriolecrank-control/src/lib.rs
+++ b/crates/oriolecrank-control/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! - [`CommandReplica`] is the replicated log; committed commands change the [`SharedState`], which
 //!   tells the subscribers.
-//! - [`LeaderTables`] are what only the leader does; [`LeaseTable`] and [`SubscriberTable`] hold its
+//! - [`LeaderTables`] hold what only the leader knows; [`LeaseTable`] and [`SubscriberTable`] hold its
 //!   view of upstreams and entries.
 //! - [`OrderExecutor`], [`PlatformExecutor`] and [`UsageExecutor`] are what the leader does outside
 //!   the log. They ask for a [`WritePermit`] immediately before each write, and those that write to
