--- /dev/null
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -0,0 +1,118 @@
+//! Reads requests of callers and finds out who asks for what.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use http::header::CONNECTION;
+use http::request::Parts as RequestParts;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use oriolecrank_net::{AnswerBody, HttpHandler, read_body};
+use oriolecrank_routing::{CallKind, CallerOrganisation, RouteTable};
+use oriolecrank_schema::event::LogEvent;
+use rand::Rng as _;
+
+use crate::call_runner::{CallRunner, CallerRequest, refusal};
+use crate::dialect::{CallFailure, CallHead, CallerDialect};
+use crate::entry_shared::EntryShared;
+use crate::running_call::now;
+
+/// Answers callers.
+#[derive(Debug)]
+pub(crate) struct CallerServer<D> {
+    pub(crate) shared: Arc<EntryShared<D>>,
+}
+
+impl<D: CallerDialect> CallerServer<D> {
+    async fn answer(
+        &self,
+        parts: RequestParts,
+        body: Incoming,
+    ) -> Result<Response<AnswerBody>, CallFailure> {
+        let head = self.shared.dialect.decode_call(&parts)?;
+        let request = self.accept(parts, head, body).await?;
+        let stream = request.route.kind == CallKind::Stream;
+        let runner = CallRunner::new(Arc::clone(&self.shared), Arc::new(request));
+        if stream {
+            runner.run_stream().await
+        } else {
+            runner.run_plain().await
+        }
+    }
+
+    /// Checks a request against the document in force and reads its body.
+    async fn accept(
+        &self,
+        parts: RequestParts,
+        head: CallHead,
+        body: Incoming,
+    ) -> Result<CallerRequest, CallFailure> {
+        let arrived = now();
+        let Some(table) = self.shared.table() else {
+            return Err(refusal(std::time::Duration::ZERO));
+        };
+        let route = table.find(&head.host, parts.uri.path());
+        let route = Arc::clone(route.ok_or(CallFailure::UnknownRoute)?);
+        let organisation = organisation(&table, &route, &head)?.cloned();
+        let Some(body) = read_body(body, table.limits().body_bytes).await else {
+            return Err(CallFailure::TooLarge);
+        };
+        let service = route.draw_service(rand::rng().random()).clone();
+        self.shared
+            .with_lane(&service, |lane| lane.budget.count_request(arrived));
+        let patience = head.patience.unwrap_or(route.timeout);
+        let rank = organisation.as_ref().and_then(|owner| owner.rank);
+        Ok(CallerRequest {
+            method: parts.method,
+            uri: parts.uri,
+            fields: parts.headers,
+            body,
+            service,
+            rank: rank.unwrap_or(route.rank),
+            organisation: organisation.map(|owner| owner.name),
+            deadline: arrived + patience.min(route.timeout),
+            route,
+            head,
+        })
+    }
+}
+
+/// Organisation of a request; `None` on a route that needs no key.
+fn organisation<'a>(
+    table: &'a RouteTable,
+    route: &oriolecrank_routing::RouteSpec,
+    head: &CallHead,
+) -> Result<Option<&'a CallerOrganisation>, CallFailure> {
+    if !table.needs_key(route) {
+        return Ok(None);
+    }
+    let key = head.key.as_deref().ok_or(CallFailure::UnknownKey)?;
+    let organisation = table.organisation(key).ok_or(CallFailure::UnknownKey)?;
+    Ok(Some(organisation))
+}
+
+impl<D: CallerDialect> HttpHandler for CallerServer<D> {
+    async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> Response<AnswerBody> {
+        let (parts, body) = request.into_parts();
+        let (dialect, path) = (&self.shared.dialect, parts.uri.path().to_owned());
+        let request_id = dialect
+            .decode_call(&parts)
+            .ok()
+            .and_then(|head| head.request_id);
+        let mut answer = match self.answer(parts, body).await {
+            Ok(answer) => answer,
+            Err(failure) => {
+                let event = LogEvent::RequestFailed.number();
+                let version = self.shared.version();
+                tracing::info!(event, request = request_id, path, %peer, ?failure, version, "a request failed");
+                dialect.failure(request_id.as_deref(), failure)
+            }
+        };
+        if self.shared.is_stopping() {
+            // Callers open their next connection at another entry.
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(CONNECTION, close);
+        }
+        answer
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -0,0 +1,220 @@
+//! Start and stop of a control instance of a site.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriolecrank_consensus::{InstanceId, Member, MemberRole};
+use oriolecrank_control::{
+    PeerDirectory, PeerIngress, PeerTransport, ReplicaError, ReplicaPhase, ReplicaSettings,
+    start_replica,
+};
+use oriolecrank_net::shutdown::ShutdownSignal;
+use oriolecrank_net::{BootClock, ClientSettings, ClusterSecret, HttpClient, PeerGuard, serve};
+use oriolecrank_routing::RepairSettings;
+use oriolecrank_schema::event::LogEvent;
+use rand::Rng as _;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::control_link::ControlLink;
+use crate::dialect::{SiteDialect, UsageDialect};
+use crate::group_repair::GroupRepair;
+use crate::internal_server::InternalServer;
+use crate::site_clock::SiteClock;
+use crate::site_gossip::SiteGossip;
+use crate::site_machine::{SharedSite, SiteMachine};
+use crate::site_publisher::SitePublisher;
+use crate::site_server::SiteServer;
+use crate::site_tables::SiteTables;
+use crate::usage_duty::{UsageDuty, UsageRules};
+
+/// Longest time for requests that run when the process stops.
+const STOP_LIMIT: Duration = Duration::from_secs(2);
+
+/// Settings of a control instance.
+#[derive(Debug, Clone)]
+pub struct ControlSiteOptions {
+    /// Name of the cluster.
+    pub cluster: String,
+    /// Address for operators and upstreams.
+    pub operators: SocketAddr,
+    /// Address for entries and other control instances; also the identity of the instance.
+    pub internal: SocketAddr,
+    /// Internal addresses of the founders if the group starts for the first time, else empty.
+    pub founders: Vec<SocketAddr>,
+    /// Folder for durable state.
+    pub data_folder: PathBuf,
+    /// Secret between the processes.
+    pub secret: ClusterSecret,
+    /// Rules of the group's repair.
+    pub repair: RepairSettings,
+    /// Rules of usage reports, if this site reports usage.
+    pub usage: Option<UsageRules>,
+}
+
+/// A control instance that cannot start or go on.
+#[derive(Debug, Snafu)]
+pub enum ControlSiteError {
+    /// An address is not available.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The replica cannot start.
+    #[snafu(display("cannot start the replica: {source}"))]
+    Replica {
+        /// Cause.
+        source: ReplicaError,
+    },
+    /// The replica stopped, because its data folder cannot be written.
+    #[snafu(display("the replica stopped: {reason}"))]
+    ReplicaFailed {
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+/// Runs a control instance until shutdown, or until the data folder cannot be written.
+///
+/// `seeds` holds internal addresses of other control instances.
+pub async fn run_control_site<D: SiteDialect + UsageDialect>(
+    options: ControlSiteOptions,
+    dialect: Arc<D>,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+    mut shutdown: ShutdownSignal,
+) -> Result<(), ControlSiteError> {
+    let operators = listen(options.operators).await?;
+    let internal = listen(options.internal).await?;
+    let client = HttpClient::new(ClientSettings {
+        idle_per_address: 8,
+        ..ClientSettings::default()
+    });
+    let directory = PeerDirectory::default();
+    let transport = PeerTransport::new(
+        options.cluster.clone(),
+        options.internal,
+        client.clone(),
+        options.secret.clone(),
+        directory.clone(),
+    );
+    let site = SharedSite::new();
+    let machine = SiteMachine(site.clone());
+    let replica = start_replica(replica_settings(&options), machine, transport);
+    let replica = replica.context(ReplicaSnafu)?;
+    let link = ControlLink {
+        client: client.clone(),
+        secret: options.secret.clone(),
+    };
+    let publisher = SitePublisher {
+        replica: replica.clone(),
+        site,
+        link,
+    };
+    let tables = Arc::new(SiteTables::new(rand::rng().random()));
+    let guard = PeerGuard::new(options.secret.clone());
+    let clock = Arc::new(SiteClock::start(BootClock.now()));
+    let internal_server = InternalServer {
+        cluster: options.cluster.clone(),
+        guard: guard.clone(),
+        ingress: PeerIngress::new(options.cluster.clone(), guard, replica.clone(), directory),
+        publisher: publisher.clone(),
+        tables: Arc::clone(&tables),
+        clock: Arc::clone(&clock),
+    };
+    let site_server = SiteServer {
+        dialect: Arc::clone(&dialect),
+        publisher: publisher.clone(),
+        tables: Arc::clone(&tables),
+        gossip: SiteGossip::start(options.cluster.clone(), publisher.clone()),
+    };
+    let repair = GroupRepair {
+        cluster: options.cluster.clone(),
+        address: options.internal,
+        seeds,
+        settings: options.repair.clone(),
+        publisher: publisher.clone(),
+        tables: Arc::clone(&tables),
+    };
+    tokio::spawn(repair.run());
+    if let Some(rules) = options.usage.clone() {
+        let duty = UsageDuty {
+            rules,
+            dialect,
+            client,
+            publisher,
+            tables,
+            clock,
+        };
+        tokio::spawn(duty.run());
+    }
+    let event = LogEvent::ProcessStarted.number();
+    tracing::info!(event, operators = %options.operators, internal = %options.internal, "control started");
+    let serving = async {
+        tokio::join!(
+            serve(operators, Arc::new(site_server), shutdown.clone()),
+            serve(internal, Arc::new(internal_server), shutdown.clone()),
+        );
+    };
+    let mut signal = shutdown.clone();
+    let stopping = async {
+        signal.triggered().await;
+        sleep(STOP_LIMIT).await;
+    };
+    tokio::select! {
+        () = serving => {}
+        () = stopping => {
+            tracing::warn!(event = LogEvent::ShutdownForced.number(), "requests were cut off");
+        }
+        phase = replica.stopped() => {
+            if let ReplicaPhase::Failed(reason) = phase {
+                return ReplicaFailedSnafu { reason }.fail();
+            }
+        }
+    }
+    shutdown.triggered().await;
+    replica.stop();
+    replica.stopped().await;
+    tracing::info!(
+        event = LogEvent::ShutdownFinished.number(),
+        "control stopped"
+    );
+    Ok(())
+}
+
+/// Settings of the replica. Only a founder names the founders; any other instance waits until the
+/// leader adds it.
+fn replica_settings(options: &ControlSiteOptions) -> ReplicaSettings {
+    let own_is_founder = options.founders.contains(&options.internal);
+    let founders = options.founders.iter().filter(|_| own_is_founder);
+    let founders = founders.map(|address| Member {
+        id: InstanceId::new(&address.to_string()),
+        address: address.to_string(),
+        role: MemberRole::Voter,
+    });
+    ReplicaSettings {
+        cluster: options.cluster.clone(),
+        name: options.internal.to_string(),
+        data_folder: options.data_folder.clone(),
+        founders: founders.collect(),
+        // Documents are large against a disk of 64 MB, of which the log may take a part.
+        snapshot_entries: 512,
+        snapshot_bytes: 4 * 1024 * 1024,
+        kept_entries: 128,
+        kept_bytes: 2 * 1024 * 1024,
+        propose_timeout: Duration::from_millis(2_500),
+        ..ReplicaSettings::default()
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, ControlSiteError> {
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
+}
--- /dev/null
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -0,0 +1,247 @@
+//! What the parts of an entry share.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oriolecrank_net::{ClusterSecret, HttpClient};
+use oriolecrank_routing::{
+    ArrivalBudget, ArrivalGrant, ChooserSettings, DirectChooser, EntryRun, OrganisationName,
+    RouteTable, ServiceName, UpstreamAnnouncement, UpstreamDirectory, UsageCounter, WindowNumber,
+};
+use oriolecrank_schema::TimePoint;
+
+use crate::site_clock::SiteClock;
+use crate::site_messages::{AgedAnnouncement, NamedLoad};
+
+/// Settings of an entry.
+#[derive(Debug, Clone)]
+pub struct EntrySiteOptions {
+    /// Run of the entry.
+    pub run: EntryRun,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address of the readiness question.
+    pub ready: SocketAddr,
+    /// Secret between the processes.
+    pub secret: ClusterSecret,
+    /// Rules of the choice of upstreams.
+    pub chooser: ChooserSettings,
+    /// Extra attempts that each service grants to all entries.
+    pub grant: ArrivalGrant,
+    /// Length of a usage window.
+    pub usage_window: Duration,
+    /// Time between the signal to stop and the end of the process.
+    pub stop_limit: Duration,
+}
+
+/// Upstreams and budget of one service.
+#[derive(Debug)]
+pub(crate) struct ServiceLane {
+    pub(crate) chooser: DirectChooser,
+    pub(crate) budget: ArrivalBudget,
+}
+
+/// Tables of the request path.
+#[derive(Debug, Default)]
+pub(crate) struct LaneTables {
+    /// All upstreams, to order statements that arrive over several control instances.
+    directory: UpstreamDirectory,
+    lanes: IndexMap<ServiceName, ServiceLane>,
+}
+
+/// State of an entry.
+///
+/// Lock order: each lock is taken alone and never held across an await.
+#[derive(Debug)]
+pub(crate) struct EntryShared<D> {
+    pub(crate) options: EntrySiteOptions,
+    pub(crate) dialect: Arc<D>,
+    pub(crate) client: HttpClient,
+    pub(crate) clock: SiteClock,
+    /// Document in force; its version never falls.
+    table: RwLock<Option<Arc<RouteTable>>>,
+    tables: Mutex<LaneTables>,
+    usage: Mutex<UsageCounter>,
+    /// Entries that share the fixed part of the grant.
+    entries: AtomicU32,
+    stopping: AtomicBool,
+}
+
+impl<D> EntryShared<D> {
+    pub(crate) fn new(
+        options: EntrySiteOptions,
+        dialect: Arc<D>,
+        client: HttpClient,
+        now: TimePoint,
+    ) -> Self {
+        Self {
+            options,
+            dialect,
+            client,
+            clock: SiteClock::start(now),
+            table: RwLock::default(),
+            tables: Mutex::default(),
+            usage: Mutex::default(),
+            entries: AtomicU32::new(0),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// The document in force.
+    pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
+        let table = self
+            .table
+            .read()
+            .expect("no holder of the table lock panics");
+        table.clone()
+    }
+
+    /// Version of the document in force; 0 before the first one.
+    pub(crate) fn version(&self) -> u64 {
+        self.table().map_or(0, |table| table.version())
+    }
+
+    /// Puts a document in force; false if it is not newer.
+    pub(crate) fn put_in_force(&self, table: RouteTable) -> bool {
+        let table = Arc::new(table);
+        {
+            let mut known = self
+                .table
+                .write()
+                .expect("no holder of the table lock panics");
+            if known
+                .as_ref()
+                .is_some_and(|known| known.version() >= table.version())
+            {
+                return false;
+            }
+            *known = Some(Arc::clone(&table));
+        }
+        let mut tables = self.lock_tables();
+        for service in table.services() {
+            let lane = self.lane(&mut tables, &service.name);
+            lane.chooser.set_engine(service.engine);
+        }
+        true
+    }
+
+    /// Takes announcements that a control instance has passed on.
+    pub(crate) fn announce(&self, announcements: Vec<AgedAnnouncement>, now: TimePoint) {
+        let mut tables = self.lock_tables();
+        for AgedAnnouncement { announcement, age } in announcements {
+            let age_ms = age.as_millis() as u64;
+            let heard = TimePoint::from_millis(now.as_millis().saturating_sub(age_ms));
+            self.announce_one(&mut tables, announcement, heard);
+        }
+        tables.directory.prune(now);
+    }
+
+    fn announce_one(
+        &self,
+        tables: &mut LaneTables,
+        announcement: UpstreamAnnouncement,
+        heard: TimePoint,
+    ) {
+        let before = tables.directory.revision();
+        tables.directory.merge(announcement, heard);
+        let changed: Vec<_> = tables.directory.since(before).cloned().collect();
+        for record in changed {
+            let statement = &record.announcement;
+            // An identity may return as part of another service.
+            for lane in tables.lanes.values_mut() {
+                lane.chooser.forget_elsewhere(statement);
+            }
+            let lane = self.lane(tables, &statement.service);
+            lane.chooser.announce(statement, record.heard);
+        }
+    }
+
+    /// Runs `job` on the upstreams of a service.
+    pub(crate) fn with_lane<T>(
+        &self,
+        service: &ServiceName,
+        job: impl FnOnce(&mut ServiceLane) -> T,
+    ) -> T {
+        let mut tables = self.lock_tables();
+        job(self.lane(&mut tables, service))
+    }
+
+    /// Own loads of all upstreams.
+    pub(crate) fn own_loads(&self) -> Vec<NamedLoad> {
+        let tables = self.lock_tables();
+        let lanes = tables.lanes.values();
+        let loads = lanes.flat_map(|lane| lane.chooser.own_loads());
+        loads
+            .map(|(upstream, load)| NamedLoad {
+                upstream: upstream.clone(),
+                load,
+            })
+            .collect()
+    }
+
+    /// Takes the loads of the other entries; upstreams that are not named have none.
+    pub(crate) fn set_other_loads(&self, loads: &[NamedLoad]) {
+        let mut tables = self.lock_tables();
+        for lane in tables.lanes.values_mut() {
+            lane.chooser.clear_other_loads();
+            for named in loads {
+                lane.chooser
+                    .set_other_load(named.upstream.as_str(), named.load);
+            }
+        }
+    }
+
+    /// Counts a request that has begun to run.
+    pub(crate) fn count_usage(&self, organisation: &OrganisationName, now: TimePoint) {
+        let unix_ms = self.clock.unix_ms(now);
+        let window = WindowNumber::at(unix_ms, self.options.usage_window);
+        self.lock_usage().count(organisation, window);
+    }
+
+    /// Counts of usage windows.
+    pub(crate) fn lock_usage(&self) -> MutexGuard<'_, UsageCounter> {
+        self.usage
+            .lock()
+            .expect("no holder of the usage lock panics")
+    }
+
+    /// Entries that share the grant, at least this one.
+    pub(crate) fn entries(&self) -> u32 {
+        self.entries.load(Ordering::Relaxed)
+    }
+
+    /// Takes the number of entries that a control instance knows.
+    pub(crate) fn set_entries(&self, entries: u32) {
+        self.entries.store(entries, Ordering::Relaxed);
+    }
+
+    /// Whether the process stops.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Notes that the process stops.
+    pub(crate) fn stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    fn lock_tables(&self) -> MutexGuard<'_, LaneTables> {
+        self.tables
+            .lock()
+            .expect("no holder of the lane lock panics")
+    }
+
+    fn lane<'a>(&self, tables: &'a mut LaneTables, service: &ServiceName) -> &'a mut ServiceLane {
+        let options = &self.options;
+        tables
+            .lanes
+            .entry(service.clone())
+            .or_insert_with(|| ServiceLane {
+                chooser: DirectChooser::new(options.chooser.clone()),
+                budget: ArrivalBudget::new(&options.grant),
+            })
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -0,0 +1,194 @@
+//! Keeps an entry up to date: asks control instances for news and reports loads and usage.
+//!
+//! The entry syncs with several control instances at once and takes the newest of what they say, so
+//! that one that is cut off or slow delays nothing.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oriolecrank_net::BootClock;
+use oriolecrank_routing::{RouteTable, WindowCounts};
+use oriolecrank_schema::event::LogEvent;
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
+use tokio::time::{sleep, timeout};
+
+use crate::control_link::ControlLink;
+use crate::dialect::CallerDialect;
+use crate::entry_shared::EntryShared;
+use crate::site_messages::{SYNC_PATH, SyncAnswer, SyncRequest};
+
+/// Control instances that an entry syncs with. Three see every committed change in time even if one
+/// is lost and one lags.
+const MAX_TARGETS: usize = 3;
+
+/// Longest wait for an answer; the other side waits at most 500 ms for news.
+const SYNC_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Wait after a failed sync.
+const RETRY_DELAY: Duration = Duration::from_millis(250);
+
+/// Shortest time between two syncs with one instance, which bounds the cost of many changes.
+const MIN_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time without any answer after which the seeds are asked again.
+const LOST_AFTER: Duration = Duration::from_secs(2);
+
+/// Windows whose counts are sent with each sync: the open one and the one before.
+const SENT_WINDOWS: usize = 2;
+
+/// Task that keeps the targets.
+#[derive(Debug)]
+pub(crate) struct EntrySync<D> {
+    pub(crate) shared: Arc<EntryShared<D>>,
+    pub(crate) link: ControlLink,
+    /// Internal addresses from the settings.
+    pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
+}
+
+impl<D: CallerDialect> EntrySync<D> {
+    /// Runs until the process ends.
+    pub(crate) async fn run(mut self) {
+        let (news, mut answers) = mpsc::channel::<Vec<SocketAddr>>(16);
+        let mut targets: IndexMap<SocketAddr, AbortHandle> = IndexMap::new();
+        let mut members: Vec<SocketAddr> = Vec::new();
+        loop {
+            let wanted = self.wanted(&members);
+            targets.retain(|address, task| {
+                let keep = wanted.contains(address);
+                if !keep {
+                    task.abort();
+                }
+                keep
+            });
+            for address in wanted {
+                targets.entry(address).or_insert_with(|| {
+                    let target = SyncTarget {
+                        shared: Arc::clone(&self.shared),
+                        link: self.link.clone(),
+                        address,
+                        members: news.clone(),
+                        control_run: 0,
+                        directory_revision: 0,
+                    };
+                    tokio::spawn(target.run()).abort_handle()
+                });
+            }
+            tokio::select! {
+                answer = timeout(LOST_AFTER, answers.recv()) => match answer {
+                    Ok(Some(known)) if !known.is_empty() => members = known,
+                    Ok(_) => {}
+                    Err(_) => members.clear(),
+                },
+                changed = self.seeds.changed() => if changed.is_err() {
+                    // Nobody changes the seeds any more.
+                    sleep(LOST_AFTER).await;
+                },
+            }
+        }
+    }
+
+    /// Instances to sync with: members of the group, else the seeds. Each entry begins at another
+    /// place in the list, so that a large group shares the work.
+    fn wanted(&self, members: &[SocketAddr]) -> Vec<SocketAddr> {
+        let mut known = members.to_vec();
+        if known.is_empty() {
+            known.clone_from(&self.seeds.borrow());
+        }
+        known.sort_unstable();
+        if known.len() > MAX_TARGETS {
+            let start = self.shared.options.run.run as usize % known.len();
+            known.rotate_left(start);
+            known.truncate(MAX_TARGETS);
+        }
+        known
+    }
+}
+
+/// Syncs with one control instance.
+#[derive(Debug)]
+struct SyncTarget<D> {
+    shared: Arc<EntryShared<D>>,
+    link: ControlLink,
+    address: SocketAddr,
+    members: mpsc::Sender<Vec<SocketAddr>>,
+    control_run: u64,
+    directory_revision: u64,
+}
+
+impl<D: CallerDialect> SyncTarget<D> {
+    async fn run(mut self) {
+        let mut reached = true;
+        loop {
+            let request = self.request();
+            let link = &self.link;
+            let answer = link.call(self.address, SYNC_PATH, &request, SYNC_TIMEOUT);
+            match answer.await {
+                Ok(answer) => {
+                    if !reached {
+                        tracing::info!(address = %self.address, "control is reached again");
+                    }
+                    reached = true;
+                    self.take(answer);
+                    sleep(MIN_INTERVAL).await;
+                }
+                Err(error) => {
+                    if reached {
+                        let event = LogEvent::SubscriptionLost.number();
+                        tracing::warn!(event, address = %self.address, %error, "control is not reached");
+                    }
+                    reached = false;
+                    sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    fn request(&self) -> SyncRequest {
+        let shared = &self.shared;
+        let usage: Vec<WindowCounts> = {
+            let usage = shared.lock_usage();
+            let windows = usage.windows();
+            let all = self.control_run == 0;
+            let sent = if all { windows.len() } else { SENT_WINDOWS };
+            windows[windows.len().saturating_sub(sent)..].to_vec()
+        };
+        SyncRequest {
+            run: shared.options.run.clone(),
+            document_version: shared.version(),
+            control_run: self.control_run,
+            directory_revision: self.directory_revision,
+            usage,
+            loads: shared.own_loads(),
+            stopping: shared.is_stopping(),
+        }
+    }
+
+    fn take(&mut self, answer: SyncAnswer) {
+        let now = BootClock.now();
+        let shared = &self.shared;
+        shared.clock.note(self.address, answer.unix_ms, now);
+        if let Some(document) = answer.document {
+            match shared.dialect.decode_document(&document.source) {
+                Ok(decoded) => {
+                    if shared.put_in_force(RouteTable::new(decoded)) {
+                        let event = LogEvent::DocumentInForce.number();
+                        let version = document.version;
+                        tracing::info!(event, version, source = %self.address, "a document is in force");
+                    }
+                }
+                // The same check has passed at the control instance that accepted it.
+                Err(reason) => tracing::error!(reason, "a committed document cannot be read"),
+            }
+        }
+        shared.announce(answer.upstreams, now);
+        shared.set_other_loads(&answer.other_loads);
+        shared.set_entries(answer.entries);
+        self.control_run = answer.control_run;
+        self.directory_revision = answer.directory_revision;
+        // A full queue holds newer answers of the other targets.
+        let _ = self.members.try_send(answer.members);
+    }
+}
--- /dev/null
+++ b/crates/oriolecrank-gateway/src/lib.rs
@@ -0,0 +1,42 @@
+//! Processes of a gateway: entries that call upstreams directly, and the control instances of their
+//! site.
+//!
+//! - [`run_entry_site`] serves callers. Its [`CallerDialect`] translates requests and answers.
+//! - [`run_control_site`] keeps the document and the directory of upstreams, and reports usage. Its
+//!   [`SiteDialect`] and [`UsageDialect`] translate the calls of operators, upstreams and to the
+//!   usage interface.
+//!
+//! Decisions are in `oriolecrank-routing`; the replicated log is that of `oriolecrank-control`.
+
+mod answer_relay;
+mod call_runner;
+mod caller_server;
+mod control_link;
+mod control_site;
+mod dialect;
+mod entry_shared;
+mod entry_site;
+mod entry_sync;
+mod event_stream;
+mod group_repair;
+mod internal_server;
+mod kept_prompt;
+mod running_call;
+mod site_clock;
+mod site_gossip;
+mod site_machine;
+mod site_messages;
+mod site_publisher;
+mod site_server;
+mod site_tables;
+mod usage_duty;
+
+pub use control_site::{ControlSiteError, ControlSiteOptions, run_control_site};
+pub use dialect::{
+    AnswerHead, AttemptHead, AttemptStage, CallFailure, CallHead, CallerDialect, DocumentDialect,
+    PromptHandle, SiteCall, SiteDialect, SiteReply, UsageDialect, UsageReply,
+};
+pub use entry_shared::EntrySiteOptions;
+pub use entry_site::{EntrySiteError, run_entry_site};
+pub use event_stream::{EventRun, EventTooLong, NumberedEvents};
+pub use usage_duty::UsageRules;
--- /dev/null
+++ b/crates/oriolecrank-gateway/src/running_call.rs
@@ -0,0 +1,96 @@
+//! One attempt as the loads count it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use oriolecrank_net::BootClock;
+use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
+use oriolecrank_routing::{ChosenUpstream, OrganisationName, ServiceName};
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::event::LogEvent;
+
+use crate::entry_shared::EntryShared;
+
+/// An attempt that counts as load of its upstream until it is dropped.
+#[derive(Debug)]
+pub(crate) struct RunningCall<D> {
+    shared: Arc<EntryShared<D>>,
+    service: ServiceName,
+    pub(crate) chosen: ChosenUpstream,
+    organisation: Option<OrganisationName>,
+    sent: TimePoint,
+    begun: bool,
+    call_time: Option<Duration>,
+}
+
+impl<D> RunningCall<D> {
+    pub(crate) const fn new(
+        shared: Arc<EntryShared<D>>,
+        service: ServiceName,
+        chosen: ChosenUpstream,
+        organisation: Option<OrganisationName>,
+        sent: TimePoint,
+    ) -> Self {
+        Self {
+            shared,
+            service,
+            chosen,
+            organisation,
+            sent,
+            begun: false,
+            call_time: None,
+        }
+    }
+
+    /// The request is sent only now, because another engine had to read its prompt.
+    pub(crate) const fn restart(&mut self, now: TimePoint) {
+        self.sent = now;
+    }
+
+    /// The upstream has begun to run the request.
+    pub(crate) fn begin(&mut self, now: TimePoint) {
+        if std::mem::replace(&mut self.begun, true) {
+            return;
+        }
+        let elapsed = now.since(self.sent);
+        let (name, work) = (&self.chosen.announcement.name, &mut self.chosen.work);
+        self.shared.with_lane(&self.service, |lane| {
+            lane.chooser.first_answer(name.as_str(), work, elapsed);
+        });
+        if let Some(organisation) = &self.organisation {
+            self.shared.count_usage(organisation, now);
+        }
+    }
+
+    /// A plain call was answered.
+    pub(crate) fn answered(&mut self, now: TimePoint) {
+        self.call_time = Some(now.since(self.sent));
+    }
+
+    /// Takes what the end of the attempt says about the upstream.
+    pub(crate) fn record(&self, outcome: UpstreamOutcome, now: TimePoint) {
+        let name = &self.chosen.announcement.name;
+        let ejected = self.shared.with_lane(&self.service, |lane| {
+            lane.chooser.record(name, outcome, now)
+        });
+        if ejected {
+            let event = LogEvent::UpstreamEjected.number();
+            tracing::warn!(event, upstream = %name, "an upstream is ejected");
+        }
+    }
+}
+
+impl<D> Drop for RunningCall<D> {
+    fn drop(&mut self) {
+        let name = self.chosen.announcement.name.as_str();
+        let (work, call_time) = (&self.chosen.work, self.call_time);
+        self.shared.with_lane(&self.service, |lane| {
+            lane.chooser.finish(name, work, call_time);
+        });
+    }
+}
+
+/// Present time, for callers of the methods above.
+pub(crate) fn now() -> TimePoint {
+    BootClock.now()
+}
--- /dev/null
+++ b/crates/oriolecrank-gateway/src/site_server.rs
@@ -0,0 +1,126 @@
+//! Answers operators and upstreams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use oriolecrank_net::{AnswerBody, BootClock, HttpHandler, read_body};
+use oriolecrank_routing::{
+    MergeEffect, RouteDocument, StoredDocument, UpstreamAnnouncement, UpstreamName, UpstreamState,
+};
+
+use crate::dialect::{SiteCall, SiteDialect, SiteReply};
+use crate::site_gossip::SiteGossip;
+use crate::site_publisher::SitePublisher;
+use crate::site_tables::SiteTables;
+
+/// Largest body of a call, in bytes: a document with some thousand routes. The replicated log takes
+/// entries of 4 MiB.
+const MAX_CALL_BYTES: usize = 4 * 1024 * 1024;
+
+/// Answers the calls of operators and upstreams.
+#[derive(Debug)]
+pub(crate) struct SiteServer<D> {
+    pub(crate) dialect: Arc<D>,
+    pub(crate) publisher: SitePublisher,
+    pub(crate) tables: Arc<SiteTables>,
+    pub(crate) gossip: SiteGossip,
+}
+
+impl<D: SiteDialect> SiteServer<D> {
+    async fn answer(&self, call: SiteCall, body: Bytes) -> SiteReply {
+        match call {
+            SiteCall::Publish(document) => self.publish(&document, body).await,
+            SiteCall::Read => self.read().await,
+            SiteCall::Announce(announcement) => self.announce(announcement).await,
+            SiteCall::Depart { name, started_ms } => self.depart(&name, started_ms).await,
+            SiteCall::Invalid(reason) => {
+                tracing::warn!(reason, "an invalid call was refused");
+                SiteReply::Invalid(reason)
+            }
+            SiteCall::Unknown => SiteReply::Unknown,
+        }
+    }
+
+    async fn publish(&self, document: &RouteDocument, body: Bytes) -> SiteReply {
+        let version = document.version;
+        if let Err(error) = document.check() {
+            tracing::warn!(version, %error, "an invalid document was refused");
+            return SiteReply::Invalid(error.to_string());
+        }
+        let stored = StoredDocument {
+            version,
+            source: body.to_vec(),
+        };
+        if self.publisher.publish(stored).await {
+            tracing::info!(version, "a document was acknowledged");
+            SiteReply::Accepted
+        } else {
+            tracing::warn!(version, "a document could not be committed");
+            SiteReply::Unavailable
+        }
+    }
+
+    /// The newest document, after a round to the leader that began with the call.
+    async fn read(&self) -> SiteReply {
+        if let Err(error) = self.publisher.replica.read_barrier().await {
+            tracing::warn!(%error, "a read of the document could not be confirmed");
+            return SiteReply::Unavailable;
+        }
+        let state = self.publisher.site.read();
+        state.document().map_or(SiteReply::Unavailable, |document| {
+            SiteReply::Document(document.source.clone().into())
+        })
+    }
+
+    async fn announce(&self, announcement: UpstreamAnnouncement) -> SiteReply {
+        let leaving = announcement.state != UpstreamState::Ready;
+        let effect = self.tables.announce(announcement.clone(), BootClock.now());
+        if effect == MergeEffect::Changed {
+            log_upstream(&announcement);
+        }
+        if effect == MergeEffect::Changed && leaving {
+            self.gossip.spread_now(announcement).await;
+        } else if effect != MergeEffect::Stale {
+            self.gossip.spread(announcement);
+        }
+        SiteReply::Accepted
+    }
+
+    async fn depart(&self, name: &UpstreamName, started_ms: Option<u64>) -> SiteReply {
+        let departed = self.tables.depart(name, started_ms, BootClock.now());
+        if let Some(announcement) = departed {
+            log_upstream(&announcement);
+            self.gossip.spread_now(announcement).await;
+        }
+        SiteReply::Accepted
+    }
+}
+
+fn log_upstream(announcement: &UpstreamAnnouncement) {
+    tracing::info!(
+        upstream = %announcement.name,
+        service = %announcement.service,
+        address = %announcement.address,
+        state = ?announcement.state,
+        phase = ?announcement.phase,
+        started_ms = announcement.started_ms,
+        sequence = announcement.sequence,
+        "an upstream has changed"
+    );
+}
+
+impl<D: SiteDialect> HttpHandler for SiteServer<D> {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
+        let (parts, body) = request.into_parts();
+        let Some(body) = read_body(body, MAX_CALL_BYTES).await else {
+            let reason = format!("the body is incomplete or larger than {MAX_CALL_BYTES} bytes");
+            return self.dialect.encode_site_reply(SiteReply::Invalid(reason));
+        };
+        let call = self.dialect.decode_site_call(&parts, &body);
+        let reply = self.answer(call, body).await;
+        self.dialect.encode_site_reply(reply)
+    }
+}
--- a/crates/oriolecrank-net/src/http_client.rs
+++ b/crates/oriolecrank-net/src/http_client.rs
@@ -13,6 +13,7 @@
 use indexmap::IndexMap;
 use oriolecrank_schema::data_path::RunVerdict;
 use snafu::{ResultExt, Snafu};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
@@ -29,6 +30,9 @@
     /// Idle connections kept for each address. A new connection costs about as much as a whole call,
     /// and bursts use more connections at once than the mean.
     pub idle_per_address: usize,
+    /// A connection whose peer has acknowledged nothing for this long is closed; `None` leaves the
+    /// limit of the system, which is minutes.
+    pub unacknowledged_limit: Option<Duration>,
 }
 
 impl Default for ClientSettings {
@@ -37,6 +41,7 @@
             connect_timeout: Duration::from_millis(500),
             idle_limit: Duration::from_secs(5),
             idle_per_address: 128,
+            unacknowledged_limit: None,
         }
     }
 }
@@ -108,7 +113,8 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: Connection,
-    since: Instant,
+    /// Not to be used from this time on.
+    until: Instant,
 }
 
 /// Idle connections by address.
@@ -172,8 +178,7 @@
         let idle = pool.get_mut(&address)?;
         let now = Instant::now();
         while let Some(candidate) = idle.pop() {
-            let fresh = now.duration_since(candidate.since) < self.settings.idle_limit;
-            if fresh && candidate.connection.is_ready() {
+            if now < candidate.until && candidate.connection.is_ready() {
                 return Some(candidate.connection);
             }
         }
@@ -187,6 +192,9 @@
                 .context(ConnectSnafu { address })?;
             // A connection without these options still works; silence bounds of the callers remain.
             let _ = set_options(&stream);
+            if let Some(limit) = self.settings.unacknowledged_limit {
+                let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(limit));
+            }
             let opened = handshake(TokioIo::new(stream)).await;
             opened.map_err(|_| ConnectTimeoutSnafu { address }.build())
         };
@@ -198,13 +206,13 @@
         Ok(connection)
     }
 
-    fn put_idle(&self, address: SocketAddr, connection: Connection) {
+    fn put_idle(&self, address: SocketAddr, connection: Connection, limit: Duration) {
         let mut pool = self.pool.lock().expect("no holder of the pool lock panics");
         let idle = pool.entry(address).or_default();
         if idle.len() < self.settings.idle_per_address {
             idle.push(IdleConnection {
                 connection,
-                since: Instant::now(),
+                until: Instant::now() + limit,
             });
         }
     }
@@ -237,7 +245,18 @@
 
     /// Reads the whole body, at most `limit` bytes within `bound`, and returns the connection to the
     /// pool.
-    pub async fn collect(mut self, limit: usize, bound: Duration) -> Result<Bytes, SendError> {
+    pub async fn collect(self, limit: usize, bound: Duration) -> Result<Bytes, SendError> {
+        let idle_limit = self.client.settings.idle_limit;
+        self.collect_for(limit, bound, idle_limit).await
+    }
+
+    /// Like [`collect`](Self::collect); the connection is kept idle for at most `idle_limit`.
+    pub async fn collect_for(
+        mut self,
+        limit: usize,
+        bound: Duration,
+        idle_limit: Duration,
+    ) -> Result<Bytes, SendError> {
         let address = self.address;
         let body = Limited::new(self.response.body_mut(), limit);
         let Ok(collected) = timeout(bound, body.collect()).await else {
@@ -247,22 +266,30 @@
             return BadBodySnafu { address }.fail();
         };
         let bytes = collected.to_bytes();
-        self.recycle();
+        self.recycle_for(idle_limit);
         Ok(bytes)
     }
 
     /// Returns the connection to the pool. Call only after the whole body was read.
     pub fn recycle(self) {
+        let limit = self.client.settings.idle_limit;
+        self.recycle_for(limit);
+    }
+
+    /// Returns the connection to the pool for at most `limit`, for a server that states how long it
+    /// keeps an idle connection. Call only after the whole body was read.
+    pub fn recycle_for(self, limit: Duration) {
         let Self {
             address,
             mut connection,
             client,
             ..
         } = self;
+        let limit = limit.min(client.settings.idle_limit);
         // The connection becomes ready a moment after the last byte of the body was read.
         tokio::spawn(async move {
             if connection.ready().await.is_ok() {
-                client.put_idle(address, connection);
+                client.put_idle(address, connection, limit);
             }
         });
     }
--- a/crates/oriolecrank-net/src/http_server.rs
+++ b/crates/oriolecrank-net/src/http_server.rs
@@ -25,11 +25,24 @@
 use crate::shutdown::ShutdownSignal;
 use crate::socket_options::set_options;
 
-/// Longest time to receive the head of a request.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Bounds of a listener.
+#[derive(Debug, Clone)]
+pub struct ServerSettings {
+    /// Longest time to receive the head of a request; also the longest time that a connection may be
+    /// idle between two requests.
+    pub head_timeout: Duration,
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+}
 
-/// Largest head of a request, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+impl Default for ServerSettings {
+    fn default() -> Self {
+        Self {
+            head_timeout: Duration::from_secs(10),
+            head_bytes: 64 * 1024,
+        }
+    }
+}
 
 /// Wait after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -46,6 +59,16 @@
 
 /// Accepts connections until shutdown, then waits until the running requests are answered.
 pub async fn serve<H: HttpHandler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    shutdown: ShutdownSignal,
+) {
+    serve_with(ServerSettings::default(), listener, handler, shutdown).await;
+}
+
+/// Like [`serve`], with other bounds.
+pub async fn serve_with<H: HttpHandler>(
+    settings: ServerSettings,
     listener: TcpListener,
     handler: Arc<H>,
     mut shutdown: ShutdownSignal,
@@ -57,7 +80,9 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) => {
                     let handler = Arc::clone(&handler);
-                    connections.spawn(serve_connection(stream, peer, handler, shutdown.clone()));
+                    let settings = settings.clone();
+                    let serving = serve_connection(settings, stream, peer, handler, shutdown.clone());
+                    connections.spawn(serving);
                 }
                 Err(error) => {
                     let event = LogEvent::ConnectionFailed.number();
@@ -73,6 +98,7 @@
 }
 
 async fn serve_connection<H: HttpHandler>(
+    settings: ServerSettings,
     stream: TcpStream,
     peer: SocketAddr,
     handler: Arc<H>,
@@ -86,8 +112,8 @@
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
-        .max_buf_size(MAX_HEAD_BYTES)
+        .header_read_timeout(settings.head_timeout)
+        .max_buf_size(settings.head_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut stopping = false;
--- a/crates/oriolecrank-net/src/lib.rs
+++ b/crates/oriolecrank-net/src/lib.rs
@@ -17,6 +17,7 @@
 mod http_client;
 mod http_server;
 pub mod logging;
+mod lossy_output;
 mod operator_listener;
 mod process_main;
 pub mod settings_file;
@@ -30,7 +31,8 @@
 pub use frame::{FrameError, FrameReader};
 pub use http_client::{ClientResponse, ClientSettings, HttpClient, SendError};
 pub use http_server::{
-    HttpHandler, PeerGuard, empty_answer, message_answer, read_body, serve, text_answer,
+    HttpHandler, PeerGuard, ServerSettings, empty_answer, message_answer, read_body, serve,
+    serve_with, text_answer,
 };
 pub use operator_listener::{OperatorListener, ReadyFlag};
 pub use process_main::{ProcessArguments, run_process};
--- a/crates/oriolecrank-net/src/logging.rs
+++ b/crates/oriolecrank-net/src/logging.rs
@@ -5,6 +5,8 @@
 };
 use tracing_subscriber::EnvFilter;
 
+use crate::lossy_output::LossyOutput;
+
 /// Format of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum LogFormat {
@@ -30,6 +32,21 @@
     };
 }
 
+/// Starts writing one JSON object for each event to standard output.
+///
+/// A line that a full pipe cannot take at once is dropped, so that logging never delays a request.
+pub fn start_stdout() {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(LossyOutput::default)
+        .json()
+        .flatten_event(true)
+        .with_target(false);
+    // An error means that a subscriber is already set, which is kept.
+    let _ = builder.try_init();
+}
+
 impl From<AgentSettingsLogFormat> for LogFormat {
     fn from(format: AgentSettingsLogFormat) -> Self {
         match format {
--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -36,7 +36,7 @@
 mod queued_request;
 pub mod rate_limiter;
 pub mod read_coalescing;
-mod recent_count;
+pub mod recent_count;
 pub mod request_queue;
 pub mod retry_budget;
 pub mod subset;
--- a/crates/oriolecrank-policy/src/recent_count.rs
+++ b/crates/oriolecrank-policy/src/recent_count.rs
@@ -9,7 +9,7 @@
 
 /// Number of events within the last `window`, with the resolution of a tenth of it.
 #[derive(Debug, Clone)]
-pub(crate) struct RecentCount {
+pub struct RecentCount {
     part_ms: u64,
     counts: [u64; PARTS as usize],
     /// Number of the newest part since the origin of the clock.
@@ -19,7 +19,8 @@
 }
 
 impl RecentCount {
-    pub(crate) fn new(window: Duration) -> Self {
+    /// An empty count over `window`.
+    pub fn new(window: Duration) -> Self {
         Self {
             part_ms: (window.as_millis() as u64 / PARTS).max(1),
             counts: [0; PARTS as usize],
@@ -28,13 +29,15 @@
         }
     }
 
-    pub(crate) fn add(&mut self, count: u64, now: TimePoint) {
+    /// Adds events.
+    pub fn add(&mut self, count: u64, now: TimePoint) {
         self.advance(now);
         self.counts[(self.newest % PARTS) as usize] += count;
         self.sum += count;
     }
 
-    pub(crate) fn get(&mut self, now: TimePoint) -> u64 {
+    /// Events within the window.
+    pub fn get(&mut self, now: TimePoint) -> u64 {
         self.advance(now);
         self.sum
     }
--- /dev/null
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -0,0 +1,344 @@
+//! Choice of an upstream that an entry calls directly.
+//!
+//! The choice compares the expected time to the first answer: the way there, the work that waits at
+//! the upstream, and the part of the prompt that it must read. Work that waits is what this entry
+//! has sent and not seen answered, and what the other entries have last reported.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oriolecrank_policy::outlier_ejection::{EjectionSettings, OutlierEjection, UpstreamOutcome};
+use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::document::UpstreamId;
+use rand::Rng;
+
+use crate::choice_search::{Candidate, ChoiceSearch};
+use crate::direct_upstream::{DirectUpstream, RunningWork, UpstreamLoad};
+use crate::names::{DomainName, UpstreamName};
+use crate::prompt_shape::PromptShape;
+use crate::route_document::EngineSheet;
+use crate::upstream_directory::{UpstreamAnnouncement, UpstreamState};
+
+/// Constants of the choice.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ChooserSettings {
+    /// Own failure domain.
+    pub domain: DomainName,
+    /// Regions of failure domains.
+    pub regions: IndexMap<DomainName, String>,
+    /// Round trip to another failure domain of the region.
+    pub domain_trip: Duration,
+    /// Round trip to another region, from the sizes of the deployments (20 ms one way), and as much
+    /// again because such traffic is paid by volume.
+    pub region_trip: Duration,
+    /// Reading speed of an engine that has answered nothing yet, in tokens per millisecond. Low, so
+    /// that a new engine is not flooded.
+    pub first_speed: f64,
+    /// Time of a plain call to a service that has answered nothing yet.
+    pub first_call: Duration,
+    /// An upstream that has announced nothing for this long gets no requests while others can take
+    /// them: four heartbeats.
+    pub silent_after: Duration,
+    /// Requests that may wait at a plain upstream for each slot.
+    pub queue_per_slot: f64,
+    /// Ejection of failing upstreams.
+    pub ejection: EjectionSettings,
+}
+
+impl Default for ChooserSettings {
+    fn default() -> Self {
+        Self {
+            domain: DomainName::from(""),
+            regions: IndexMap::new(),
+            domain_trip: Duration::from_millis(3),
+            region_trip: Duration::from_millis(80),
+            first_speed: 200.0,
+            first_call: Duration::from_millis(30),
+            silent_after: Duration::from_millis(4_800),
+            queue_per_slot: 3.0,
+            ejection: EjectionSettings {
+                // A crashed server fails everything at once; three failures are no coincidence.
+                failures_in_row: 3,
+                first_ejection: Duration::from_millis(1_500),
+                // Servers return within seconds; a longer ejection wastes them.
+                max_ejection: Duration::from_secs(6),
+                return_time: Duration::from_secs(2),
+                ..EjectionSettings::default()
+            },
+        }
+    }
+}
+
+/// What a request asks for.
+#[derive(Debug, Clone, Copy)]
+pub struct CallDemand<'a> {
+    /// Prompt, if the service runs model engines.
+    pub prompt: Option<&'a PromptShape>,
+    /// Upstreams that this request was sent to before.
+    pub tried: &'a [UpstreamName],
+    /// Time left for the answer.
+    pub time_left: Duration,
+    /// Another engine than the one that runs the request may read the prompt.
+    pub may_read_first: bool,
+}
+
+/// Why no upstream was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoUpstream {
+    /// None is known, or all were tried.
+    None,
+    /// All have as much work as they can finish in time; the wait until there is room.
+    Full(Duration),
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallPlan {
+    /// Engine that reads the prompt first, if that is faster.
+    pub reader: Option<ChosenUpstream>,
+    /// Upstream that runs the request.
+    pub runner: ChosenUpstream,
+}
+
+/// A chosen upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChosenUpstream {
+    /// What it says of itself.
+    pub announcement: UpstreamAnnouncement,
+    /// Work that the request brings, to be given back when it ends.
+    pub work: RunningWork,
+    /// Expected time to the first answer.
+    pub expected: Duration,
+}
+
+/// Loads of one service's upstreams at one entry.
+#[derive(Debug)]
+pub struct DirectChooser {
+    pub(crate) settings: ChooserSettings,
+    /// What the document says of the service's engines.
+    pub(crate) engine: Option<EngineSheet>,
+    pub(crate) upstreams: IndexMap<UpstreamName, DirectUpstream>,
+    ejection: OutlierEjection,
+    /// Mean time of a plain call, in milliseconds.
+    pub(crate) call_ms: f64,
+}
+
+/// Weight of a new observation in the mean of call times.
+const CALL_WEIGHT: f64 = 0.02;
+
+impl DirectChooser {
+    /// A chooser without upstreams.
+    pub fn new(settings: ChooserSettings) -> Self {
+        Self {
+            engine: None,
+            upstreams: IndexMap::new(),
+            ejection: OutlierEjection::new(settings.ejection.clone()),
+            call_ms: settings.first_call.as_secs_f64() * 1_000.0,
+            settings,
+        }
+    }
+
+    /// Takes over the engine sheet of the document.
+    pub const fn set_engine(&mut self, engine: Option<EngineSheet>) {
+        self.engine = engine;
+    }
+
+    /// Takes over what an upstream says of itself; `heard` is the time of the statement.
+    pub fn announce(&mut self, announcement: &UpstreamAnnouncement, heard: TimePoint) {
+        if announcement.state == UpstreamState::Left {
+            self.upstreams.shift_remove(&announcement.name);
+        } else {
+            let first_speed = self.settings.first_speed;
+            let known = self.upstreams.get_mut(&announcement.name);
+            match known.filter(|known| known.started_ms() == announcement.started_ms) {
+                Some(known) => known.announce(announcement, heard),
+                None => {
+                    let upstream = DirectUpstream::new(announcement.clone(), heard, first_speed);
+                    self.upstreams.insert(announcement.name.clone(), upstream);
+                }
+            }
+        }
+        let ids: Vec<UpstreamId> = self.upstreams.keys().map(upstream_id).collect();
+        self.ejection.set_upstreams(&ids);
+    }
+
+    /// Takes over the load that other entries have reported.
+    pub fn set_other_load(&mut self, name: &str, load: UpstreamLoad) {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.set_other_load(load);
+        }
+    }
+
+    /// Forgets the loads that other entries have reported.
+    pub fn clear_other_loads(&mut self) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.set_other_load(UpstreamLoad::default());
+        }
+    }
+
+    /// Forgets an upstream that is known here as part of another service than it states now.
+    pub fn forget_elsewhere(&mut self, statement: &UpstreamAnnouncement) {
+        let known = self.upstreams.get(&statement.name);
+        if known.is_some_and(|known| known.announcement().service != statement.service) {
+            self.upstreams.shift_remove(&statement.name);
+        }
+    }
+
+    /// Own load of each upstream that has any.
+    pub fn own_loads(&self) -> impl Iterator<Item = (&UpstreamName, UpstreamLoad)> {
+        let loads = self
+            .upstreams
+            .iter()
+            .map(|(name, known)| (name, known.own_load()));
+        loads.filter(|(_, load)| *load != UpstreamLoad::default())
+    }
+
+    /// Chooses upstreams and counts the request as sent.
+    pub fn choose<R: Rng>(
+        &mut self,
+        demand: &CallDemand<'_>,
+        now: TimePoint,
+        random: &mut R,
+    ) -> Result<CallPlan, NoUpstream> {
+        for change in self.ejection.returned(now) {
+            if let Some(upstream) = self.upstreams.get_mut(change.upstream.as_str()) {
+                upstream.weight = change.weight;
+            }
+        }
+        let search = ChoiceSearch {
+            chooser: self,
+            demand,
+            now,
+        };
+        let direct = search.runner(None, random);
+        let read_first = search.read_first(random);
+        let (reader, runner) = match (direct, read_first) {
+            (Some(direct), Some((reader, runner))) if runner.expected_ms < direct.expected_ms => {
+                (Some(reader), runner)
+            }
+            (None, Some((reader, runner))) => (Some(reader), runner),
+            (Some(direct), _) => (None, direct),
+            (None, None) => return Err(NoUpstream::None),
+        };
+        let expected = runner.expected();
+        if expected > demand.time_left {
+            return Err(NoUpstream::Full(expected.saturating_sub(demand.time_left)));
+        }
+        let read_elsewhere = reader.is_some();
+        Ok(CallPlan {
+            reader: reader.map(|reader| self.take(&reader, demand, false)),
+            runner: self.take(&runner, demand, read_elsewhere),
+        })
+    }
+
+    /// Counts a request as sent to a candidate.
+    fn take(
+        &mut self,
+        candidate: &Candidate,
+        demand: &CallDemand<'_>,
+        read_elsewhere: bool,
+    ) -> ChosenUpstream {
+        let cache_tokens = self.engine.map_or(0, |engine| engine.cache_tokens);
+        let (_, upstream) = self
+            .upstreams
+            .get_index_mut(candidate.index)
+            .expect("the index was found in the table");
+        ChosenUpstream {
+            work: upstream.begin(demand.prompt, cache_tokens, read_elsewhere),
+            announcement: upstream.announcement().clone(),
+            expected: candidate.expected(),
+        }
+    }
+
+    /// The request has shown its first answer after `elapsed`.
+    pub fn first_answer(&mut self, name: &str, work: &mut RunningWork, elapsed: Duration) {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.first_answer(work, elapsed);
+        }
+    }
+
+    /// The request no longer runs; a plain call that was answered states how long it took.
+    pub fn finish(&mut self, name: &str, work: &RunningWork, call_time: Option<Duration>) {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.finish(work);
+        }
+        if let Some(time) = call_time {
+            let time_ms = time.as_secs_f64() * 1_000.0;
+            self.call_ms += (time_ms - self.call_ms) * CALL_WEIGHT;
+        }
+    }
+
+    /// Takes the outcome of an attempt; true if the upstream is ejected because of it.
+    pub fn record(
+        &mut self,
+        name: &UpstreamName,
+        outcome: UpstreamOutcome,
+        now: TimePoint,
+    ) -> bool {
+        let change = self.ejection.record(&upstream_id(name), outcome, now);
+        let Some(change) = change else {
+            return false;
+        };
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.weight = change.weight;
+        }
+        true
+    }
+
+    fn distance(&self, from: &DomainName, to: &DomainName) -> DomainDistance {
+        if from == to {
+            return DomainDistance::Same;
+        }
+        let regions = &self.settings.regions;
+        match (regions.get(from), regions.get(to)) {
+            (Some(from), Some(to)) if from == to => DomainDistance::SameRegion,
+            _ => DomainDistance::OtherRegion,
+        }
+    }
+
+    /// Distance of an upstream from this entry.
+    pub(crate) fn distance_to(&self, upstream: &DirectUpstream) -> DomainDistance {
+        self.distance(&self.settings.domain, &upstream.announcement().domain)
+    }
+
+    /// Round trip to an upstream, in milliseconds.
+    pub(crate) fn trip_ms(&self, upstream: &DirectUpstream) -> f64 {
+        let trip = match self.distance_to(upstream) {
+            DomainDistance::Same => Duration::ZERO,
+            DomainDistance::SameRegion => self.settings.domain_trip,
+            DomainDistance::OtherRegion => self.settings.region_trip,
+        };
+        trip.as_secs_f64() * 1_000.0
+    }
+
+    /// Time to copy a prompt from one engine to another, in milliseconds.
+    pub(crate) fn copy_ms(
+        &self,
+        from: &DirectUpstream,
+        to: &DirectUpstream,
+        prompt: &PromptShape,
+    ) -> f64 {
+        let Some(engine) = self.engine.filter(|engine| engine.copy_rate > 0) else {
+            return f64::INFINITY;
+        };
+        let (from, to) = (&from.announcement().domain, &to.announcement().domain);
+        let factor = match self.distance(from, to) {
+            DomainDistance::Same => 1.0,
+            DomainDistance::SameRegion => 2.0,
+            DomainDistance::OtherRegion => 10.0,
+        };
+        (prompt.input_tokens * engine.token_bytes) as f64 / engine.copy_rate as f64 * factor
+    }
+}
+
+/// How far two failure domains are from each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum DomainDistance {
+    Same,
+    SameRegion,
+    OtherRegion,
+}
+
+fn upstream_id(name: &UpstreamName) -> UpstreamId {
+    UpstreamId(name.as_str().to_owned())
+}
--- /dev/null
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -0,0 +1,47 @@
+//! Decisions of a gateway: an entry that calls upstreams directly, without an agent beside them.
+//!
+//! Nothing here does I/O or reads a clock. A guided tour:
+//!
+//! - [`RouteDocument`] is what operators put in force; [`RouteTable`] answers look-ups in it.
+//! - [`UpstreamDirectory`] merges what upstreams say of themselves.
+//! - [`DirectChooser`] takes an upstream for a request, by expected time to the first answer.
+//! - [`ArrivalBudget`] bounds attempts beyond the first over all entries.
+//! - [`UsageCounter`] and [`UsageCollector`] count requests by organisation and window.
+//! - [`SiteState`] is the replicated state of the control group; [`next_members`] repairs the group.
+
+mod arrival_budget;
+mod choice_search;
+mod direct_chooser;
+mod direct_upstream;
+mod member_repair;
+mod names;
+mod part_cache;
+mod prompt_shape;
+mod route_document;
+mod route_table;
+mod site_state;
+mod upstream_directory;
+mod usage_window;
+
+pub use arrival_budget::{ArrivalBudget, ArrivalGrant};
+pub use direct_chooser::{
+    CallDemand, CallPlan, ChooserSettings, ChosenUpstream, DirectChooser, NoUpstream,
+};
+pub use direct_upstream::{DirectUpstream, RunningWork, UpstreamLoad};
+pub use member_repair::{JoiningMember, MemberHealth, RepairSettings, next_members};
+pub use names::{DomainName, EntryName, OrganisationName, ServiceName, UpstreamName};
+pub use part_cache::PartCache;
+pub use prompt_shape::{PartId, PromptPart, PromptShape};
+pub use route_document::{
+    CallKind, CallerLimits, DocumentError, EngineSheet, OrganisationKey, OrganisationSpec,
+    RouteDocument, RouteSpec, ServiceShare, ServiceSpec,
+};
+pub use route_table::{CallerOrganisation, RouteTable};
+pub use site_state::{ClosedWindow, SiteCommand, SiteOutcome, SiteState, StoredDocument};
+pub use upstream_directory::{
+    DirectorySettings, EnginePhase, MergeEffect, UpstreamAnnouncement, UpstreamDirectory,
+    UpstreamRecord, UpstreamState,
+};
+pub use usage_window::{
+    EntryRun, OrganisationCounts, UsageCollector, UsageCounter, WindowCounts, WindowNumber,
+};
--- /dev/null
+++ b/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
@@ -0,0 +1,214 @@
+//! Guards against placements that make callers wait although another upstream could answer sooner.
+
+use std::time::Duration;
+
+use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
+use oriolecrank_routing::{
+    CallDemand, CallPlan, ChooserSettings, DirectChooser, DomainName, EnginePhase, EngineSheet,
+    NoUpstream, PromptShape, UpstreamAnnouncement, UpstreamLoad, UpstreamName, UpstreamState,
+};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::fixtures::{announcement, at, engine, prompt};
+
+fn chooser(upstreams: &[UpstreamAnnouncement]) -> DirectChooser {
+    let settings = ChooserSettings {
+        domain: DomainName::from("a"),
+        regions: [("a", "x"), ("b", "y")]
+            .map(|(domain, region)| (DomainName::from(domain), region.to_owned()))
+            .into(),
+        ..ChooserSettings::default()
+    };
+    let mut chooser = DirectChooser::new(settings);
+    for upstream in upstreams {
+        chooser.announce(upstream, at(0));
+    }
+    chooser
+}
+
+fn engines(upstreams: &[UpstreamAnnouncement]) -> DirectChooser {
+    let mut chooser = chooser(upstreams);
+    chooser.set_engine(Some(EngineSheet {
+        batch_slots: 16,
+        cache_tokens: 1_000_000,
+        token_bytes: 96_256,
+        copy_rate: 737_500_000,
+    }));
+    chooser
+}
+
+fn demand<'a>(prompt: Option<&'a PromptShape>, tried: &'a [UpstreamName]) -> CallDemand<'a> {
+    CallDemand {
+        prompt,
+        tried,
+        time_left: Duration::from_secs(2),
+        may_read_first: true,
+    }
+}
+
+fn choose(chooser: &mut DirectChooser, demand: &CallDemand<'_>) -> Result<CallPlan, NoUpstream> {
+    chooser.choose(demand, at(10), &mut ChaCha8Rng::seed_from_u64(7))
+}
+
+fn at_port(name: &str, port: u16) -> UpstreamAnnouncement {
+    UpstreamAnnouncement {
+        address: format!("10.0.0.1:{port}")
+            .parse()
+            .expect("a socket address"),
+        ..announcement(name, 1, 1)
+    }
+}
+
+#[test]
+fn plain_calls_spread_over_equal_upstreams() {
+    let mut chooser = chooser(&[at_port("u", 1), at_port("v", 2)]);
+    let mut counts = [0; 2];
+    for _ in 0..10 {
+        let plan = choose(&mut chooser, &demand(None, &[])).unwrap();
+        counts[usize::from(plan.runner.announcement.name.as_str() == "v")] += 1;
+    }
+    assert_eq!(counts, [5, 5]);
+}
+
+#[test]
+fn another_region_takes_calls_only_when_the_own_one_is_full() {
+    let far = UpstreamAnnouncement {
+        domain: DomainName::from("b"),
+        ..at_port("far", 2)
+    };
+    let mut chooser = chooser(&[at_port("near", 1), far]);
+    let mut names = Vec::new();
+    for _ in 0..30 {
+        let plan = choose(&mut chooser, &demand(None, &[])).unwrap();
+        names.push(plan.runner.announcement.name.to_string());
+    }
+    assert!(names[..4].iter().all(|name| name == "near"), "{names:?}");
+    assert!(names.iter().any(|name| name == "far"), "{names:?}");
+}
+
+#[test]
+fn loads_of_other_entries_count() {
+    let mut chooser = chooser(&[at_port("u", 1), at_port("v", 2)]);
+    let load = UpstreamLoad {
+        running: 20,
+        unread_tokens: 0,
+    };
+    chooser.set_other_load("u", load);
+    for _ in 0..5 {
+        let plan = choose(&mut chooser, &demand(None, &[])).unwrap();
+        assert_eq!(plan.runner.announcement.name.as_str(), "v");
+    }
+}
+
+#[test]
+fn a_tried_leaving_or_ejected_upstream_gets_nothing() {
+    let mut chooser = chooser(&[at_port("u", 1), at_port("v", 2)]);
+    let tried = [UpstreamName::from("u")];
+    let plan = choose(&mut chooser, &demand(None, &tried)).unwrap();
+    assert_eq!(plan.runner.announcement.name.as_str(), "v");
+    for _ in 0..3 {
+        chooser.record(&UpstreamName::from("v"), UpstreamOutcome::Failed, at(5));
+    }
+    for _ in 0..5 {
+        let plan = choose(&mut chooser, &demand(None, &[])).unwrap();
+        assert_eq!(plan.runner.announcement.name.as_str(), "u");
+    }
+    let leaving = UpstreamAnnouncement {
+        state: UpstreamState::Draining,
+        sequence: 2,
+        ..at_port("u", 1)
+    };
+    chooser.announce(&leaving, at(6));
+    // The ejected one is better than none.
+    let plan = choose(&mut chooser, &demand(None, &[])).unwrap();
+    assert_eq!(plan.runner.announcement.name.as_str(), "v");
+    let both = ["u", "v"].map(UpstreamName::from);
+    assert_eq!(
+        choose(&mut chooser, &demand(None, &both)),
+        Err(NoUpstream::None)
+    );
+}
+
+#[test]
+fn requests_with_one_shared_part_go_to_the_engine_that_keeps_it() {
+    let mut chooser = engines(&[
+        engine("u", 1, EnginePhase::Decode),
+        engine("v", 2, EnginePhase::Decode),
+    ]);
+    let mut names = Vec::new();
+    for own in 0..6 {
+        let prompt = prompt(1, 100 + own);
+        let mut plan = choose(&mut chooser, &demand(Some(&prompt), &[])).unwrap();
+        let name = plan.runner.announcement.name.clone();
+        let elapsed = Duration::from_millis(40);
+        chooser.first_answer(name.as_str(), &mut plan.runner.work, elapsed);
+        chooser.finish(name.as_str(), &plan.runner.work, None);
+        names.push(name);
+    }
+    assert!(names.iter().all(|name| *name == names[0]), "{names:?}");
+}
+
+#[test]
+fn a_burst_on_one_shared_part_does_not_pile_up_on_one_engine() {
+    let mut chooser = engines(&[
+        engine("u", 1, EnginePhase::Decode),
+        engine("v", 2, EnginePhase::Decode),
+    ]);
+    let mut counts = [0_u32; 2];
+    for own in 0..40 {
+        let prompt = prompt(1, 100 + own);
+        if let Ok(plan) = choose(&mut chooser, &demand(Some(&prompt), &[])) {
+            counts[usize::from(plan.runner.announcement.name.as_str() == "v")] += 1;
+        }
+    }
+    assert!(counts.iter().all(|count| *count >= 10), "{counts:?}");
+}
+
+#[test]
+fn an_idle_reader_takes_long_prompts_off_a_busy_engine() {
+    let mut chooser = engines(&[
+        engine("run", 1, EnginePhase::Decode),
+        engine("read", 2, EnginePhase::Prefill),
+    ]);
+    let load = UpstreamLoad {
+        running: 4,
+        unread_tokens: 40_000,
+    };
+    chooser.set_other_load("run", load);
+    let prompt = prompt(1, 2);
+    let plan = choose(&mut chooser, &demand(Some(&prompt), &[])).unwrap();
+    assert_eq!(plan.reader.unwrap().announcement.name.as_str(), "read");
+    assert_eq!(plan.runner.announcement.name.as_str(), "run");
+    let whole = CallDemand {
+        may_read_first: false,
+        ..demand(Some(&prompt), &[])
+    };
+    assert!(choose(&mut chooser, &whole).unwrap().reader.is_none());
+}
+
+#[test]
+fn what_cannot_be_served_in_time_is_refused_with_the_wait() {
+    let mut chooser = engines(&[engine("u", 1, EnginePhase::Decode)]);
+    let load = UpstreamLoad {
+        running: 4,
+        unread_tokens: 2_000_000,
+    };
+    chooser.set_other_load("u", load);
+    let prompt = prompt(1, 2);
+    let refused = choose(&mut chooser, &demand(Some(&prompt), &[]));
+    assert!(matches!(refused, Err(NoUpstream::Full(wait)) if wait > Duration::from_secs(1)));
+}
+
+#[test]
+fn an_upstream_that_restarts_under_its_name_starts_without_load() {
+    let mut chooser = chooser(&[at_port("u", 1)]);
+    choose(&mut chooser, &demand(None, &[])).unwrap();
+    assert_eq!(chooser.own_loads().count(), 1);
+    let restarted = UpstreamAnnouncement {
+        started_ms: 2,
+        ..at_port("u", 1)
+    };
+    chooser.announce(&restarted, at(20));
+    assert_eq!(chooser.own_loads().count(), 0);
+}
--- /dev/null
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the decisions of a gateway.
+
+mod arrival_budget;
+mod direct_chooser;
+mod fixtures;
+mod member_repair;
+mod route_document;
+mod site_state;
+mod upstream_directory;
+mod usage_window;
--- /dev/null
+++ b/crates/oriolecrank-routing/tests/routing/site_state.rs
@@ -0,0 +1,77 @@
+//! Guards against a document that reverts, figures of a window that change, and a snapshot that loses
+//! something.
+
+use oriolecrank_routing::{
+    OrganisationCounts, OrganisationName, SiteCommand, SiteOutcome, SiteState, StoredDocument,
+    WindowNumber,
+};
+use proptest::prelude::*;
+
+fn publish(version: u64, source: &str) -> SiteCommand {
+    SiteCommand::Publish(StoredDocument {
+        version,
+        source: source.into(),
+    })
+}
+
+fn close(window: u64, count: u64) -> SiteCommand {
+    let counts = OrganisationCounts::from([(OrganisationName::from("o"), count)]);
+    SiteCommand::CloseWindow {
+        window: WindowNumber(window),
+        counts,
+    }
+}
+
+#[test]
+fn other_content_under_the_same_or_an_older_version_has_no_effect() {
+    let mut state = SiteState::default();
+    assert_eq!(state.apply(publish(7, "first")), SiteOutcome::Applied);
+    assert_eq!(state.apply(publish(7, "other")), SiteOutcome::Superseded);
+    assert_eq!(state.apply(publish(6, "older")), SiteOutcome::Superseded);
+    assert_eq!(state.document().unwrap().source, b"first");
+}
+
+#[test]
+fn the_figures_of_a_closed_window_are_final() {
+    let mut state = SiteState::default();
+    assert_eq!(state.apply(close(3, 5)), SiteOutcome::Applied);
+    assert_eq!(state.apply(close(3, 6)), SiteOutcome::Superseded);
+    assert_eq!(state.apply(close(2, 6)), SiteOutcome::Superseded);
+    let open: Vec<_> = state
+        .unreported()
+        .map(|(window, closed)| (window.0, closed.counts[0]))
+        .collect();
+    assert_eq!(open, [(3, 5)]);
+    let window = WindowNumber(3);
+    state.apply(SiteCommand::MarkReported { window });
+    assert_eq!(state.unreported().count(), 0);
+}
+
+proptest! {
+    /// A replica that is restored from a snapshot in the middle ends in the same state, and neither
+    /// the version nor the closed windows ever fall.
+    #[test]
+    fn a_snapshot_in_the_middle_changes_nothing(
+        commands in prop::collection::vec((0..3_u8, 0..20_u64, 0..5_u64), 0..60),
+        middle in 0..60_usize,
+    ) {
+        let (mut whole, mut restored) = (SiteState::default(), SiteState::default());
+        for (index, (kind, number, count)) in commands.into_iter().enumerate() {
+            let command = match kind {
+                0 => publish(number, &count.to_string()),
+                1 => close(number, count),
+                _ => SiteCommand::MarkReported { window: WindowNumber(number) },
+            };
+            let version = whole.document().map_or(0, |document| document.version);
+            let closed = whole.closed_until();
+            whole.apply(command.clone());
+            restored.apply(command);
+            prop_assert!(whole.document().map_or(0, |document| document.version) >= version);
+            prop_assert!(whole.closed_until() >= closed);
+            if index == middle {
+                restored = SiteState::decode(&restored.encode()).unwrap();
+            }
+        }
+        prop_assert_eq!(whole, restored);
+    }
+}
