Send late requests behind those on time; keep each prompt part at one engine

Cause: under bursts every request waited in one queue, so all answers came late; tokens of other entries since their last report were not seen. Shared parts were read again in each region. Change: the expected time to the first answer also uses the waits seen lately and the age of the oldest waiting request; a request that cannot be answered in time goes behind those that can, with a lower rank at the engine. Time spent before a caller returned counts, by what is left of its patience. The home of a shared prompt part is chosen by rendezvous hashing over all engines, and the time that a request takes up at an engine weighs against the way to another region.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -9,7 +9,8 @@
 use oriolecrank_net::{ClientResponse, SendError};
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
 use oriolecrank_routing::{
-    CallDemand, CallKind, NoUpstream, OrganisationName, RouteSpec, ServiceName, UpstreamName,
+    CallDemand, CallKind, CallTiming, NoUpstream, OrganisationName, RouteSpec, ServiceName,
+    UpstreamName,
 };
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::data_path::RunVerdict;
@@ -34,6 +35,9 @@
 /// expected or targeted time, so that a silent upstream does not use up the time of the request.
 const PATIENCE_FACTOR: u32 = 3;
 
+/// Ranks by which a request that is late already goes behind those that are not.
+const LATE_RANKS: u8 = 5;
+
 /// Shortest time that such an attempt gets.
 const MIN_PATIENCE: Duration = Duration::from_millis(600);
 
@@ -51,6 +55,8 @@
     pub(crate) rank: u8,
     /// End of the caller's patience or of the route's timeout, whichever is first.
     pub(crate) deadline: TimePoint,
+    /// Time from which on the answer is late.
+    pub(crate) target: TimePoint,
 }
 
 /// An upstream's answer whose head has arrived.
@@ -90,6 +96,8 @@
     prompt: Option<KeptPrompt<D>>,
     /// An attempt may have run.
     may_have_run: bool,
+    /// Rank for the upstream.
+    rank: u8,
 }
 
 impl<D: CallerDialect> CallRunner<D> {
@@ -104,6 +112,7 @@
             may_have_read: false,
             prompt: None,
             may_have_run: false,
+            rank: 0,
         }
     }
 
@@ -168,7 +177,7 @@
 
     /// Chooses upstreams; the first one, if any, only reads the prompt.
     fn choose(
-        &self,
+        &mut self,
         resume_after: Option<u64>,
     ) -> Result<(Option<RunningCall<D>>, RunningCall<D>), CallFailure> {
         let request = &self.request;
@@ -177,6 +186,8 @@
             prompt: request.head.prompt.as_ref(),
             tried: &self.tried,
             time_left: request.deadline.since(present),
+            target_left: request.target.since(present),
+            timing: CallTiming::OnTime,
             may_read_first: !self.may_have_read && resume_after.is_none(),
         };
         let chosen = self.shared.with_lane(&request.service, |lane| {
@@ -198,6 +209,8 @@
                 present,
             )
         };
+        let late = plan.timing == CallTiming::Late;
+        self.rank = request.rank + if late { LATE_RANKS } else { 0 };
         // Usage counts runs, and reading a prompt is none.
         let reader = plan.reader.map(|reader| call(reader, None));
         Ok((reader, call(plan.runner, request.organisation.clone())))
@@ -291,7 +304,7 @@
             upstream: &upstream.name,
             organisation: request.organisation.as_ref(),
             time_left,
-            rank: request.rank,
+            rank: self.rank,
             resume_after,
             stage,
         };
--- a/crates/oriolecrank-gateway/src/caller_server.rs
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -61,6 +61,8 @@
         self.shared
             .with_lane(&service, |lane| lane.budget.count_request(arrived));
         let patience = head.patience.unwrap_or(route.timeout);
+        let spent = self.shared.time_spent(&route.name, patience);
+        let target = arrived + route.answer_target.saturating_sub(spent);
         let rank = organisation.as_ref().and_then(|owner| owner.rank);
         Ok(CallerRequest {
             method: parts.method,
@@ -71,6 +73,7 @@
             rank: rank.unwrap_or(route.rank),
             organisation: organisation.map(|owner| owner.name),
             deadline: arrived + patience.min(route.timeout),
+            target,
             route,
             head,
         })
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -65,6 +65,8 @@
     table: RwLock<Option<Arc<RouteTable>>>,
     tables: Mutex<LaneTables>,
     usage: Mutex<UsageCounter>,
+    /// Longest patience of callers, by the name of the route.
+    patience: Mutex<IndexMap<String, Duration>>,
     /// Entries that share the fixed part of the grant.
     entries: AtomicU32,
     stopping: AtomicBool,
@@ -85,6 +87,7 @@
             table: RwLock::default(),
             tables: Mutex::default(),
             usage: Mutex::default(),
+            patience: Mutex::default(),
             entries: AtomicU32::new(0),
             stopping: AtomicBool::new(false),
         }
@@ -120,6 +123,7 @@
             }
             *known = Some(Arc::clone(&table));
         }
+        self.forget_patience();
         let mut tables = self.lock_tables();
         for service in table.services() {
             let lane = self.lane(&mut tables, &service.name);
@@ -128,6 +132,14 @@
         true
     }
 
+    /// A new document may have changed the routes.
+    fn forget_patience(&self) {
+        self.patience
+            .lock()
+            .expect("no holder of the patience lock panics")
+            .clear();
+    }
+
     /// Takes announcements that a control instance has passed on.
     pub(crate) fn announce(&self, announcements: Vec<AgedAnnouncement>, now: TimePoint) {
         let mut tables = self.lock_tables();
@@ -194,6 +206,25 @@
         }
     }
 
+    /// Time that a caller has spent before this request: callers that come back after a refusal state
+    /// what is left of their patience, and the longest one on a route is that of a first attempt.
+    pub(crate) fn time_spent(&self, route: &str, patience: Duration) -> Duration {
+        let mut longest = self
+            .patience
+            .lock()
+            .expect("no holder of the patience lock panics");
+        match longest.get_mut(route) {
+            Some(longest) => {
+                *longest = patience.max(*longest);
+                longest.saturating_sub(patience)
+            }
+            None => {
+                longest.insert(route.to_owned(), patience);
+                Duration::ZERO
+            }
+        }
+    }
+
     /// Counts a request that has begun to run.
     pub(crate) fn count_usage(&self, organisation: &OrganisationName, now: TimePoint) {
         let unix_ms = self.clock.unix_ms(now);
--- a/crates/oriolecrank-gateway/src/running_call.rs
+++ b/crates/oriolecrank-gateway/src/running_call.rs
@@ -53,9 +53,9 @@
             return;
         }
         let elapsed = now.since(self.sent);
-        let (name, work) = (&self.chosen.announcement.name, &mut self.chosen.work);
+        let chosen = &mut self.chosen;
         self.shared.with_lane(&self.service, |lane| {
-            lane.chooser.first_answer(name.as_str(), work, elapsed);
+            lane.chooser.first_answer(chosen, elapsed, now);
         });
         if let Some(organisation) = &self.organisation {
             self.shared.count_usage(organisation, now);
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::direct_chooser::{CallDemand, DirectChooser, DomainDistance};
+use crate::direct_chooser::{CallDemand, DirectChooser};
 use crate::direct_upstream::DirectUpstream;
 use crate::prompt_shape::PromptShape;
 use crate::upstream_directory::{EnginePhase, UpstreamState};
@@ -14,6 +14,11 @@
 /// Cost of a copy beside its time, in milliseconds: a second message and a slot at the reader.
 const READER_OVERHEAD_MS: f64 = 3.0;
 
+/// Weight of the time that a request takes up at an engine or its link, beside the time to its own
+/// answer: the requests behind it wait that much longer. Reading a prompt where its shared parts are
+/// kept is therefore worth a longer way.
+const OCCUPANCY_WEIGHT: f64 = 3.0;
+
 /// Expected times are spread by up to this part, because entries with the same view would otherwise
 /// all take the same upstream.
 const SPREAD: f64 = 0.1;
@@ -31,6 +36,17 @@
     pub(crate) index: usize,
     /// Expected time to the first answer, in milliseconds.
     pub(crate) expected_ms: f64,
+    /// Expected time and the delay to other requests, in milliseconds.
+    pub(crate) cost_ms: f64,
+}
+
+/// What a request means for an upstream, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+struct WorkTime {
+    /// Time to the first answer without the way there.
+    answer_ms: f64,
+    /// Part of it in which other requests wait.
+    occupied_ms: f64,
 }
 
 impl Candidate {
@@ -63,48 +79,68 @@
         reader: Option<&Candidate>,
         random: &mut R,
     ) -> Option<Candidate> {
-        let home = self.home(EnginePhase::Decode);
+        let home = self.home();
         let reader = reader.and_then(|reader| {
             let (_, upstream) = self.chooser.upstreams.get_index(reader.index)?;
-            Some((reader.expected_ms, upstream))
+            Some((reader, upstream))
         });
         self.best(random, |index, upstream| {
             if !takes(upstream, EnginePhase::Decode) {
                 return None;
             }
-            let work_ms = match (reader, self.demand.prompt) {
-                (Some((read_ms, reader)), Some(prompt)) => {
-                    let copy_ms = self.chooser.copy_ms(reader, upstream, prompt);
-                    read_ms + READER_OVERHEAD_MS + copy_ms + upstream.start_ms(self.slots(upstream))
-                }
-                (_, Some(prompt)) => {
-                    upstream.prompt_ms(prompt, self.slots(upstream), home == Some(index))
-                }
-                (_, None) => upstream.call_ms(self.chooser.call_ms, self.slots(upstream)),
+            let slots = self.slots(upstream);
+            let Some(prompt) = self.demand.prompt else {
+                let answer_ms = upstream.call_ms(self.chooser.call_ms, slots);
+                let occupied_ms = 0.0;
+                return Some(WorkTime {
+                    answer_ms,
+                    occupied_ms,
+                });
+            };
+            let Some((reader, source)) = reader else {
+                return Some(self.read_time(upstream, prompt, home == Some(index)));
             };
-            Some(work_ms)
+            let copy_ms = self.chooser.copy_ms(source, upstream, prompt);
+            let start_ms = upstream.start_ms(slots);
+            let read_cost_ms = reader.cost_ms - reader.expected_ms;
+            Some(WorkTime {
+                answer_ms: reader.expected_ms + READER_OVERHEAD_MS + copy_ms + start_ms,
+                occupied_ms: read_cost_ms / OCCUPANCY_WEIGHT + copy_ms,
+            })
         })
     }
 
     /// Best engine that only reads prompts, and the best one to run the request behind it.
     pub(crate) fn read_first<R: Rng>(&self, random: &mut R) -> Option<(Candidate, Candidate)> {
         let prompt = self.demand.prompt.filter(|_| self.demand.may_read_first)?;
-        let home = self.home(EnginePhase::Prefill);
+        let home = self.home();
         let reader = self.best(random, |index, upstream| {
             let reads = takes(upstream, EnginePhase::Prefill);
-            let home = home == Some(index);
-            reads.then(|| upstream.prompt_ms(prompt, self.slots(upstream), home))
+            reads.then(|| self.read_time(upstream, prompt, home == Some(index)))
         })?;
         let runner = self.runner(Some(&reader), random)?;
         Some((reader, runner))
     }
 
-    /// Usable upstream with the shortest time; `work` gives the time at the upstream itself, in
-    /// milliseconds, or nothing if it does not take the work.
+    fn read_time(&self, upstream: &DirectUpstream, prompt: &PromptShape, home: bool) -> WorkTime {
+        WorkTime {
+            answer_ms: upstream.prompt_ms(
+                prompt,
+                self.slots(upstream),
+                home,
+                self.demand.timing,
+                self.now,
+            ),
+            occupied_ms: upstream.read_ms(prompt, home),
+        }
+    }
+
+    /// Usable upstream with the lowest cost; `work` gives what the request means for an upstream, or
+    /// nothing if it does not take the work.
     fn best<R: Rng>(
         &self,
         random: &mut R,
-        work: impl Fn(usize, &DirectUpstream) -> Option<f64>,
+        work: impl Fn(usize, &DirectUpstream) -> Option<WorkTime>,
     ) -> Option<Candidate> {
         let mut best = self.best_of(random, &work, Strictness::Sound);
         if best.is_none() {
@@ -116,7 +152,7 @@
     fn best_of<R: Rng>(
         &self,
         random: &mut R,
-        work: &impl Fn(usize, &DirectUpstream) -> Option<f64>,
+        work: &impl Fn(usize, &DirectUpstream) -> Option<WorkTime>,
         strictness: Strictness,
     ) -> Option<Candidate> {
         let mut best = None;
@@ -125,7 +161,7 @@
             if !self.is_usable(upstream, strictness) {
                 continue;
             }
-            let Some(work_ms) = work(index, upstream) else {
+            let Some(work) = work(index, upstream) else {
                 continue;
             };
             let cold = if upstream.is_cold(self.now) {
@@ -133,12 +169,17 @@
             } else {
                 1.0
             };
-            let weight = upstream.weight.max(MIN_WEIGHT);
-            let expected_ms = self.chooser.trip_ms(upstream) + work_ms * cold / weight;
-            let spread_ms = expected_ms * (1.0 + SPREAD * random.random::<f64>());
+            let factor = cold / upstream.weight.max(MIN_WEIGHT);
+            let expected_ms = self.chooser.trip_ms(upstream) + work.answer_ms * factor;
+            let cost_ms = expected_ms + work.occupied_ms * factor * OCCUPANCY_WEIGHT;
+            let spread_ms = cost_ms * (1.0 + SPREAD * random.random::<f64>());
             if spread_ms < best_ms {
                 best_ms = spread_ms;
-                best = Some(Candidate { index, expected_ms });
+                best = Some(Candidate {
+                    index,
+                    expected_ms,
+                    cost_ms,
+                });
             }
         }
         best
@@ -154,22 +195,28 @@
         strictness == Strictness::Any || (upstream.weight > 0.0 && !silent)
     }
 
-    /// Engine of the own region that keeps the shared part of the prompt, by rendezvous hashing, so
-    /// that all entries of a region agree without a message.
-    fn home(&self, phase: EnginePhase) -> Option<usize> {
+    /// Engine that keeps the shared part of the prompt, by rendezvous hashing weighted with reading
+    /// speed, so that all entries agree without a message and each engine keeps as many parts as it
+    /// can serve. Engines of all regions together keep each part once; the engines of one region
+    /// would have to keep all of them.
+    fn home(&self) -> Option<usize> {
         let part = self.demand.prompt.and_then(PromptShape::shared_part)?;
-        let upstreams = self.chooser.upstreams.values().enumerate();
-        let near = upstreams.filter(|(_, upstream)| {
-            let distance = self.chooser.distance_to(upstream);
-            takes(upstream, phase)
-                && self.is_usable(upstream, Strictness::Sound)
-                && distance != DomainDistance::OtherRegion
-        });
-        let home = near.max_by_key(|(_, upstream)| {
+        let mut home = None;
+        let mut best = f64::NEG_INFINITY;
+        for (index, upstream) in self.chooser.upstreams.values().enumerate() {
+            if !self.is_usable(upstream, Strictness::Sound) {
+                continue;
+            }
             let name = upstream.announcement().name.as_str();
-            xxh3_64_with_seed(name.as_bytes(), part.0)
-        });
-        home.map(|(index, _)| index)
+            let hash = xxh3_64_with_seed(name.as_bytes(), part.0);
+            let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+            let score = home_weight(upstream) / -uniform.ln();
+            if score > best {
+                best = score;
+                home = Some(index);
+            }
+        }
+        home
     }
 
     fn slots(&self, upstream: &DirectUpstream) -> u32 {
@@ -178,6 +225,16 @@
     }
 }
 
+/// Weight of an engine among the homes of prompt parts. An engine that only reads prompts is about
+/// twice as fast as one that reads them between the steps of running requests. Measured speeds are
+/// not used, because entries measure them differently and would disagree on the homes.
+fn home_weight(upstream: &DirectUpstream) -> f64 {
+    match upstream.announcement().phase {
+        Some(EnginePhase::Prefill) => 2.0,
+        _ => 1.0,
+    }
+}
+
 /// Whether an upstream does the work of a phase; plain upstreams run requests.
 fn takes(upstream: &DirectUpstream, phase: EnginePhase) -> bool {
     upstream.announcement().phase.unwrap_or(EnginePhase::Decode) == phase
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -13,7 +13,7 @@
 use rand::Rng;
 
 use crate::choice_search::{Candidate, ChoiceSearch};
-use crate::direct_upstream::{DirectUpstream, RunningWork, UpstreamLoad};
+use crate::direct_upstream::{CallTiming, DirectUpstream, RunningWork, UpstreamLoad};
 use crate::names::{DomainName, UpstreamName};
 use crate::prompt_shape::PromptShape;
 use crate::route_document::EngineSheet;
@@ -28,8 +28,7 @@
     pub regions: IndexMap<DomainName, String>,
     /// Round trip to another failure domain of the region.
     pub domain_trip: Duration,
-    /// Round trip to another region, from the sizes of the deployments (20 ms one way), and as much
-    /// again because such traffic is paid by volume.
+    /// Round trip to another region; the deployments have 20 ms one way.
     pub region_trip: Duration,
     /// Reading speed of an engine that has answered nothing yet, in tokens per millisecond. Low, so
     /// that a new engine is not flooded.
@@ -51,7 +50,7 @@
             domain: DomainName::from(""),
             regions: IndexMap::new(),
             domain_trip: Duration::from_millis(3),
-            region_trip: Duration::from_millis(80),
+            region_trip: Duration::from_millis(42),
             first_speed: 200.0,
             first_call: Duration::from_millis(30),
             silent_after: Duration::from_millis(4_800),
@@ -78,6 +77,10 @@
     pub tried: &'a [UpstreamName],
     /// Time left for the answer.
     pub time_left: Duration,
+    /// Time left until the answer is late; at least nothing.
+    pub target_left: Duration,
+    /// Set by the chooser.
+    pub timing: CallTiming,
     /// Another engine than the one that runs the request may read the prompt.
     pub may_read_first: bool,
 }
@@ -94,6 +97,8 @@
 /// Where a request goes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallPlan {
+    /// Whether the answer is expected in time.
+    pub timing: CallTiming,
     /// Engine that reads the prompt first, if that is faster.
     pub reader: Option<ChosenUpstream>,
     /// Upstream that runs the request.
@@ -109,6 +114,15 @@
     pub work: RunningWork,
     /// Expected time to the first answer.
     pub expected: Duration,
+    /// Round trip to the upstream.
+    pub trip: Duration,
+}
+
+/// Candidates for a request.
+#[derive(Debug)]
+struct FoundPlan {
+    reader: Option<Candidate>,
+    runner: Candidate,
 }
 
 /// Loads of one service's upstreams at one entry.
@@ -205,30 +219,53 @@
                 upstream.weight = change.weight;
             }
         }
+        let on_time = self.search(demand, CallTiming::OnTime, now, random)?;
+        let timing = if on_time.runner.expected() <= demand.target_left {
+            CallTiming::OnTime
+        } else {
+            CallTiming::Late
+        };
+        let found = match timing {
+            CallTiming::OnTime => on_time,
+            CallTiming::Late => self.search(demand, timing, now, random)?,
+        };
+        let expected = found.runner.expected();
+        if expected > demand.time_left {
+            return Err(NoUpstream::Full(expected.saturating_sub(demand.time_left)));
+        }
+        let reader = found.reader;
+        let reads = reader.is_none();
+        Ok(CallPlan {
+            timing,
+            reader: reader.map(|reader| self.take(&reader, demand, true, timing, now)),
+            runner: self.take(&found.runner, demand, reads, timing, now),
+        })
+    }
+
+    fn search<R: Rng>(
+        &self,
+        demand: &CallDemand<'_>,
+        timing: CallTiming,
+        now: TimePoint,
+        random: &mut R,
+    ) -> Result<FoundPlan, NoUpstream> {
+        let demand = CallDemand { timing, ..*demand };
         let search = ChoiceSearch {
             chooser: self,
-            demand,
+            demand: &demand,
             now,
         };
         let direct = search.runner(None, random);
         let read_first = search.read_first(random);
         let (reader, runner) = match (direct, read_first) {
-            (Some(direct), Some((reader, runner))) if runner.expected_ms < direct.expected_ms => {
+            (Some(direct), Some((reader, runner))) if runner.cost_ms < direct.cost_ms => {
                 (Some(reader), runner)
             }
             (None, Some((reader, runner))) => (Some(reader), runner),
             (Some(direct), _) => (None, direct),
             (None, None) => return Err(NoUpstream::None),
         };
-        let expected = runner.expected();
-        if expected > demand.time_left {
-            return Err(NoUpstream::Full(expected.saturating_sub(demand.time_left)));
-        }
-        let read_elsewhere = reader.is_some();
-        Ok(CallPlan {
-            reader: reader.map(|reader| self.take(&reader, demand, false)),
-            runner: self.take(&runner, demand, read_elsewhere),
-        })
+        Ok(FoundPlan { reader, runner })
     }
 
     /// Counts a request as sent to a candidate.
@@ -236,24 +273,32 @@
         &mut self,
         candidate: &Candidate,
         demand: &CallDemand<'_>,
-        read_elsewhere: bool,
+        reads: bool,
+        timing: CallTiming,
+        now: TimePoint,
     ) -> ChosenUpstream {
+        let trip_ms = self
+            .upstreams
+            .get_index(candidate.index)
+            .map_or(0.0, |(_, upstream)| self.trip_ms(upstream));
         let cache_tokens = self.engine.map_or(0, |engine| engine.cache_tokens);
         let (_, upstream) = self
             .upstreams
             .get_index_mut(candidate.index)
             .expect("the index was found in the table");
         ChosenUpstream {
-            work: upstream.begin(demand.prompt, cache_tokens, read_elsewhere),
+            work: upstream.begin(demand.prompt, cache_tokens, reads, timing, now),
+            trip: Duration::from_secs_f64(trip_ms / 1_000.0),
             announcement: upstream.announcement().clone(),
             expected: candidate.expected(),
         }
     }
 
     /// The request has shown its first answer after `elapsed`.
-    pub fn first_answer(&mut self, name: &str, work: &mut RunningWork, elapsed: Duration) {
-        if let Some(upstream) = self.upstreams.get_mut(name) {
-            upstream.first_answer(work, elapsed);
+    pub fn first_answer(&mut self, chosen: &mut ChosenUpstream, elapsed: Duration, now: TimePoint) {
+        if let Some(upstream) = self.upstreams.get_mut(&chosen.announcement.name) {
+            let elapsed = elapsed.saturating_sub(chosen.trip);
+            upstream.first_answer(&mut chosen.work, elapsed, now);
         }
     }
 
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -1,5 +1,6 @@
 //! Load of one upstream as one entry sees it.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use oriolecrank_schema::TimePoint;
@@ -14,17 +15,29 @@
 pub struct UpstreamLoad {
     /// Requests that were sent and have not ended.
     pub running: u32,
-    /// Prompt tokens of requests that have not shown a first answer.
+    /// Prompt tokens of requests that have not shown a first answer and may still do so in time.
     pub unread_tokens: u64,
+    /// Prompt tokens of requests that are late already; engines take them after the others.
+    #[serde(default)]
+    pub late_tokens: u64,
 }
 
 impl UpstreamLoad {
+    /// Tokens that an engine takes before those of a new request.
+    pub const fn tokens_ahead(self, timing: CallTiming) -> u64 {
+        match timing {
+            CallTiming::OnTime => self.unread_tokens,
+            CallTiming::Late => self.unread_tokens + self.late_tokens,
+        }
+    }
+
     /// Sum of two loads.
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
         Self {
             running: self.running + other.running,
             unread_tokens: self.unread_tokens + other.unread_tokens,
+            late_tokens: self.late_tokens + other.late_tokens,
         }
     }
 
@@ -34,21 +47,71 @@
         Self {
             running: self.running.saturating_sub(part.running),
             unread_tokens: self.unread_tokens.saturating_sub(part.unread_tokens),
+            late_tokens: self.late_tokens.saturating_sub(part.late_tokens),
         }
     }
 }
 
+/// Whether an answer can still come in the time that callers expect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum CallTiming {
+    /// It can.
+    #[default]
+    OnTime,
+    /// It is late already; it must not delay one that is not.
+    Late,
+}
+
 /// Work of one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct RunningWork {
-    /// Tokens that the engine must read; 0 once it has shown a first answer.
-    pub unread_tokens: u64,
+    /// Number of the request among those of the upstream.
+    pub number: u64,
+    /// Whether the request was sent behind those that are on time.
+    pub timing: CallTiming,
+    /// The request has shown a first answer.
+    pub begun: bool,
     /// Tokens that had to be read when the request was sent.
     pub read_tokens: u64,
-    /// Unread tokens of all entries before this request.
+    /// Tokens of all entries that the engine takes before this request.
     pub ahead_tokens: u64,
 }
 
+impl RunningWork {
+    /// Load of the request at present.
+    const fn load(&self) -> UpstreamLoad {
+        let unread = if self.begun { 0 } else { self.read_tokens };
+        match self.timing {
+            CallTiming::OnTime => UpstreamLoad {
+                running: 1,
+                unread_tokens: unread,
+                late_tokens: 0,
+            },
+            CallTiming::Late => UpstreamLoad {
+                running: 1,
+                unread_tokens: 0,
+                late_tokens: unread,
+            },
+        }
+    }
+}
+
+/// A request on time that waits for its first answer.
+#[derive(Debug, Clone, Copy)]
+struct WaitingCall {
+    number: u64,
+    sent: TimePoint,
+    /// Time that its own reading takes, in milliseconds.
+    read_ms: f64,
+}
+
+/// Prompts with at least this many tokens to read show the reading speed.
+const MIN_SPEED_TOKENS: u64 = 1_000;
+
+/// Time over which an observed wait fades, in milliseconds; about the time in which a queue of a few
+/// hundred milliseconds is gone.
+const WAIT_MEMORY_MS: f64 = 300.0;
+
 /// Weight of a new observation in the mean of reading speeds. Low, because single times also hold
 /// waits that are not due to reading.
 const SPEED_WEIGHT: f64 = 0.05;
@@ -74,6 +137,13 @@
     own: UpstreamLoad,
     others: UpstreamLoad,
     parts: PartCache,
+    /// Requests on time that wait for a first answer, the oldest first.
+    waiting: VecDeque<WaitingCall>,
+    next_number: u64,
+    /// Wait before the reading of the newest requests that were answered, in milliseconds.
+    recent_wait_ms: f64,
+    /// Time of the newest observation in `recent_wait_ms`.
+    observed: TimePoint,
     /// Mean reading speed, in tokens per millisecond; above 0.
     speed: f64,
     /// Weight from ejection, between 0 (ejected) and 1.
@@ -90,6 +160,10 @@
             own: UpstreamLoad::default(),
             others: UpstreamLoad::default(),
             parts: PartCache::default(),
+            waiting: VecDeque::new(),
+            next_number: 0,
+            recent_wait_ms: 0.0,
+            observed: heard,
             speed,
             weight: 1.0,
         }
@@ -145,12 +219,38 @@
             .saturating_sub((shared as f64 * HOME_PART) as u64)
     }
 
+    /// Time that reading a prompt takes up, in milliseconds.
+    pub fn read_ms(&self, prompt: &PromptShape, home: bool) -> f64 {
+        self.tokens_to_read(prompt, home) as f64 / self.speed
+    }
+
     /// Expected time to the first event of a request, in milliseconds.
-    pub fn prompt_ms(&self, prompt: &PromptShape, slots: u32, home: bool) -> f64 {
+    pub fn prompt_ms(
+        &self,
+        prompt: &PromptShape,
+        slots: u32,
+        home: bool,
+        timing: CallTiming,
+        now: TimePoint,
+    ) -> f64 {
         let load = self.own.plus(self.others);
-        let tokens = load.unread_tokens + self.tokens_to_read(prompt, home);
+        let queued_ms = load.tokens_ahead(timing) as f64 / self.speed;
+        let wait_ms = queued_ms.max(self.seen_wait_ms(now));
         let waiting = (load.running + 1).saturating_sub(slots);
-        FIRST_STEP_MS + tokens as f64 / self.speed + f64::from(waiting) * BATCH_WAIT_MS
+        let slot_ms = f64::from(waiting) * BATCH_WAIT_MS;
+        FIRST_STEP_MS + wait_ms + self.read_ms(prompt, home) + slot_ms
+    }
+
+    /// Wait that requests on time have seen lately, in milliseconds. Counts of tokens miss what other
+    /// entries have sent since their last report.
+    fn seen_wait_ms(&self, now: TimePoint) -> f64 {
+        let age_ms = now.since(self.observed).as_secs_f64() * 1_000.0;
+        let recent = self.recent_wait_ms * (1.0 - age_ms / WAIT_MEMORY_MS).max(0.0);
+        let oldest = self.waiting.front().map_or(0.0, |oldest| {
+            let waited_ms = now.since(oldest.sent).as_secs_f64() * 1_000.0;
+            waited_ms - oldest.read_ms - FIRST_STEP_MS
+        });
+        recent.max(oldest)
     }
 
     /// Expected time to the first event of a request whose prompt was read elsewhere, in
@@ -169,45 +269,70 @@
         mean_ms * (1.0 + ahead)
     }
 
-    /// Counts a request as sent.
+    /// Counts a request as sent; `reads` is the prompt that it must read here, if any.
     pub fn begin(
         &mut self,
         prompt: Option<&PromptShape>,
         cache_tokens: u64,
-        read_elsewhere: bool,
+        reads: bool,
+        timing: CallTiming,
+        now: TimePoint,
     ) -> RunningWork {
-        let mut work = RunningWork::default();
+        let mut work = RunningWork {
+            number: self.next_number,
+            timing,
+            ..RunningWork::default()
+        };
+        self.next_number += 1;
         if let Some(prompt) = prompt {
-            if !read_elsewhere {
+            if reads {
                 work.read_tokens = self.tokens_to_read(prompt, false);
+                work.ahead_tokens = self.own.plus(self.others).tokens_ahead(timing);
             }
-            work.unread_tokens = work.read_tokens;
-            work.ahead_tokens = self.own.plus(self.others).unread_tokens;
             self.parts.note(prompt, cache_tokens);
         }
-        self.own.running += 1;
-        self.own.unread_tokens += work.unread_tokens;
+        if reads && timing == CallTiming::OnTime {
+            self.waiting.push_back(WaitingCall {
+                number: work.number,
+                sent: now,
+                read_ms: work.read_tokens as f64 / self.speed,
+            });
+        }
+        self.own = self.own.plus(work.load());
         work
     }
 
-    /// A request has shown its first answer.
-    pub fn first_answer(&mut self, work: &mut RunningWork, elapsed: Duration) {
-        self.own.unread_tokens = self.own.unread_tokens.saturating_sub(work.unread_tokens);
-        work.unread_tokens = 0;
-        let tokens = (work.read_tokens + work.ahead_tokens) as f64;
-        let read_ms = (elapsed.as_secs_f64() * 1_000.0 - FIRST_STEP_MS).max(1.0);
+    /// A request has shown its first answer, `elapsed` after it was sent and without the way there.
+    pub fn first_answer(&mut self, work: &mut RunningWork, elapsed: Duration, now: TimePoint) {
+        self.own = self.own.minus(work.load());
+        work.begun = true;
+        self.own = self.own.plus(work.load());
+        self.forget_waiting(work);
         // Short prompts say nothing about the reading speed.
-        if work.read_tokens > 1_000 {
-            self.speed += (tokens / read_ms - self.speed) * SPEED_WEIGHT;
-            self.speed = self.speed.max(1.0);
+        if work.timing == CallTiming::Late || work.read_tokens < MIN_SPEED_TOKENS {
+            return;
         }
+        let answer_ms = (elapsed.as_secs_f64() * 1_000.0 - FIRST_STEP_MS).max(1.0);
+        let tokens = (work.read_tokens + work.ahead_tokens) as f64;
+        self.speed += (tokens / answer_ms - self.speed) * SPEED_WEIGHT;
+        self.speed = self.speed.max(1.0);
+        self.recent_wait_ms = (answer_ms - work.read_tokens as f64 / self.speed).max(0.0);
+        self.observed = now;
     }
 
     /// A request no longer runs.
-    pub const fn finish(&mut self, work: &RunningWork) {
-        self.own = self.own.minus(UpstreamLoad {
-            running: 1,
-            unread_tokens: work.unread_tokens,
-        });
+    pub fn finish(&mut self, work: &RunningWork) {
+        self.own = self.own.minus(work.load());
+        self.forget_waiting(work);
+    }
+
+    fn forget_waiting(&mut self, work: &RunningWork) {
+        let place = self
+            .waiting
+            .iter()
+            .position(|call| call.number == work.number);
+        if let Some(place) = place {
+            self.waiting.remove(place);
+        }
     }
 }
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -27,7 +27,7 @@
 pub use direct_chooser::{
     CallDemand, CallPlan, ChooserSettings, ChosenUpstream, DirectChooser, NoUpstream,
 };
-pub use direct_upstream::{DirectUpstream, RunningWork, UpstreamLoad};
+pub use direct_upstream::{CallTiming, DirectUpstream, RunningWork, UpstreamLoad};
 pub use member_repair::{JoiningMember, MemberHealth, RepairSettings, next_members};
 pub use names::{DomainName, EntryName, OrganisationName, ServiceName, UpstreamName};
 pub use part_cache::PartCache;
