Keep late requests out of the queues of full engines

Cause: an engine takes only a few times its batch into its queue. Change: a late request goes only to an engine with a free place. Runs that hold a place for long are reported and taken off the places that come free; the wait for a place follows from the mean length of short runs. A refusal by a full engine counts as a wait that fades.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -334,6 +334,7 @@
         if head.not_run {
             let status = response.status();
             tracing::debug!(upstream = %upstream.name, %status, "refused by the upstream");
+            call.refused(now());
             recycle(response, &head).await;
             return Err(AttemptEnd::Refused);
         }
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -182,10 +182,10 @@
     }
 
     /// Own loads of all upstreams.
-    pub(crate) fn own_loads(&self) -> Vec<NamedLoad> {
+    pub(crate) fn own_loads(&self, now: TimePoint) -> Vec<NamedLoad> {
         let tables = self.lock_tables();
         let lanes = tables.lanes.values();
-        let loads = lanes.flat_map(|lane| lane.chooser.own_loads());
+        let loads = lanes.flat_map(|lane| lane.chooser.own_loads(now));
         loads
             .map(|(upstream, load)| NamedLoad {
                 upstream: upstream.clone(),
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -161,7 +161,7 @@
             control_run: self.control_run,
             directory_revision: self.directory_revision,
             usage,
-            loads: shared.own_loads(),
+            loads: shared.own_loads(BootClock.now()),
             stopping: shared.is_stopping(),
         }
     }
--- a/crates/oriolecrank-gateway/src/running_call.rs
+++ b/crates/oriolecrank-gateway/src/running_call.rs
@@ -43,8 +43,11 @@
     }
 
     /// The request is sent only now, because another engine had to read its prompt.
-    pub(crate) const fn restart(&mut self, now: TimePoint) {
+    pub(crate) fn restart(&mut self, now: TimePoint) {
         self.sent = now;
+        let chosen = &self.chosen;
+        self.shared
+            .with_lane(&self.service, |lane| lane.chooser.restart(chosen, now));
     }
 
     /// The upstream has begun to run the request.
@@ -67,6 +70,13 @@
         self.call_time = Some(now.since(self.sent));
     }
 
+    /// The upstream has refused the request because it is full.
+    pub(crate) fn refused(&self, now: TimePoint) {
+        let name = self.chosen.announcement.name.as_str();
+        self.shared
+            .with_lane(&self.service, |lane| lane.chooser.refused(name, now));
+    }
+
     /// Takes what the end of the attempt says about the upstream.
     pub(crate) fn record(&self, outcome: UpstreamOutcome, now: TimePoint) {
         let name = &self.chosen.announcement.name;
@@ -85,7 +95,7 @@
         let name = self.chosen.announcement.name.as_str();
         let (work, call_time) = (&self.chosen.work, self.call_time);
         self.shared.with_lane(&self.service, |lane| {
-            lane.chooser.finish(name, work, call_time);
+            lane.chooser.finish(name, work, call_time, now());
         });
     }
 }
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::direct_chooser::{CallDemand, DirectChooser};
-use crate::direct_upstream::DirectUpstream;
+use crate::direct_upstream::{CallTiming, DirectUpstream};
 use crate::prompt_shape::PromptShape;
 use crate::upstream_directory::{EnginePhase, UpstreamState};
 
@@ -101,7 +101,7 @@
                 return Some(self.read_time(upstream, prompt, home == Some(index)));
             };
             let copy_ms = self.chooser.copy_ms(source, upstream, prompt);
-            let start_ms = upstream.start_ms(slots);
+            let start_ms = upstream.start_ms(slots, self.now);
             let read_cost_ms = reader.cost_ms - reader.expected_ms;
             Some(WorkTime {
                 answer_ms: reader.expected_ms + READER_OVERHEAD_MS + copy_ms + start_ms,
@@ -161,6 +161,12 @@
             if !self.is_usable(upstream, strictness) {
                 continue;
             }
+            // The queue of an engine is short, and a late request in it would turn away one that can
+            // still be answered in time.
+            let late = self.demand.timing == CallTiming::Late && self.demand.prompt.is_some();
+            if late && !upstream.has_place(self.slots(upstream)) {
+                continue;
+            }
             let Some(work) = work(index, upstream) else {
                 continue;
             };
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -199,11 +199,11 @@
     }
 
     /// Own load of each upstream that has any.
-    pub fn own_loads(&self) -> impl Iterator<Item = (&UpstreamName, UpstreamLoad)> {
+    pub fn own_loads(&self, now: TimePoint) -> impl Iterator<Item = (&UpstreamName, UpstreamLoad)> {
         let loads = self
             .upstreams
             .iter()
-            .map(|(name, known)| (name, known.own_load()));
+            .map(move |(name, known)| (name, known.own_load(now)));
         loads.filter(|(_, load)| *load != UpstreamLoad::default())
     }
 
@@ -227,7 +227,9 @@
         };
         let found = match timing {
             CallTiming::OnTime => on_time,
-            CallTiming::Late => self.search(demand, timing, now, random)?,
+            CallTiming::Late => self
+                .search(demand, timing, now, random)
+                .map_err(|_| NoUpstream::Full(Duration::ZERO))?,
         };
         let expected = found.runner.expected();
         if expected > demand.time_left {
@@ -294,6 +296,13 @@
         }
     }
 
+    /// The request is sent only now, because another engine had to read its prompt.
+    pub fn restart(&mut self, chosen: &ChosenUpstream, now: TimePoint) {
+        if let Some(upstream) = self.upstreams.get_mut(&chosen.announcement.name) {
+            upstream.restart(&chosen.work, now);
+        }
+    }
+
     /// The request has shown its first answer after `elapsed`.
     pub fn first_answer(&mut self, chosen: &mut ChosenUpstream, elapsed: Duration, now: TimePoint) {
         if let Some(upstream) = self.upstreams.get_mut(&chosen.announcement.name) {
@@ -302,10 +311,23 @@
         }
     }
 
+    /// The upstream has refused a request because it is full.
+    pub fn refused(&mut self, name: &str, now: TimePoint) {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.refused(now);
+        }
+    }
+
     /// The request no longer runs; a plain call that was answered states how long it took.
-    pub fn finish(&mut self, name: &str, work: &RunningWork, call_time: Option<Duration>) {
+    pub fn finish(
+        &mut self,
+        name: &str,
+        work: &RunningWork,
+        call_time: Option<Duration>,
+        now: TimePoint,
+    ) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
-            upstream.finish(work);
+            upstream.finish(work, now);
         }
         if let Some(time) = call_time {
             let time_ms = time.as_secs_f64() * 1_000.0;
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use oriolecrank_schema::TimePoint;
 use serde::{Deserialize, Serialize};
 
@@ -15,6 +16,9 @@
 pub struct UpstreamLoad {
     /// Requests that were sent and have not ended.
     pub running: u32,
+    /// Part of them that holds its place for long, such as chat; counted when loads are reported.
+    #[serde(default)]
+    pub held: u32,
     /// Prompt tokens of requests that have not shown a first answer and may still do so in time.
     pub unread_tokens: u64,
     /// Prompt tokens of requests that are late already; engines take them after the others.
@@ -36,6 +40,7 @@
     pub const fn plus(self, other: Self) -> Self {
         Self {
             running: self.running + other.running,
+            held: self.held + other.held,
             unread_tokens: self.unread_tokens + other.unread_tokens,
             late_tokens: self.late_tokens + other.late_tokens,
         }
@@ -46,6 +51,7 @@
     pub const fn minus(self, part: Self) -> Self {
         Self {
             running: self.running.saturating_sub(part.running),
+            held: self.held.saturating_sub(part.held),
             unread_tokens: self.unread_tokens.saturating_sub(part.unread_tokens),
             late_tokens: self.late_tokens.saturating_sub(part.late_tokens),
         }
@@ -79,18 +85,18 @@
 
 impl RunningWork {
     /// Load of the request at present.
-    const fn load(&self) -> UpstreamLoad {
+    fn load(&self) -> UpstreamLoad {
         let unread = if self.begun { 0 } else { self.read_tokens };
         match self.timing {
             CallTiming::OnTime => UpstreamLoad {
                 running: 1,
                 unread_tokens: unread,
-                late_tokens: 0,
+                ..UpstreamLoad::default()
             },
             CallTiming::Late => UpstreamLoad {
                 running: 1,
-                unread_tokens: 0,
                 late_tokens: unread,
+                ..UpstreamLoad::default()
             },
         }
     }
@@ -120,12 +126,25 @@
 /// other entries have probably sent there.
 const HOME_PART: f64 = 0.9;
 
-/// Fixed time of an engine's first answer, in milliseconds.
+/// Fixed time of the first answer of an engine that has answered nothing yet, in milliseconds.
 const FIRST_STEP_MS: f64 = 10.0;
 
-/// Time until a slot is free at an engine whose batch is full, in milliseconds for each request
-/// that waits; from the shortest requests, which take about this long.
-const BATCH_WAIT_MS: f64 = 40.0;
+/// Weight of a larger observation in the minimum of first answers.
+const BASE_WEIGHT: f64 = 0.003;
+
+/// Wait to be expected at an upstream that has just refused a request because it is full, in
+/// milliseconds: its queue holds a few times what it runs at once.
+const FULL_WAIT_MS: f64 = 250.0;
+
+/// Time for which a run holds its place at an engine that has finished none, in milliseconds; from
+/// the shortest requests of the deployments.
+const FIRST_HOLD_MS: f64 = 60.0;
+
+/// A run of at least this length is chat; its place does not come free while shorter ones wait.
+const LONG_HOLD: Duration = Duration::from_millis(500);
+
+/// Weight of a new observation in the mean time for which a run holds its place.
+const HOLD_WEIGHT: f64 = 0.05;
 
 /// An upstream with its load.
 #[derive(Debug)]
@@ -139,11 +158,19 @@
     parts: PartCache,
     /// Requests on time that wait for a first answer, the oldest first.
     waiting: VecDeque<WaitingCall>,
+    /// Begin of the runs that have shown a first answer, by number.
+    begun: IndexMap<u64, TimePoint>,
+    /// Mean time for which a short run holds its place, in milliseconds.
+    hold_ms: f64,
     next_number: u64,
+    /// Time of a first answer without reading and waiting, in milliseconds: a slowly rising minimum.
+    base_ms: f64,
     /// Wait before the reading of the newest requests that were answered, in milliseconds.
     recent_wait_ms: f64,
     /// Time of the newest observation in `recent_wait_ms`.
     observed: TimePoint,
+    /// Time of the newest refusal because it was full.
+    refused: Option<TimePoint>,
     /// Mean reading speed, in tokens per millisecond; above 0.
     speed: f64,
     /// Weight from ejection, between 0 (ejected) and 1.
@@ -161,9 +188,13 @@
             others: UpstreamLoad::default(),
             parts: PartCache::default(),
             waiting: VecDeque::new(),
+            begun: IndexMap::new(),
+            hold_ms: FIRST_HOLD_MS,
             next_number: 0,
+            base_ms: FIRST_STEP_MS,
             recent_wait_ms: 0.0,
             observed: heard,
+            refused: None,
             speed,
             weight: 1.0,
         }
@@ -197,8 +228,31 @@
     }
 
     /// Load by this entry.
-    pub const fn own_load(&self) -> UpstreamLoad {
-        self.own
+    pub fn own_load(&self, now: TimePoint) -> UpstreamLoad {
+        UpstreamLoad {
+            held: self.own_held(now),
+            ..self.own
+        }
+    }
+
+    /// Own runs that hold their places for long.
+    fn own_held(&self, now: TimePoint) -> u32 {
+        let long = |begun: &TimePoint| now.since(*begun) >= LONG_HOLD;
+        self.begun.values().filter(|begun| long(begun)).count() as u32
+    }
+
+    /// Whether a place in the batch is free, as far as this entry knows.
+    pub fn has_place(&self, slots: u32) -> bool {
+        self.own.plus(self.others).running < slots
+    }
+
+    /// Expected wait for a place in the batch, in milliseconds.
+    fn place_ms(&self, slots: u32, now: TimePoint) -> f64 {
+        let load = self.own.plus(self.others);
+        let held = (self.own_held(now) + self.others.held).min(slots.saturating_sub(1));
+        let free = f64::from(slots.saturating_sub(held).max(1));
+        let ahead = f64::from(load.running.saturating_sub(held)) + 1.0 - free;
+        ahead.max(0.0) / free * self.hold_ms
     }
 
     /// Takes over the load by the other entries.
@@ -236,30 +290,36 @@
         let load = self.own.plus(self.others);
         let queued_ms = load.tokens_ahead(timing) as f64 / self.speed;
         let wait_ms = queued_ms.max(self.seen_wait_ms(now));
-        let waiting = (load.running + 1).saturating_sub(slots);
-        let slot_ms = f64::from(waiting) * BATCH_WAIT_MS;
-        FIRST_STEP_MS + wait_ms + self.read_ms(prompt, home) + slot_ms
+        let place_ms = self.place_ms(slots, now);
+        self.base_ms + wait_ms.max(place_ms) + self.read_ms(prompt, home)
     }
 
     /// Wait that requests on time have seen lately, in milliseconds. Counts of tokens miss what other
     /// entries have sent since their last report.
     fn seen_wait_ms(&self, now: TimePoint) -> f64 {
-        let age_ms = now.since(self.observed).as_secs_f64() * 1_000.0;
-        let recent = self.recent_wait_ms * (1.0 - age_ms / WAIT_MEMORY_MS).max(0.0);
-        let oldest = self.waiting.front().map_or(0.0, |oldest| {
-            let waited_ms = now.since(oldest.sent).as_secs_f64() * 1_000.0;
-            waited_ms - oldest.read_ms - FIRST_STEP_MS
+        let recent = self.recent_wait_ms * fading(now.since(self.observed));
+        recent.max(self.stuck_ms(now))
+    }
+
+    /// Wait by requests that are stuck or refused, in milliseconds.
+    fn stuck_ms(&self, now: TimePoint) -> f64 {
+        let full = self
+            .refused
+            .map_or(0.0, |refused| FULL_WAIT_MS * fading(now.since(refused)));
+        let waits = self.waiting.iter().map(|call| {
+            let waited_ms = now.since(call.sent).as_secs_f64() * 1_000.0;
+            waited_ms - call.read_ms - self.base_ms
         });
-        recent.max(oldest)
+        waits.fold(full, f64::max)
     }
 
     /// Expected time to the first event of a request whose prompt was read elsewhere, in
     /// milliseconds.
-    pub fn start_ms(&self, slots: u32) -> f64 {
+    pub fn start_ms(&self, slots: u32, now: TimePoint) -> f64 {
         let running = self.own.plus(self.others).running;
-        let waiting = (running + 1).saturating_sub(slots);
         let share = f64::from(running) / f64::from(slots.max(1));
-        FIRST_STEP_MS * (1.0 + share) + f64::from(waiting) * BATCH_WAIT_MS
+        let wait_ms = self.place_ms(slots, now).max(self.stuck_ms(now));
+        self.base_ms + share * FIRST_STEP_MS + wait_ms
     }
 
     /// Expected time of a plain call, in milliseconds.
@@ -291,7 +351,7 @@
             }
             self.parts.note(prompt, cache_tokens);
         }
-        if reads && timing == CallTiming::OnTime {
+        if prompt.is_some() && timing == CallTiming::OnTime {
             self.waiting.push_back(WaitingCall {
                 number: work.number,
                 sent: now,
@@ -302,27 +362,63 @@
         work
     }
 
+    /// A request is sent only now, because another engine had to read its prompt.
+    pub fn restart(&mut self, work: &RunningWork, now: TimePoint) {
+        let call = self
+            .waiting
+            .iter_mut()
+            .find(|call| call.number == work.number);
+        if let Some(call) = call {
+            call.sent = now;
+        }
+    }
+
     /// A request has shown its first answer, `elapsed` after it was sent and without the way there.
     pub fn first_answer(&mut self, work: &mut RunningWork, elapsed: Duration, now: TimePoint) {
         self.own = self.own.minus(work.load());
         work.begun = true;
+        self.begun.insert(work.number, now);
         self.own = self.own.plus(work.load());
         self.forget_waiting(work);
-        // Short prompts say nothing about the reading speed.
-        if work.timing == CallTiming::Late || work.read_tokens < MIN_SPEED_TOKENS {
+        if work.timing == CallTiming::Late {
             return;
         }
-        let answer_ms = (elapsed.as_secs_f64() * 1_000.0 - FIRST_STEP_MS).max(1.0);
-        let tokens = (work.read_tokens + work.ahead_tokens) as f64;
-        self.speed += (tokens / answer_ms - self.speed) * SPEED_WEIGHT;
-        self.speed = self.speed.max(1.0);
-        self.recent_wait_ms = (answer_ms - work.read_tokens as f64 / self.speed).max(0.0);
-        self.observed = now;
+        let answer_ms = elapsed.as_secs_f64() * 1_000.0;
+        // Short prompts say nothing about the reading speed.
+        if work.read_tokens >= MIN_SPEED_TOKENS {
+            let tokens = (work.read_tokens + work.ahead_tokens) as f64;
+            let read_ms = (answer_ms - self.base_ms).max(1.0);
+            self.speed += (tokens / read_ms - self.speed) * SPEED_WEIGHT;
+            self.speed = self.speed.max(1.0);
+        }
+        let rest_ms = answer_ms - work.read_tokens as f64 / self.speed;
+        if rest_ms < self.base_ms {
+            self.base_ms = rest_ms.max(0.0);
+        } else {
+            self.base_ms += (rest_ms - self.base_ms) * BASE_WEIGHT;
+        }
+        if work.read_tokens > 0 {
+            self.recent_wait_ms = (rest_ms - self.base_ms).max(0.0);
+            self.observed = now;
+        }
+    }
+
+    /// The upstream has refused a request because it is full.
+    pub const fn refused(&mut self, now: TimePoint) {
+        self.refused = Some(now);
     }
 
     /// A request no longer runs.
-    pub fn finish(&mut self, work: &RunningWork) {
+    pub fn finish(&mut self, work: &RunningWork, now: TimePoint) {
         self.own = self.own.minus(work.load());
+        let held = self
+            .begun
+            .swap_remove(&work.number)
+            .map(|begun| now.since(begun));
+        if let Some(held) = held.filter(|held| *held < LONG_HOLD) {
+            let held_ms = held.as_secs_f64() * 1_000.0 + FIRST_STEP_MS;
+            self.hold_ms += (held_ms - self.hold_ms) * HOLD_WEIGHT;
+        }
         self.forget_waiting(work);
     }
 
@@ -336,3 +432,9 @@
         }
     }
 }
+
+/// Part of an observation that still counts after a time.
+fn fading(age: Duration) -> f64 {
+    let age_ms = age.as_secs_f64() * 1_000.0;
+    (1.0 - age_ms / WAIT_MEMORY_MS).max(0.0)
+}
