Fetch shared prompt parts from the engine that keeps them

Change: the requests with one shared part run at one engine of the region, which so keeps the part; engines that read a prompt fetch what they lack from there.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -307,6 +307,7 @@
             rank: self.rank,
             resume_after,
             stage,
+            fetch_from: call.chosen.fetch_from,
         };
         let fields = self
             .shared
--- a/crates/oriolecrank-gateway/src/dialect.rs
+++ b/crates/oriolecrank-gateway/src/dialect.rs
@@ -53,6 +53,8 @@
     pub resume_after: Option<u64>,
     /// Part of the request that the upstream does.
     pub stage: AttemptStage<'a>,
+    /// Engine that keeps a longer begin of the prompt, which the upstream is to fetch.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// Part of a request that an upstream does.
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::direct_chooser::{CallDemand, DirectChooser};
+use crate::direct_chooser::{CallDemand, DirectChooser, DomainDistance};
 use crate::direct_upstream::{CallTiming, DirectUpstream};
 use crate::prompt_shape::PromptShape;
 use crate::upstream_directory::{EnginePhase, UpstreamState};
@@ -19,6 +19,13 @@
 /// kept is therefore worth a longer way.
 const OCCUPANCY_WEIGHT: f64 = 3.0;
 
+/// What it is worth to run a request where its shared part is kept, in milliseconds: the part stays
+/// there for the next one.
+const HOME_BONUS_MS: f64 = 4.0;
+
+/// Fewest tokens that are worth a fetch from another engine.
+const MIN_FETCH_TOKENS: u64 = 512;
+
 /// Expected times are spread by up to this part, because entries with the same view would otherwise
 /// all take the same upstream.
 const SPREAD: f64 = 0.1;
@@ -38,6 +45,10 @@
     pub(crate) expected_ms: f64,
     /// Expected time and the delay to other requests, in milliseconds.
     pub(crate) cost_ms: f64,
+    /// Tokens that it must read.
+    pub(crate) read_tokens: u64,
+    /// Place of the engine that it fetches the begin of the prompt from.
+    pub(crate) fetch_from: Option<usize>,
 }
 
 /// What a request means for an upstream, in milliseconds.
@@ -47,6 +58,17 @@
     answer_ms: f64,
     /// Part of it in which other requests wait.
     occupied_ms: f64,
+    /// Tokens that must be read.
+    read_tokens: u64,
+    /// Place of the engine that the begin of the prompt is fetched from.
+    fetch_from: Option<usize>,
+}
+
+/// Engine that keeps the longest begin of a prompt.
+#[derive(Debug, Clone, Copy)]
+struct PromptKeeper {
+    index: usize,
+    tokens: u64,
 }
 
 impl Candidate {
@@ -65,6 +87,13 @@
     Any,
 }
 
+impl WorkTime {
+    /// Time to the answer and the delay to other requests, in milliseconds.
+    fn cost_ms(&self) -> f64 {
+        self.answer_ms + self.occupied_ms * OCCUPANCY_WEIGHT
+    }
+}
+
 /// One search.
 pub(crate) struct ChoiceSearch<'a> {
     pub(crate) chooser: &'a DirectChooser,
@@ -80,6 +109,7 @@
         random: &mut R,
     ) -> Option<Candidate> {
         let home = self.home();
+        let keeper = self.keeper(home);
         let reader = reader.and_then(|reader| {
             let (_, upstream) = self.chooser.upstreams.get_index(reader.index)?;
             Some((reader, upstream))
@@ -91,21 +121,29 @@
             let slots = self.slots(upstream);
             let Some(prompt) = self.demand.prompt else {
                 let answer_ms = upstream.call_ms(self.chooser.call_ms, slots);
-                let occupied_ms = 0.0;
                 return Some(WorkTime {
                     answer_ms,
-                    occupied_ms,
+                    occupied_ms: 0.0,
+                    read_tokens: 0,
+                    fetch_from: None,
                 });
             };
             let Some((reader, source)) = reader else {
-                return Some(self.read_time(upstream, prompt, home == Some(index)));
+                return Some(self.read_time(index, upstream, prompt, home, keeper));
             };
-            let copy_ms = self.chooser.copy_ms(source, upstream, prompt);
+            let copy_ms = self.chooser.copy_ms(source, upstream, prompt.input_tokens);
             let start_ms = upstream.start_ms(slots, self.now);
+            let bonus_ms = if home == Some(index) {
+                HOME_BONUS_MS
+            } else {
+                0.0
+            };
             let read_cost_ms = reader.cost_ms - reader.expected_ms;
             Some(WorkTime {
                 answer_ms: reader.expected_ms + READER_OVERHEAD_MS + copy_ms + start_ms,
-                occupied_ms: read_cost_ms / OCCUPANCY_WEIGHT + copy_ms,
+                occupied_ms: read_cost_ms / OCCUPANCY_WEIGHT + copy_ms - bonus_ms,
+                read_tokens: 0,
+                fetch_from: None,
             })
         })
     }
@@ -114,27 +152,82 @@
     pub(crate) fn read_first<R: Rng>(&self, random: &mut R) -> Option<(Candidate, Candidate)> {
         let prompt = self.demand.prompt.filter(|_| self.demand.may_read_first)?;
         let home = self.home();
+        let keeper = self.keeper(home);
         let reader = self.best(random, |index, upstream| {
             let reads = takes(upstream, EnginePhase::Prefill);
-            reads.then(|| self.read_time(upstream, prompt, home == Some(index)))
+            reads.then(|| self.read_time(index, upstream, prompt, home, keeper))
         })?;
         let runner = self.runner(Some(&reader), random)?;
         Some((reader, runner))
     }
 
-    fn read_time(&self, upstream: &DirectUpstream, prompt: &PromptShape, home: bool) -> WorkTime {
+    fn read_time(
+        &self,
+        index: usize,
+        upstream: &DirectUpstream,
+        prompt: &PromptShape,
+        home: Option<usize>,
+        keeper: Option<PromptKeeper>,
+    ) -> WorkTime {
+        let kept = upstream.kept_tokens(prompt, home == Some(index));
+        let alone = self.read_work(upstream, prompt.input_tokens.saturating_sub(kept), None);
+        // The engine itself knows best what it keeps; it fetches only what it lacks.
+        let keeper = keeper.filter(|keeper| keeper.index != index);
+        let source = keeper.and_then(|keeper| {
+            let (_, source) = self.chooser.upstreams.get_index(keeper.index)?;
+            Some((keeper, source))
+        });
+        let Some((keeper, source)) = source else {
+            return alone;
+        };
+        let rest = prompt.input_tokens.saturating_sub(keeper.tokens.max(kept));
+        let fetched = self.read_work(upstream, rest, Some(keeper.index));
+        let lacking = keeper.tokens.saturating_sub(kept);
+        let copy_ms = self.chooser.copy_ms(source, upstream, lacking);
+        let fetched = WorkTime {
+            answer_ms: fetched.answer_ms + copy_ms,
+            occupied_ms: fetched.occupied_ms + copy_ms,
+            ..fetched
+        };
+        if fetched.cost_ms() <= alone.cost_ms() {
+            fetched
+        } else {
+            alone
+        }
+    }
+
+    fn read_work(
+        &self,
+        upstream: &DirectUpstream,
+        read_tokens: u64,
+        fetch_from: Option<usize>,
+    ) -> WorkTime {
+        let (slots, timing) = (self.slots(upstream), self.demand.timing);
         WorkTime {
-            answer_ms: upstream.prompt_ms(
-                prompt,
-                self.slots(upstream),
-                home,
-                self.demand.timing,
-                self.now,
-            ),
-            occupied_ms: upstream.read_ms(prompt, home),
+            answer_ms: upstream.prompt_ms(read_tokens, slots, timing, self.now),
+            occupied_ms: upstream.read_ms(read_tokens),
+            read_tokens,
+            fetch_from,
         }
     }
 
+    /// Engine that keeps the longest begin of the prompt, as far as this entry knows.
+    fn keeper(&self, home: Option<usize>) -> Option<PromptKeeper> {
+        let prompt = self.demand.prompt?;
+        let upstreams = self.chooser.upstreams.values().enumerate();
+        let near = upstreams.filter(|(_, upstream)| {
+            self.is_usable(upstream, Strictness::Sound)
+                && self.chooser.distance_to(upstream) != DomainDistance::OtherRegion
+        });
+        let keepers = near.map(|(index, upstream)| PromptKeeper {
+            index,
+            tokens: upstream.kept_tokens(prompt, home == Some(index)),
+        });
+        keepers
+            .max_by_key(|keeper| keeper.tokens)
+            .filter(|keeper| keeper.tokens >= MIN_FETCH_TOKENS)
+    }
+
     /// Usable upstream with the lowest cost; `work` gives what the request means for an upstream, or
     /// nothing if it does not take the work.
     fn best<R: Rng>(
@@ -185,6 +278,8 @@
                     index,
                     expected_ms,
                     cost_ms,
+                    read_tokens: work.read_tokens,
+                    fetch_from: work.fetch_from,
                 });
             }
         }
@@ -201,24 +296,25 @@
         strictness == Strictness::Any || (upstream.weight > 0.0 && !silent)
     }
 
-    /// Engine that keeps the shared part of the prompt, by rendezvous hashing weighted with reading
-    /// speed, so that all entries agree without a message and each engine keeps as many parts as it
-    /// can serve. Engines of all regions together keep each part once; the engines of one region
-    /// would have to keep all of them.
+    /// Engine of the own region that runs the requests with a shared part and therefore keeps it, by
+    /// rendezvous hashing, so that the entries of a region agree without a message. Engines that only
+    /// read prompts fetch the part from there. Sessions stay in their region, and so do their parts.
     fn home(&self) -> Option<usize> {
         let part = self.demand.prompt.and_then(PromptShape::shared_part)?;
         let mut home = None;
-        let mut best = f64::NEG_INFINITY;
+        let mut best = None;
         for (index, upstream) in self.chooser.upstreams.values().enumerate() {
-            if !self.is_usable(upstream, Strictness::Sound) {
+            if !takes(upstream, EnginePhase::Decode) {
+                continue;
+            }
+            let far = self.chooser.distance_to(upstream) == DomainDistance::OtherRegion;
+            if far || !self.is_usable(upstream, Strictness::Sound) {
                 continue;
             }
             let name = upstream.announcement().name.as_str();
             let hash = xxh3_64_with_seed(name.as_bytes(), part.0);
-            let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-            let score = home_weight(upstream) / -uniform.ln();
-            if score > best {
-                best = score;
+            if best.is_none_or(|best| hash > best) {
+                best = Some(hash);
                 home = Some(index);
             }
         }
@@ -231,16 +327,6 @@
     }
 }
 
-/// Weight of an engine among the homes of prompt parts. An engine that only reads prompts is about
-/// twice as fast as one that reads them between the steps of running requests. Measured speeds are
-/// not used, because entries measure them differently and would disagree on the homes.
-fn home_weight(upstream: &DirectUpstream) -> f64 {
-    match upstream.announcement().phase {
-        Some(EnginePhase::Prefill) => 2.0,
-        _ => 1.0,
-    }
-}
-
 /// Whether an upstream does the work of a phase; plain upstreams run requests.
 fn takes(upstream: &DirectUpstream, phase: EnginePhase) -> bool {
     upstream.announcement().phase.unwrap_or(EnginePhase::Decode) == phase
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -4,6 +4,7 @@
 //! the upstream, and the part of the prompt that it must read. Work that waits is what this entry
 //! has sent and not seen answered, and what the other entries have last reported.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -116,6 +117,8 @@
     pub expected: Duration,
     /// Round trip to the upstream.
     pub trip: Duration,
+    /// Engine that keeps a longer begin of the prompt, which the upstream is to fetch.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// Candidates for a request.
@@ -236,11 +239,10 @@
             return Err(NoUpstream::Full(expected.saturating_sub(demand.time_left)));
         }
         let reader = found.reader;
-        let reads = reader.is_none();
         Ok(CallPlan {
             timing,
-            reader: reader.map(|reader| self.take(&reader, demand, true, timing, now)),
-            runner: self.take(&found.runner, demand, reads, timing, now),
+            reader: reader.map(|reader| self.take(&reader, demand, timing, now)),
+            runner: self.take(&found.runner, demand, timing, now),
         })
     }
 
@@ -275,10 +277,13 @@
         &mut self,
         candidate: &Candidate,
         demand: &CallDemand<'_>,
-        reads: bool,
         timing: CallTiming,
         now: TimePoint,
     ) -> ChosenUpstream {
+        let fetch_from = candidate.fetch_from.and_then(|index| {
+            let (_, keeper) = self.upstreams.get_index(index)?;
+            Some(keeper.announcement().address)
+        });
         let trip_ms = self
             .upstreams
             .get_index(candidate.index)
@@ -289,8 +294,15 @@
             .get_index_mut(candidate.index)
             .expect("the index was found in the table");
         ChosenUpstream {
-            work: upstream.begin(demand.prompt, cache_tokens, reads, timing, now),
+            work: upstream.begin(
+                demand.prompt,
+                cache_tokens,
+                candidate.read_tokens,
+                timing,
+                now,
+            ),
             trip: Duration::from_secs_f64(trip_ms / 1_000.0),
+            fetch_from,
             announcement: upstream.announcement().clone(),
             expected: candidate.expected(),
         }
@@ -378,13 +390,8 @@
         trip.as_secs_f64() * 1_000.0
     }
 
-    /// Time to copy a prompt from one engine to another, in milliseconds.
-    pub(crate) fn copy_ms(
-        &self,
-        from: &DirectUpstream,
-        to: &DirectUpstream,
-        prompt: &PromptShape,
-    ) -> f64 {
+    /// Time to copy tokens of a prompt from one engine to another, in milliseconds.
+    pub(crate) fn copy_ms(&self, from: &DirectUpstream, to: &DirectUpstream, tokens: u64) -> f64 {
         let Some(engine) = self.engine.filter(|engine| engine.copy_rate > 0) else {
             return f64::INFINITY;
         };
@@ -394,7 +401,7 @@
             DomainDistance::SameRegion => 2.0,
             DomainDistance::OtherRegion => 10.0,
         };
-        (prompt.input_tokens * engine.token_bytes) as f64 / engine.copy_rate as f64 * factor
+        (tokens * engine.token_bytes) as f64 / engine.copy_rate as f64 * factor
     }
 }
 
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -260,38 +260,29 @@
         self.others = load;
     }
 
-    /// Tokens that would have to be read.
-    fn tokens_to_read(&self, prompt: &PromptShape, home: bool) -> u64 {
+    /// Tokens of a prompt that it probably keeps.
+    pub fn kept_tokens(&self, prompt: &PromptShape, home: bool) -> u64 {
         let cached = self.parts.cached_tokens(prompt);
         if cached > 0 || !home {
-            return prompt.input_tokens.saturating_sub(cached);
+            return cached;
         }
         let own = prompt.parts.last().map_or(0, |part| part.tokens);
         let shared = prompt.input_tokens.saturating_sub(own);
-        prompt
-            .input_tokens
-            .saturating_sub((shared as f64 * HOME_PART) as u64)
+        (shared as f64 * HOME_PART) as u64
     }
 
     /// Time that reading a prompt takes up, in milliseconds.
-    pub fn read_ms(&self, prompt: &PromptShape, home: bool) -> f64 {
-        self.tokens_to_read(prompt, home) as f64 / self.speed
+    pub fn read_ms(&self, tokens: u64) -> f64 {
+        tokens as f64 / self.speed
     }
 
-    /// Expected time to the first event of a request, in milliseconds.
-    pub fn prompt_ms(
-        &self,
-        prompt: &PromptShape,
-        slots: u32,
-        home: bool,
-        timing: CallTiming,
-        now: TimePoint,
-    ) -> f64 {
+    /// Expected time to the first event of a request that has `tokens` to read, in milliseconds.
+    pub fn prompt_ms(&self, tokens: u64, slots: u32, timing: CallTiming, now: TimePoint) -> f64 {
         let load = self.own.plus(self.others);
         let queued_ms = load.tokens_ahead(timing) as f64 / self.speed;
         let wait_ms = queued_ms.max(self.seen_wait_ms(now));
         let place_ms = self.place_ms(slots, now);
-        self.base_ms + wait_ms.max(place_ms) + self.read_ms(prompt, home)
+        self.base_ms + wait_ms.max(place_ms) + self.read_ms(tokens)
     }
 
     /// Wait that requests on time have seen lately, in milliseconds. Counts of tokens miss what other
@@ -329,12 +320,12 @@
         mean_ms * (1.0 + ahead)
     }
 
-    /// Counts a request as sent; `reads` is the prompt that it must read here, if any.
+    /// Counts a request as sent; `read_tokens` must be read here.
     pub fn begin(
         &mut self,
         prompt: Option<&PromptShape>,
         cache_tokens: u64,
-        reads: bool,
+        read_tokens: u64,
         timing: CallTiming,
         now: TimePoint,
     ) -> RunningWork {
@@ -345,8 +336,8 @@
         };
         self.next_number += 1;
         if let Some(prompt) = prompt {
-            if reads {
-                work.read_tokens = self.tokens_to_read(prompt, false);
+            if read_tokens > 0 {
+                work.read_tokens = read_tokens;
                 work.ahead_tokens = self.own.plus(self.others).tokens_ahead(timing);
             }
             self.parts.note(prompt, cache_tokens);
