Forget the load of entries that stop

Change: the loads of entries are kept by LoadBoard, which has one way to add and one to remove; refused callers are told to return within 250 to 1000 ms instead of 100 to 400. Refusals log their inputs.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -14,6 +14,7 @@
 };
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::data_path::RunVerdict;
+use oriolecrank_schema::event::LogEvent;
 use rand::Rng as _;
 
 use crate::dialect::{
@@ -28,8 +29,9 @@
 const MAX_CONNECT_TRIES: u32 = 3;
 
 /// Shortest and longest time after which a refused caller may return. Spread out, so that callers
-/// refused together do not return together.
-const RETURN_MS: std::ops::Range<u64> = 100..400;
+/// refused together do not return together; long, because a burst lasts for seconds and callers
+/// return only once or twice.
+const RETURN_MS: std::ops::Range<u64> = 250..1_000;
 
 /// An attempt at a request that may be repeated is given up for another one after this many times the
 /// expected or targeted time, so that a silent upstream does not use up the time of the request.
@@ -195,9 +197,19 @@
         });
         let plan = match chosen {
             Ok(plan) => plan,
-            Err(_) if self.may_have_run => return Err(self.failure()),
-            Err(NoUpstream::Full(wait)) => return Err(refusal(wait)),
-            Err(NoUpstream::None) => return Err(refusal(Duration::ZERO)),
+            Err(reason) => {
+                tracing::info!(
+                    event = LogEvent::RequestRefused.number(),
+                    request = request.head.request_id,
+                    service = %request.service,
+                    ?reason,
+                    tried = self.tried.len(),
+                    time_left_ms = demand.time_left.as_millis() as u64,
+                    target_left_ms = demand.target_left.as_millis() as u64,
+                    "no upstream takes a request"
+                );
+                return Err(self.no_upstream(reason));
+            }
         };
         let call = |chosen, organisation| {
             let shared = Arc::clone(&self.shared);
@@ -216,6 +228,14 @@
         Ok((reader, call(plan.runner, request.organisation.clone())))
     }
 
+    fn no_upstream(&self, reason: NoUpstream) -> CallFailure {
+        match reason {
+            _ if self.may_have_run => self.failure(),
+            NoUpstream::Full(wait) => refusal(wait),
+            NoUpstream::None => refusal(Duration::ZERO),
+        }
+    }
+
     async fn attempt(
         &mut self,
         reader: Option<RunningCall<D>>,
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -129,7 +129,7 @@
             directory_revision: tables.directory.revision(),
             upstreams: tables.announcements(revision, BootClock.now()),
             other_loads: tables.loads_beside(&request.run),
-            entries: tables.entry_count(),
+            entries: tables.loads.entry_count(),
             members: members.collect(),
             unix_ms: self.clock.own_unix_ms(BootClock.now()),
         }
--- a/crates/oriolecrank-gateway/src/site_tables.rs
+++ b/crates/oriolecrank-gateway/src/site_tables.rs
@@ -1,29 +1,16 @@
 //! What a control instance knows outside the log.
 
-use std::sync::{Mutex, MutexGuard};
-use std::time::Duration;
-
-use indexmap::IndexMap;
 use oriolecrank_control::JoinTable;
 use oriolecrank_routing::{
-    EntryRun, MergeEffect, UpstreamAnnouncement, UpstreamDirectory, UpstreamLoad, UpstreamName,
+    EntryRun, LoadBoard, MergeEffect, UpstreamAnnouncement, UpstreamDirectory, UpstreamName,
     UsageCollector,
 };
 use oriolecrank_schema::TimePoint;
+use std::sync::{Mutex, MutexGuard};
 use tokio::sync::watch;
 
 use crate::site_messages::{AgedAnnouncement, NamedLoad, SyncRequest};
 
-/// An entry that has not synced for this long no longer counts: some syncs in a row.
-const ENTRY_LIFETIME: Duration = Duration::from_secs(4);
-
-/// Loads that one entry has reported.
-#[derive(Debug)]
-struct EntryReport {
-    loads: IndexMap<UpstreamName, UpstreamLoad>,
-    noted: TimePoint,
-}
-
 /// Tables of a control instance; rebuilt from messages after a restart.
 #[derive(Debug)]
 pub(crate) struct SiteTables {
@@ -44,9 +31,8 @@
     pub(crate) usage: UsageCollector,
     /// Instances that want to join the group.
     pub(crate) joins: JoinTable,
-    entries: IndexMap<EntryRun, EntryReport>,
-    /// Sum of the loads of all entries.
-    load: IndexMap<UpstreamName, UpstreamLoad>,
+    /// Loads that entries put on upstreams.
+    pub(crate) loads: LoadBoard,
 }
 
 impl SiteTables {
@@ -111,39 +97,20 @@
     pub(crate) fn note_entry(&mut self, request: &mut SyncRequest, now: TimePoint) {
         self.usage
             .note(&request.run, std::mem::take(&mut request.usage));
-        self.forget_entry(&request.run);
-        let loads = std::mem::take(&mut request.loads);
-        let loads: IndexMap<_, _> = loads
-            .into_iter()
-            .map(|named| (named.upstream, named.load))
-            .collect();
-        for (upstream, load) in &loads {
-            let total = self.load.entry(upstream.clone()).or_default();
-            *total = total.plus(*load);
-        }
-        let report = EntryReport { loads, noted: now };
-        if !request.stopping {
-            self.entries.insert(request.run.clone(), report);
+        let loads = std::mem::take(&mut request.loads).into_iter();
+        if request.stopping {
+            self.loads.forget(&request.run);
+        } else {
+            let loads = loads.map(|named| (named.upstream, named.load)).collect();
+            self.loads.note(&request.run, loads, now);
         }
     }
 
-    /// Number of entries that sync.
-    pub(crate) fn entry_count(&self) -> u32 {
-        self.entries.len() as u32
-    }
-
     /// Load of all entries but one.
     pub(crate) fn loads_beside(&self, run: &EntryRun) -> Vec<NamedLoad> {
-        let own = self.entries.get(run).map(|report| &report.loads);
-        let beside = self.load.iter().map(|(upstream, total)| {
-            let own = own.and_then(|loads| loads.get(upstream));
-            NamedLoad {
-                upstream: upstream.clone(),
-                load: total.minus(own.copied().unwrap_or_default()),
-            }
-        });
+        let beside = self.loads.beside(run).into_iter();
         beside
-            .filter(|named| named.load != UpstreamLoad::default())
+            .map(|(upstream, load)| NamedLoad { upstream, load })
             .collect()
     }
 
@@ -160,28 +127,6 @@
     /// Forgets entries and upstreams that are silent.
     pub(crate) fn prune(&mut self, now: TimePoint) {
         self.directory.prune(now);
-        let silent: Vec<EntryRun> = self
-            .entries
-            .iter()
-            .filter(|(_, report)| now.since(report.noted) > ENTRY_LIFETIME)
-            .map(|(run, _)| run.clone())
-            .collect();
-        for run in silent {
-            self.forget_entry(&run);
-        }
-    }
-
-    fn forget_entry(&mut self, run: &EntryRun) {
-        let Some(report) = self.entries.swap_remove(run) else {
-            return;
-        };
-        for (upstream, load) in report.loads {
-            if let Some(total) = self.load.get_mut(&upstream) {
-                *total = total.minus(load);
-                if *total == UpstreamLoad::default() {
-                    self.load.swap_remove(&upstream);
-                }
-            }
-        }
+        self.loads.prune(now);
     }
 }
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`RouteDocument`] is what operators put in force; [`RouteTable`] answers look-ups in it.
 //! - [`UpstreamDirectory`] merges what upstreams say of themselves.
 //! - [`DirectChooser`] takes an upstream for a request, by expected time to the first answer.
+//! - [`LoadBoard`] tells each entry what the others have sent.
 //! - [`ArrivalBudget`] bounds attempts beyond the first over all entries.
 //! - [`UsageCounter`] and [`UsageCollector`] count requests by organisation and window.
 //! - [`SiteState`] is the replicated state of the control group; [`next_members`] repairs the group.
@@ -13,6 +14,7 @@
 mod choice_search;
 mod direct_chooser;
 mod direct_upstream;
+mod load_board;
 mod member_repair;
 mod names;
 mod part_cache;
@@ -28,6 +30,7 @@
     CallDemand, CallPlan, ChooserSettings, ChosenUpstream, DirectChooser, NoUpstream,
 };
 pub use direct_upstream::{CallTiming, DirectUpstream, RunningWork, UpstreamLoad};
+pub use load_board::{LoadBoard, UpstreamLoads};
 pub use member_repair::{JoiningMember, MemberHealth, RepairSettings, next_members};
 pub use names::{DomainName, EntryName, OrganisationName, ServiceName, UpstreamName};
 pub use part_cache::PartCache;
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -3,6 +3,7 @@
 mod arrival_budget;
 mod direct_chooser;
 mod fixtures;
+mod load_board;
 mod member_repair;
 mod route_document;
 mod site_state;
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -54,6 +54,7 @@
     SuspectRefused = 214, "A request was refused because its fingerprint crashed upstreams.";
     SuspectNotCleared = 215, "A suspect ran to its end, but control could not be told; it expires after a time.";
     UpstreamEjected = 216, "An upstream is ejected for a time because its answers fail.";
+    RequestRefused = 217, "No upstream takes a request; the reason and the time that is left are in the line.";
     UsageReportFailed = 220, "A batch of usage records was not acknowledged; it is sent again.";
     UsageDropped = 221, "Usage records were dropped because too many waited, or not acknowledged before the end.";
     UpstreamAnnounced = 300, "An upstream was announced to the control group.";
