Let every entry sync with the leader, which reports usage

Cause: with six control instances an entry synced with three of them, and the leader missed the counts of the others (grown deployments: over half of the windows wrong; with three instances it never showed). Change: a sync names the leader, and entries keep it among their targets. Runs are counted in the window in which they begin, and a plain call whose answer is lost counts as run. A control instance whose disk fails waits 1.5 s before it ends.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -252,6 +252,9 @@
         };
         call.restart(now());
         let sent = self.send(&call, stage, resume_after).await;
+        if matches!(sent, Err(AttemptEnd::Lost)) {
+            call.lost();
+        }
         if matches!(sent, Err(AttemptEnd::NotConnected)) {
             self.prompt = prompt;
         } else {
--- a/crates/oriolecrank-gateway/src/control_site.rs
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -35,6 +35,9 @@
 /// Longest time for requests that run when the process stops.
 const STOP_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time between a failure of the data folder and the end of the process, which is then restarted.
+const FAILED_DISK_DELAY: Duration = Duration::from_millis(1_500);
+
 /// Settings of a control instance.
 #[derive(Debug, Clone)]
 pub struct ControlSiteOptions {
@@ -174,6 +177,8 @@
         }
         phase = replica.stopped() => {
             if let ReplicaPhase::Failed(reason) = phase {
+                // A full disk stays full for a while; the restart reads the folder again.
+                sleep(FAILED_DISK_DELAY).await;
                 return ReplicaFailedSnafu { reason }.fail();
             }
         }
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -18,7 +18,7 @@
 use crate::control_link::ControlLink;
 use crate::dialect::CallerDialect;
 use crate::entry_shared::EntryShared;
-use crate::site_messages::{SYNC_PATH, SyncAnswer, SyncRequest};
+use crate::site_messages::{KnownGroup, SYNC_PATH, SyncAnswer, SyncRequest};
 
 /// Control instances that an entry syncs with. Three see every committed change in time even if one
 /// is lost and one lags.
@@ -51,11 +51,11 @@
 impl<D: CallerDialect> EntrySync<D> {
     /// Runs until the process ends.
     pub(crate) async fn run(mut self) {
-        let (news, mut answers) = mpsc::channel::<Vec<SocketAddr>>(16);
+        let (news, mut answers) = mpsc::channel::<KnownGroup>(16);
         let mut targets: IndexMap<SocketAddr, AbortHandle> = IndexMap::new();
-        let mut members: Vec<SocketAddr> = Vec::new();
+        let mut group = KnownGroup::default();
         loop {
-            let wanted = self.wanted(&members);
+            let wanted = self.wanted(&group);
             targets.retain(|address, task| {
                 let keep = wanted.contains(address);
                 if !keep {
@@ -69,7 +69,7 @@
                         shared: Arc::clone(&self.shared),
                         link: self.link.clone(),
                         address,
-                        members: news.clone(),
+                        group: news.clone(),
                         control_run: 0,
                         directory_revision: 0,
                     };
@@ -78,9 +78,9 @@
             }
             tokio::select! {
                 answer = timeout(LOST_AFTER, answers.recv()) => match answer {
-                    Ok(Some(known)) if !known.is_empty() => members = known,
+                    Ok(Some(known)) if !known.members.is_empty() => group = known,
                     Ok(_) => {}
-                    Err(_) => members.clear(),
+                    Err(_) => group = KnownGroup::default(),
                 },
                 changed = self.seeds.changed() => if changed.is_err() {
                     // Nobody changes the seeds any more.
@@ -90,10 +90,10 @@
         }
     }
 
-    /// Instances to sync with: members of the group, else the seeds. Each entry begins at another
-    /// place in the list, so that a large group shares the work.
-    fn wanted(&self, members: &[SocketAddr]) -> Vec<SocketAddr> {
-        let mut known = members.to_vec();
+    /// Instances to sync with: the leader and other members of the group, else the seeds. Each entry
+    /// begins at another place in the list, so that a large group shares the work.
+    fn wanted(&self, group: &KnownGroup) -> Vec<SocketAddr> {
+        let mut known = group.members.clone();
         if known.is_empty() {
             known.clone_from(&self.seeds.borrow());
         }
@@ -101,6 +101,8 @@
         if known.len() > MAX_TARGETS {
             let start = self.shared.options.run.run as usize % known.len();
             known.rotate_left(start);
+            // A stable sort keeps the order of the others.
+            known.sort_by_key(|address| Some(*address) != group.leader);
             known.truncate(MAX_TARGETS);
         }
         known
@@ -113,7 +115,7 @@
     shared: Arc<EntryShared<D>>,
     link: ControlLink,
     address: SocketAddr,
-    members: mpsc::Sender<Vec<SocketAddr>>,
+    group: mpsc::Sender<KnownGroup>,
     control_run: u64,
     directory_revision: u64,
 }
@@ -189,6 +191,9 @@
         self.control_run = answer.control_run;
         self.directory_revision = answer.directory_revision;
         // A full queue holds newer answers of the other targets.
-        let _ = self.members.try_send(answer.members);
+        let _ = self.group.try_send(KnownGroup {
+            members: answer.members,
+            leader: answer.leader,
+        });
     }
 }
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -120,6 +120,7 @@
                 .cloned()
         };
         let own = self.publisher.replica.status().node;
+        let leader = self.publisher.replica.leader();
         let members = own.membership.members.iter();
         let members = members.filter_map(|member| member.address.parse().ok());
         let tables = self.tables.lock();
@@ -131,6 +132,7 @@
             other_loads: tables.loads_beside(&request.run),
             entries: tables.loads.entry_count(),
             members: members.collect(),
+            leader: leader.and_then(|leader| leader.address.parse().ok()),
             unix_ms: self.clock.own_unix_ms(BootClock.now()),
         }
     }
--- a/crates/oriolecrank-gateway/src/running_call.rs
+++ b/crates/oriolecrank-gateway/src/running_call.rs
@@ -50,18 +50,33 @@
             .with_lane(&self.service, |lane| lane.chooser.restart(chosen, now));
     }
 
-    /// The upstream has begun to run the request.
+    /// The upstream has shown that it runs the request, by a first event or the head of an answer.
     pub(crate) fn begin(&mut self, now: TimePoint) {
         if std::mem::replace(&mut self.begun, true) {
             return;
         }
         let elapsed = now.since(self.sent);
         let chosen = &mut self.chosen;
-        self.shared.with_lane(&self.service, |lane| {
+        let begun = self.shared.with_lane(&self.service, |lane| {
             lane.chooser.first_answer(chosen, elapsed, now);
+            lane.chooser.begin_time(chosen, self.sent, now)
         });
+        self.count(begun);
+    }
+
+    /// The answer was lost. A plain call that was sent has most probably run.
+    pub(crate) fn lost(&mut self) {
+        if self.begun || self.chosen.announcement.phase.is_some() {
+            return;
+        }
+        self.begun = true;
+        self.count(self.sent + self.chosen.trip / 2);
+    }
+
+    /// Counts the run in the usage window of its begin.
+    fn count(&self, begun: TimePoint) {
         if let Some(organisation) = &self.organisation {
-            self.shared.count_usage(organisation, now);
+            self.shared.count_usage(organisation, begun);
         }
     }
 
--- a/crates/oriolecrank-gateway/src/site_messages.rs
+++ b/crates/oriolecrank-gateway/src/site_messages.rs
@@ -39,6 +39,15 @@
     pub(crate) stopping: bool,
 }
 
+/// Control group as a control instance knows it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct KnownGroup {
+    /// Internal addresses of the members.
+    pub(crate) members: Vec<SocketAddr>,
+    /// Internal address of the leader.
+    pub(crate) leader: Option<SocketAddr>,
+}
+
 /// Load of one upstream.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct NamedLoad {
@@ -65,6 +74,9 @@
     pub(crate) entries: u32,
     /// Internal addresses of the control group.
     pub(crate) members: Vec<SocketAddr>,
+    /// Internal address of the leader, which needs the counts of every entry.
+    #[serde(default)]
+    pub(crate) leader: Option<SocketAddr>,
     /// Unix time of the control instance, in milliseconds.
     pub(crate) unix_ms: u64,
 }
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -323,6 +323,27 @@
         }
     }
 
+    /// When a request has begun at its upstream, given when it was sent and when it showed its first
+    /// answer. A plain call begins when it arrives; an engine collects some tokens into an event.
+    pub fn begin_time(
+        &self,
+        chosen: &ChosenUpstream,
+        sent: TimePoint,
+        answered: TimePoint,
+    ) -> TimePoint {
+        let one_way = chosen.trip / 2;
+        if chosen.announcement.phase.is_none() {
+            return sent + one_way;
+        }
+        let upstream = self.upstreams.get(&chosen.announcement.name);
+        let collected = upstream.map_or(Duration::ZERO, DirectUpstream::collect_time);
+        let since = one_way + collected;
+        let begun_ms = answered
+            .as_millis()
+            .saturating_sub(since.as_millis() as u64);
+        TimePoint::from_millis(begun_ms).max(sent)
+    }
+
     /// The upstream has refused a request because it is full.
     pub fn refused(&mut self, name: &str, now: TimePoint) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -212,6 +212,11 @@
         &self.announcement
     }
 
+    /// Time from the first token of a run to the first event, which holds several tokens.
+    pub fn collect_time(&self) -> Duration {
+        Duration::from_secs_f64((self.base_ms - FIRST_STEP_MS).max(0.0) / 1_000.0)
+    }
+
     /// Start of the incarnation.
     pub const fn started_ms(&self) -> u64 {
         self.announcement.started_ms
