Give up an attempt only at a silent upstream

Change: an attempt is given up only if the upstream has answered nothing since and another attempt is in the budget; a timeout counts as a failure of the upstream under the same rule.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -16,6 +16,7 @@
 use oriolecrank_schema::data_path::RunVerdict;
 use oriolecrank_schema::event::LogEvent;
 use rand::Rng as _;
+use tokio::time::timeout;
 
 use crate::dialect::{
     AnswerHead, AttemptHead, AttemptStage, CallFailure, CallHead, CallerDialect, PromptHandle,
@@ -100,6 +101,8 @@
     may_have_run: bool,
     /// Rank for the upstream.
     rank: u8,
+    /// The next attempt is taken off the budget already.
+    prepaid: bool,
 }
 
 impl<D: CallerDialect> CallRunner<D> {
@@ -115,6 +118,7 @@
             prompt: None,
             may_have_run: false,
             rank: 0,
+            prepaid: false,
         }
     }
 
@@ -159,6 +163,23 @@
         }
     }
 
+    /// Takes an extra attempt before the present one is given up; false if there is none.
+    fn prepay(&mut self) -> bool {
+        let route = &self.request.route;
+        if !route.may_repeat() || self.runs + 1 >= route.max_attempts {
+            return false;
+        }
+        self.prepaid = self.take_extra();
+        self.prepaid
+    }
+
+    fn take_extra(&self) -> bool {
+        let (grant, entries) = (&self.shared.options.grant, self.shared.entries());
+        self.shared.with_lane(&self.request.service, |lane| {
+            lane.budget.take(grant, entries, now())
+        })
+    }
+
     fn may_try_again(&mut self) -> bool {
         let route = &self.request.route;
         let present = now();
@@ -171,10 +192,7 @@
         if self.runs >= route.max_attempts || self.connect_tries >= MAX_CONNECT_TRIES {
             return false;
         }
-        let (grant, entries) = (&self.shared.options.grant, self.shared.entries());
-        self.shared.with_lane(&self.request.service, |lane| {
-            lane.budget.take(grant, entries, present)
-        })
+        std::mem::take(&mut self.prepaid) || self.take_extra()
     }
 
     /// Chooses upstreams; the first one, if any, only reads the prompt.
@@ -340,16 +358,29 @@
         *message.method_mut() = request.method.clone();
         *message.uri_mut() = request.uri.clone();
         *message.headers_mut() = fields;
-        let bound = self.patience(call.chosen.expected).min(time_left);
         self.tried.push(upstream.name.clone());
-        let sent = self
-            .shared
-            .client
-            .send(upstream.address, message, bound)
-            .await;
+        let patience = self.patience(call.chosen.expected);
+        let client = self.shared.client.clone();
+        let sending = client.send(upstream.address, message, time_left);
+        tokio::pin!(sending);
+        let sent = match timeout(patience, &mut sending).await {
+            Ok(sent) => sent,
+            // An upstream that answers others will come to this request too.
+            Err(_) if call.upstream_answers() || !self.prepay() => sending.await,
+            Err(_) => {
+                tracing::info!(
+                    request = self.request.head.request_id,
+                    upstream = %upstream.name,
+                    patience_ms = patience.as_millis() as u64,
+                    "an attempt is given up for another one"
+                );
+                call.record(UpstreamOutcome::Failed, now());
+                return Err(AttemptEnd::Lost);
+            }
+        };
         let response = match sent {
             Ok(response) => response,
-            Err(error) => return Err(self.failed(call, &error, bound)),
+            Err(error) => return Err(self.failed(call, &error)),
         };
         let head = self
             .shared
@@ -376,28 +407,26 @@
     }
 
     /// Takes the failure of an attempt.
-    fn failed(&self, call: &RunningCall<D>, error: &SendError, bound: Duration) -> AttemptEnd {
+    fn failed(&self, call: &RunningCall<D>, error: &SendError) -> AttemptEnd {
         tracing::info!(
             request = self.request.head.request_id,
             upstream = %call.chosen.announcement.name,
             %error,
-            bound_ms = bound.as_millis() as u64,
             "an attempt got no answer"
         );
-        call.record(UpstreamOutcome::Failed, now());
+        let timed_out = matches!(error, SendError::AnswerTimeout { .. });
+        if !(timed_out && call.upstream_answers()) {
+            call.record(UpstreamOutcome::Failed, now());
+        }
         if error.verdict() == RunVerdict::NotRun {
             return AttemptEnd::NotConnected;
         }
         AttemptEnd::Lost
     }
 
-    /// Longest wait for the head of an answer.
+    /// Wait for the head of an answer after which another attempt may be better.
     fn patience(&self, expected: Duration) -> Duration {
         let route = &self.request.route;
-        let last = self.runs + 1 >= route.max_attempts;
-        if !route.may_repeat() || last {
-            return Duration::MAX;
-        }
         let usual = expected.max(route.answer_target) * PATIENCE_FACTOR;
         usual.max(MIN_PATIENCE)
     }
--- a/crates/oriolecrank-gateway/src/running_call.rs
+++ b/crates/oriolecrank-gateway/src/running_call.rs
@@ -92,6 +92,14 @@
             .with_lane(&self.service, |lane| lane.chooser.refused(name, now));
     }
 
+    /// Whether the upstream has answered other requests since this one was sent.
+    pub(crate) fn upstream_answers(&self) -> bool {
+        let name = self.chosen.announcement.name.as_str();
+        self.shared.with_lane(&self.service, |lane| {
+            lane.chooser.has_answered(name, self.sent)
+        })
+    }
+
     /// Takes what the end of the attempt says about the upstream.
     pub(crate) fn record(&self, outcome: UpstreamOutcome, now: TimePoint) {
         let name = &self.chosen.announcement.name;
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -368,6 +368,13 @@
         }
     }
 
+    /// Whether an upstream has answered this entry after `since`. One that answers others while a
+    /// request waits is slow or full, but it has not failed.
+    pub fn has_answered(&self, name: &str, since: TimePoint) -> bool {
+        let upstream = self.upstreams.get(name);
+        upstream.is_some_and(|upstream| upstream.has_answered(since))
+    }
+
     /// Takes the outcome of an attempt; true if the upstream is ejected because of it.
     pub fn record(
         &mut self,
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -169,6 +169,8 @@
     recent_wait_ms: f64,
     /// Time of the newest observation in `recent_wait_ms`.
     observed: TimePoint,
+    /// Time of the newest answer of any kind.
+    answered: Option<TimePoint>,
     /// Time of the newest refusal because it was full.
     refused: Option<TimePoint>,
     /// Mean reading speed, in tokens per millisecond; above 0.
@@ -194,6 +196,7 @@
             base_ms: FIRST_STEP_MS,
             recent_wait_ms: 0.0,
             observed: heard,
+            answered: None,
             refused: None,
             speed,
             weight: 1.0,
@@ -217,6 +220,11 @@
         Duration::from_secs_f64((self.base_ms - FIRST_STEP_MS).max(0.0) / 1_000.0)
     }
 
+    /// Whether it has answered this entry after `since`.
+    pub fn has_answered(&self, since: TimePoint) -> bool {
+        self.answered.is_some_and(|answered| answered > since)
+    }
+
     /// Start of the incarnation.
     pub const fn started_ms(&self) -> u64 {
         self.announcement.started_ms
@@ -371,6 +379,7 @@
 
     /// A request has shown its first answer, `elapsed` after it was sent and without the way there.
     pub fn first_answer(&mut self, work: &mut RunningWork, elapsed: Duration, now: TimePoint) {
+        self.answered = Some(now);
         self.own = self.own.minus(work.load());
         work.begun = true;
         self.begun.insert(work.number, now);
@@ -401,6 +410,7 @@
 
     /// The upstream has refused a request because it is full.
     pub const fn refused(&mut self, now: TimePoint) {
+        self.answered = Some(now);
         self.refused = Some(now);
     }
 
