Tell entries less often that an upstream is there, and send only new counts

Change: a statement that changes nothing is passed on once in 2 s; a sync carries the counts that the receiver has not acknowledged.

--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -9,7 +9,7 @@
 
 use indexmap::IndexMap;
 use oriolecrank_net::BootClock;
-use oriolecrank_routing::{RouteTable, WindowCounts};
+use oriolecrank_routing::{RouteTable, WindowCounts, unseen_counts};
 use oriolecrank_schema::event::LogEvent;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
@@ -36,9 +36,6 @@
 /// Time without any answer after which the seeds are asked again.
 const LOST_AFTER: Duration = Duration::from_secs(2);
 
-/// Windows whose counts are sent with each sync: the open one and the one before.
-const SENT_WINDOWS: usize = 2;
-
 /// Task that keeps the targets.
 #[derive(Debug)]
 pub(crate) struct EntrySync<D> {
@@ -72,6 +69,7 @@
                         group: news.clone(),
                         control_run: 0,
                         directory_revision: 0,
+                        acknowledged: Vec::new(),
                     };
                     tokio::spawn(target.run()).abort_handle()
                 });
@@ -118,13 +116,16 @@
     group: mpsc::Sender<KnownGroup>,
     control_run: u64,
     directory_revision: u64,
+    /// Counts of usage windows that it has.
+    acknowledged: Vec<WindowCounts>,
 }
 
 impl<D: CallerDialect> SyncTarget<D> {
     async fn run(mut self) {
         let mut reached = true;
         loop {
-            let request = self.request();
+            let counts = self.shared.lock_usage().windows().to_vec();
+            let request = self.request(&counts);
             let link = &self.link;
             let answer = link.call(self.address, SYNC_PATH, &request, SYNC_TIMEOUT);
             match answer.await {
@@ -133,7 +134,7 @@
                         tracing::info!(address = %self.address, "control is reached again");
                     }
                     reached = true;
-                    self.take(answer);
+                    self.take(answer, counts);
                     sleep(MIN_INTERVAL).await;
                 }
                 Err(error) => {
@@ -148,15 +149,10 @@
         }
     }
 
-    fn request(&self) -> SyncRequest {
+    /// `sent` are the counts of all usage windows.
+    fn request(&self, sent: &[WindowCounts]) -> SyncRequest {
         let shared = &self.shared;
-        let usage: Vec<WindowCounts> = {
-            let usage = shared.lock_usage();
-            let windows = usage.windows();
-            let all = self.control_run == 0;
-            let sent = if all { windows.len() } else { SENT_WINDOWS };
-            windows[windows.len().saturating_sub(sent)..].to_vec()
-        };
+        let usage = unseen_counts(sent, &self.acknowledged);
         SyncRequest {
             run: shared.options.run.clone(),
             document_version: shared.version(),
@@ -168,7 +164,11 @@
         }
     }
 
-    fn take(&mut self, answer: SyncAnswer) {
+    /// Takes an answer to a sync that sent the given counts.
+    fn take(&mut self, answer: SyncAnswer, counts: Vec<WindowCounts>) {
+        // A control instance that has restarted has seen only this sync.
+        let known_run = answer.control_run == self.control_run;
+        self.acknowledged = if known_run { counts } else { Vec::new() };
         let now = BootClock.now();
         let shared = &self.shared;
         shared.clock.note(self.address, answer.unix_ms, now);
--- a/crates/oriolecrank-gateway/src/site_server.rs
+++ b/crates/oriolecrank-gateway/src/site_server.rs
@@ -83,7 +83,7 @@
         }
         if effect == MergeEffect::Changed && leaving {
             self.gossip.spread_now(announcement).await;
-        } else if effect != MergeEffect::Stale {
+        } else if matches!(effect, MergeEffect::Changed | MergeEffect::Refreshed) {
             self.gossip.spread(announcement);
         }
         SiteReply::Accepted
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -47,4 +47,5 @@
 };
 pub use usage_window::{
     EntryRun, OrganisationCounts, UsageCollector, UsageCounter, WindowCounts, WindowNumber,
+    unseen_counts,
 };
--- a/crates/oriolecrank-routing/src/upstream_directory.rs
+++ b/crates/oriolecrank-routing/src/upstream_directory.rs
@@ -84,8 +84,10 @@
     pub heard: TimePoint,
     /// Revision of the directory at the last change that matters to entries.
     pub changed: u64,
-    /// Revision at the last statement, also one that changed nothing.
+    /// Revision at the last statement that entries are told of, also one that changed nothing.
     pub refreshed: u64,
+    /// Time of that statement.
+    pub told: TimePoint,
 }
 
 /// Effect of an announcement.
@@ -93,8 +95,11 @@
 pub enum MergeEffect {
     /// Something changed that entries must know.
     Changed,
-    /// The statement is newer, but says the same as the one before.
+    /// The statement is newer, but says the same as the one before; others should know that the
+    /// upstream is there.
     Refreshed,
+    /// As above, but others have been told a moment ago.
+    Repeated,
     /// The statement is not newer than what is known.
     Stale,
 }
@@ -105,6 +110,9 @@
     /// A record of an upstream that has left is kept for this long, so that a delayed statement does
     /// not bring it back. Statements may be delayed by some seconds on the way.
     pub keep_left: Duration,
+    /// Others are told that an upstream is there at most once in this time; it must be well below the
+    /// silence after which entries avoid an upstream.
+    pub refresh_every: Duration,
     /// A silent upstream is dropped after this time. Long, because a partition between upstreams
     /// and control does not stop them from serving.
     pub keep_silent: Duration,
@@ -114,6 +122,7 @@
     fn default() -> Self {
         Self {
             keep_left: Duration::from_mins(1),
+            refresh_every: Duration::from_secs(2),
             keep_silent: Duration::from_mins(1),
         }
     }
@@ -172,13 +181,22 @@
             }
         }
         let changed = known.is_none_or(|known| !known.announcement.same_meaning(&statement));
-        let heard = known.map_or(heard, |known| known.heard.max(heard));
-        self.revision += 1;
-        let last_change = known.map_or(self.revision, |known| known.changed);
+        let last = known.map(|known| (known.heard, known.changed, known.refreshed, known.told));
+        let (last_heard, last_change, last_refresh, last_told) = last.unwrap_or_default();
+        let heard = last_heard.max(heard);
+        let refreshes = changed || heard.since(last_told) >= self.settings.refresh_every;
+        if refreshes {
+            self.revision += 1;
+        }
         let record = UpstreamRecord {
             heard,
             changed: if changed { self.revision } else { last_change },
-            refreshed: self.revision,
+            refreshed: if refreshes {
+                self.revision
+            } else {
+                last_refresh
+            },
+            told: if refreshes { heard } else { last_told },
             announcement: statement,
         };
         self.retire_predecessors(&record.announcement);
@@ -188,7 +206,11 @@
             self.changed = self.revision;
             return MergeEffect::Changed;
         }
-        MergeEffect::Refreshed
+        if refreshes {
+            MergeEffect::Refreshed
+        } else {
+            MergeEffect::Repeated
+        }
     }
 
     /// Notes that the upstream called `name` has left, for a farewell that names nothing else.
--- a/crates/oriolecrank-routing/src/usage_window.rs
+++ b/crates/oriolecrank-routing/src/usage_window.rs
@@ -86,6 +86,25 @@
     }
 }
 
+/// Counts that a receiver has not seen: what differs between the present windows and those that it
+/// has acknowledged. Counts only grow, so the receiver keeps the larger of two.
+pub fn unseen_counts(present: &[WindowCounts], acknowledged: &[WindowCounts]) -> Vec<WindowCounts> {
+    let unseen = present.iter().map(|WindowCounts { window, counts }| {
+        let seen = acknowledged.iter().find(|seen| seen.window == *window);
+        let is_unseen = |organisation: &OrganisationName, count: u64| {
+            seen.and_then(|seen| seen.counts.get(organisation)) != Some(&count)
+        };
+        let counts = counts
+            .iter()
+            .filter(|(name, count)| is_unseen(name, **count));
+        WindowCounts {
+            window: *window,
+            counts: counts.map(|(name, count)| (name.clone(), *count)).collect(),
+        }
+    });
+    unseen.filter(|window| !window.counts.is_empty()).collect()
+}
+
 /// Identity of one run of an entry process; its counts start anew with each run.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EntryRun {
--- a/crates/oriolecrank-routing/tests/routing/upstream_directory.rs
+++ b/crates/oriolecrank-routing/tests/routing/upstream_directory.rs
@@ -77,10 +77,16 @@
     let changed = directory.changed();
     assert_eq!(
         directory.merge(announcement("u", 5, 2), at(1)),
+        MergeEffect::Repeated
+    );
+    assert_eq!(directory.since(changed).count(), 0);
+    assert_eq!(
+        directory.merge(announcement("u", 5, 3), at(2_000)),
         MergeEffect::Refreshed
     );
+    assert_eq!(directory.since(changed).count(), 1);
     assert_eq!(directory.changed(), changed);
-    assert_eq!(directory.get("u").unwrap().heard, at(1));
+    assert_eq!(directory.get("u").unwrap().heard, at(2_000));
 }
 
 #[test]
@@ -88,6 +94,7 @@
     let settings = DirectorySettings {
         keep_left: Duration::from_secs(10),
         keep_silent: Duration::from_secs(20),
+        ..DirectorySettings::default()
     };
     let mut directory = UpstreamDirectory::new(settings);
     directory.merge(announcement("u", 5, 1), at(0));
--- a/crates/oriolecrank-routing/tests/routing/usage_window.rs
+++ b/crates/oriolecrank-routing/tests/routing/usage_window.rs
@@ -4,6 +4,7 @@
 
 use oriolecrank_routing::{
     EntryName, EntryRun, OrganisationName, UsageCollector, UsageCounter, WindowNumber,
+    unseen_counts,
 };
 
 fn run(entry: &str, run: u64) -> EntryRun {
@@ -64,3 +65,32 @@
         .collect();
     assert_eq!(kept, [8, 9, 10, 11, 12, 13]);
 }
+
+#[test]
+fn a_receiver_that_gets_only_what_it_has_not_seen_has_the_same_total() {
+    let names = ["a", "b", "c"].map(OrganisationName::from);
+    let mut counter = UsageCounter::default();
+    let mut collector = UsageCollector::default();
+    let mut acknowledged = Vec::new();
+    for step in 0..30_usize {
+        counter.count(&names[step * step % 3], WindowNumber(step as u64 / 10));
+        // Every third report is lost.
+        if step % 3 > 0 {
+            let unseen = unseen_counts(counter.windows(), &acknowledged);
+            collector.note(&run("a", 1), unseen);
+            acknowledged = counter.windows().to_vec();
+        }
+    }
+    for counts in counter.windows() {
+        let total = collector.total(counts.window);
+        for (name, count) in &counts.counts {
+            assert_eq!(
+                total.get(name),
+                Some(count),
+                "{name} in {:?}",
+                counts.window
+            );
+        }
+    }
+    assert!(unseen_counts(counter.windows(), &acknowledged).is_empty());
+}
