--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -23,6 +23,10 @@
 /// there for the next one.
 const HOME_BONUS_MS: f64 = 4.0;
 
+/// Cost of a way to another region beside its time, in milliseconds: traffic between regions is paid by
+/// volume, and the shared parts of the prompt are kept in the own region.
+const OTHER_REGION_MS: f64 = 120.0;
+
 /// Fewest tokens that are worth a fetch from another engine.
 const MIN_FETCH_TOKENS: u64 = 512;
 
@@ -270,7 +274,8 @@
             };
             let factor = cold / upstream.weight.max(MIN_WEIGHT);
             let expected_ms = self.chooser.trip_ms(upstream) + work.answer_ms * factor;
-            let cost_ms = expected_ms + work.occupied_ms * factor * OCCUPANCY_WEIGHT;
+            let cost_ms =
+                expected_ms + work.occupied_ms * factor * OCCUPANCY_WEIGHT + self.far_ms(upstream);
             let spread_ms = cost_ms * (1.0 + SPREAD * random.random::<f64>());
             if spread_ms < best_ms {
                 best_ms = spread_ms;
@@ -286,6 +291,14 @@
         best
     }
 
+    /// Cost of a way to another region beside its time, in milliseconds.
+    fn far_ms(&self, upstream: &DirectUpstream) -> f64 {
+        match self.chooser.distance_to(upstream) {
+            DomainDistance::OtherRegion => OTHER_REGION_MS,
+            DomainDistance::Same | DomainDistance::SameRegion => 0.0,
+        }
+    }
+
     fn is_usable(&self, upstream: &DirectUpstream, strictness: Strictness) -> bool {
         let announcement = upstream.announcement();
         let ready = announcement.state == UpstreamState::Ready;
