Weigh reading at engines that run requests; bound connections over all entries

Cause: a prompt that is read at an engine which also runs requests lengthens the steps of all of them, and the choice counted only its own time. The connections that a document states for an upstream were not kept to. The adapter derived times and the size of the control group, which are decisions. Change: such reading weighs twice; an entry takes at most its part of the connections and keeps six idle ones for each address; the derived values moved to the gateway and to the repair of the group.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -208,6 +208,7 @@
             time_left: request.deadline.since(present),
             target_left: request.target.since(present),
             timing: CallTiming::OnTime,
+            entries: self.shared.entries(),
             may_read_first: !self.may_have_read && resume_after.is_none(),
         };
         let chosen = self.shared.with_lane(&request.service, |lane| {
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -33,7 +33,7 @@
     pub grant: ArrivalGrant,
     /// Length of a usage window.
     pub usage_window: Duration,
-    /// Time between the signal to stop and the end of the process.
+    /// Time between the signal to stop and the moment at which the process is killed.
     pub stop_limit: Duration,
 }
 
@@ -128,6 +128,7 @@
         for service in table.services() {
             let lane = self.lane(&mut tables, &service.name);
             lane.chooser.set_engine(service.engine);
+            lane.chooser.set_connections(service.max_connections);
         }
         true
     }
--- a/crates/oriolecrank-gateway/src/entry_site.rs
+++ b/crates/oriolecrank-gateway/src/entry_site.rs
@@ -27,6 +27,9 @@
 /// takes an entry out after two refusals, and a connection may be on its way.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(3_500);
 
+/// Part of the time to stop that is used, so that the process ends before it is killed.
+const STOP_PART: f64 = 0.94;
+
 /// Callers reuse connections that were idle for up to four fifths of the idle timeout of the
 /// document, which is 15 s; the entry must not close one before.
 const CALLER_IDLE: Duration = Duration::from_secs(20);
@@ -56,7 +59,9 @@
     let client = HttpClient::new(ClientSettings {
         connect_timeout: Duration::from_millis(400),
         idle_limit: Duration::from_secs(8),
-        idle_per_address: 24,
+        // All entries together must stay below what an upstream accepts, about 130 connections; idle
+        // ones beyond a few are rarely used again.
+        idle_per_address: 6,
         unacknowledged_limit: Some(Duration::from_millis(1_500)),
     });
     let link = ControlLink {
@@ -92,7 +97,9 @@
     shared.stop();
     sleep(ACCEPT_AFTER_STOP).await;
     closing.trigger();
-    let left = stop_limit.saturating_sub(ACCEPT_AFTER_STOP);
+    let left = stop_limit
+        .mul_f64(STOP_PART)
+        .saturating_sub(ACCEPT_AFTER_STOP);
     if timeout(left, serving).await.is_err() {
         tracing::warn!(
             event = LogEvent::ShutdownForced.number(),
--- a/crates/oriolecrank-gateway/src/usage_duty.rs
+++ b/crates/oriolecrank-gateway/src/usage_duty.rs
@@ -34,15 +34,16 @@
     pub address: SocketAddr,
     /// Length of a window.
     pub window: Duration,
-    /// Time after its end at which a window is closed. Entries send their counts about twice a
-    /// second; the rest is for entries that are cut off for a while.
-    pub close_after: Duration,
     /// Time after its end at which a report is due.
     pub due_after: Duration,
     /// Time for which a leader waits before it acts, so that its predecessor has stopped.
     pub lease: Duration,
 }
 
+/// Part of the time until a report is due after which a window is closed. Entries send their counts
+/// about twice a second; the rest is for entries that are cut off for a while, and for the report.
+const CLOSE_PART: f64 = 0.35;
+
 /// Task that reports usage while this instance leads.
 #[derive(Debug)]
 pub(crate) struct UsageDuty<D> {
@@ -96,7 +97,7 @@
         let unix_ms = self.clock.unix_ms(now);
         let ended = |after: Duration| unix_ms.saturating_sub(after.as_millis() as u64);
         // The window that contains a point is not over; the one before is.
-        let newest = WindowNumber::at(ended(rules.close_after), rules.window)
+        let newest = WindowNumber::at(ended(rules.due_after.mul_f64(CLOSE_PART)), rules.window)
             .0
             .saturating_sub(1);
         let oldest = WindowNumber::at(ended(rules.due_after), rules.window)
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -23,6 +23,10 @@
 /// there for the next one.
 const HOME_BONUS_MS: f64 = 4.0;
 
+/// Weight of reading at an engine that also runs requests: each piece of a prompt lengthens the steps
+/// of all of them, so that their places come free later.
+const RUNNING_WEIGHT: f64 = 2.0;
+
 /// Cost of a way to another region beside its time, in milliseconds: traffic between regions is paid by
 /// volume, and the shared parts of the prompt are kept in the own region.
 const OTHER_REGION_MS: f64 = 120.0;
@@ -207,9 +211,11 @@
         fetch_from: Option<usize>,
     ) -> WorkTime {
         let (slots, timing) = (self.slots(upstream), self.demand.timing);
+        let runs = takes(upstream, EnginePhase::Decode);
+        let slowdown = if runs { RUNNING_WEIGHT } else { 1.0 };
         WorkTime {
             answer_ms: upstream.prompt_ms(read_tokens, slots, timing, self.now),
-            occupied_ms: upstream.read_ms(read_tokens),
+            occupied_ms: upstream.read_ms(read_tokens) * slowdown,
             read_tokens,
             fetch_from,
         }
@@ -305,6 +311,9 @@
         if !ready || self.demand.tried.contains(&announcement.name) {
             return false;
         }
+        if !self.chooser.may_connect(upstream, self.demand.entries) {
+            return false;
+        }
         let silent = self.now.since(upstream.heard()) > self.chooser.settings.silent_after;
         strictness == Strictness::Any || (upstream.weight > 0.0 && !silent)
     }
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -82,6 +82,8 @@
     pub target_left: Duration,
     /// Set by the chooser.
     pub timing: CallTiming,
+    /// Entries that share the connections of an upstream.
+    pub entries: u32,
     /// Another engine than the one that runs the request may read the prompt.
     pub may_read_first: bool,
 }
@@ -134,6 +136,8 @@
     pub(crate) settings: ChooserSettings,
     /// What the document says of the service's engines.
     pub(crate) engine: Option<EngineSheet>,
+    /// Connections that an upstream accepts from all entries together; 0 if the document states none.
+    max_connections: u32,
     pub(crate) upstreams: IndexMap<UpstreamName, DirectUpstream>,
     ejection: OutlierEjection,
     /// Mean time of a plain call, in milliseconds.
@@ -148,6 +152,7 @@
     pub fn new(settings: ChooserSettings) -> Self {
         Self {
             engine: None,
+            max_connections: 0,
             upstreams: IndexMap::new(),
             ejection: OutlierEjection::new(settings.ejection.clone()),
             call_ms: settings.first_call.as_secs_f64() * 1_000.0,
@@ -160,6 +165,17 @@
         self.engine = engine;
     }
 
+    /// Takes over how many connections an upstream accepts from all entries together.
+    pub const fn set_connections(&mut self, max_connections: u32) {
+        self.max_connections = max_connections;
+    }
+
+    /// Whether this entry may open another connection to an upstream; each running request has one.
+    pub(crate) fn may_connect(&self, upstream: &DirectUpstream, entries: u32) -> bool {
+        let own_part = (self.max_connections / entries.max(1)).max(1);
+        self.max_connections == 0 || upstream.own_running() < own_part
+    }
+
     /// Takes over what an upstream says of itself; `heard` is the time of the statement.
     pub fn announce(&mut self, announcement: &UpstreamAnnouncement, heard: TimePoint) {
         if announcement.state == UpstreamState::Left {
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -248,6 +248,11 @@
         }
     }
 
+    /// Requests of this entry that run or wait here.
+    pub const fn own_running(&self) -> u32 {
+        self.own.running
+    }
+
     /// Own runs that hold their places for long.
     fn own_held(&self, now: TimePoint) -> u32 {
         let long = |begun: &TimePoint| now.since(*begun) >= LONG_HOLD;
--- a/crates/oriolecrank-routing/src/member_repair.rs
+++ b/crates/oriolecrank-routing/src/member_repair.rs
@@ -19,6 +19,16 @@
     pub forget_after: Duration,
 }
 
+impl RepairSettings {
+    /// Settings of a group that survives the loss of `losses` instances at the same time.
+    pub fn for_losses(losses: usize) -> Self {
+        Self {
+            voters: 2 * losses + 1,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for RepairSettings {
     fn default() -> Self {
         Self {
--- a/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
+++ b/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
@@ -46,6 +46,7 @@
         time_left: Duration::from_secs(2),
         target_left: Duration::from_millis(250),
         timing: CallTiming::OnTime,
+        entries: 2,
         may_read_first: true,
     }
 }
@@ -326,3 +327,23 @@
     let begun = chooser.begin_time(&plan.runner, at(1_000), at(1_090));
     assert_eq!(begun, at(1_020));
 }
+
+/// Guards against connections of all entries together that exceed what an upstream accepts; it resets
+/// those beyond.
+#[test]
+fn an_entry_keeps_to_its_part_of_the_connections() {
+    let mut chooser = chooser(&[at_port("u", 1)]);
+    chooser.set_connections(7);
+    for _ in 0..3 {
+        choose(&mut chooser, &demand(None, &[])).unwrap();
+    }
+    assert_eq!(
+        choose(&mut chooser, &demand(None, &[])),
+        Err(NoUpstream::None)
+    );
+    let alone = CallDemand {
+        entries: 1,
+        ..demand(None, &[])
+    };
+    choose(&mut chooser, &alone).unwrap();
+}
