Number every log line of the gateway; report a full disk after a delay also at the start

Cause: many lines of the gateway and the adapter carried no event number, which the catalogue promises; a control instance whose disk was full at its start ended and was restarted twice a second.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -46,6 +46,7 @@
                 }
                 Err(error) => {
                     tracing::info!(
+                        event = LogEvent::AttemptFailed.number(),
                         request = self.request.head.request_id,
                         upstream = %call.chosen.announcement.name,
                         %error,
@@ -152,6 +153,7 @@
                 RelayEnd::Broken(reason) => {
                     if let Some(next) = self.resume().await {
                         tracing::info!(
+                            event = LogEvent::StreamResumed.number(),
                             request = self.runner.request.head.request_id,
                             %upstream,
                             reason,
--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -370,6 +370,7 @@
             Err(_) if call.upstream_answers() || !self.prepay() => sending.await,
             Err(_) => {
                 tracing::info!(
+                    event = LogEvent::AttemptFailed.number(),
                     request = self.request.head.request_id,
                     upstream = %upstream.name,
                     patience_ms = patience.as_millis() as u64,
@@ -397,6 +398,7 @@
         if head.request_id != self.request.head.request_id {
             // A late answer to another request; dropping it closes the connection.
             tracing::warn!(
+                event = LogEvent::AttemptFailed.number(),
                 upstream = %upstream.name,
                 request = self.request.head.request_id,
                 answered = head.request_id,
@@ -410,7 +412,8 @@
     /// Takes the failure of an attempt.
     fn failed(&self, call: &RunningCall<D>, error: &SendError) -> AttemptEnd {
         tracing::info!(
-            request = self.request.head.request_id,
+                    event = LogEvent::AttemptFailed.number(),
+                    request = self.request.head.request_id,
             upstream = %call.chosen.announcement.name,
             %error,
             "an attempt got no answer"
--- a/crates/oriolecrank-gateway/src/caller_server.rs
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -107,7 +107,15 @@
             Err(failure) => {
                 let event = LogEvent::RequestFailed.number();
                 let version = self.shared.version();
-                tracing::info!(event, request = request_id, path, %peer, ?failure, version, "a request failed");
+                tracing::info!(
+                    event,
+                    request = request_id,
+                    path,
+                    %peer,
+                    ?failure,
+                    version,
+                    "a request failed"
+                );
                 dialect.failure(request_id.as_deref(), failure)
             }
         };
--- a/crates/oriolecrank-gateway/src/control_site.rs
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -7,12 +7,12 @@
 
 use oriolecrank_consensus::{InstanceId, Member, MemberRole};
 use oriolecrank_control::{
-    PeerDirectory, PeerIngress, PeerTransport, ReplicaError, ReplicaPhase, ReplicaSettings,
-    start_replica,
+    PeerDirectory, PeerIngress, PeerTransport, ReplicaError, ReplicaHandle, ReplicaPhase,
+    ReplicaSettings, start_replica,
 };
 use oriolecrank_net::shutdown::ShutdownSignal;
 use oriolecrank_net::{BootClock, ClientSettings, ClusterSecret, HttpClient, PeerGuard, serve};
-use oriolecrank_routing::RepairSettings;
+use oriolecrank_routing::{RepairSettings, SiteOutcome};
 use oriolecrank_schema::event::LogEvent;
 use rand::Rng as _;
 use snafu::{ResultExt, Snafu};
@@ -91,7 +91,7 @@
     options: ControlSiteOptions,
     dialect: Arc<D>,
     seeds: watch::Receiver<Vec<SocketAddr>>,
-    mut shutdown: ShutdownSignal,
+    shutdown: ShutdownSignal,
 ) -> Result<(), ControlSiteError> {
     let operators = listen(options.operators).await?;
     let internal = listen(options.internal).await?;
@@ -109,8 +109,7 @@
     );
     let site = SharedSite::new();
     let machine = SiteMachine(site.clone());
-    let replica = start_replica(replica_settings(&options), machine, transport);
-    let replica = replica.context(ReplicaSnafu)?;
+    let replica = open_replica(&options, machine, transport).await?;
     let link = ControlLink {
         client: client.clone(),
         secret: options.secret.clone(),
@@ -158,39 +157,87 @@
         tokio::spawn(duty.run());
     }
     let event = LogEvent::ProcessStarted.number();
-    tracing::info!(event, operators = %options.operators, internal = %options.internal, "control started");
-    let serving = async {
-        tokio::join!(
-            serve(operators, Arc::new(site_server), shutdown.clone()),
-            serve(internal, Arc::new(internal_server), shutdown.clone()),
-        );
-    };
-    let mut signal = shutdown.clone();
-    let stopping = async {
-        signal.triggered().await;
-        sleep(STOP_LIMIT).await;
+    tracing::info!(
+        event,
+        operators = %options.operators,
+        internal = %options.internal,
+        "control started"
+    );
+    let servers = SiteListeners {
+        operators,
+        internal,
+        site_server,
+        internal_server,
     };
-    tokio::select! {
-        () = serving => {}
-        () = stopping => {
-            tracing::warn!(event = LogEvent::ShutdownForced.number(), "requests were cut off");
-        }
-        phase = replica.stopped() => {
-            if let ReplicaPhase::Failed(reason) = phase {
-                // A full disk stays full for a while; the restart reads the folder again.
-                sleep(FAILED_DISK_DELAY).await;
-                return ReplicaFailedSnafu { reason }.fail();
+    servers.run(replica, shutdown).await
+}
+
+/// Listeners of a control instance with what answers on them.
+struct SiteListeners<D> {
+    operators: TcpListener,
+    internal: TcpListener,
+    site_server: SiteServer<D>,
+    internal_server: InternalServer,
+}
+
+impl<D: SiteDialect> SiteListeners<D> {
+    /// Serves until shutdown or until the replica fails, and then stops the replica.
+    async fn run(
+        self,
+        replica: ReplicaHandle<SiteOutcome>,
+        mut shutdown: ShutdownSignal,
+    ) -> Result<(), ControlSiteError> {
+        let (site_server, internal_server) =
+            (Arc::new(self.site_server), Arc::new(self.internal_server));
+        let serving = async {
+            tokio::join!(
+                serve(self.operators, site_server, shutdown.clone()),
+                serve(self.internal, internal_server, shutdown.clone()),
+            );
+        };
+        let mut signal = shutdown.clone();
+        let stopping = async {
+            signal.triggered().await;
+            sleep(STOP_LIMIT).await;
+        };
+        tokio::select! {
+            () = serving => {}
+            () = stopping => {
+                tracing::warn!(event = LogEvent::ShutdownForced.number(), "requests were cut off");
+            }
+            phase = replica.stopped() => {
+                if let ReplicaPhase::Failed(reason) = phase {
+                    // A full disk stays full for a while; the restart reads the folder again.
+                    sleep(FAILED_DISK_DELAY).await;
+                    return ReplicaFailedSnafu { reason }.fail();
+                }
             }
         }
+        shutdown.triggered().await;
+        replica.stop();
+        replica.stopped().await;
+        tracing::info!(
+            event = LogEvent::ShutdownFinished.number(),
+            "control stopped"
+        );
+        Ok(())
+    }
+}
+
+/// Starts the replica. A folder that cannot be opened is reported after a delay, because the process is
+/// restarted at once and a full disk stays full for a while.
+async fn open_replica(
+    options: &ControlSiteOptions,
+    machine: SiteMachine,
+    transport: PeerTransport,
+) -> Result<ReplicaHandle<SiteOutcome>, ControlSiteError> {
+    match start_replica(replica_settings(options), machine, transport) {
+        Ok(replica) => Ok(replica),
+        Err(error) => {
+            sleep(FAILED_DISK_DELAY).await;
+            Err(error).context(ReplicaSnafu)
+        }
     }
-    shutdown.triggered().await;
-    replica.stop();
-    replica.stopped().await;
-    tracing::info!(
-        event = LogEvent::ShutdownFinished.number(),
-        "control stopped"
-    );
-    Ok(())
 }
 
 /// Settings of the replica. Only a founder names the founders; any other instance waits until the
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -131,7 +131,11 @@
             match answer.await {
                 Ok(answer) => {
                     if !reached {
-                        tracing::info!(address = %self.address, "control is reached again");
+                        tracing::info!(
+                            event = LogEvent::SubscriptionRestored.number(),
+                            address = %self.address,
+                            "control is reached again"
+                        );
                     }
                     reached = true;
                     self.take(answer, counts);
@@ -140,7 +144,12 @@
                 Err(error) => {
                     if reached {
                         let event = LogEvent::SubscriptionLost.number();
-                        tracing::warn!(event, address = %self.address, %error, "control is not reached");
+                        tracing::warn!(
+                            event,
+                            address = %self.address,
+                            %error,
+                            "control is not reached"
+                        );
                     }
                     reached = false;
                     sleep(RETRY_DELAY).await;
@@ -178,11 +187,22 @@
                     if shared.put_in_force(RouteTable::new(decoded)) {
                         let event = LogEvent::DocumentInForce.number();
                         let version = document.version;
-                        tracing::info!(event, version, source = %self.address, "a document is in force");
+                        tracing::info!(
+                            event,
+                            version,
+                            source = %self.address,
+                            "a document is in force"
+                        );
                     }
                 }
                 // The same check has passed at the control instance that accepted it.
-                Err(reason) => tracing::error!(reason, "a committed document cannot be read"),
+                Err(reason) => {
+                    tracing::error!(
+                        event = LogEvent::DocumentNotCommitted.number(),
+                        reason,
+                        "a committed document cannot be read"
+                    );
+                }
             }
         }
         shared.announce(answer.upstreams, now);
--- a/crates/oriolecrank-gateway/src/group_repair.rs
+++ b/crates/oriolecrank-gateway/src/group_repair.rs
@@ -110,8 +110,16 @@
         };
         let event = LogEvent::MembershipChanged.number();
         match self.publisher.replica.change_membership(request).await {
-            Ok(_) => tracing::info!(event, members = count, "the control group has changed"),
-            Err(error) => tracing::info!(%error, "a change of the control group must wait"),
+            Ok(_) => {
+                tracing::info!(event, members = count, "the control group has changed");
+            }
+            Err(error) => {
+                tracing::info!(
+                    event = LogEvent::MembershipWaits.number(),
+                    %error,
+                    "a change of the control group must wait"
+                );
+            }
         }
     }
 }
--- a/crates/oriolecrank-gateway/src/site_gossip.rs
+++ b/crates/oriolecrank-gateway/src/site_gossip.rs
@@ -1,5 +1,6 @@
 //! Copies announcements of upstreams to the other control instances.
 
+use oriolecrank_schema::event::LogEvent;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -47,7 +48,10 @@
     /// Copies an announcement soon. It may be lost; upstreams repeat their announcements.
     pub(crate) fn spread(&self, announcement: UpstreamAnnouncement) {
         if self.queue.try_send(announcement).is_err() {
-            tracing::warn!("announcements are not copied, because too many wait");
+            tracing::warn!(
+                event = LogEvent::ReportFailed.number(),
+                "announcements are not copied, because too many wait"
+            );
         }
     }
 
--- a/crates/oriolecrank-gateway/src/site_publisher.rs
+++ b/crates/oriolecrank-gateway/src/site_publisher.rs
@@ -1,5 +1,6 @@
 //! Commits commands, through the leader if this instance is another.
 
+use oriolecrank_schema::event::LogEvent;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -40,7 +41,12 @@
                 match answer {
                     Ok(answer) => answer == PublishAnswer::Committed,
                     Err(error) => {
-                        tracing::warn!(%address, %error, "the leader did not take a document");
+                        tracing::warn!(
+                            event = LogEvent::DocumentNotCommitted.number(),
+                            %address,
+                            %error,
+                            "the leader did not take a document"
+                        );
                         false
                     }
                 }
@@ -54,7 +60,12 @@
         let version = request.document.version;
         match self.propose(&SiteCommand::Publish(request.document)).await {
             Some(outcome) => {
-                tracing::info!(version, ?outcome, "a document was committed");
+                tracing::info!(
+                    event = LogEvent::DocumentAccepted.number(),
+                    version,
+                    ?outcome,
+                    "a document was committed"
+                );
                 PublishAnswer::Committed
             }
             None => PublishAnswer::Unavailable,
@@ -66,7 +77,11 @@
         match self.replica.propose(codec::encode(command)).await {
             Ok(applied) => Some(applied.output),
             Err(error) => {
-                tracing::warn!(%error, "a command is not known to be committed");
+                tracing::warn!(
+                    event = LogEvent::DocumentNotCommitted.number(),
+                    %error,
+                    "a command is not known to be committed"
+                );
                 None
             }
         }
--- a/crates/oriolecrank-gateway/src/site_server.rs
+++ b/crates/oriolecrank-gateway/src/site_server.rs
@@ -1,5 +1,6 @@
 //! Answers operators and upstreams.
 
+use oriolecrank_schema::event::LogEvent;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -37,7 +38,11 @@
             SiteCall::Announce(announcement) => self.announce(announcement).await,
             SiteCall::Depart { name, started_ms } => self.depart(&name, started_ms).await,
             SiteCall::Invalid(reason) => {
-                tracing::warn!(reason, "an invalid call was refused");
+                tracing::warn!(
+                    event = LogEvent::CallRefused.number(),
+                    reason,
+                    "an invalid call was refused"
+                );
                 SiteReply::Invalid(reason)
             }
             SiteCall::Unknown => SiteReply::Unknown,
@@ -47,7 +52,12 @@
     async fn publish(&self, document: &RouteDocument, body: Bytes) -> SiteReply {
         let version = document.version;
         if let Err(error) = document.check() {
-            tracing::warn!(version, %error, "an invalid document was refused");
+            tracing::warn!(
+                event = LogEvent::CallRefused.number(),
+                version,
+                %error,
+                "an invalid document was refused"
+            );
             return SiteReply::Invalid(error.to_string());
         }
         let stored = StoredDocument {
@@ -55,10 +65,18 @@
             source: body.to_vec(),
         };
         if self.publisher.publish(stored).await {
-            tracing::info!(version, "a document was acknowledged");
+            tracing::info!(
+                event = LogEvent::DocumentAcknowledged.number(),
+                version,
+                "a document was acknowledged"
+            );
             SiteReply::Accepted
         } else {
-            tracing::warn!(version, "a document could not be committed");
+            tracing::warn!(
+                event = LogEvent::DocumentNotCommitted.number(),
+                version,
+                "a document could not be committed"
+            );
             SiteReply::Unavailable
         }
     }
@@ -66,7 +84,11 @@
     /// The newest document, after a round to the leader that began with the call.
     async fn read(&self) -> SiteReply {
         if let Err(error) = self.publisher.replica.read_barrier().await {
-            tracing::warn!(%error, "a read of the document could not be confirmed");
+            tracing::warn!(
+                event = LogEvent::ReadNotConfirmed.number(),
+                %error,
+                "a read of the document could not be confirmed"
+            );
             return SiteReply::Unavailable;
         }
         let state = self.publisher.site.read();
@@ -101,6 +123,7 @@
 
 fn log_upstream(announcement: &UpstreamAnnouncement) {
     tracing::info!(
+        event = LogEvent::UpstreamAnnounced.number(),
         upstream = %announcement.name,
         service = %announcement.service,
         address = %announcement.address,
--- a/crates/oriolecrank-gateway/src/usage_duty.rs
+++ b/crates/oriolecrank-gateway/src/usage_duty.rs
@@ -148,7 +148,12 @@
                         .await;
                 }
                 UsageReply::Fenced => {
-                    tracing::warn!(window = window.0, term, "a later leader reports usage");
+                    tracing::warn!(
+                        event = LogEvent::UsageFenced.number(),
+                        window = window.0,
+                        term,
+                        "a later leader reports usage"
+                    );
                     return false;
                 }
                 UsageReply::Busy => return true,
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -39,6 +39,8 @@
     ShutdownStarted = 101, "A graceful shutdown has started.";
     ShutdownFinished = 102, "A graceful shutdown has finished.";
     ShutdownForced = 103, "The shutdown limit passed while work was still running.";
+    ProcessFailed = 104, "The process ends because of an error; the cause is in the line.";
+    SettingsRead = 105, "The settings file was read again; what changed, or why it could not be read, is in the line.";
     ConnectionFailed = 110, "A connection ended with an error.";
     PeerUnauthorised = 111, "A message without the cluster secret was refused.";
     PeerVersionRefused = 112, "A message with a newer major protocol version was refused.";
@@ -47,6 +49,7 @@
     StateStale = 202, "The state is older than the freshness lease; keyed work is refused.";
     PingFailed = 203, "A freshness ping was not answered; another control instance is tried.";
     UpstreamUnusable = 204, "The record of an upstream cannot be used; the upstream is left out.";
+    SubscriptionRestored = 205, "A control instance that was not reached answers again.";
     RequestFailed = 210, "A request failed; the verdict says whether it may have run.";
     StreamSilent = 211, "An answer stream was silent for too long; it is resumed on a new connection.";
     AnswerBroken = 212, "An answer broke after its beginning was sent; the caller got an error event or a broken connection.";
@@ -55,8 +58,11 @@
     SuspectNotCleared = 215, "A suspect ran to its end, but control could not be told; it expires after a time.";
     UpstreamEjected = 216, "An upstream is ejected for a time because its answers fail.";
     RequestRefused = 217, "No upstream takes a request; the reason and the time that is left are in the line.";
+    AttemptFailed = 218, "An attempt at an upstream failed or was given up; the request may go on at another one.";
+    StreamResumed = 219, "A stream goes on at another upstream behind the last event that the caller has.";
     UsageReportFailed = 220, "A batch of usage records was not acknowledged; it is sent again.";
     UsageDropped = 221, "Usage records were dropped because too many waited, or not acknowledged before the end.";
+    FieldNotSent = 222, "A name from the settings or the document cannot be sent in a header field.";
     UpstreamAnnounced = 300, "An upstream was announced to the control group.";
     AnnounceFailed = 301, "An announcement could not be delivered; it is repeated.";
     AgentSuperseded = 302, "A newer agent for the same upstream exists; this one stops sending.";
@@ -69,9 +75,14 @@
     IdentityRefused = 402, "The data folder is new, but its identity was in use with another folder.";
     MembershipAwaited = 403, "This control instance waits until an operator adds it; its identity is in the line.";
     MembershipChanged = 404, "The membership of the control group has changed.";
+    MembershipWaits = 405, "A change of the control group is due but cannot be made yet; the reason is in the line.";
     DocumentAccepted = 410, "A document was committed.";
     UpstreamSuspected = 411, "An upstream is silent; it gets no new work when others can take it.";
     UpstreamsRemoved = 412, "Silent upstreams were removed.";
+    DocumentAcknowledged = 413, "A document was acknowledged to the operator.";
+    DocumentNotCommitted = 414, "A document or another command is not known to be committed, or cannot be used.";
+    CallRefused = 415, "An invalid call of an operator or upstream was refused; the reason is in the line.";
+    ReadNotConfirmed = 416, "No quorum confirmed a read of the document; the caller was told to ask again.";
     StorageFailed = 420, "The data folder cannot be written; the process stops.";
     OrderSettled = 430, "An order to an agent was settled; the result and the rule are in the line.";
     OrderUnanswered = 431, "An order to an agent has an unknown outcome; the same number is repeated.";
@@ -83,6 +94,7 @@
     WindowNotAccepted = 441, "The usage interface did not accept a window; the same bytes are sent again.";
     WindowLate = 442, "A window was not accepted within one window length after its close.";
     WindowNotClosed = 443, "The open window could not be closed; too many windows are not reported.";
+    UsageFenced = 444, "The usage interface has seen the fencing number of a later leader; this one stops reporting.";
     PlanCommitted = 450, "A capacity plan was committed.";
     PlanStepFinished = 451, "A step of the capacity plan has ended; the state is in the line.";
     PlanFrozen = 452, "Reports are stale or missing; the capacity plan is frozen.";
