Choose sync targets in a pure function; give up an attempt only for one that can be taken

Cause: the fault that the leader missed counts had no test without the bench; an attempt was given up although no other upstream had room, and the request ended as refused or of unknown outcome. Change: sync_targets in oriolecrank-routing with tests; the chooser answers whether it would find an upstream without taking one, and an attempt is given up only then.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -169,10 +169,32 @@
         if !route.may_repeat() || self.runs + 1 >= route.max_attempts {
             return false;
         }
-        self.prepaid = self.take_extra();
+        self.prepaid = self.has_alternative() && self.take_extra();
         self.prepaid
     }
 
+    /// Whether another upstream would take the request.
+    fn has_alternative(&self) -> bool {
+        let present = now();
+        let demand = self.demand(None, present);
+        self.shared.with_lane(&self.request.service, |lane| {
+            lane.chooser
+                .would_choose(&demand, present, &mut rand::rng())
+        })
+    }
+
+    fn demand(&self, resume_after: Option<u64>, present: TimePoint) -> CallDemand<'_> {
+        let request = &self.request;
+        CallDemand {
+            prompt: request.head.prompt.as_ref(),
+            tried: &self.tried,
+            time_left: request.deadline.since(present),
+            target_left: request.target.since(present),
+            entries: self.shared.entries(),
+            may_read_first: !self.may_have_read && resume_after.is_none(),
+        }
+    }
+
     fn take_extra(&self) -> bool {
         let (grant, entries) = (&self.shared.options.grant, self.shared.entries());
         self.shared.with_lane(&self.request.service, |lane| {
@@ -202,15 +224,7 @@
     ) -> Result<(Option<RunningCall<D>>, RunningCall<D>), CallFailure> {
         let request = &self.request;
         let present = now();
-        let demand = CallDemand {
-            prompt: request.head.prompt.as_ref(),
-            tried: &self.tried,
-            time_left: request.deadline.since(present),
-            target_left: request.target.since(present),
-            timing: CallTiming::OnTime,
-            entries: self.shared.entries(),
-            may_read_first: !self.may_have_read && resume_after.is_none(),
-        };
+        let demand = self.demand(resume_after, present);
         let chosen = self.shared.with_lane(&request.service, |lane| {
             lane.chooser.choose(&demand, present, &mut rand::rng())
         });
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -9,7 +9,7 @@
 
 use indexmap::IndexMap;
 use oriolecrank_net::BootClock;
-use oriolecrank_routing::{RouteTable, WindowCounts, unseen_counts};
+use oriolecrank_routing::{KnownGroup, RouteTable, WindowCounts, sync_targets, unseen_counts};
 use oriolecrank_schema::event::LogEvent;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
@@ -18,11 +18,7 @@
 use crate::control_link::ControlLink;
 use crate::dialect::CallerDialect;
 use crate::entry_shared::EntryShared;
-use crate::site_messages::{KnownGroup, SYNC_PATH, SyncAnswer, SyncRequest};
-
-/// Control instances that an entry syncs with. Three see every committed change in time even if one
-/// is lost and one lags.
-const MAX_TARGETS: usize = 3;
+use crate::site_messages::{SYNC_PATH, SyncAnswer, SyncRequest};
 
 /// Longest wait for an answer; the other side waits at most 500 ms for news.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -52,7 +48,8 @@
         let mut targets: IndexMap<SocketAddr, AbortHandle> = IndexMap::new();
         let mut group = KnownGroup::default();
         loop {
-            let wanted = self.wanted(&group);
+            let run = self.shared.options.run.run;
+            let wanted = sync_targets(&group, &self.seeds.borrow(), run);
             targets.retain(|address, task| {
                 let keep = wanted.contains(address);
                 if !keep {
@@ -87,24 +84,6 @@
             }
         }
     }
-
-    /// Instances to sync with: the leader and other members of the group, else the seeds. Each entry
-    /// begins at another place in the list, so that a large group shares the work.
-    fn wanted(&self, group: &KnownGroup) -> Vec<SocketAddr> {
-        let mut known = group.members.clone();
-        if known.is_empty() {
-            known.clone_from(&self.seeds.borrow());
-        }
-        known.sort_unstable();
-        if known.len() > MAX_TARGETS {
-            let start = self.shared.options.run.run as usize % known.len();
-            known.rotate_left(start);
-            // A stable sort keeps the order of the others.
-            known.sort_by_key(|address| Some(*address) != group.leader);
-            known.truncate(MAX_TARGETS);
-        }
-        known
-    }
 }
 
 /// Syncs with one control instance.
--- a/crates/oriolecrank-gateway/src/site_messages.rs
+++ b/crates/oriolecrank-gateway/src/site_messages.rs
@@ -39,15 +39,6 @@
     pub(crate) stopping: bool,
 }
 
-/// Control group as a control instance knows it.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct KnownGroup {
-    /// Internal addresses of the members.
-    pub(crate) members: Vec<SocketAddr>,
-    /// Internal address of the leader.
-    pub(crate) leader: Option<SocketAddr>,
-}
-
 /// Load of one upstream.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct NamedLoad {
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -106,6 +106,7 @@
 pub(crate) struct ChoiceSearch<'a> {
     pub(crate) chooser: &'a DirectChooser,
     pub(crate) demand: &'a CallDemand<'a>,
+    pub(crate) timing: CallTiming,
     pub(crate) now: TimePoint,
 }
 
@@ -210,7 +211,7 @@
         read_tokens: u64,
         fetch_from: Option<usize>,
     ) -> WorkTime {
-        let (slots, timing) = (self.slots(upstream), self.demand.timing);
+        let (slots, timing) = (self.slots(upstream), self.timing);
         let runs = takes(upstream, EnginePhase::Decode);
         let slowdown = if runs { RUNNING_WEIGHT } else { 1.0 };
         WorkTime {
@@ -266,7 +267,7 @@
             }
             // The queue of an engine is short, and a late request in it would turn away one that can
             // still be answered in time.
-            let late = self.demand.timing == CallTiming::Late && self.demand.prompt.is_some();
+            let late = self.timing == CallTiming::Late && self.demand.prompt.is_some();
             if late && !upstream.has_place(self.slots(upstream)) {
                 continue;
             }
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -80,8 +80,6 @@
     pub time_left: Duration,
     /// Time left until the answer is late; at least nothing.
     pub target_left: Duration,
-    /// Set by the chooser.
-    pub timing: CallTiming,
     /// Entries that share the connections of an upstream.
     pub entries: u32,
     /// Another engine than the one that runs the request may read the prompt.
@@ -126,6 +124,7 @@
 /// Candidates for a request.
 #[derive(Debug)]
 struct FoundPlan {
+    timing: CallTiming,
     reader: Option<Candidate>,
     runner: Candidate,
 }
@@ -238,6 +237,33 @@
                 upstream.weight = change.weight;
             }
         }
+        let found = self.find(demand, now, random)?;
+        let timing = found.timing;
+        let reader = found.reader;
+        Ok(CallPlan {
+            timing,
+            reader: reader.map(|reader| self.take(&reader, demand, timing, now)),
+            runner: self.take(&found.runner, demand, timing, now),
+        })
+    }
+
+    /// Whether [`choose`](Self::choose) would find an upstream.
+    pub fn would_choose<R: Rng>(
+        &self,
+        demand: &CallDemand<'_>,
+        now: TimePoint,
+        random: &mut R,
+    ) -> bool {
+        self.find(demand, now, random).is_ok()
+    }
+
+    /// Upstreams that can answer in time, or else at least before the deadline.
+    fn find<R: Rng>(
+        &self,
+        demand: &CallDemand<'_>,
+        now: TimePoint,
+        random: &mut R,
+    ) -> Result<FoundPlan, NoUpstream> {
         let on_time = self.search(demand, CallTiming::OnTime, now, random)?;
         let timing = if on_time.runner.expected() <= demand.target_left {
             CallTiming::OnTime
@@ -254,12 +280,7 @@
         if expected > demand.time_left {
             return Err(NoUpstream::Full(expected.saturating_sub(demand.time_left)));
         }
-        let reader = found.reader;
-        Ok(CallPlan {
-            timing,
-            reader: reader.map(|reader| self.take(&reader, demand, timing, now)),
-            runner: self.take(&found.runner, demand, timing, now),
-        })
+        Ok(found)
     }
 
     fn search<R: Rng>(
@@ -269,10 +290,10 @@
         now: TimePoint,
         random: &mut R,
     ) -> Result<FoundPlan, NoUpstream> {
-        let demand = CallDemand { timing, ..*demand };
         let search = ChoiceSearch {
             chooser: self,
-            demand: &demand,
+            demand,
+            timing,
             now,
         };
         let direct = search.runner(None, random);
@@ -285,7 +306,11 @@
             (Some(direct), _) => (None, direct),
             (None, None) => return Err(NoUpstream::None),
         };
-        Ok(FoundPlan { reader, runner })
+        Ok(FoundPlan {
+            timing,
+            reader,
+            runner,
+        })
     }
 
     /// Counts a request as sent to a candidate.
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -22,6 +22,7 @@
 mod route_document;
 mod route_table;
 mod site_state;
+mod sync_targets;
 mod upstream_directory;
 mod usage_window;
 
@@ -41,6 +42,7 @@
 };
 pub use route_table::{CallerOrganisation, RouteTable};
 pub use site_state::{ClosedWindow, SiteCommand, SiteOutcome, SiteState, StoredDocument};
+pub use sync_targets::{KnownGroup, MAX_SYNC_TARGETS, sync_targets};
 pub use upstream_directory::{
     DirectorySettings, EnginePhase, MergeEffect, UpstreamAnnouncement, UpstreamDirectory,
     UpstreamRecord, UpstreamState,
--- /dev/null
+++ b/crates/oriolecrank-routing/src/sync_targets.rs
@@ -0,0 +1,37 @@
+//! Which control instances an entry syncs with.
+
+use std::net::SocketAddr;
+
+/// Control instances that an entry syncs with. Three see every committed change in time even if one
+/// is lost and one lags.
+pub const MAX_SYNC_TARGETS: usize = 3;
+
+/// Control group as an entry knows it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct KnownGroup {
+    /// Internal addresses of the members; empty if none is known.
+    pub members: Vec<SocketAddr>,
+    /// Internal address of the leader, which needs the counts of every entry.
+    pub leader: Option<SocketAddr>,
+}
+
+/// Instances to sync with: the leader and other members of the group, else seeds. `run` is the random
+/// number of the entry's run; each entry begins at another place in the list, so that a large group
+/// shares the work.
+pub fn sync_targets(group: &KnownGroup, seeds: &[SocketAddr], run: u64) -> Vec<SocketAddr> {
+    let known = if group.members.is_empty() {
+        seeds
+    } else {
+        &group.members
+    };
+    let mut targets = known.to_vec();
+    targets.sort_unstable();
+    if targets.len() > MAX_SYNC_TARGETS {
+        let start = run as usize % targets.len();
+        targets.rotate_left(start);
+        // A stable sort keeps the order of the others.
+        targets.sort_by_key(|address| Some(*address) != group.leader);
+        targets.truncate(MAX_SYNC_TARGETS);
+    }
+    targets
+}
--- a/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
+++ b/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
@@ -45,7 +45,6 @@
         tried,
         time_left: Duration::from_secs(2),
         target_left: Duration::from_millis(250),
-        timing: CallTiming::OnTime,
         entries: 2,
         may_read_first: true,
     }
@@ -347,3 +346,15 @@
     };
     choose(&mut chooser, &alone).unwrap();
 }
+
+/// Guards against an attempt that is given up although no other upstream takes the request.
+#[test]
+fn asking_for_an_alternative_takes_nothing() {
+    let mut chooser = chooser(&[at_port("u", 1)]);
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    assert!(chooser.would_choose(&demand(None, &[]), at(10), &mut random));
+    assert_eq!(chooser.own_loads(at(10)).count(), 0);
+    choose(&mut chooser, &demand(None, &[])).unwrap();
+    let tried = [UpstreamName::from("u")];
+    assert!(!chooser.would_choose(&demand(None, &tried), at(10), &mut random));
+}
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -7,5 +7,6 @@
 mod member_repair;
 mod route_document;
 mod site_state;
+mod sync_targets;
 mod upstream_directory;
 mod usage_window;
--- /dev/null
+++ b/crates/oriolecrank-routing/tests/routing/sync_targets.rs
@@ -0,0 +1,52 @@
+//! Guards against entries that never tell the leader what they have counted: with six control instances
+//! and three targets, half of all usage was missing.
+
+use std::net::SocketAddr;
+
+use oriolecrank_routing::{KnownGroup, MAX_SYNC_TARGETS, sync_targets};
+
+fn addresses(count: u8) -> Vec<SocketAddr> {
+    let address = |last| SocketAddr::from(([10, 0, 0, last], 80));
+    (1..=count).map(address).collect()
+}
+
+#[test]
+fn every_entry_syncs_with_the_leader_wherever_it_is() {
+    for leader in addresses(6) {
+        let group = KnownGroup {
+            members: addresses(6),
+            leader: Some(leader),
+        };
+        for run in 0..12 {
+            let targets = sync_targets(&group, &[], run);
+            assert_eq!(targets.len(), MAX_SYNC_TARGETS);
+            assert!(targets.contains(&leader), "{targets:?}");
+        }
+    }
+}
+
+#[test]
+fn entries_share_the_members_of_a_large_group() {
+    let group = KnownGroup {
+        members: addresses(6),
+        leader: None,
+    };
+    let mut used: Vec<SocketAddr> = (0..6)
+        .flat_map(|run| sync_targets(&group, &[], run))
+        .collect();
+    used.sort_unstable();
+    used.dedup();
+    assert_eq!(used, addresses(6));
+}
+
+#[test]
+fn seeds_are_asked_only_while_no_member_is_known() {
+    let seeds = addresses(3);
+    assert_eq!(sync_targets(&KnownGroup::default(), &seeds, 5), seeds);
+    let member: SocketAddr = "10.0.0.9:80".parse().unwrap();
+    let group = KnownGroup {
+        members: vec![member],
+        leader: None,
+    };
+    assert_eq!(sync_targets(&group, &seeds, 5), [member]);
+}
