Do not cut a stream whose engine only pauses

Change: silence ends an attempt only if the engine has answered nobody since and another engine takes the rest within the budget.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -200,6 +200,7 @@
             head,
             mut response,
         } = started;
+        let mut heard = now();
         loop {
             let time_left = self.runner.request.deadline.since(now());
             let wait = self.silence_limit().min(time_left);
@@ -210,6 +211,9 @@
             let present = now();
             let data = match frame {
                 Err(_) if present >= self.runner.request.deadline => return RelayEnd::TimedOut,
+                // An engine may pause a run for more urgent ones. Silence ends a stream only if the
+                // engine answers nobody and another one can go on.
+                Err(_) if call.upstream_answers_since(heard) || !self.runner.prepay() => continue,
                 Err(_) => {
                     call.record(UpstreamOutcome::Failed, present);
                     return RelayEnd::Broken("the upstream is silent".to_owned());
@@ -233,6 +237,7 @@
             if data.is_empty() {
                 continue;
             }
+            heard = present;
             call.begin(present);
             if let Some(end) = self.pass(&data).await {
                 return end;
--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -164,7 +164,7 @@
     }
 
     /// Takes an extra attempt before the present one is given up; false if there is none.
-    fn prepay(&mut self) -> bool {
+    pub(crate) fn prepay(&mut self) -> bool {
         let route = &self.request.route;
         if !route.may_repeat() || self.runs + 1 >= route.max_attempts {
             return false;
--- a/crates/oriolecrank-gateway/src/running_call.rs
+++ b/crates/oriolecrank-gateway/src/running_call.rs
@@ -94,10 +94,14 @@
 
     /// Whether the upstream has answered other requests since this one was sent.
     pub(crate) fn upstream_answers(&self) -> bool {
+        self.upstream_answers_since(self.sent)
+    }
+
+    /// Whether the upstream has answered other requests since a time.
+    pub(crate) fn upstream_answers_since(&self, since: TimePoint) -> bool {
         let name = self.chosen.announcement.name.as_str();
-        self.shared.with_lane(&self.service, |lane| {
-            lane.chooser.has_answered(name, self.sent)
-        })
+        self.shared
+            .with_lane(&self.service, |lane| lane.chooser.has_answered(name, since))
     }
 
     /// Takes what the end of the attempt says about the upstream.
