Keep a stopping agent until the completion of a claim is delivered

And the agent counted only queued reports as pending: a completion that was being sent for the first time did not keep the process alive once the caller had gone.

Change: the fakes serve until the process has ended. A PendingReport is taken before the work of a finished call leaves the table and dropped when its completion is delivered or queued.

Measured: the new test a_stopping_agent_waits_for_a_completion_in_flight fails without the change.

--- a/crates/oriolecrank-agent/src/agent_core.rs
+++ b/crates/oriolecrank-agent/src/agent_core.rs
@@ -163,6 +163,7 @@
         let usage = meter.usage();
         match result {
             Ok(()) => {
+                let _pending = self.reporter.begin_report();
                 self.table().finish(&id, &usage, true);
                 self.complete_claim(&answer).await;
                 answer.complete(usage, BootClock.now());
--- a/crates/oriolecrank-agent/src/control_reporter.rs
+++ b/crates/oriolecrank-agent/src/control_reporter.rs
@@ -27,11 +27,21 @@
 pub struct ControlReporter {
     sender: mpsc::Sender<Command>,
     client: ControlClient,
-    /// Commands that were queued and are neither delivered nor given up. A stale value only delays
-    /// the end of a shutdown, so relaxed ordering is enough.
+    /// Commands that are neither delivered nor given up: queued ones, and those whose sender holds a
+    /// [`PendingReport`].
     pending: Arc<AtomicUsize>,
 }
 
+/// Keeps the reporter from being idle while its holder prepares or delivers a command.
+#[derive(Debug)]
+pub struct PendingReport(Arc<AtomicUsize>);
+
+impl Drop for PendingReport {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 impl ControlReporter {
     /// A reporter and the future that delivers its commands until all reporters are dropped.
     pub fn new(client: ControlClient) -> (Self, impl Future<Output = ()>) {
@@ -50,14 +60,21 @@
 
     /// Queues a command; it is repeated until the control group has answered.
     pub async fn report(&self, command: Command) {
-        self.pending.fetch_add(1, Ordering::Relaxed);
+        self.pending.fetch_add(1, Ordering::SeqCst);
         // An error means that the process stops and the delivery has ended.
         let _ = self.sender.send(command).await;
     }
 
-    /// Whether every queued command is delivered or given up.
+    /// Counts a command that its holder is about to deliver as pending. It is taken before the work
+    /// that the command reports ends, so that a shutdown never sees neither of them.
+    pub fn begin_report(&self) -> PendingReport {
+        self.pending.fetch_add(1, Ordering::SeqCst);
+        PendingReport(Arc::clone(&self.pending))
+    }
+
+    /// Whether every command is delivered or given up.
     pub fn is_idle(&self) -> bool {
-        self.pending.load(Ordering::Relaxed) == 0
+        self.pending.load(Ordering::SeqCst) == 0
     }
 
     /// Queues a command without waiting.
@@ -90,6 +107,6 @@
             }
             tokio::time::sleep(DELIVERY_DELAY).await;
         }
-        pending.fetch_sub(1, Ordering::Relaxed);
+        pending.fetch_sub(1, Ordering::SeqCst);
     }
 }
--- a/crates/oriolecrank-agent/tests/agent/answers.rs
+++ b/crates/oriolecrank-agent/tests/agent/answers.rs
@@ -133,7 +133,7 @@
         "{:?}",
         answer.last
     );
-    agent.stop().await.unwrap();
+    agent.stop().await;
     assert_eq!(engine.calls(), 1);
 }
 
--- a/crates/oriolecrank-agent/tests/agent/claims.rs
+++ b/crates/oriolecrank-agent/tests/agent/claims.rs
@@ -1,10 +1,12 @@
 //! Claimed calls over TCP.
 
+use std::time::Duration;
+
 use oriolecrank_fakes::FakeLedger;
 use oriolecrank_schema::control::Command;
 use oriolecrank_schema::data_path::{ClaimTicket, RunEvent, RunRequest, RunVerdict};
 
-use crate::support::{TestAgent, eventually, read_answer};
+use crate::support::{RecordingControl, TestAgent, eventually, read_answer};
 
 fn booking(agent: &TestAgent, id: &str, claim_id: u64) -> RunRequest {
     let ticket = ClaimTicket {
@@ -103,10 +105,30 @@
     let request = booking(&agent, "a", 9);
     let mut reader = agent.run(&request, b"drain").await;
     read_answer(&mut reader, 0).await;
-    let stopped = agent.stop();
+    agent.trigger_stop();
     control.refuse(false);
-    stopped.await.unwrap();
-    let completed =
-        |command: &Command| matches!(command, Command::CompleteClaim { claim_id: 9, .. });
-    assert!(control.commands().iter().any(completed));
+    agent.stop().await;
+    assert!(completed(&control, 9));
+}
+
+/// Guards against a planned stop that ends while the completion of a booking is on its way and the
+/// caller, who would keep the agent serving, has gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_agent_waits_for_a_completion_in_flight() {
+    let ledger = FakeLedger::default();
+    let agent = TestAgent::start(ledger.clone()).await;
+    let control = agent.control.clone();
+    // Shorter than the wait for the commit, so that the completion is never queued.
+    control.delay_completions(Duration::from_millis(600));
+    let reader = agent.run(&booking(&agent, "a", 9), b"drain").await;
+    eventually(|| (ledger.entries().len() == 1).then_some(())).await;
+    drop(reader);
+    agent.stop().await;
+    assert!(completed(&control, 9));
+}
+
+fn completed(control: &RecordingControl, claim: u64) -> bool {
+    control.commands().iter().any(
+        |command| matches!(command, Command::CompleteClaim { claim_id, .. } if *claim_id == claim),
+    )
 }
--- a/crates/oriolecrank-agent/tests/agent/support.rs
+++ b/crates/oriolecrank-agent/tests/agent/support.rs
@@ -35,6 +35,7 @@
 pub struct RecordingControl {
     commands: Arc<Mutex<Vec<Command>>>,
     refusing: Arc<AtomicBool>,
+    completion_delay: Arc<Mutex<Duration>>,
 }
 
 impl RecordingControl {
@@ -47,6 +48,11 @@
         self.refusing.store(refuse, Ordering::SeqCst);
     }
 
+    /// Time that passes before the completion of a claim is accepted.
+    pub fn delay_completions(&self, delay: Duration) {
+        *self.completion_delay.lock().unwrap() = delay;
+    }
+
     pub fn announced_incarnation(&self) -> Option<u64> {
         self.commands()
             .iter()
@@ -67,6 +73,10 @@
         if self.refusing.load(Ordering::SeqCst) {
             return message_answer(&CommandOutcome::NotLeader { leader: None });
         }
+        if matches!(command, Command::CompleteClaim { .. }) {
+            let delay = *self.completion_delay.lock().unwrap();
+            tokio::time::sleep(delay).await;
+        }
         let outcome = match &command {
             Command::Announce { .. } => CommandOutcome::Announced {
                 fence: FencingNumber {
@@ -144,10 +154,10 @@
         }
     }
 
-    /// Starts a graceful shutdown and returns the task that ends with the process.
-    pub fn stop(self) -> JoinHandle<()> {
+    /// Starts a graceful shutdown and waits for its end. The fakes serve until then.
+    pub async fn stop(self) {
         self.trigger.trigger();
-        self.process
+        self.process.await.unwrap();
     }
 
     pub fn trigger_stop(&self) {
