Test a whole site under seeded schedules; take usage times and sync positions out of the tasks

Cause: the decisions of the leader on usage windows and of an entry on what a control instance has seen stood inside async tasks, so no test without a network could check them together with the log.

Change: UsageSchedule and SyncCursor decide; the tasks call them. A new test drives them with SiteState, UsageCollector and UpstreamDirectory on the consensus group of the existing schedules (virtual clock, power loss, pauses, partitions, compaction, lost and late messages, restarts of entries) and checks documents, usage figures and times, fencing numbers and statements of upstreams.

Not detected: a leader that acts without waiting, and a window that can be closed twice, which other rules cover.

--- a/crates/oriolecrank-consensus/tests/support/group.rs
+++ b/crates/oriolecrank-consensus/tests/support/group.rs
@@ -8,7 +8,7 @@
 use oriolecrank_consensus::{
     DiskTag, EntryPosition, FolderRequest, FoundingProgress, InstanceId, LogEntry, LogIndex,
     LogStorage, Member, MemberRole, Membership, MembershipError, MembershipRequest, OpenedFolder,
-    PeerMessage, RaftNode, RaftSettings, ReadContext, ReadyBatch,
+    PeerMessage, RaftNode, RaftSettings, ReadContext, ReadyBatch, Term,
 };
 use oriolecrank_schema::{TimePoint, peer};
 use rand::rngs::StdRng;
@@ -53,6 +53,8 @@
     clock_rate: u64,
     pub running: Option<RunningNode>,
     pub paused_until: u64,
+    /// Starts so far; what an instance holds in memory belongs to one of them.
+    pub starts: u64,
     restart_at: Option<u64>,
     pub crash_point: Option<CrashPoint>,
     /// The disk was lost after the instance took part; it must never take part again.
@@ -163,6 +165,7 @@
             clock_rate: self.random.random_range(956..=1_045),
             running: None,
             paused_until: 0,
+            starts: 0,
             restart_at: None,
             crash_point: None,
             barred: false,
@@ -182,6 +185,7 @@
         if instance.running.is_some() || instance.discarded {
             return;
         }
+        instance.starts += 1;
         let opened = LogStorage::open(instance.files.clone(), Path::new("data"), &instance.request);
         let OpenedFolder {
             storage,
@@ -297,6 +301,27 @@
             .node
     }
 
+    /// Whether an instance runs and is not paused.
+    #[allow(dead_code, reason = "only tests of a composed state machine ask")]
+    pub fn is_active(&self, id: &InstanceId) -> bool {
+        self.instances[id].is_active(self.now)
+    }
+
+    /// Term that an instance leads with a valid lease, by its own clock.
+    #[allow(dead_code, reason = "only tests of a composed state machine ask")]
+    pub fn authority(&self, id: &InstanceId) -> Option<Term> {
+        let instance = &self.instances[id];
+        let running = instance.running.as_ref()?;
+        let authority = running.node.authority(instance.local(self.now))?;
+        Some(authority.term)
+    }
+
+    /// Present time by the clock of an instance.
+    #[allow(dead_code, reason = "only tests of a composed state machine ask")]
+    pub fn local_time(&self, id: &InstanceId) -> TimePoint {
+        self.instances[id].local(self.now)
+    }
+
     pub fn applied(&self, id: &InstanceId) -> Option<LogIndex> {
         let running = self.instances[id].running.as_ref()?;
         Some(running.applied)
@@ -310,6 +335,11 @@
     pub fn propose(&mut self, id: &InstanceId) -> Option<EntryPosition> {
         self.next_value += 1;
         let data: Arc<[u8]> = self.next_value.to_be_bytes().as_slice().into();
+        self.propose_data(id, data)
+    }
+
+    /// Proposes given data; `None` if the instance refuses.
+    pub fn propose_data(&mut self, id: &InstanceId, data: Arc<[u8]>) -> Option<EntryPosition> {
         let now = self.now;
         let instance = &mut self.instances[id];
         let local = instance.local(now);
--- a/crates/oriolecrank-consensus/tests/support/oracle.rs
+++ b/crates/oriolecrank-consensus/tests/support/oracle.rs
@@ -16,6 +16,7 @@
     known_in: Term,
     /// State of the state machine after the entry.
     state: u64,
+    body: EntryBody,
 }
 
 /// Knows everything that has happened and checks the invariants.
@@ -56,6 +57,14 @@
         LogIndex(self.committed.len() as u64)
     }
 
+    /// Term and body of a committed entry.
+    #[allow(dead_code, reason = "only tests of a composed state machine ask")]
+    pub fn committed_entry(&self, index: LogIndex) -> Option<(Term, &EntryBody)> {
+        let position = index.0.checked_sub(1)? as usize;
+        let entry = self.committed.get(position)?;
+        Some((entry.term, &entry.body))
+    }
+
     /// Last index that a client knows to be committed.
     pub fn acknowledged(&self) -> LogIndex {
         self.acknowledged
@@ -129,6 +138,7 @@
                 term: entry.term,
                 known_in: node.term(),
                 state,
+                body: entry.body.clone(),
             });
             if let EntryBody::Membership(membership) = &entry.body {
                 self.membership = Some(membership.clone());
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -9,7 +9,7 @@
 
 use indexmap::IndexMap;
 use oriolecrank_net::BootClock;
-use oriolecrank_routing::{KnownGroup, RouteTable, WindowCounts, sync_targets, unseen_counts};
+use oriolecrank_routing::{KnownGroup, RouteTable, SyncCursor, WindowCounts, sync_targets};
 use oriolecrank_schema::event::LogEvent;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
@@ -64,9 +64,7 @@
                         link: self.link.clone(),
                         address,
                         group: news.clone(),
-                        control_run: 0,
-                        directory_revision: 0,
-                        acknowledged: Vec::new(),
+                        cursor: SyncCursor::default(),
                     };
                     tokio::spawn(target.run()).abort_handle()
                 });
@@ -93,10 +91,7 @@
     link: ControlLink,
     address: SocketAddr,
     group: mpsc::Sender<KnownGroup>,
-    control_run: u64,
-    directory_revision: u64,
-    /// Counts of usage windows that it has.
-    acknowledged: Vec<WindowCounts>,
+    cursor: SyncCursor,
 }
 
 impl<D: CallerDialect> SyncTarget<D> {
@@ -140,13 +135,12 @@
     /// `sent` are the counts of all usage windows.
     fn request(&self, sent: &[WindowCounts]) -> SyncRequest {
         let shared = &self.shared;
-        let usage = unseen_counts(sent, &self.acknowledged);
         SyncRequest {
             run: shared.options.run.clone(),
             document_version: shared.version(),
-            control_run: self.control_run,
-            directory_revision: self.directory_revision,
-            usage,
+            control_run: self.cursor.control_run(),
+            directory_revision: self.cursor.directory_revision(),
+            usage: self.cursor.unseen(sent),
             loads: shared.own_loads(BootClock.now()),
             stopping: shared.is_stopping(),
         }
@@ -154,9 +148,8 @@
 
     /// Takes an answer to a sync that sent the given counts.
     fn take(&mut self, answer: SyncAnswer, counts: Vec<WindowCounts>) {
-        // A control instance that has restarted has seen only this sync.
-        let known_run = answer.control_run == self.control_run;
-        self.acknowledged = if known_run { counts } else { Vec::new() };
+        self.cursor
+            .advance(answer.control_run, answer.directory_revision, counts);
         let now = BootClock.now();
         let shared = &self.shared;
         shared.clock.note(self.address, answer.unix_ms, now);
@@ -187,8 +180,6 @@
         shared.announce(answer.upstreams, now);
         shared.set_other_loads(&answer.other_loads);
         shared.set_entries(answer.entries);
-        self.control_run = answer.control_run;
-        self.directory_revision = answer.directory_revision;
         // A full queue holds newer answers of the other targets.
         let _ = self.group.try_send(KnownGroup {
             members: answer.members,
--- a/crates/oriolecrank-gateway/src/usage_duty.rs
+++ b/crates/oriolecrank-gateway/src/usage_duty.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use oriolecrank_net::{BootClock, HttpClient};
-use oriolecrank_routing::{OrganisationCounts, SiteCommand, WindowNumber};
+use oriolecrank_routing::{
+    OrganisationCounts, ScheduleSettings, SiteCommand, UsageSchedule, WindowNumber,
+};
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
 use tokio::time::{MissedTickBehavior, interval};
@@ -32,18 +34,10 @@
 pub struct UsageRules {
     /// Address of the usage interface.
     pub address: SocketAddr,
-    /// Length of a window.
-    pub window: Duration,
-    /// Time after its end at which a report is due.
-    pub due_after: Duration,
-    /// Time for which a leader waits before it acts, so that its predecessor has stopped.
-    pub lease: Duration,
+    /// Times of the reports.
+    pub schedule: ScheduleSettings,
 }
 
-/// Part of the time until a report is due after which a window is closed. Entries send their counts
-/// about twice a second; the rest is for entries that are cut off for a while, and for the report.
-const CLOSE_PART: f64 = 0.35;
-
 /// Task that reports usage while this instance leads.
 #[derive(Debug)]
 pub(crate) struct UsageDuty<D> {
@@ -55,56 +49,32 @@
     pub(crate) clock: Arc<SiteClock>,
 }
 
-/// A term that this instance leads.
-#[derive(Debug, Clone, Copy)]
-struct LedTerm {
-    term: u64,
-    since: TimePoint,
-    /// The usage interface has seen a higher fencing number; nothing more is sent in this term.
-    fenced: bool,
-}
-
 impl<D: UsageDialect> UsageDuty<D> {
     /// Runs until the process ends.
     pub(crate) async fn run(self) {
         let mut ticks = interval(CHECK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut led: Option<LedTerm> = None;
+        let mut schedule = UsageSchedule::new(self.rules.schedule.clone());
         loop {
             ticks.tick().await;
             let now = BootClock.now();
-            let Some(authority) = self.publisher.replica.authority() else {
-                led = None;
+            let authority = self.publisher.replica.authority();
+            let led = authority.map(|authority| authority.term.0);
+            let Some(term) = schedule.acting_term(led, now) else {
                 continue;
             };
-            let term = authority.term.0;
-            let mut current = led.filter(|led| led.term == term).unwrap_or(LedTerm {
-                term,
-                since: now,
-                fenced: false,
-            });
-            if now.since(current.since) >= self.rules.lease && !current.fenced {
-                self.close_windows(now).await;
-                current.fenced = !self.report_windows(term).await;
+            self.close_windows(&schedule, now).await;
+            if !self.report_windows(term).await {
+                schedule.note_fenced();
             }
-            led = Some(current);
         }
     }
 
     /// Fixes the figures of windows that have ended.
-    async fn close_windows(&self, now: TimePoint) {
-        let rules = &self.rules;
+    async fn close_windows(&self, schedule: &UsageSchedule, now: TimePoint) {
         let unix_ms = self.clock.unix_ms(now);
-        let ended = |after: Duration| unix_ms.saturating_sub(after.as_millis() as u64);
-        // The window that contains a point is not over; the one before is.
-        let newest = WindowNumber::at(ended(rules.due_after.mul_f64(CLOSE_PART)), rules.window)
-            .0
-            .saturating_sub(1);
-        let oldest = WindowNumber::at(ended(rules.due_after), rules.window)
-            .0
-            .saturating_sub(1);
-        let first = oldest.max(self.publisher.site.read().closed_until().0 + 1);
-        for window in (first..=newest).map(WindowNumber) {
+        let closed_until = self.publisher.site.read().closed_until();
+        for window in schedule.windows_to_close(unix_ms, closed_until) {
             let counts = self.tables.lock().usage.total(window);
             if counts.is_empty() {
                 continue;
@@ -114,10 +84,8 @@
                 return;
             }
         }
-        self.tables
-            .lock()
-            .usage
-            .prune(WindowNumber(oldest.saturating_sub(1)));
+        let oldest = schedule.oldest_needed(unix_ms);
+        self.tables.lock().usage.prune(oldest);
     }
 
     /// Sends the figures of closed windows; false once a higher fencing number was seen.
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -7,7 +7,9 @@
 //! - [`DirectChooser`] takes an upstream for a request, by expected time to the first answer.
 //! - [`LoadBoard`] tells each entry what the others have sent.
 //! - [`ArrivalBudget`] bounds attempts beyond the first over all entries.
-//! - [`UsageCounter`] and [`UsageCollector`] count requests by organisation and window.
+//! - [`UsageCounter`] and [`UsageCollector`] count requests by organisation and window;
+//!   [`UsageSchedule`] says when the leader reports them.
+//! - [`SyncCursor`] is the position of an entry in its exchange with a control instance.
 //! - [`SiteState`] is the replicated state of the control group; [`next_members`] repairs the group.
 
 mod arrival_budget;
@@ -22,8 +24,10 @@
 mod route_document;
 mod route_table;
 mod site_state;
+mod sync_cursor;
 mod sync_targets;
 mod upstream_directory;
+mod usage_schedule;
 mod usage_window;
 
 pub use arrival_budget::{ArrivalBudget, ArrivalGrant};
@@ -42,11 +46,13 @@
 };
 pub use route_table::{CallerOrganisation, RouteTable};
 pub use site_state::{ClosedWindow, SiteCommand, SiteOutcome, SiteState, StoredDocument};
+pub use sync_cursor::SyncCursor;
 pub use sync_targets::{KnownGroup, MAX_SYNC_TARGETS, sync_targets};
 pub use upstream_directory::{
     DirectorySettings, EnginePhase, MergeEffect, UpstreamAnnouncement, UpstreamDirectory,
     UpstreamRecord, UpstreamState,
 };
+pub use usage_schedule::{ScheduleSettings, UsageSchedule};
 pub use usage_window::{
     EntryRun, OrganisationCounts, UsageCollector, UsageCounter, WindowCounts, WindowNumber,
     unseen_counts,
--- /dev/null
+++ b/crates/oriolecrank-routing/tests/site_schedules.rs
@@ -0,0 +1,238 @@
+//! Documents, usage and upstreams of a whole site under seeded schedules of faults, on the same group
+//! of consensus nodes as the schedules of the consensus crate.
+//!
+//! `ORIOLECRANK_SEEDS` sets the number of schedules and `ORIOLECRANK_FIRST_SEED` the first one. A
+//! failing seed is printed.
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+#[expect(dead_code, reason = "membership changes have schedules of their own")]
+#[path = "../../oriolecrank-consensus/tests/support/group.rs"]
+mod group;
+#[expect(
+    dead_code,
+    reason = "faults of the disk are tested with the storage alone"
+)]
+#[path = "../../oriolecrank-consensus/tests/support/memory_files.rs"]
+mod memory_files;
+#[expect(
+    dead_code,
+    reason = "acknowledgements of plain values have schedules of their own"
+)]
+#[path = "../../oriolecrank-consensus/tests/support/oracle.rs"]
+mod oracle;
+#[path = "schedule_support/site_model.rs"]
+mod site_model;
+#[path = "schedule_support/usage_interface.rs"]
+mod usage_interface;
+
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use group::{CrashPoint, NetworkFaults};
+use rand::Rng as _;
+use rand::seq::IndexedRandom as _;
+use site_model::SiteModel;
+
+/// Schedules run by default, within some seconds in a debug build.
+const DEFAULT_SEEDS: u64 = 60;
+
+/// Time with faults, in ms.
+const FAULT_TIME: u64 = 25_000;
+
+/// Time without faults, in ms: an election, the wait of a new leader, and the windows that are
+/// checked with their reports.
+const STEADY_TIME: u64 = 36_000;
+
+/// Interval at which one instance loses power while there are no other faults, in ms. The promises
+/// hold with one instance lost; a new leader needs an election and a wait within the time of a report.
+const RESTART_INTERVAL: u64 = 9_000;
+
+/// Time at the end in which nothing new is submitted, in ms.
+const QUIET_TIME: u64 = 6_000;
+
+/// Most threads that run schedules.
+const MAX_THREADS: usize = 4;
+
+/// Seeds that once failed, with the cause.
+const REGRESSIONS: [u64; 0] = [];
+
+fn number_from_environment(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.map_or(default, |text| text.parse().unwrap())
+}
+
+/// Guards against lost or older documents, two figures for one usage window, two holders of one duty,
+/// usage that is late or wrong after faults, and statements of upstreams that undo newer ones.
+#[test]
+fn a_site_keeps_its_promises_under_seeded_schedules() {
+    let seeds = number_from_environment("ORIOLECRANK_SEEDS", DEFAULT_SEEDS);
+    let first = number_from_environment("ORIOLECRANK_FIRST_SEED", 1);
+    let next = AtomicU64::new(0);
+    let totals = Totals::default();
+    std::thread::scope(|scope| {
+        for _ in 0..MAX_THREADS {
+            scope.spawn(|| {
+                loop {
+                    let number = next.fetch_add(1, Ordering::Relaxed);
+                    let regressions = REGRESSIONS.len() as u64;
+                    if number >= seeds + regressions {
+                        break;
+                    }
+                    let fresh = number.checked_sub(regressions).map(|number| first + number);
+                    let seed = fresh.unwrap_or_else(|| REGRESSIONS[number as usize]);
+                    let run = catch_unwind(AssertUnwindSafe(|| run_schedule(seed, &totals)));
+                    if run.is_err() {
+                        println!("failing seed: {seed}");
+                        totals.failures.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+            });
+        }
+    });
+    println!("{totals:?}");
+    let failures = totals.failures.into_inner();
+    assert_eq!(failures, 0, "the failing seeds are printed above");
+    // Schedules that put nothing in force and report nothing would check nothing.
+    assert!(totals.documents.into_inner() > seeds);
+    assert!(totals.reports.into_inner() > seeds);
+}
+
+#[derive(Debug, Default)]
+struct Totals {
+    failures: AtomicU64,
+    documents: AtomicU64,
+    reports: AtomicU64,
+}
+
+/// A disturbance.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    Partition,
+    HealNetwork,
+    Pause,
+    LongPause,
+    PowerLoss,
+    PowerLossInWrite,
+    AllLosePower,
+    Compaction,
+    Delay,
+    CutEntry,
+    RestartEntry,
+    Loss,
+    Upstream,
+}
+
+const FAULTS: [Fault; 15] = [
+    Fault::Partition,
+    Fault::HealNetwork,
+    Fault::HealNetwork,
+    Fault::Pause,
+    Fault::LongPause,
+    Fault::PowerLoss,
+    Fault::PowerLossInWrite,
+    Fault::AllLosePower,
+    Fault::Compaction,
+    Fault::Delay,
+    Fault::CutEntry,
+    Fault::RestartEntry,
+    Fault::Loss,
+    Fault::Upstream,
+    Fault::Upstream,
+];
+
+fn run_schedule(seed: u64, totals: &Totals) {
+    let mut site = SiteModel::new(seed);
+    let between = [400, 1_500, 6_000][seed as usize % 3];
+    let mut next_fault = 0;
+    while site.group.now < FAULT_TIME {
+        let step = site.group.random.random_range(50..250);
+        site.step(step);
+        if site.group.random.random_bool(0.2) {
+            site.publish();
+        }
+        if site.group.now >= next_fault {
+            disturb(&mut site);
+            next_fault = site.group.now + site.group.random.random_range(1..between);
+        }
+    }
+    site.heal();
+    let healed = site.group.now;
+    let mut next_restart = healed + RESTART_INTERVAL;
+    while site.group.now < healed + STEADY_TIME {
+        site.step(200);
+        if site.group.now >= next_restart && site.group.now < healed + STEADY_TIME - QUIET_TIME {
+            let id = site.any_control();
+            lose_power(&mut site, &id);
+            next_restart += RESTART_INTERVAL;
+        }
+        if site.group.now < healed + STEADY_TIME - QUIET_TIME && site.group.random.random_bool(0.1)
+        {
+            site.publish();
+        }
+    }
+    site.check_settled(healed);
+    totals
+        .documents
+        .fetch_add(site.acknowledged, Ordering::Relaxed);
+    totals.reports.fetch_add(site.reports, Ordering::Relaxed);
+}
+
+fn disturb(site: &mut SiteModel) {
+    let id = site.any_control();
+    match FAULTS.choose(&mut site.group.random).unwrap() {
+        Fault::Partition => {
+            for other in site.ids() {
+                let links = [(id.clone(), other.clone()), (other, id.clone())];
+                let one_way = site.group.random.random_bool(0.2);
+                let count = if one_way { 1 } else { 2 };
+                site.group
+                    .network
+                    .blocked
+                    .extend(links.into_iter().take(count));
+            }
+        }
+        Fault::HealNetwork => {
+            site.group.network = NetworkFaults::default();
+            site.cut.clear();
+            site.loss = 0.0;
+        }
+        Fault::Pause => {
+            let millis = site.group.random.random_range(10..400);
+            site.group.pause(&id, millis);
+        }
+        Fault::LongPause => {
+            let millis = site.group.random.random_range(1_000..8_000);
+            site.group.pause(&id, millis);
+        }
+        Fault::PowerLoss => lose_power(site, &id),
+        Fault::PowerLossInWrite => {
+            let points = [CrashPoint::BeforeSync, CrashPoint::AfterSync];
+            let point = points.choose(&mut site.group.random).copied();
+            site.group.instances[&id].crash_point = point;
+        }
+        Fault::AllLosePower => {
+            for id in site.ids() {
+                lose_power(site, &id);
+            }
+        }
+        Fault::Compaction => {
+            if site.group.is_active(&id) {
+                site.group.compact(&id);
+            }
+        }
+        Fault::Delay => site.group.network.max_delay = site.group.random.random_range(2..300),
+        Fault::CutEntry => {
+            let entry = site.group.random.random_range(0..3);
+            site.cut.insert((entry, id));
+        }
+        Fault::RestartEntry => site.restart_entry(),
+        Fault::Loss => site.loss = site.group.random.random_range(0.0..0.4),
+        Fault::Upstream => site.change_upstream(),
+    }
+}
+
+fn lose_power(site: &mut SiteModel, id: &oriolecrank_consensus::InstanceId) {
+    let downtime = site.group.downtime();
+    let restart = site.group.now + downtime;
+    site.group.crash(id, Some(restart));
+}
