Tell every entry which engine keeps a shared prompt part

Cause: a session's shared part is asked for every 3 s, but at another entry each time and from every region.

Change: entries report with each sync which engine was given which shared part; the leader tells the others. Without a known place the home by hashing stays.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -9,8 +9,8 @@
 use oriolecrank_net::{ClientResponse, SendError};
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
 use oriolecrank_routing::{
-    CallDemand, CallKind, CallTiming, NoUpstream, OrganisationName, RouteSpec, ServiceName,
-    UpstreamName,
+    CallDemand, CallKind, CallTiming, NoUpstream, OrganisationName, PromptShape, RouteSpec,
+    ServiceName, UpstreamName,
 };
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::data_path::RunVerdict;
@@ -254,6 +254,10 @@
                 present,
             )
         };
+        if let Some(part) = demand.prompt.and_then(PromptShape::shared_part) {
+            let runner = &plan.runner.announcement.name;
+            self.shared.note_placement(part, runner, present);
+        }
         let late = plan.timing == CallTiming::Late;
         self.rank = request.rank + if late { LATE_RANKS } else { 0 };
         // Usage counts runs, and reading a prompt is none.
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -9,7 +9,8 @@
 use oriolecrank_net::{ClusterSecret, HttpClient};
 use oriolecrank_routing::{
     ArrivalBudget, ArrivalGrant, ChooserSettings, DirectChooser, EntryRun, OrganisationName,
-    RouteTable, ServiceName, UpstreamAnnouncement, UpstreamDirectory, UsageCounter, WindowNumber,
+    PartId, PlacedParts, PlacementLog, RouteTable, ServiceName, UpstreamAnnouncement,
+    UpstreamDirectory, UpstreamName, UsageCounter, WindowNumber,
 };
 use oriolecrank_schema::TimePoint;
 
@@ -65,6 +66,8 @@
     table: RwLock<Option<Arc<RouteTable>>>,
     tables: Mutex<LaneTables>,
     usage: Mutex<UsageCounter>,
+    /// Own placements of shared prompt parts, for the control instances.
+    placements: Mutex<PlacementLog>,
     /// Longest patience of callers, by the name of the route.
     patience: Mutex<IndexMap<String, Duration>>,
     /// Entries that share the fixed part of the grant.
@@ -87,6 +90,7 @@
             table: RwLock::default(),
             tables: Mutex::default(),
             usage: Mutex::default(),
+            placements: Mutex::default(),
             patience: Mutex::default(),
             entries: AtomicU32::new(0),
             stopping: AtomicBool::new(false),
@@ -207,6 +211,30 @@
         }
     }
 
+    /// Notes that a request with a shared prompt part is sent to an upstream.
+    pub(crate) fn note_placement(&self, part: PartId, upstream: &UpstreamName, now: TimePoint) {
+        let source = self.options.run.run;
+        self.lock_placements().note(source, part, upstream, now);
+    }
+
+    /// Own placements.
+    pub(crate) fn lock_placements(&self) -> MutexGuard<'_, PlacementLog> {
+        self.placements
+            .lock()
+            .expect("no holder of the placement lock panics")
+    }
+
+    /// Takes placements of the other entries.
+    pub(crate) fn take_places(&self, placed: &[PlacedParts], now: TimePoint) {
+        let mut tables = self.lock_tables();
+        for lane in tables.lanes.values_mut() {
+            lane.chooser.prune_places(now);
+            for placed in placed {
+                lane.chooser.take_places(placed, now);
+            }
+        }
+    }
+
     /// Time that a caller has spent before this request: callers that come back after a refusal state
     /// what is left of their patience, and the longest one on a route is that of a first attempt.
     pub(crate) fn time_spent(&self, route: &str, patience: Duration) -> Duration {
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -9,7 +9,9 @@
 
 use indexmap::IndexMap;
 use oriolecrank_net::BootClock;
-use oriolecrank_routing::{KnownGroup, RouteTable, SyncCursor, WindowCounts, sync_targets};
+use oriolecrank_routing::{
+    KnownGroup, PlacedParts, RouteTable, SyncCursor, WindowCounts, sync_targets,
+};
 use oriolecrank_schema::event::LogEvent;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
@@ -65,6 +67,8 @@
                         address,
                         group: news.clone(),
                         cursor: SyncCursor::default(),
+                        own_placements: 0,
+                        placement_sequence: 0,
                     };
                     tokio::spawn(target.run()).abort_handle()
                 });
@@ -92,6 +96,10 @@
     address: SocketAddr,
     group: mpsc::Sender<KnownGroup>,
     cursor: SyncCursor,
+    /// Sequence of the newest own placement that it has.
+    own_placements: u64,
+    /// Sequence of the newest placement of other entries that it has told.
+    placement_sequence: u64,
 }
 
 impl<D: CallerDialect> SyncTarget<D> {
@@ -99,7 +107,11 @@
         let mut reached = true;
         loop {
             let counts = self.shared.lock_usage().windows().to_vec();
-            let request = self.request(&counts);
+            let (placed, newest_placement) = {
+                let log = self.shared.lock_placements();
+                (log.since(self.own_placements, None), log.newest())
+            };
+            let request = self.request(&counts, placed);
             let link = &self.link;
             let answer = link.call(self.address, SYNC_PATH, &request, SYNC_TIMEOUT);
             match answer.await {
@@ -112,6 +124,7 @@
                         );
                     }
                     reached = true;
+                    self.own_placements = newest_placement;
                     self.take(answer, counts);
                     sleep(MIN_INTERVAL).await;
                 }
@@ -133,7 +146,7 @@
     }
 
     /// `sent` are the counts of all usage windows.
-    fn request(&self, sent: &[WindowCounts]) -> SyncRequest {
+    fn request(&self, sent: &[WindowCounts], placed: Vec<PlacedParts>) -> SyncRequest {
         let shared = &self.shared;
         SyncRequest {
             run: shared.options.run.clone(),
@@ -142,6 +155,8 @@
             directory_revision: self.cursor.directory_revision(),
             usage: self.cursor.unseen(sent),
             loads: shared.own_loads(BootClock.now()),
+            placed,
+            placement_sequence: self.placement_sequence,
             stopping: shared.is_stopping(),
         }
     }
@@ -179,6 +194,8 @@
         }
         shared.announce(answer.upstreams, now);
         shared.set_other_loads(&answer.other_loads);
+        shared.take_places(&answer.placed, now);
+        self.placement_sequence = answer.placement_sequence;
         shared.set_entries(answer.entries);
         // A full queue holds newer answers of the other targets.
         let _ = self.group.try_send(KnownGroup {
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -46,6 +46,13 @@
     pub(crate) clock: Arc<SiteClock>,
 }
 
+/// What an entry has of this run of the control process.
+#[derive(Debug, Clone, Copy, Default)]
+struct SeenNews {
+    directory_revision: u64,
+    placement_sequence: u64,
+}
+
 impl InternalServer {
     async fn message(&self, path: &str, body: &Bytes) -> Result<Response<AnswerBody>, CodecError> {
         let answer = match path {
@@ -93,11 +100,15 @@
         let mut version = self.publisher.site.version();
         self.tables.lock().note_entry(&mut request, BootClock.now());
         let known_run = request.control_run == self.tables.run;
-        let revision = if known_run {
-            request.directory_revision
+        let seen = if known_run {
+            SeenNews {
+                directory_revision: request.directory_revision,
+                placement_sequence: request.placement_sequence,
+            }
         } else {
-            0
+            SeenNews::default()
         };
+        let revision = seen.directory_revision;
         let news = async {
             tokio::select! {
                 _ = changes.wait_for(|changed| *changed > revision) => {}
@@ -108,10 +119,10 @@
             // The end of the wait is news too: loads have changed.
             let _ = timeout(SYNC_WAIT, news).await;
         }
-        self.sync_answer(&request, revision)
+        self.sync_answer(&request, seen)
     }
 
-    fn sync_answer(&self, request: &SyncRequest, revision: u64) -> SyncAnswer {
+    fn sync_answer(&self, request: &SyncRequest, seen: SeenNews) -> SyncAnswer {
         let document = {
             let state = self.publisher.site.read();
             let document = state.document();
@@ -123,12 +134,20 @@
         let leader = self.publisher.replica.leader();
         let members = own.membership.members.iter();
         let members = members.filter_map(|member| member.address.parse().ok());
+        let leads = leader.as_ref().is_some_and(|leader| leader.id == own.id);
         let tables = self.tables.lock();
+        let placed = leads.then(|| {
+            tables
+                .placements
+                .since(seen.placement_sequence, Some(request.run.run))
+        });
         SyncAnswer {
+            placed: placed.unwrap_or_default(),
+            placement_sequence: tables.placements.newest(),
             document,
             control_run: self.tables.run,
             directory_revision: tables.directory.revision(),
-            upstreams: tables.announcements(revision, BootClock.now()),
+            upstreams: tables.announcements(seen.directory_revision, BootClock.now()),
             other_loads: tables.loads_beside(&request.run),
             entries: tables.loads.entry_count(),
             members: members.collect(),
--- a/crates/oriolecrank-gateway/src/site_messages.rs
+++ b/crates/oriolecrank-gateway/src/site_messages.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use oriolecrank_routing::{
-    EntryRun, StoredDocument, UpstreamAnnouncement, UpstreamLoad, UpstreamName, WindowCounts,
+    EntryRun, PlacedParts, StoredDocument, UpstreamAnnouncement, UpstreamLoad, UpstreamName,
+    WindowCounts,
 };
 use serde::{Deserialize, Serialize};
 
@@ -34,6 +35,12 @@
     pub(crate) usage: Vec<WindowCounts>,
     /// Load that this entry puts on upstreams.
     pub(crate) loads: Vec<NamedLoad>,
+    /// Shared prompt parts that this entry has placed since its last message.
+    #[serde(default)]
+    pub(crate) placed: Vec<PlacedParts>,
+    /// Sequence of the newest placement that the entry has been told of.
+    #[serde(default)]
+    pub(crate) placement_sequence: u64,
     /// The entry is stopping; the answer must not wait.
     #[serde(default)]
     pub(crate) stopping: bool,
@@ -61,6 +68,12 @@
     pub(crate) upstreams: Vec<AgedAnnouncement>,
     /// Load that the other entries put on upstreams.
     pub(crate) other_loads: Vec<NamedLoad>,
+    /// Shared prompt parts that other entries have placed; only the leader hears of all of them.
+    #[serde(default)]
+    pub(crate) placed: Vec<PlacedParts>,
+    /// Sequence of the newest placement.
+    #[serde(default)]
+    pub(crate) placement_sequence: u64,
     /// Entries that sync with this control instance, including the asking one.
     pub(crate) entries: u32,
     /// Internal addresses of the control group.
--- a/crates/oriolecrank-gateway/src/site_tables.rs
+++ b/crates/oriolecrank-gateway/src/site_tables.rs
@@ -2,8 +2,8 @@
 
 use oriolecrank_control::JoinTable;
 use oriolecrank_routing::{
-    EntryRun, LoadBoard, MergeEffect, UpstreamAnnouncement, UpstreamDirectory, UpstreamName,
-    UsageCollector,
+    EntryRun, LoadBoard, MergeEffect, PlacementLog, UpstreamAnnouncement, UpstreamDirectory,
+    UpstreamName, UsageCollector,
 };
 use oriolecrank_schema::TimePoint;
 use std::sync::{Mutex, MutexGuard};
@@ -33,6 +33,8 @@
     pub(crate) joins: JoinTable,
     /// Loads that entries put on upstreams.
     pub(crate) loads: LoadBoard,
+    /// Engines to which entries have sent shared prompt parts.
+    pub(crate) placements: PlacementLog,
 }
 
 impl SiteTables {
@@ -97,6 +99,12 @@
     pub(crate) fn note_entry(&mut self, request: &mut SyncRequest, now: TimePoint) {
         self.usage
             .note(&request.run, std::mem::take(&mut request.usage));
+        for placed in &request.placed {
+            for part in &placed.parts {
+                let source = request.run.run;
+                self.placements.note(source, *part, &placed.upstream, now);
+            }
+        }
         let loads = std::mem::take(&mut request.loads).into_iter();
         if request.stopping {
             self.loads.forget(&request.run);
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -7,8 +7,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::direct_chooser::{CallDemand, DirectChooser, DomainDistance};
-use crate::direct_upstream::{CallTiming, DirectUpstream};
-use crate::prompt_shape::PromptShape;
+use crate::direct_upstream::{CallTiming, DirectUpstream, PartTrust};
+use crate::prompt_shape::{PartId, PromptShape};
 use crate::upstream_directory::{EnginePhase, UpstreamState};
 
 /// Cost of a copy beside its time, in milliseconds: a second message and a slot at the reader.
@@ -86,6 +86,26 @@
     }
 }
 
+/// Engine that keeps the shared part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct PartHome {
+    index: usize,
+    /// An entry has sent the part there, as opposed to a choice by hashing.
+    known: bool,
+}
+
+impl PartHome {
+    /// What this says about an engine.
+    fn trust(home: Option<Self>, index: usize) -> PartTrust {
+        match home {
+            Some(home) if home.index != index => PartTrust::None,
+            Some(home) if home.known => PartTrust::Known,
+            Some(_) => PartTrust::Probable,
+            None => PartTrust::None,
+        }
+    }
+}
+
 /// Which upstreams may be chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Strictness {
@@ -142,7 +162,7 @@
             };
             let copy_ms = self.chooser.copy_ms(source, upstream, prompt.input_tokens);
             let start_ms = upstream.start_ms(slots, self.now);
-            let bonus_ms = if home == Some(index) {
+            let bonus_ms = if home.is_some_and(|home| home.index == index) {
                 HOME_BONUS_MS
             } else {
                 0.0
@@ -175,10 +195,10 @@
         index: usize,
         upstream: &DirectUpstream,
         prompt: &PromptShape,
-        home: Option<usize>,
+        home: Option<PartHome>,
         keeper: Option<PromptKeeper>,
     ) -> WorkTime {
-        let kept = upstream.kept_tokens(prompt, home == Some(index));
+        let kept = upstream.kept_tokens(prompt, PartHome::trust(home, index));
         let alone = self.read_work(upstream, prompt.input_tokens.saturating_sub(kept), None);
         // The engine itself knows best what it keeps; it fetches only what it lacks.
         let keeper = keeper.filter(|keeper| keeper.index != index);
@@ -223,16 +243,17 @@
     }
 
     /// Engine that keeps the longest begin of the prompt, as far as this entry knows.
-    fn keeper(&self, home: Option<usize>) -> Option<PromptKeeper> {
+    fn keeper(&self, home: Option<PartHome>) -> Option<PromptKeeper> {
         let prompt = self.demand.prompt?;
         let upstreams = self.chooser.upstreams.values().enumerate();
-        let near = upstreams.filter(|(_, upstream)| {
-            self.is_usable(upstream, Strictness::Sound)
-                && self.chooser.distance_to(upstream) != DomainDistance::OtherRegion
+        let near = upstreams.filter(|(index, upstream)| {
+            let known = PartHome::trust(home, *index) == PartTrust::Known;
+            let far = self.chooser.distance_to(upstream) == DomainDistance::OtherRegion;
+            self.is_usable(upstream, Strictness::Sound) && (known || !far)
         });
         let keepers = near.map(|(index, upstream)| PromptKeeper {
             index,
-            tokens: upstream.kept_tokens(prompt, home == Some(index)),
+            tokens: upstream.kept_tokens(prompt, PartHome::trust(home, index)),
         });
         keepers
             .max_by_key(|keeper| keeper.tokens)
@@ -319,11 +340,24 @@
         strictness == Strictness::Any || (upstream.weight > 0.0 && !silent)
     }
 
-    /// Engine of the own region that runs the requests with a shared part and therefore keeps it, by
-    /// rendezvous hashing, so that the entries of a region agree without a message. Engines that only
-    /// read prompts fetch the part from there. Sessions stay in their region, and so do their parts.
-    fn home(&self) -> Option<usize> {
+    /// Engine that keeps the shared part of the prompt. Engines that only read prompts fetch the part
+    /// from there.
+    fn home(&self) -> Option<PartHome> {
         let part = self.demand.prompt.and_then(PromptShape::shared_part)?;
+        self.known_home(part).or_else(|| self.probable_home(part))
+    }
+
+    /// Engine that was given the part a moment ago by any entry.
+    fn known_home(&self, part: PartId) -> Option<PartHome> {
+        let name = self.chooser.places.find(part, self.now)?;
+        let (index, _, upstream) = self.chooser.upstreams.get_full(name)?;
+        let usable = self.is_usable(upstream, Strictness::Sound);
+        usable.then_some(PartHome { index, known: true })
+    }
+
+    /// Engine of the own region by rendezvous hashing, on which the entries of a region agree without a
+    /// message.
+    fn probable_home(&self, part: PartId) -> Option<PartHome> {
         let mut home = None;
         let mut best = None;
         for (index, upstream) in self.chooser.upstreams.values().enumerate() {
@@ -338,7 +372,10 @@
             let hash = xxh3_64_with_seed(name.as_bytes(), part.0);
             if best.is_none_or(|best| hash > best) {
                 best = Some(hash);
-                home = Some(index);
+                home = Some(PartHome {
+                    index,
+                    known: false,
+                });
             }
         }
         home
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -16,6 +16,7 @@
 use crate::choice_search::{Candidate, ChoiceSearch};
 use crate::direct_upstream::{CallTiming, DirectUpstream, RunningWork, UpstreamLoad};
 use crate::names::{DomainName, UpstreamName};
+use crate::part_placement::{PartPlaces, PlacedParts};
 use crate::prompt_shape::PromptShape;
 use crate::route_document::EngineSheet;
 use crate::upstream_directory::{UpstreamAnnouncement, UpstreamState};
@@ -139,6 +140,8 @@
     max_connections: u32,
     pub(crate) upstreams: IndexMap<UpstreamName, DirectUpstream>,
     ejection: OutlierEjection,
+    /// Engines that keep shared prompt parts, by the requests of all entries.
+    pub(crate) places: PartPlaces,
     /// Mean time of a plain call, in milliseconds.
     pub(crate) call_ms: f64,
 }
@@ -154,6 +157,7 @@
             max_connections: 0,
             upstreams: IndexMap::new(),
             ejection: OutlierEjection::new(settings.ejection.clone()),
+            places: PartPlaces::default(),
             call_ms: settings.first_call.as_secs_f64() * 1_000.0,
             settings,
         }
@@ -225,6 +229,20 @@
         loads.filter(|(_, load)| *load != UpstreamLoad::default())
     }
 
+    /// Takes over where another entry has placed shared prompt parts.
+    pub fn take_places(&mut self, placed: &PlacedParts, now: TimePoint) {
+        if self.upstreams.contains_key(&placed.upstream) {
+            for part in &placed.parts {
+                self.places.note(*part, &placed.upstream, now);
+            }
+        }
+    }
+
+    /// Forgets places that are too old.
+    pub fn prune_places(&mut self, now: TimePoint) {
+        self.places.prune(now);
+    }
+
     /// Chooses upstreams and counts the request as sent.
     pub fn choose<R: Rng>(
         &mut self,
@@ -240,6 +258,7 @@
         let found = self.find(demand, now, random)?;
         let timing = found.timing;
         let reader = found.reader;
+        self.note_place(demand, found.runner.index, now);
         Ok(CallPlan {
             timing,
             reader: reader.map(|reader| self.take(&reader, demand, timing, now)),
@@ -313,6 +332,14 @@
         })
     }
 
+    /// The engine that runs a request keeps its prompt.
+    fn note_place(&mut self, demand: &CallDemand<'_>, index: usize, now: TimePoint) {
+        let part = demand.prompt.and_then(PromptShape::shared_part);
+        if let Some((part, (name, _))) = part.zip(self.upstreams.get_index(index)) {
+            self.places.note(part, name, now);
+        }
+    }
+
     /// Counts a request as sent to a candidate.
     fn take(
         &mut self,
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -122,6 +122,17 @@
 /// waits that are not due to reading.
 const SPEED_WEIGHT: f64 = 0.05;
 
+/// What is known of the shared parts of a prompt at an engine, beside this entry's own requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PartTrust {
+    /// Nothing.
+    None,
+    /// Requests with the last of them are sent there by rule.
+    Probable,
+    /// A request with all of them was sent there a moment ago.
+    Known,
+}
+
 /// Part of a prompt's known tokens that counts as cached at the home of its shared part, which
 /// other entries have probably sent there.
 const HOME_PART: f64 = 0.9;
@@ -279,14 +290,15 @@
     }
 
     /// Tokens of a prompt that it probably keeps.
-    pub fn kept_tokens(&self, prompt: &PromptShape, home: bool) -> u64 {
+    pub(crate) fn kept_tokens(&self, prompt: &PromptShape, trust: PartTrust) -> u64 {
         let cached = self.parts.cached_tokens(prompt);
-        if cached > 0 || !home {
-            return cached;
-        }
         let own = prompt.parts.last().map_or(0, |part| part.tokens);
         let shared = prompt.input_tokens.saturating_sub(own);
-        (shared as f64 * HOME_PART) as u64
+        match trust {
+            PartTrust::Known => shared.max(cached),
+            PartTrust::Probable if cached == 0 => (shared as f64 * HOME_PART) as u64,
+            PartTrust::Probable | PartTrust::None => cached,
+        }
     }
 
     /// Time that reading a prompt takes up, in milliseconds.
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`RouteDocument`] is what operators put in force; [`RouteTable`] answers look-ups in it.
 //! - [`UpstreamDirectory`] merges what upstreams say of themselves.
 //! - [`DirectChooser`] takes an upstream for a request, by expected time to the first answer.
+//! - [`PlacementLog`] and [`PartPlaces`] tell each entry which engine keeps a shared prompt part.
 //! - [`LoadBoard`] tells each entry what the others have sent.
 //! - [`ArrivalBudget`] bounds attempts beyond the first over all entries.
 //! - [`UsageCounter`] and [`UsageCollector`] count requests by organisation and window;
@@ -20,6 +21,7 @@
 mod member_repair;
 mod names;
 mod part_cache;
+mod part_placement;
 mod prompt_shape;
 mod route_document;
 mod route_table;
@@ -39,6 +41,7 @@
 pub use member_repair::{JoiningMember, MemberHealth, RepairSettings, next_members};
 pub use names::{DomainName, EntryName, OrganisationName, ServiceName, UpstreamName};
 pub use part_cache::PartCache;
+pub use part_placement::{PartPlaces, PlacedParts, PlacementLog};
 pub use prompt_shape::{PartId, PromptPart, PromptShape};
 pub use route_document::{
     CallKind, CallerLimits, DocumentError, EngineSheet, OrganisationKey, OrganisationSpec,
--- a/crates/oriolecrank-routing/src/prompt_shape.rs
+++ b/crates/oriolecrank-routing/src/prompt_shape.rs
@@ -1,7 +1,9 @@
 //! Prompt of a request to a model engine, as far as it decides where the request goes.
 
+use serde::{Deserialize, Serialize};
+
 /// Identity of a prompt part; equal parts have equal identities.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct PartId(pub u64);
 
 /// One part of a prompt.
--- a/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
+++ b/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
@@ -5,8 +5,8 @@
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
 use oriolecrank_routing::{
     CallDemand, CallPlan, CallTiming, ChooserSettings, DirectChooser, DomainName, EnginePhase,
-    EngineSheet, NoUpstream, PromptShape, UpstreamAnnouncement, UpstreamLoad, UpstreamName,
-    UpstreamState,
+    EngineSheet, NoUpstream, PartId, PlacedParts, PromptShape, UpstreamAnnouncement, UpstreamLoad,
+    UpstreamName, UpstreamState,
 };
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -275,6 +275,31 @@
     }
 }
 
+/// Pattern: sessions that are asked at another entry each time. Another entry has sent the part to an
+/// engine in another region, and the time on the link is shorter than that of reading.
+#[test]
+fn a_part_that_another_entry_has_placed_is_fetched_from_there() {
+    let far = UpstreamAnnouncement {
+        domain: DomainName::from("b"),
+        ..engine("far", 1, EnginePhase::Decode)
+    };
+    let mut chooser = engines(&[
+        far.clone(),
+        engine("near", 2, EnginePhase::Decode),
+        engine("read", 3, EnginePhase::Prefill),
+    ]);
+    let prompt = prompt(1, 2);
+    let placed = PlacedParts {
+        upstream: far.name.clone(),
+        parts: vec![PartId(1)],
+    };
+    chooser.take_places(&placed, at(0));
+    let plan = choose(&mut chooser, &demand(Some(&prompt), &[])).unwrap();
+    let reads = plan.reader.unwrap_or(plan.runner);
+    assert_eq!(reads.announcement.domain, DomainName::from("a"));
+    assert_eq!(reads.fetch_from, Some(far.address));
+}
+
 /// Pattern: engines that only read prompts keep a prompt until it is taken over, so the shared part is
 /// fetched from the engine that runs its requests.
 #[test]
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -5,6 +5,7 @@
 mod fixtures;
 mod load_board;
 mod member_repair;
+mod part_placement;
 mod route_document;
 mod site_state;
 mod sync_targets;
