Serve metrics of the gateway's entries and control instances

Cause: operators had only log lines; refusal reasons, retries, ends of streams, leadership and document versions of a site could not be seen as figures.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -12,6 +12,7 @@
 
 use crate::call_runner::{CallRunner, StartedAnswer, idle_limit};
 use crate::dialect::{CallFailure, CallerDialect};
+use crate::entry_metrics::StreamOutcome;
 use crate::event_stream::NumberedEvents;
 use crate::running_call::now;
 
@@ -145,13 +146,16 @@
 
 impl<D: CallerDialect> StreamRelay<D> {
     async fn run(mut self, mut started: StartedAnswer<D>) {
+        let metrics = self.runner.shared.metrics.clone();
         loop {
             let upstream = started.call.chosen.announcement.name.clone();
             let reason = match self.relay(started).await {
-                RelayEnd::Complete | RelayEnd::CallerLeft => return,
+                RelayEnd::Complete => return metrics.count_stream(StreamOutcome::Complete),
+                RelayEnd::CallerLeft => return metrics.count_stream(StreamOutcome::CallerLeft),
                 RelayEnd::TimedOut => "the time is over".to_owned(),
                 RelayEnd::Broken(reason) => {
                     if let Some(next) = self.resume().await {
+                        metrics.count_stream(StreamOutcome::Resumed);
                         tracing::info!(
                             event = LogEvent::StreamResumed.number(),
                             request = self.runner.request.head.request_id,
@@ -166,6 +170,7 @@
                     reason
                 }
             };
+            metrics.count_stream(StreamOutcome::Broken);
             tracing::warn!(
                 event = LogEvent::AnswerBroken.number(),
                 request = self.runner.request.head.request_id,
--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -21,6 +21,7 @@
 use crate::dialect::{
     AnswerHead, AttemptHead, AttemptStage, CallFailure, CallHead, CallerDialect, PromptHandle,
 };
+use crate::entry_metrics::AttemptOutcome;
 use crate::entry_shared::EntryShared;
 use crate::kept_prompt::KeptPrompt;
 use crate::running_call::{RunningCall, now};
@@ -81,6 +82,17 @@
     Lost,
 }
 
+impl AttemptEnd {
+    /// The end as the metrics show it.
+    const fn outcome(&self) -> AttemptOutcome {
+        match self {
+            Self::NotConnected => AttemptOutcome::NotConnected,
+            Self::Refused => AttemptOutcome::Refused,
+            Self::Lost => AttemptOutcome::Lost,
+        }
+    }
+}
+
 /// Attempts of one request.
 #[derive(Debug)]
 pub(crate) struct CallRunner<D: CallerDialect> {
@@ -130,10 +142,15 @@
     ) -> Result<StartedAnswer<D>, CallFailure> {
         loop {
             let (reader, call) = self.choose(resume_after)?;
+            let metrics = self.shared.metrics.clone();
             let end = match self.attempt(reader, call, resume_after).await {
-                Ok(answer) => return Ok(answer),
+                Ok(answer) => {
+                    metrics.count_attempt(AttemptOutcome::Answered);
+                    return Ok(answer);
+                }
                 Err(end) => end,
             };
+            metrics.count_attempt(end.outcome());
             match end {
                 AttemptEnd::NotConnected => self.connect_tries += 1,
                 AttemptEnd::Refused => {}
@@ -197,9 +214,11 @@
 
     fn take_extra(&self) -> bool {
         let (grant, entries) = (&self.shared.options.grant, self.shared.entries());
-        self.shared.with_lane(&self.request.service, |lane| {
+        let granted = self.shared.with_lane(&self.request.service, |lane| {
             lane.budget.take(grant, entries, now())
-        })
+        });
+        self.shared.metrics.count_extra_attempt(granted);
+        granted
     }
 
     fn may_try_again(&mut self) -> bool {
@@ -231,6 +250,7 @@
         let plan = match chosen {
             Ok(plan) => plan,
             Err(reason) => {
+                self.shared.metrics.count_refusal(reason);
                 tracing::info!(
                     event = LogEvent::RequestRefused.number(),
                     request = request.head.request_id,
@@ -249,6 +269,7 @@
             RunningCall::new(
                 shared,
                 request.service.clone(),
+                request.route.kind,
                 chosen,
                 organisation,
                 present,
--- a/crates/oriolecrank-gateway/src/caller_server.rs
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -103,8 +103,12 @@
             .ok()
             .and_then(|head| head.request_id);
         let mut answer = match self.answer(parts, body).await {
-            Ok(answer) => answer,
+            Ok(answer) => {
+                self.shared.metrics.count_request(None);
+                answer
+            }
             Err(failure) => {
+                self.shared.metrics.count_request(Some(failure));
                 let event = LogEvent::RequestFailed.number();
                 let version = self.shared.version();
                 tracing::info!(
--- /dev/null
+++ b/crates/oriolecrank-gateway/src/control_metrics.rs
@@ -0,0 +1,106 @@
+//! Metrics of a control instance of a site.
+
+use oriolecrank_consensus::RoleName;
+use oriolecrank_control::ReplicaStatus;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+
+/// What a control instance knows outside the log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct SiteFigures {
+    /// Version of the newest committed document; 0 without one.
+    pub(crate) document_version: u64,
+    /// Upstreams in the directory.
+    pub(crate) upstreams: usize,
+    /// Entries that report.
+    pub(crate) entries: u32,
+    /// Closed usage windows that were not accepted yet.
+    pub(crate) unreported_windows: usize,
+}
+
+/// Counters and gauges; clones share them.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ControlMetrics {
+    leader: Gauge,
+    term: Gauge,
+    committed_index: Gauge,
+    applied_index: Gauge,
+    members: Gauge,
+    document_version: Gauge,
+    upstreams: Gauge,
+    entries: Gauge,
+    unreported_windows: Gauge,
+    windows_reported: Counter,
+    windows_refused: Counter,
+}
+
+impl ControlMetrics {
+    /// Registers the metrics.
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        let gauges = [
+            ("leader", "1 if this instance leads", &self.leader),
+            ("term", "Term of the control group", &self.term),
+            (
+                "committed_index",
+                "Highest log index known to be committed",
+                &self.committed_index,
+            ),
+            (
+                "applied_index",
+                "Highest log index in the state",
+                &self.applied_index,
+            ),
+            ("members", "Members of the control group", &self.members),
+            (
+                "document_version",
+                "Version of the newest committed document, 0 before the first one",
+                &self.document_version,
+            ),
+            ("upstreams", "Upstreams in the directory", &self.upstreams),
+            (
+                "entries",
+                "Entries that report to this instance",
+                &self.entries,
+            ),
+            (
+                "unreported_windows",
+                "Closed usage windows that were not accepted yet",
+                &self.unreported_windows,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+        let help = "Usage windows that were accepted from this instance";
+        registry.register("windows_reported", help, self.windows_reported.clone());
+        let help = "Usage reports of this instance that were not accepted";
+        registry.register("reports_refused", help, self.windows_refused.clone());
+    }
+
+    /// Sets the gauges.
+    pub(crate) fn set_figures(&self, status: &ReplicaStatus, figures: &SiteFigures) {
+        let node = &status.node;
+        self.leader.set(i64::from(node.role == RoleName::Leader));
+        self.term.set(node.term.0.cast_signed());
+        self.committed_index.set(node.commit.0.cast_signed());
+        self.applied_index.set(status.applied.0.cast_signed());
+        self.members
+            .set(node.membership.members.len().cast_signed() as i64);
+        self.document_version
+            .set(figures.document_version.cast_signed());
+        self.upstreams.set(figures.upstreams.cast_signed() as i64);
+        self.entries.set(i64::from(figures.entries));
+        self.unreported_windows
+            .set(figures.unreported_windows.cast_signed() as i64);
+    }
+
+    /// A report of a usage window was answered, or got no answer.
+    pub(crate) fn count_report(&self, accepted: bool) {
+        if accepted {
+            self.windows_reported.inc();
+        } else {
+            self.windows_refused.inc();
+        }
+    }
+}
--- a/crates/oriolecrank-gateway/src/control_site.rs
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -10,17 +10,21 @@
     PeerDirectory, PeerIngress, PeerTransport, ReplicaError, ReplicaHandle, ReplicaPhase,
     ReplicaSettings, start_replica,
 };
-use oriolecrank_net::shutdown::ShutdownSignal;
-use oriolecrank_net::{BootClock, ClientSettings, ClusterSecret, HttpClient, PeerGuard, serve};
+use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel};
+use oriolecrank_net::{
+    BootClock, ClientSettings, ClusterSecret, HttpClient, MetricsListener, PeerGuard, serve,
+};
 use oriolecrank_routing::{RepairSettings, SiteOutcome};
 use oriolecrank_schema::event::LogEvent;
+use prometheus_client::registry::Registry;
 use rand::Rng as _;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{interval, sleep};
 
 use crate::control_link::ControlLink;
+use crate::control_metrics::{ControlMetrics, SiteFigures};
 use crate::dialect::{SiteDialect, UsageDialect};
 use crate::group_repair::GroupRepair;
 use crate::internal_server::InternalServer;
@@ -38,6 +42,9 @@
 /// Time between a failure of the data folder and the end of the process, which is then restarted.
 const FAILED_DISK_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Interval at which the gauges of the metrics are set; well below the usual scrape interval.
+const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Settings of a control instance.
 #[derive(Debug, Clone)]
 pub struct ControlSiteOptions {
@@ -51,6 +58,8 @@
     pub founders: Vec<SocketAddr>,
     /// Folder for durable state.
     pub data_folder: PathBuf,
+    /// Address of the metrics; `None` if they are not served.
+    pub metrics: Option<SocketAddr>,
     /// Secret between the processes.
     pub secret: ClusterSecret,
     /// Rules of the group's repair.
@@ -145,6 +154,7 @@
         tables: Arc::clone(&tables),
     };
     tokio::spawn(repair.run());
+    let metrics = serve_metrics(&options, &publisher, &tables).await?;
     if let Some(rules) = options.usage.clone() {
         let duty = UsageDuty {
             rules,
@@ -153,6 +163,7 @@
             publisher,
             tables,
             clock,
+            metrics,
         };
         tokio::spawn(duty.run());
     }
@@ -265,6 +276,51 @@
     }
 }
 
+/// Serves the metrics, if the settings name an address, and keeps their gauges up to date.
+async fn serve_metrics(
+    options: &ControlSiteOptions,
+    publisher: &SitePublisher,
+    tables: &Arc<SiteTables>,
+) -> Result<ControlMetrics, ControlSiteError> {
+    let metrics = ControlMetrics::default();
+    let Some(address) = options.metrics else {
+        return Ok(metrics);
+    };
+    let mut registry = Registry::with_prefix("oriolecrank_gateway_control");
+    metrics.register(&mut registry);
+    let listener = listen(address).await?;
+    let (publisher, tables) = (publisher.clone(), Arc::clone(tables));
+    let gauges = metrics.clone();
+    tokio::spawn(async move {
+        let (_open, never) = shutdown_channel();
+        let serving = serve(listener, Arc::new(MetricsListener::new(registry)), never);
+        let showing = async {
+            let mut ticks = interval(GAUGE_INTERVAL);
+            loop {
+                ticks.tick().await;
+                gauges.set_figures(&publisher.replica.status(), &figures(&publisher, &tables));
+            }
+        };
+        tokio::join!(serving, showing)
+    });
+    Ok(metrics)
+}
+
+fn figures(publisher: &SitePublisher, tables: &SiteTables) -> SiteFigures {
+    let (document_version, unreported_windows) = {
+        let state = publisher.site.read();
+        let version = state.document().map_or(0, |document| document.version);
+        (version, state.unreported().count())
+    };
+    let tables = tables.lock();
+    SiteFigures {
+        document_version,
+        upstreams: tables.directory.len(),
+        entries: tables.loads.entry_count(),
+        unreported_windows,
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, ControlSiteError> {
     TcpListener::bind(address)
         .await
--- /dev/null
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -0,0 +1,229 @@
+//! Metrics of an entry of a site.
+
+use std::time::Duration;
+
+use oriolecrank_routing::{CallKind, NoUpstream};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+
+use crate::dialect::CallFailure;
+
+/// Shortest time that is told apart, in seconds.
+const FIRST_BUCKET_S: f64 = 0.002;
+
+/// Buckets of times, each twice the one before; the last one ends at about 16 s, above the longest
+/// timeout of the deployments.
+const BUCKETS: u16 = 14;
+
+/// Label with one of a fixed set of words.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabel {
+    outcome: &'static str,
+}
+
+/// Label with the kind of a call.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabel {
+    kind: &'static str,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AttemptOutcome {
+    /// The head of an answer arrived.
+    Answered,
+    /// No connection.
+    NotConnected,
+    /// The upstream states that it did not run the request.
+    Refused,
+    /// The request may have run.
+    Lost,
+}
+
+/// How a stream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StreamOutcome {
+    /// All of it was passed on.
+    Complete,
+    /// The caller went away.
+    CallerLeft,
+    /// It was broken off.
+    Broken,
+    /// It went on at another upstream; it ends in another way later.
+    Resumed,
+}
+
+/// Counters, gauges and times; clones share them.
+#[derive(Debug, Clone)]
+pub(crate) struct EntryMetrics {
+    requests: Family<OutcomeLabel, Counter>,
+    refusals: Family<OutcomeLabel, Counter>,
+    attempts: Family<OutcomeLabel, Counter>,
+    extra_attempts: Family<OutcomeLabel, Counter>,
+    streams: Family<OutcomeLabel, Counter>,
+    ejections: Counter,
+    first_answer: Family<KindLabel, Histogram>,
+    document_version: Gauge,
+    upstreams: Gauge,
+    entries: Gauge,
+    last_sync: Gauge,
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        Self {
+            requests: Family::default(),
+            refusals: Family::default(),
+            attempts: Family::default(),
+            extra_attempts: Family::default(),
+            streams: Family::default(),
+            ejections: Counter::default(),
+            first_answer: Family::new_with_constructor(|| {
+                Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))
+            }),
+            document_version: Gauge::default(),
+            upstreams: Gauge::default(),
+            entries: Gauge::default(),
+            last_sync: Gauge::default(),
+        }
+    }
+}
+
+impl EntryMetrics {
+    /// Registers the metrics.
+    pub(crate) fn register(&self, registry: &mut Registry) {
+        let families = [
+            (
+                "requests",
+                "Requests of callers, by outcome",
+                &self.requests,
+            ),
+            (
+                "refusals",
+                "Choices that found no upstream, by reason",
+                &self.refusals,
+            ),
+            ("attempts", "Attempts at upstreams, by end", &self.attempts),
+            (
+                "extra_attempts",
+                "Attempts beyond the first that were wanted, by decision of the budget",
+                &self.extra_attempts,
+            ),
+            ("streams", "Streams that had begun, by end", &self.streams),
+        ];
+        for (name, help, family) in families {
+            registry.register(name, help, family.clone());
+        }
+        let help = "Upstreams that were ejected because of failed attempts";
+        registry.register("ejections", help, self.ejections.clone());
+        let help = "Time from sending an attempt to its first event or the head of its answer";
+        let times = self.first_answer.clone();
+        registry.register_with_unit("first_answer", help, Unit::Seconds, times);
+        let gauges = [
+            (
+                "document_version",
+                "Version of the document in force, 0 before the first one",
+                &self.document_version,
+            ),
+            ("upstreams", "Upstreams that are known", &self.upstreams),
+            (
+                "entries",
+                "Entries that share the budget, as the last answer of control told",
+                &self.entries,
+            ),
+            (
+                "last_sync_timestamp_seconds",
+                "Unix time of the last answer of a control instance",
+                &self.last_sync,
+            ),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+
+    /// A request has an answer: that of an upstream, or a failure of the entry itself.
+    pub(crate) fn count_request(&self, failure: Option<CallFailure>) {
+        let outcome = match failure {
+            None => "answered",
+            Some(CallFailure::Malformed) => "malformed",
+            Some(CallFailure::TooLarge) => "too_large",
+            Some(CallFailure::UnknownRoute) => "unknown_route",
+            Some(CallFailure::UnknownKey) => "unknown_key",
+            Some(CallFailure::NotRun { .. }) => "not_run",
+            Some(CallFailure::MayHaveRun) => "may_have_run",
+            Some(CallFailure::TimedOut) => "timed_out",
+        };
+        self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// No upstream takes a request.
+    pub(crate) fn count_refusal(&self, reason: NoUpstream) {
+        let outcome = match reason {
+            NoUpstream::None => "no_upstream",
+            NoUpstream::Full(_) => "full",
+        };
+        self.refusals.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// An attempt has ended or has an answer.
+    pub(crate) fn count_attempt(&self, end: AttemptOutcome) {
+        let outcome = match end {
+            AttemptOutcome::Answered => "answered",
+            AttemptOutcome::NotConnected => "not_connected",
+            AttemptOutcome::Refused => "refused",
+            AttemptOutcome::Lost => "lost",
+        };
+        self.attempts.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// An attempt beyond the first was wanted.
+    pub(crate) fn count_extra_attempt(&self, granted: bool) {
+        let outcome = if granted { "granted" } else { "denied" };
+        let counter = self.extra_attempts.get_or_create(&OutcomeLabel { outcome });
+        counter.inc();
+    }
+
+    /// A stream has ended or goes on elsewhere.
+    pub(crate) fn count_stream(&self, end: StreamOutcome) {
+        let outcome = match end {
+            StreamOutcome::Complete => "complete",
+            StreamOutcome::CallerLeft => "caller_left",
+            StreamOutcome::Broken => "broken",
+            StreamOutcome::Resumed => "resumed",
+        };
+        self.streams.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// An upstream was ejected.
+    pub(crate) fn count_ejection(&self) {
+        self.ejections.inc();
+    }
+
+    /// An attempt has shown its first event or the head of its answer.
+    pub(crate) fn observe_first_answer(&self, kind: CallKind, elapsed: Duration) {
+        let kind = match kind {
+            CallKind::Stream => "stream",
+            CallKind::Idempotent => "idempotent",
+            CallKind::NonIdempotent => "non_idempotent",
+        };
+        let times = self.first_answer.get_or_create(&KindLabel { kind });
+        times.observe(elapsed.as_secs_f64());
+    }
+
+    /// A control instance has answered.
+    pub(crate) fn note_sync(&self, unix_ms: u64, entries: u32, upstreams: usize) {
+        self.last_sync.set((unix_ms / 1_000).cast_signed());
+        self.entries.set(i64::from(entries));
+        self.upstreams.set(upstreams.cast_signed() as i64);
+    }
+
+    /// A document is in force.
+    pub(crate) fn set_document(&self, version: u64) {
+        self.document_version.set(version.cast_signed());
+    }
+}
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -14,6 +14,7 @@
 };
 use oriolecrank_schema::TimePoint;
 
+use crate::entry_metrics::EntryMetrics;
 use crate::site_clock::SiteClock;
 use crate::site_messages::{AgedAnnouncement, NamedLoad};
 
@@ -26,6 +27,8 @@
     pub callers: SocketAddr,
     /// Address of the readiness question.
     pub ready: SocketAddr,
+    /// Address of the metrics; `None` if they are not served.
+    pub metrics: Option<SocketAddr>,
     /// Secret between the processes.
     pub secret: ClusterSecret,
     /// Rules of the choice of upstreams.
@@ -62,6 +65,7 @@
     pub(crate) dialect: Arc<D>,
     pub(crate) client: HttpClient,
     pub(crate) clock: SiteClock,
+    pub(crate) metrics: EntryMetrics,
     /// Document in force; its version never falls.
     table: RwLock<Option<Arc<RouteTable>>>,
     tables: Mutex<LaneTables>,
@@ -87,6 +91,7 @@
             dialect,
             client,
             clock: SiteClock::start(now),
+            metrics: EntryMetrics::default(),
             table: RwLock::default(),
             tables: Mutex::default(),
             usage: Mutex::default(),
@@ -128,6 +133,7 @@
             *known = Some(Arc::clone(&table));
         }
         self.forget_patience();
+        self.metrics.set_document(table.version());
         let mut tables = self.lock_tables();
         for service in table.services() {
             let lane = self.lane(&mut tables, &service.name);
@@ -176,6 +182,12 @@
         }
     }
 
+    /// Number of upstreams that are known.
+    pub(crate) fn upstream_count(&self) -> usize {
+        let tables = self.lock_tables();
+        tables.lanes.values().map(|lane| lane.chooser.len()).sum()
+    }
+
     /// Runs `job` on the upstreams of a service.
     pub(crate) fn with_lane<T>(
         &self,
--- a/crates/oriolecrank-gateway/src/entry_site.rs
+++ b/crates/oriolecrank-gateway/src/entry_site.rs
@@ -8,10 +8,11 @@
 use hyper::body::Incoming;
 use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel};
 use oriolecrank_net::{
-    AnswerBody, BootClock, ClientSettings, HttpClient, HttpHandler, ServerSettings, serve,
-    serve_with, text_answer,
+    AnswerBody, BootClock, ClientSettings, HttpClient, HttpHandler, MetricsListener,
+    ServerSettings, serve, serve_with, text_answer,
 };
 use oriolecrank_schema::event::LogEvent;
+use prometheus_client::registry::Registry;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -82,12 +83,19 @@
         head_timeout: CALLER_IDLE,
         head_bytes: MAX_HEAD_BYTES,
     };
+    let (_open, never) = shutdown_channel();
+    if let Some(address) = shared.options.metrics {
+        let mut registry = Registry::with_prefix("oriolecrank_gateway_entry");
+        shared.metrics.register(&mut registry);
+        let listener = listen(address).await?;
+        let metrics = Arc::new(MetricsListener::new(registry));
+        tokio::spawn(serve(listener, metrics, never.clone()));
+    }
     let (closing, close) = shutdown_channel();
     let server = Arc::new(CallerServer {
         shared: Arc::clone(&shared),
     });
     let serving = tokio::spawn(serve_with(settings, callers, server, close));
-    let (_open, never) = shutdown_channel();
     let readiness = Arc::new(EntryReadiness {
         shared: Arc::clone(&shared),
     });
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -197,6 +197,10 @@
         shared.take_places(&answer.placed, now);
         self.placement_sequence = answer.placement_sequence;
         shared.set_entries(answer.entries);
+        let upstreams = shared.upstream_count();
+        shared
+            .metrics
+            .note_sync(answer.unix_ms, answer.entries, upstreams);
         // A full queue holds newer answers of the other targets.
         let _ = self.group.try_send(KnownGroup {
             members: answer.members,
--- a/crates/oriolecrank-gateway/src/running_call.rs
+++ b/crates/oriolecrank-gateway/src/running_call.rs
@@ -5,7 +5,7 @@
 
 use oriolecrank_net::BootClock;
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
-use oriolecrank_routing::{ChosenUpstream, OrganisationName, ServiceName};
+use oriolecrank_routing::{CallKind, ChosenUpstream, OrganisationName, ServiceName};
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
 
@@ -16,6 +16,7 @@
 pub(crate) struct RunningCall<D> {
     shared: Arc<EntryShared<D>>,
     service: ServiceName,
+    kind: CallKind,
     pub(crate) chosen: ChosenUpstream,
     organisation: Option<OrganisationName>,
     sent: TimePoint,
@@ -27,6 +28,7 @@
     pub(crate) const fn new(
         shared: Arc<EntryShared<D>>,
         service: ServiceName,
+        kind: CallKind,
         chosen: ChosenUpstream,
         organisation: Option<OrganisationName>,
         sent: TimePoint,
@@ -34,6 +36,7 @@
         Self {
             shared,
             service,
+            kind,
             chosen,
             organisation,
             sent,
@@ -56,6 +59,7 @@
             return;
         }
         let elapsed = now.since(self.sent);
+        self.shared.metrics.observe_first_answer(self.kind, elapsed);
         let chosen = &mut self.chosen;
         let begun = self.shared.with_lane(&self.service, |lane| {
             lane.chooser.first_answer(chosen, elapsed, now);
@@ -111,6 +115,7 @@
             lane.chooser.record(name, outcome, now)
         });
         if ejected {
+            self.shared.metrics.count_ejection();
             let event = LogEvent::UpstreamEjected.number();
             tracing::warn!(event, upstream = %name, "an upstream is ejected");
         }
--- a/crates/oriolecrank-gateway/src/usage_duty.rs
+++ b/crates/oriolecrank-gateway/src/usage_duty.rs
@@ -15,6 +15,7 @@
 use oriolecrank_schema::event::LogEvent;
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::control_metrics::ControlMetrics;
 use crate::dialect::{UsageDialect, UsageReply};
 use crate::site_clock::SiteClock;
 use crate::site_publisher::SitePublisher;
@@ -47,6 +48,7 @@
     pub(crate) publisher: SitePublisher,
     pub(crate) tables: Arc<SiteTables>,
     pub(crate) clock: Arc<SiteClock>,
+    pub(crate) metrics: ControlMetrics,
 }
 
 impl<D: UsageDialect> UsageDuty<D> {
@@ -102,7 +104,9 @@
             if authority.is_none_or(|authority| authority.term.0 != term) {
                 return true;
             }
-            match self.send(term, window, &counts).await {
+            let reply = self.send(term, window, &counts).await;
+            self.metrics.count_report(reply == UsageReply::Accepted);
+            match reply {
                 UsageReply::Accepted => {
                     let event = LogEvent::WindowReported.number();
                     tracing::info!(
--- a/crates/oriolecrank-net/src/lib.rs
+++ b/crates/oriolecrank-net/src/lib.rs
@@ -34,6 +34,6 @@
     HttpHandler, PeerGuard, ServerSettings, empty_answer, message_answer, read_body, serve,
     serve_with, text_answer,
 };
-pub use operator_listener::{OperatorListener, ReadyFlag};
+pub use operator_listener::{MetricsListener, OperatorListener, ReadyFlag};
 pub use process_main::{ProcessArguments, run_process};
 pub use socket_options::set_options;
--- a/crates/oriolecrank-net/src/operator_listener.rs
+++ b/crates/oriolecrank-net/src/operator_listener.rs
@@ -1,4 +1,4 @@
-//! Listener for operators: health, readiness and metrics.
+//! Listeners for operators: health, readiness and metrics.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -45,12 +45,32 @@
             guard,
         }
     }
+}
+
+/// Answers `/metrics` to everyone who reaches its address, for networks that keep callers away.
+#[derive(Debug)]
+pub struct MetricsListener(Registry);
+
+impl MetricsListener {
+    /// A listener that shows the metrics of `registry`.
+    pub const fn new(registry: Registry) -> Self {
+        Self(registry)
+    }
+}
 
-    fn metrics(&self) -> Response<AnswerBody> {
-        let mut text = String::new();
-        match encode(&mut text, &self.registry) {
-            Ok(()) => text_answer(StatusCode::OK, text),
-            Err(_) => empty_answer(StatusCode::INTERNAL_SERVER_ERROR),
+fn metrics(registry: &Registry) -> Response<AnswerBody> {
+    let mut text = String::new();
+    match encode(&mut text, registry) {
+        Ok(()) => text_answer(StatusCode::OK, text),
+        Err(_) => empty_answer(StatusCode::INTERNAL_SERVER_ERROR),
+    }
+}
+
+impl HttpHandler for MetricsListener {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
+        match request.uri().path() {
+            "/metrics" => metrics(&self.0),
+            _ => empty_answer(StatusCode::NOT_FOUND),
         }
     }
 }
@@ -63,7 +83,7 @@
             "/readyz" => text_answer(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
             "/metrics" => match self.guard.refusal(request.headers()) {
                 Some(refusal) => refusal,
-                None => self.metrics(),
+                None => metrics(&self.registry),
             },
             _ => empty_answer(StatusCode::NOT_FOUND),
         }
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -168,6 +168,16 @@
         }
     }
 
+    /// Number of upstreams.
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
     /// Takes over the engine sheet of the document.
     pub const fn set_engine(&mut self, engine: Option<EngineSheet>) {
         self.engine = engine;
--- a/crates/oriolecrank-routing/src/patience_range.rs
+++ b/crates/oriolecrank-routing/src/patience_range.rs
@@ -28,7 +28,7 @@
         if patience >= self.longest.mul_f64(FIRST_PART) {
             return Duration::ZERO;
         }
-        let first = self.longest.mul_f64((1.0 + FIRST_PART) / 2.0);
+        let first = self.longest.mul_f64(f64::midpoint(1.0, FIRST_PART));
         first.saturating_sub(patience)
     }
 }
--- a/crates/oriolecrank-routing/src/upstream_directory.rs
+++ b/crates/oriolecrank-routing/src/upstream_directory.rs
@@ -233,6 +233,16 @@
         Some(farewell)
     }
 
+    /// Number of records, also of upstreams that have left a moment ago.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// A record by name.
     pub fn get(&self, name: &str) -> Option<&UpstreamRecord> {
         self.records.get(name)
