Bound the log lines of a process and count the dropped ones

Cause: a peak wrote as many lines as there were refusals, up to 403 in one second of one process, and dropped lines were not counted.

Event 106 counts lines that the budget or a full pipe dropped.

The cost of the budget itself was not measured apart.

--- a/crates/oriolecrank-net/src/lib.rs
+++ b/crates/oriolecrank-net/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod frame;
 mod http_client;
 mod http_server;
+mod log_budget;
 pub mod logging;
 mod lossy_output;
 mod operator_listener;
@@ -34,6 +35,7 @@
     HttpHandler, PeerGuard, ServerSettings, empty_answer, message_answer, read_body, serve,
     serve_with, text_answer,
 };
+pub use log_budget::{BudgetSettings, LogBudget};
 pub use operator_listener::{MetricsListener, OperatorListener, ReadyFlag};
 pub use process_main::{ProcessArguments, run_process};
 pub use socket_options::set_options;
--- a/crates/oriolecrank-net/src/logging.rs
+++ b/crates/oriolecrank-net/src/logging.rs
@@ -1,12 +1,21 @@
 //! Log output.
 
+use std::time::Duration;
+
+use oriolecrank_schema::event::LogEvent;
 use oriolecrank_schema::settings::{
     AgentSettingsLogFormat, ControlSettingsLogFormat, EntrySettingsLogFormat,
 };
-use tracing_subscriber::EnvFilter;
+use tracing_subscriber::layer::SubscriberExt as _;
+use tracing_subscriber::util::SubscriberInitExt as _;
+use tracing_subscriber::{EnvFilter, Layer as _};
 
+use crate::log_budget::{BudgetFilter, BudgetSettings, take_dropped_lines};
 use crate::lossy_output::LossyOutput;
 
+/// Interval of the lines that count dropped ones. Few wake-ups matter more here than early news.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Format of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum LogFormat {
@@ -34,17 +43,34 @@
 
 /// Starts writing one JSON object for each event to standard output.
 ///
-/// A line that a full pipe cannot take at once is dropped, so that logging never delays a request.
-pub fn start_stdout() {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
-    let builder = tracing_subscriber::fmt()
-        .with_env_filter(filter)
+/// A line that a full pipe cannot take at once is dropped, so that logging never delays a request, and
+/// so are lines beyond the budget. [`report_dropped_lines`] tells how many.
+pub fn start_stdout(budget: BudgetSettings) {
+    let levels = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(LossyOutput::default)
         .json()
         .flatten_event(true)
-        .with_target(false);
+        .with_target(false)
+        .with_filter(BudgetFilter::new(budget));
     // An error means that a subscriber is already set, which is kept.
-    let _ = builder.try_init();
+    let _ = tracing_subscriber::registry()
+        .with(levels)
+        .with(lines)
+        .try_init();
+}
+
+/// Writes how many lines were dropped, every few seconds in which there were any.
+pub async fn report_dropped_lines() {
+    let mut ticks = tokio::time::interval(REPORT_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let dropped = take_dropped_lines();
+        if dropped > 0 {
+            let event = LogEvent::LinesDropped.number();
+            tracing::warn!(event, dropped, "log lines were dropped");
+        }
+    }
 }
 
 impl From<AgentSettingsLogFormat> for LogFormat {
--- a/crates/oriolecrank-net/src/lossy_output.rs
+++ b/crates/oriolecrank-net/src/lossy_output.rs
@@ -4,6 +4,8 @@
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
+use crate::log_budget::count_dropped_line;
+
 /// Longest line, in bytes. A pipe that is ready takes this much without blocking.
 const MAX_LINE_BYTES: usize = 4_096;
 
@@ -19,6 +21,7 @@
         if ready > 0 && line.len() <= MAX_LINE_BYTES {
             return rustix::io::write(&output, line).map_err(Into::into);
         }
+        count_dropped_line();
         Ok(line.len())
     }
 
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -41,6 +41,7 @@
     ShutdownForced = 103, "The shutdown limit passed while work was still running.";
     ProcessFailed = 104, "The process ends because of an error; the cause is in the line.";
     SettingsRead = 105, "The settings file was read again; what changed, or why it could not be read, is in the line.";
+    LinesDropped = 106, "Log lines were dropped by the budget or by a full pipe; the number is in the line.";
     ConnectionFailed = 110, "A connection ended with an error.";
     PeerUnauthorised = 111, "A message without the cluster secret was refused.";
     PeerVersionRefused = 112, "A message with a newer major protocol version was refused.";
