Explain a request from the log files of all processes

Cause: an operator had to collect and order the lines of a failed request by hand, and did not see that lines were missing.

Change: oriolecrank-ctl explain ID FILE... reads files of all processes (rotated, interleaved, with something in front of each object), prints the lines of the request and those about its upstreams between them, the cause of its end, and what is missing.

--- a/crates/oriolecrank-ctl/src/arguments.rs
+++ b/crates/oriolecrank-ctl/src/arguments.rs
@@ -41,6 +41,7 @@
   audit                            print the audit trail
       --from INDEX                 first log index (default: 0)
       --limit N                    largest number of records (default: 100)
+  explain REQUEST FILE...          print what log files say of one request, with the cause of its end
 
 Options:
   --control ADDRESS    control instance, IP and port; may be repeated
@@ -146,6 +147,13 @@
         /// Largest number of records.
         limit: usize,
     },
+    /// Prints what log files say of one request.
+    Explain {
+        /// Id of the request.
+        request: String,
+        /// Log files.
+        files: Vec<PathBuf>,
+    },
 }
 
 /// A change of the control group.
@@ -323,6 +331,10 @@
                 id: (*id).to_owned(),
                 forced: self.force,
             }),
+            ["explain", request, files @ ..] if !files.is_empty() => CtlCommand::Explain {
+                request: (*request).to_owned(),
+                files: files.iter().map(PathBuf::from).collect(),
+            },
             ["upstreams"] => CtlCommand::Upstreams,
             ["status"] => CtlCommand::Status,
             ["audit"] => CtlCommand::Audit {
--- /dev/null
+++ b/crates/oriolecrank-ctl/src/explain_command.rs
@@ -0,0 +1,186 @@
+//! `explain`: the way of one request through the log lines of all processes.
+
+use std::path::{Path, PathBuf};
+
+use oriolecrank_schema::event::LogEvent;
+use serde_json::{Map, Value, json};
+use snafu::ResultExt;
+
+use crate::ctl_error::{CtlError, ReadFileSnafu};
+use crate::ctl_report::CtlReport;
+
+/// Fields that are not repeated for each line.
+const COMMON_FIELDS: [&str; 5] = ["timestamp", "level", "message", "event", "request"];
+
+/// One line about the request, or about an upstream that it was sent to.
+#[derive(Debug, Clone)]
+struct LogLine {
+    /// RFC 3339 in UTC, so that the order of texts is that of times.
+    time: String,
+    /// File, and what a collector has put in front of the object.
+    source: String,
+    fields: Map<String, Value>,
+}
+
+/// Lines of all files, and what is missing in them.
+#[derive(Debug, Default)]
+struct LogReading {
+    lines: Vec<LogLine>,
+    /// Lines that hold the begin of an object but no whole one.
+    unreadable: usize,
+    /// Sum of the lines that processes say they have dropped.
+    dropped: u64,
+}
+
+/// Prints the lines about a request in their order, with the cause of its end and what is missing.
+pub(crate) fn explain(request: &str, files: &[PathBuf]) -> Result<CtlReport, CtlError> {
+    let mut reading = LogReading::default();
+    for file in files {
+        let bytes = std::fs::read(file).context(ReadFileSnafu { path: file })?;
+        reading.read(file, &String::from_utf8_lossy(&bytes));
+    }
+    let lines = reading.way_of(request);
+    let cause = cause(&lines);
+    let missing = reading.missing(&lines);
+    let mut text: Vec<String> = lines.iter().map(LogLine::text).collect();
+    text.push(format!("cause: {cause}"));
+    text.extend(missing.iter().map(|missing| format!("missing: {missing}")));
+    let objects: Vec<Value> = lines.into_iter().map(LogLine::into_json).collect();
+    Ok(CtlReport::new(
+        text.join("\n"),
+        json!({ "request": request, "lines": objects, "cause": cause, "missing": missing }),
+    ))
+}
+
+impl LogReading {
+    fn read(&mut self, file: &Path, text: &str) {
+        for line in text.lines() {
+            // Collectors put times or names in front of the object.
+            let Some(start) = line.find('{') else {
+                continue;
+            };
+            let (front, object) = line.split_at(start);
+            let Ok(Value::Object(fields)) = serde_json::from_str(object) else {
+                self.unreadable += 1;
+                continue;
+            };
+            if event_number(&fields) == Some(LogEvent::LinesDropped.number().into()) {
+                self.dropped += fields.get("dropped").and_then(Value::as_u64).unwrap_or(0);
+            }
+            let time = fields.get("timestamp").and_then(Value::as_str);
+            self.lines.push(LogLine {
+                time: time.unwrap_or_default().to_owned(),
+                source: format!("{} {}", file.display(), front.trim())
+                    .trim()
+                    .to_owned(),
+                fields,
+            });
+        }
+    }
+
+    /// Lines about the request in order of time, and lines between them about its upstreams.
+    fn way_of(&self, request: &str) -> Vec<LogLine> {
+        let own = |line: &&LogLine| line.field("request") == Some(request);
+        let own: Vec<&LogLine> = self.lines.iter().filter(own).collect();
+        let first = own.iter().map(|line| line.time.as_str()).min();
+        let last = own.iter().map(|line| line.time.as_str()).max();
+        let upstreams: Vec<&str> = own
+            .iter()
+            .filter_map(|line| line.field("upstream"))
+            .collect();
+        let between = self.lines.iter().filter(|line| {
+            let upstream = line.field("upstream");
+            line.field("request").is_none()
+                && upstream.is_some_and(|upstream| upstreams.contains(&upstream))
+                && first <= Some(line.time.as_str())
+                && Some(line.time.as_str()) <= last
+        });
+        let mut way: Vec<LogLine> = own.iter().copied().chain(between).cloned().collect();
+        way.sort_by(|one, other| one.time.cmp(&other.time));
+        way
+    }
+
+    fn missing(&self, lines: &[LogLine]) -> Vec<String> {
+        let mut missing = Vec::new();
+        if lines.is_empty() {
+            missing.push("no line names this request".to_owned());
+        }
+        if self.unreadable > 0 {
+            let count = self.unreadable;
+            missing.push(format!("{count} lines are cut off or damaged"));
+        }
+        if self.dropped > 0 {
+            let count = self.dropped;
+            missing.push(format!("the processes have dropped {count} lines"));
+        }
+        missing
+    }
+}
+
+impl LogLine {
+    fn field(&self, name: &str) -> Option<&str> {
+        self.fields.get(name).and_then(Value::as_str)
+    }
+
+    fn text(&self) -> String {
+        let event = event_number(&self.fields).unwrap_or_default();
+        let message = self.field("message").unwrap_or_default();
+        let fields = self.fields.iter();
+        let fields = fields.filter(|(name, _)| !COMMON_FIELDS.contains(&name.as_str()));
+        let fields: Vec<String> = fields
+            .map(|(name, value)| format!("{name}={value}"))
+            .collect();
+        let (time, source) = (&self.time, &self.source);
+        let fields = fields.join(" ");
+        format!("{time} {source} [{event}] {message} {fields}")
+            .trim_end()
+            .to_owned()
+    }
+
+    fn into_json(self) -> Value {
+        json!({ "source": self.source, "line": self.fields })
+    }
+}
+
+fn event_number(fields: &Map<String, Value>) -> Option<u64> {
+    fields.get("event").and_then(Value::as_u64)
+}
+
+/// Why the request ended as it did, from its last decisive line.
+fn cause(lines: &[LogLine]) -> String {
+    let decisive = lines.iter().rev().find(|line| {
+        let event = event_number(&line.fields);
+        let ends = [LogEvent::RequestFailed, LogEvent::AnswerBroken];
+        ends.iter().any(|end| event == Some(end.number().into()))
+    });
+    let Some(end) = decisive else {
+        return "no failure is logged; it was answered, or lines are missing".to_owned();
+    };
+    let before = |event: LogEvent| {
+        let number = Some(u64::from(event.number()));
+        let line = lines.iter().rev();
+        line.into_iter()
+            .find(|line| event_number(&line.fields) == number)
+    };
+    if event_number(&end.fields) == Some(LogEvent::AnswerBroken.number().into()) {
+        let reason = end.field("reason").unwrap_or("unknown");
+        let upstream = end.field("upstream").unwrap_or("an upstream");
+        return format!("the answer of {upstream} was broken off: {reason}");
+    }
+    let failure = end.field("failure").unwrap_or("unknown");
+    let attempt = before(LogEvent::AttemptFailed).map(|line| {
+        let upstream = line.field("upstream").unwrap_or("an upstream");
+        let reason = line.field("error").or_else(|| line.field("message"));
+        format!(
+            "; the last attempt was at {upstream}: {}",
+            reason.unwrap_or("unknown")
+        )
+    });
+    let refusal = before(LogEvent::RequestRefused).map(|line| {
+        let reason = line.field("reason").unwrap_or("unknown");
+        format!("; no upstream took it: {reason}")
+    });
+    let attempt = attempt.unwrap_or_default();
+    let refusal = refusal.unwrap_or_default();
+    format!("the request failed: {failure}{refusal}{attempt}")
+}
--- a/crates/oriolecrank-ctl/src/lib.rs
+++ b/crates/oriolecrank-ctl/src/lib.rs
@@ -7,6 +7,7 @@
 //! - `ControlSession` sends commands and queries to the control instances.
 //! - `document_commands` validates, submits and shows documents; `key_commands` issues and withdraws
 //!   keys; `member_commands` changes the control group; `read_commands` and `drain_command` hold the rest.
+//! - `explain_command` reads log files and needs no control instance.
 
 mod arguments;
 mod control_session;
@@ -14,6 +15,7 @@
 mod ctl_report;
 mod document_commands;
 mod drain_command;
+mod explain_command;
 mod key_commands;
 mod member_commands;
 mod read_commands;
@@ -43,6 +45,7 @@
         CtlCommand::IssueKey(options) => key_commands::issue(arguments, options).await,
         CtlCommand::WithdrawKey(options) => key_commands::withdraw(arguments, options).await,
         CtlCommand::Drain(options) => drain_command::place(arguments, options).await,
+        CtlCommand::Explain { request, files } => explain_command::explain(request, files),
         CtlCommand::Members => member_commands::list(arguments).await,
         CtlCommand::ChangeMembers(action) => member_commands::change(arguments, action).await,
         CtlCommand::Upstreams => read_commands::upstreams(arguments).await,
--- a/crates/oriolecrank-ctl/tests/ctl/main.rs
+++ b/crates/oriolecrank-ctl/tests/ctl/main.rs
@@ -2,6 +2,7 @@
 
 mod control_stand_in;
 mod documents;
+mod explain;
 mod keys;
 mod members;
 mod offline;
