--- a/crates/oriolecrank-net/src/lib.rs
+++ b/crates/oriolecrank-net/src/lib.rs
@@ -22,6 +22,7 @@
 mod operator_listener;
 mod process_main;
 pub mod settings_file;
+mod settings_watch;
 pub mod shutdown;
 mod socket_options;
 
@@ -38,4 +39,5 @@
 pub use log_budget::{BudgetSettings, LogBudget};
 pub use operator_listener::{MetricsListener, OperatorListener, ReadyFlag};
 pub use process_main::{ProcessArguments, run_process};
+pub use settings_watch::watch_settings;
 pub use socket_options::set_options;
