Run the real programs under seeded faults in a soak

Cause: no test ran the separate programs under overlapping series of kills, pauses, stops and cut links while callers compare what they see with what the upstreams hold.

Change: oriolecrank-soak starts three control instances, four agents and two entries, puts a proxy on each link to control and to upstreams, injects a schedule drawn from the seed, and checks bookings, refusals, streams, documents and recovery. A failing run keeps its logs.

--- /dev/null
+++ b/soak/src/soak_cluster.rs
@@ -0,0 +1,236 @@
+//! The processes of a run, their links, and the fake upstreams.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+
+use oriolecrank_fakes::{EngineOptions, FakeEngine, FakeLedger, FakeServer};
+use snafu::{ResultExt, Snafu};
+use tempfile::TempDir;
+
+use crate::fault_schedule::FaultSchedule;
+use crate::faulty_proxy::FaultyProxy;
+use crate::soak_process::{ProcessError, SoakProcess};
+
+/// Members of the control group.
+const CONTROL: u16 = 3;
+
+/// Entries.
+pub(crate) const ENTRIES: u16 = 2;
+
+/// Upstreams of each service.
+const UPSTREAMS: u16 = 2;
+
+/// Processes of a run.
+pub(crate) const PROCESSES: usize = (CONTROL + ENTRIES + 2 * UPSTREAMS) as usize;
+
+/// Links of a run: two sets to the control group and one to each upstream.
+pub(crate) const LINKS: usize = (2 * CONTROL + 2 * UPSTREAMS) as usize;
+
+/// Ports of the parts; every run has a loopback address of its own.
+const CONTROL_PORT: u16 = 9_200;
+const ENTRY_PORT: u16 = 9_100;
+const AGENT_PORT: u16 = 9_300;
+const OPERATOR_PORT: u16 = 9_400;
+
+const SECRET: &str = "secret-of-the-soak";
+
+/// Time between two tokens; streams last for some faults.
+const BETWEEN_TOKENS: std::time::Duration = std::time::Duration::from_millis(20);
+
+/// A cluster that cannot be started.
+#[derive(Debug, Snafu)]
+pub enum ClusterError {
+    /// A file or a socket.
+    #[snafu(display("{what}: {source}"))]
+    Setup {
+        /// What was to be made.
+        what: String,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A process.
+    #[snafu(transparent)]
+    Process {
+        /// Cause.
+        source: ProcessError,
+    },
+}
+
+/// Everything that runs.
+#[derive(Debug)]
+pub(crate) struct SoakCluster {
+    pub(crate) folder: TempDir,
+    pub(crate) processes: Vec<SoakProcess>,
+    pub(crate) links: Vec<FaultyProxy>,
+    pub(crate) ledgers: Vec<FakeLedger>,
+    ip: IpAddr,
+    /// Fake upstreams; they end with the cluster.
+    servers: Vec<FakeServer>,
+}
+
+/// Starts the parts one after the other.
+struct ClusterBuilder<'a> {
+    programs: &'a Path,
+    cluster: SoakCluster,
+}
+
+impl SoakCluster {
+    /// Starts all processes from the folder `programs`.
+    pub(crate) async fn start(programs: &Path, seed: u64) -> Result<Self, ClusterError> {
+        let folder = tempfile::tempdir().context(SetupSnafu { what: "a folder" })?;
+        let own = std::process::id().to_le_bytes();
+        let ip = Ipv4Addr::new(127, 80 + own[1] % 64, own[0], 1 + (seed % 250) as u8);
+        let mut builder = ClusterBuilder {
+            programs,
+            cluster: Self {
+                folder,
+                processes: Vec::new(),
+                links: Vec::new(),
+                ledgers: Vec::new(),
+                ip: ip.into(),
+                servers: Vec::new(),
+            },
+        };
+        builder.start_all().await?;
+        Ok(builder.cluster)
+    }
+
+    /// Schedule of a seed.
+    pub(crate) fn schedule(seed: u64, length: std::time::Duration) -> FaultSchedule {
+        FaultSchedule::draw(seed, length, PROCESSES, LINKS)
+    }
+
+    /// Keeps the settings, logs and data of the processes after the run.
+    pub(crate) fn keep_folder(&mut self) -> PathBuf {
+        self.folder.disable_cleanup(true);
+        self.folder.path().to_owned()
+    }
+
+    /// Addresses for callers.
+    pub(crate) fn entries(&self) -> Vec<SocketAddr> {
+        let ports = (0..ENTRIES).map(|number| ENTRY_PORT + number);
+        ports.map(|port| SocketAddr::new(self.ip, port)).collect()
+    }
+
+    /// Addresses of the control group, past the links.
+    pub(crate) fn control(&self) -> Vec<SocketAddr> {
+        let ports = (0..CONTROL).map(|number| CONTROL_PORT + number);
+        ports.map(|port| SocketAddr::new(self.ip, port)).collect()
+    }
+
+    /// File with the cluster secret.
+    pub(crate) fn secret_file(&self) -> PathBuf {
+        self.folder.path().join("secret")
+    }
+}
+
+impl ClusterBuilder<'_> {
+    async fn start_all(&mut self) -> Result<(), ClusterError> {
+        let secret = self.cluster.secret_file();
+        std::fs::write(secret, SECRET).context(SetupSnafu { what: "the secret" })?;
+        self.start_control()?;
+        let mut groups = Vec::new();
+        for _ in 0..2 {
+            let mut addresses = Vec::new();
+            for target in self.cluster.control() {
+                addresses.push(self.link(target).await?.to_string());
+            }
+            groups.push(format!("{addresses:?}"));
+        }
+        for number in 0..UPSTREAMS {
+            let engine = FakeEngine::new(EngineOptions {
+                between_tokens: BETWEEN_TOKENS,
+                ..EngineOptions::default()
+            });
+            let server = FakeServer::start(engine).await;
+            let server = server.context(SetupSnafu { what: "an engine" })?;
+            self.start_agent("engine", number, &server, &groups[0])
+                .await?;
+            self.cluster.servers.push(server);
+            let ledger = FakeLedger::default();
+            let server = FakeServer::start(ledger.clone()).await;
+            let server = server.context(SetupSnafu { what: "a ledger" })?;
+            self.start_agent("ledger", number, &server, &groups[0])
+                .await?;
+            self.cluster.servers.push(server);
+            self.cluster.ledgers.push(ledger);
+        }
+        for (number, address) in self.cluster.entries().into_iter().enumerate() {
+            let text = format!(
+                "name = \"entry-{number}\"\ncaller_listen = \"{address}\"\ncontrol = {}\n",
+                groups[1]
+            );
+            self.run("oriolecrank-entry", &format!("entry-{number}"), &text)?;
+        }
+        Ok(())
+    }
+
+    fn start_control(&mut self) -> Result<(), ClusterError> {
+        let addresses = self.cluster.control();
+        let members = addresses.iter().enumerate().map(|(number, address)| {
+            format!("[[members]]\ninstance = \"control-{number}\"\naddress = \"{address}\"\n")
+        });
+        let members: String = members.collect();
+        for (number, address) in addresses.iter().enumerate() {
+            let data = self.cluster.folder.path().join(format!("data-{number}"));
+            let text = format!(
+                "cluster = \"soak\"\ninstance = \"control-{number}\"\nlisten = \"{address}\"\n\
+                 data_folder = \"{}\"\n{members}",
+                data.display()
+            );
+            self.run("oriolecrank-control", &format!("control-{number}"), &text)?;
+        }
+        Ok(())
+    }
+
+    async fn start_agent(
+        &mut self,
+        kind: &str,
+        number: u16,
+        server: &FakeServer,
+        control: &str,
+    ) -> Result<(), ClusterError> {
+        let upstream = self.link(server.address()).await?;
+        let (service, call) = match kind {
+            "engine" => ("assistant", "engine"),
+            _ => ("ledger", "plain"),
+        };
+        let offset = if kind == "engine" { 0 } else { UPSTREAMS };
+        let listen = SocketAddr::new(self.cluster.ip, AGENT_PORT + offset + number);
+        let text = format!(
+            "upstream = \"{kind}-{number}\"\nlisten = \"{listen}\"\ncontrol = {control}\n\
+             service = \"{service}\"\nkind = \"{call}\"\nmodel = \"demo\"\n\
+             upstream_address = \"{upstream}\"\nshutdown_ms = 5000\n"
+        );
+        self.run(
+            "oriolecrank-agent",
+            &format!("agent-{kind}-{number}"),
+            &text,
+        )
+    }
+
+    async fn link(&mut self, target: SocketAddr) -> Result<SocketAddr, ClusterError> {
+        let link = FaultyProxy::start(self.cluster.ip, target).await;
+        let link = link.context(SetupSnafu { what: "a link" })?;
+        let address = link.address();
+        self.cluster.links.push(link);
+        Ok(address)
+    }
+
+    fn run(&mut self, program: &str, name: &str, text: &str) -> Result<(), ClusterError> {
+        let port = OPERATOR_PORT + self.cluster.processes.len() as u16;
+        let operator = SocketAddr::new(self.cluster.ip, port);
+        let secret = self.cluster.secret_file();
+        let common = format!(
+            "region = \"local\"\nfailure_domain = \"local\"\nlog_format = \"json\"\n\
+             operator_listen = \"{operator}\"\nsecret_file = \"{}\"\n",
+            secret.display()
+        );
+        let file = self.cluster.folder.path().join(format!("{name}.toml"));
+        let written = std::fs::write(&file, common + text);
+        written.context(SetupSnafu { what: name })?;
+        let process = SoakProcess::start(name, self.programs.join(program), file)?;
+        self.cluster.processes.push(process);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/soak/src/soak_run.rs
@@ -0,0 +1,214 @@
+//! One run: start, load with faults, heal, check.
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use oriolecrank_net::HttpClient;
+use snafu::Snafu;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::call_load::{BookingLog, SoakCaller};
+use crate::fault_schedule::{FaultSchedule, FaultTarget, PlannedFault, ProcessFault};
+use crate::operator_load::SoakOperator;
+use crate::soak_cluster::{ClusterError, SoakCluster};
+use crate::soak_process::{ProcessError, SoakProcess};
+use crate::soak_report::SoakReport;
+
+/// Callers of a run.
+const CALLERS: u64 = 6;
+
+/// Longest time until a new cluster, or one whose faults have ended, does everything again.
+const RECOVERY_LIMIT: Duration = Duration::from_secs(30);
+
+/// Settings of a run.
+#[derive(Debug, Clone)]
+pub struct SoakOptions {
+    /// Folder of the programs.
+    pub programs: PathBuf,
+    /// Seed of the schedule and of the callers.
+    pub seed: u64,
+    /// Time with faults.
+    pub length: Duration,
+    /// The organisation of the callers has limits, although far above what they need.
+    pub limits: bool,
+}
+
+/// A run that could not be carried out.
+#[derive(Debug, Snafu)]
+pub enum SoakError {
+    /// The cluster cannot start.
+    #[snafu(transparent)]
+    Cluster {
+        /// Cause.
+        source: ClusterError,
+    },
+    /// A process cannot be started again.
+    #[snafu(transparent)]
+    Process {
+        /// Cause.
+        source: ProcessError,
+    },
+}
+
+/// Schedule of a run.
+pub fn schedule_of(options: &SoakOptions) -> FaultSchedule {
+    SoakCluster::schedule(options.seed, options.length)
+}
+
+/// Runs one seed; the report holds broken promises, if any.
+pub async fn run_soak(options: &SoakOptions) -> Result<SoakReport, SoakError> {
+    let mut cluster = SoakCluster::start(&options.programs, options.seed).await?;
+    let report = Arc::new(Mutex::new(SoakReport::default()));
+    let mut operator = SoakOperator::new(
+        cluster.control(),
+        cluster.secret_file(),
+        cluster.folder.path(),
+        Arc::clone(&report),
+    );
+    operator.limits = options.limits;
+    let log = Arc::new(BookingLog::default());
+    if !recovers(&cluster, &mut operator, options.seed).await {
+        let text = "the cluster does not serve before any fault".to_owned();
+        return Ok(finish(&mut cluster, &log, &report, Some(text)));
+    }
+    let schedule = schedule_of(options);
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let caller = caller(&cluster, options.seed, number, &log, &report);
+        callers.spawn(caller.run(Arc::clone(&stop)));
+    }
+    let operating = tokio::spawn(operator.run(Arc::clone(&stop)));
+    inject(&mut cluster, &schedule).await?;
+    heal(&mut cluster)?;
+    stop.store(true, Ordering::SeqCst);
+    while callers.join_next().await.is_some() {}
+    let mut failure = None;
+    match operating.await {
+        Ok(mut operator) => {
+            if !recovers(&cluster, &mut operator, options.seed).await {
+                failure = Some("the cluster does not serve after its faults have ended".to_owned());
+            }
+        }
+        Err(error) => failure = Some(format!("the operator failed: {error}")),
+    }
+    Ok(finish(&mut cluster, &log, &report, failure))
+}
+
+fn caller(
+    cluster: &SoakCluster,
+    seed: u64,
+    number: u64,
+    log: &Arc<BookingLog>,
+    report: &Arc<Mutex<SoakReport>>,
+) -> SoakCaller {
+    SoakCaller {
+        number,
+        seed,
+        entries: cluster.entries(),
+        client: HttpClient::default(),
+        log: Arc::clone(log),
+        report: Arc::clone(report),
+    }
+}
+
+fn finish(
+    cluster: &mut SoakCluster,
+    log: &BookingLog,
+    report: &Mutex<SoakReport>,
+    failure: Option<String>,
+) -> SoakReport {
+    let mut report = report.lock().expect("no holder of the report panics");
+    log.check(&cluster.ledgers, &mut report);
+    report.broken.extend(failure);
+    report.folder = (!report.broken.is_empty()).then(|| cluster.keep_folder());
+    report.clone()
+}
+
+/// Injects faults at their times. Faults of one process follow each other; others overlap.
+async fn inject(cluster: &mut SoakCluster, schedule: &FaultSchedule) -> Result<(), SoakError> {
+    let start = Instant::now();
+    let mut steps: Vec<(Duration, PlannedFault, bool)> = Vec::new();
+    for fault in &schedule.0 {
+        steps.push((fault.at, *fault, true));
+        steps.push((fault.at + fault.lasts, *fault, false));
+    }
+    steps.sort_by_key(|(at, _, _)| *at);
+    for (at, fault, begins) in steps {
+        sleep_until(start + at).await;
+        match fault.target {
+            FaultTarget::Link(place, kind) => {
+                cluster.links[place].set_fault(begins.then_some(kind));
+            }
+            FaultTarget::Process(place, kind) => {
+                let process = &mut cluster.processes[place];
+                disturb(process, kind, begins).await?;
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn disturb(
+    process: &mut SoakProcess,
+    kind: ProcessFault,
+    begins: bool,
+) -> Result<(), ProcessError> {
+    match (kind, begins) {
+        (ProcessFault::Pause, true) => process.pause(),
+        (ProcessFault::Pause, false) => process.resume(),
+        (ProcessFault::Kill, true) => process.kill(),
+        (ProcessFault::Terminate, true) => {
+            process.stop().await;
+        }
+        (ProcessFault::Kill | ProcessFault::Terminate, false) => process.start_again()?,
+    }
+    Ok(())
+}
+
+/// Ends all faults.
+fn heal(cluster: &mut SoakCluster) -> Result<(), ProcessError> {
+    for link in &cluster.links {
+        link.set_fault(None);
+    }
+    for process in &mut cluster.processes {
+        process.resume();
+        if process.has_failed() {
+            // A process may end when it cannot go on; a supervisor starts it again.
+            process.kill();
+        }
+        process.start_again()?;
+    }
+    Ok(())
+}
+
+/// Whether a document is accepted and read back and every entry books and streams again.
+async fn recovers(cluster: &SoakCluster, operator: &mut SoakOperator, seed: u64) -> bool {
+    let deadline = Instant::now() + RECOVERY_LIMIT;
+    while !(operator.submit().await && operator.read().await) {
+        if Instant::now() >= deadline {
+            return false;
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    for (number, entry) in cluster.entries().into_iter().enumerate() {
+        loop {
+            let probe = Arc::new(Mutex::new(SoakReport::default()));
+            let log = Arc::new(BookingLog::default());
+            let name = u64::MAX - number as u64;
+            let mut caller = caller(cluster, seed, name, &log, &probe);
+            caller.entries = vec![entry];
+            if caller.probe().await {
+                break;
+            }
+            if Instant::now() >= deadline {
+                return false;
+            }
+            sleep(Duration::from_millis(100)).await;
+        }
+    }
+    true
+}
