Log which group an entry follows, what a repair changes and what a document costs

Cause: the logs could not tell apart a slow transfer of a document, an entry that follows an outdated list of members, and a group that is short of a voter. Change: event 206 for the followed group, the size and time of a document in event 200, the changed member in events 404 and 405, and the metric entry_document_bytes. Conclusion: no behaviour changes.

--- a/crates/oriolecrank-gateway/src/entry_metrics.rs
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -68,6 +68,7 @@
     ejections: Counter,
     first_answer: Family<KindLabel, Histogram>,
     document_version: Gauge,
+    document_bytes: Counter,
     upstreams: Gauge,
     entries: Gauge,
     last_sync: Gauge,
@@ -86,6 +87,7 @@
                 Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKET_COUNT))
             }),
             document_version: Gauge::default(),
+            document_bytes: Counter::default(),
             upstreams: Gauge::default(),
             entries: Gauge::default(),
             last_sync: Gauge::default(),
@@ -120,6 +122,8 @@
         }
         let help = "Upstreams that were ejected because of failed attempts";
         registry.register("ejections", help, self.ejections.clone());
+        let help = "Bytes of documents received from control instances";
+        registry.register("document_bytes", help, self.document_bytes.clone());
         let help = "Time from sending an attempt to its first event or the head of its answer";
         let histogram = self.first_answer.clone();
         registry.register_with_unit("first_answer", help, Unit::Seconds, histogram);
@@ -146,6 +150,11 @@
         }
     }
 
+    /// Counts the bytes of a received document.
+    pub(crate) fn count_document_bytes(&self, bytes: usize) {
+        self.document_bytes.inc_by(bytes as u64);
+    }
+
     /// Counts an answered request; `failure` is set if the entry itself had to answer.
     pub(crate) fn count_request(&self, failure: Option<CallFailure>) {
         let outcome = match failure {
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -13,6 +13,7 @@
 use oriolecrank_routing::{
     KnownGroup, PlacedParts, RouteTable, SyncCursor, WindowCounts, sync_targets,
 };
+use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
@@ -49,7 +50,7 @@
 impl<D: CallerDialect> EntrySync<D> {
     /// Runs until the process ends.
     pub(crate) async fn run(mut self) {
-        let (group_sender, mut group_receiver) = mpsc::channel::<KnownGroup>(16);
+        let (group_sender, mut group_receiver) = mpsc::channel::<NamedGroup>(16);
         let mut targets: IndexMap<SocketAddr, AbortHandle> = IndexMap::new();
         let mut group = KnownGroup::default();
         loop {
@@ -78,7 +79,12 @@
             }
             tokio::select! {
                 answer = timeout(GROUP_TIMEOUT, group_receiver.recv()) => match answer {
-                    Ok(Some(newest)) if !newest.members.is_empty() => group = newest,
+                    Ok(Some(named)) if !named.group.members.is_empty() => {
+                        if named.group != group {
+                            log_followed_group(&named);
+                        }
+                        group = named.group;
+                    }
                     Ok(_) => {}
                     Err(_) => group = KnownGroup::default(),
                 },
@@ -91,13 +97,30 @@
     }
 }
 
+/// Control group as one of its instances has named it.
+#[derive(Debug)]
+struct NamedGroup {
+    source: SocketAddr,
+    group: KnownGroup,
+}
+
+fn log_followed_group(named: &NamedGroup) {
+    tracing::info!(
+        event = LogEvent::GroupFollowed.number(),
+        source = %named.source,
+        members = ?named.group.members,
+        leader = ?named.group.leader,
+        "the entry follows another leader or other members of the control group"
+    );
+}
+
 /// Task that syncs with one control instance.
 #[derive(Debug)]
 struct SyncTarget<D> {
     shared: Arc<EntryShared<D>>,
     link: ControlLink,
     address: SocketAddr,
-    group_sender: mpsc::Sender<KnownGroup>,
+    group_sender: mpsc::Sender<NamedGroup>,
     cursor: SyncCursor,
     /// Sequence of the newest placement of this entry that the control instance has received.
     sent_placement_sequence: u64,
@@ -118,6 +141,7 @@
                 )
             };
             let request = self.request(&counts, placed);
+            let requested_at = BootClock.now();
             let link = &self.link;
             let answer = link.call(self.address, SYNC_PATH, &request, SYNC_TIMEOUT);
             match answer.await {
@@ -131,7 +155,7 @@
                     }
                     reachable = true;
                     self.sent_placement_sequence = newest_placement;
-                    self.apply_answer(answer, counts);
+                    self.apply_answer(answer, counts, requested_at);
                     sleep(MIN_INTERVAL).await;
                 }
                 Err(error) => {
@@ -169,7 +193,12 @@
     }
 
     /// Applies the answer to a sync. `counts` are the usage counts at the time of its request.
-    fn apply_answer(&mut self, answer: SyncAnswer, counts: Vec<WindowCounts>) {
+    fn apply_answer(
+        &mut self,
+        answer: SyncAnswer,
+        counts: Vec<WindowCounts>,
+        requested_at: TimePoint,
+    ) {
         self.cursor
             .advance(answer.control_run, answer.directory_revision, counts);
         let now = BootClock.now();
@@ -178,6 +207,7 @@
             .clock
             .record_peer_time(self.address, answer.unix_ms, now);
         if let Some(document) = answer.document {
+            shared.metrics.count_document_bytes(document.source.len());
             match shared.dialect.decode_document(&document.source) {
                 Ok(decoded) => {
                     if shared.put_in_force(RouteTable::new(decoded)) {
@@ -187,6 +217,8 @@
                             event,
                             version,
                             source = %self.address,
+                            bytes = document.source.len(),
+                            elapsed_ms = now.since(requested_at).as_millis(),
                             "a document is in force"
                         );
                     }
@@ -211,9 +243,12 @@
             .metrics
             .record_sync(answer.unix_ms, answer.entries, upstreams);
         // If the channel is full, it already holds recent answers of other targets.
-        let _ = self.group_sender.try_send(KnownGroup {
-            members: answer.members,
-            leader: answer.leader,
+        let _ = self.group_sender.try_send(NamedGroup {
+            source: self.address,
+            group: KnownGroup {
+                members: answer.members,
+                leader: answer.leader,
+            },
         });
     }
 }
--- a/crates/oriolecrank-gateway/src/group_repair.rs
+++ b/crates/oriolecrank-gateway/src/group_repair.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriolecrank_consensus::{InstanceId, MembershipRequest, NodeStatus, RoleName};
+use oriolecrank_consensus::{
+    InstanceId, Member, Membership, MembershipRequest, NodeStatus, RoleName,
+};
 use oriolecrank_net::BootClock;
 use oriolecrank_routing::{JoiningMember, MemberHealth, RepairSettings, next_members};
 use oriolecrank_schema::TimePoint;
@@ -105,6 +107,8 @@
             return;
         };
         let count = members.len();
+        let change = describe_change(membership, &members);
+        let leading_for = now.since(leader_since);
         let request = MembershipRequest {
             base_version: membership.version,
             members,
@@ -113,11 +117,18 @@
         let event = LogEvent::MembershipChanged.number();
         match self.publisher.replica.change_membership(request).await {
             Ok(_) => {
-                tracing::info!(event, members = count, "the control group has changed");
+                tracing::info!(
+                    event,
+                    members = count,
+                    change,
+                    leading_for_ms = leading_for.as_millis(),
+                    "the control group has changed"
+                );
             }
             Err(error) => {
                 tracing::info!(
                     event = LogEvent::MembershipWaits.number(),
+                    change,
                     %error,
                     "a membership change was not committed; it is retried"
                 );
@@ -126,6 +137,26 @@
     }
 }
 
+/// Text for the log that names what a change adds, promotes and removes.
+fn describe_change(membership: &Membership, members: &[Member]) -> String {
+    let mut changes = Vec::new();
+    for member in members {
+        match membership.member(&member.id) {
+            None => changes.push(format!("adds {}", member.id)),
+            Some(known) if known.role != member.role => {
+                changes.push(format!("promotes {}", member.id));
+            }
+            Some(_) => {}
+        }
+    }
+    for known in &membership.members {
+        if members.iter().all(|member| member.id != known.id) {
+            changes.push(format!("removes {}", known.id));
+        }
+    }
+    changes.join(", ")
+}
+
 /// Health of the members as the leader sees it. Silence counts from the start of its leadership at
 /// the earliest, because it has no contacts before that.
 fn member_health(
