Fetch a document from one control instance instead of three at a time

Callers saw: routes and keys of a confirmed change were refused by some entries for seconds. On a narrow link three copies of a large document slow each other down, all of them are cut off, and each repetition starts from zero (congestion collapse by retransmission). Change: control instances announce the version; a task of the entry fetches the document from one of them at a time (DocumentFetch decides which) and goes on as long as bytes arrive. Older entries still get the document in the answer.

--- a/crates/oriolecrank-gateway/src/control_link.rs
+++ b/crates/oriolecrank-gateway/src/control_link.rs
@@ -30,6 +30,15 @@
     InvalidAnswer { source: CodecError },
 }
 
+/// Time limits of a transfer that may be large.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TransferLimits {
+    /// Longest wait for the head of the answer and for each next piece of its body.
+    pub(crate) stall: Duration,
+    /// Longest duration of the whole body.
+    pub(crate) total: Duration,
+}
+
 /// Client for control instances; clones share its connections.
 #[derive(Debug, Clone)]
 pub(crate) struct ControlLink {
@@ -62,6 +71,26 @@
         self.send(address, path, message, timeout).await.map(drop)
     }
 
+    /// Sends a message whose answer may be large. The transfer goes on as long as it makes
+    /// progress within the limits.
+    pub(crate) async fn transfer<T: Serialize, A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        message: &T,
+        limits: TransferLimits,
+    ) -> Result<A, LinkError> {
+        let body = Bytes::from(codec::encode(message));
+        let request = peer_request(&self.secret, path, body);
+        let answer = self.client.send(address, request, limits.stall).await;
+        let answer = answer.context(FailedSnafu)?;
+        let status = answer.status();
+        ensure!(status.is_success(), RefusedSnafu { address, status });
+        let body = answer.collect_while_progressing(MAX_ANSWER_BYTES, limits.stall, limits.total);
+        let bytes = body.await.context(FailedSnafu)?;
+        codec::decode(&bytes).context(InvalidAnswerSnafu)
+    }
+
     async fn send<T: Serialize>(
         &self,
         address: SocketAddr,
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -10,10 +10,13 @@
 use oriolecrank_routing::{
     CallerTimeoutRange, ChooserSettings, DirectChooser, EntryRun, OrganisationName, PartId,
     PlacedParts, PlacementLog, RetryGrant, RouteTable, ServiceName, SharedRetryBudget,
-    UpstreamAnnouncement, UpstreamDirectory, UpstreamName, UsageCounter, WindowNumber,
+    StoredDocument, UpstreamAnnouncement, UpstreamDirectory, UpstreamName, UsageCounter,
+    WindowNumber,
 };
 use oriolecrank_schema::TimePoint;
+use oriolecrank_schema::event::LogEvent;
 
+use crate::dialect::CallerDialect;
 use crate::entry_metrics::EntryMetrics;
 use crate::site_clock::SiteClock;
 use crate::site_messages::{AgedAnnouncement, NamedLoad};
@@ -153,6 +156,41 @@
         true
     }
 
+    /// Decodes a document that a control instance has sent and puts it in force, unless it is not
+    /// newer than the present one. `elapsed` is the time since the entry asked for it.
+    pub(crate) fn apply_document(
+        &self,
+        document: &StoredDocument,
+        source: SocketAddr,
+        elapsed: Duration,
+    ) where
+        D: CallerDialect,
+    {
+        self.metrics.count_document_bytes(document.source.len());
+        match self.dialect.decode_document(&document.source) {
+            Ok(decoded) => {
+                if self.put_in_force(RouteTable::new(decoded)) {
+                    tracing::info!(
+                        event = LogEvent::DocumentInForce.number(),
+                        version = document.version,
+                        %source,
+                        bytes = document.source.len(),
+                        elapsed_ms = elapsed.as_millis(),
+                        "a document is in force"
+                    );
+                }
+            }
+            // Not expected: the control instance that accepted the document has decoded it.
+            Err(reason) => {
+                tracing::error!(
+                    event = LogEvent::DocumentNotCommitted.number(),
+                    reason,
+                    "a committed document cannot be decoded; the previous one stays in force"
+                );
+            }
+        }
+    }
+
     /// Clears the ranges of caller timeouts, because a new document may have changed the routes.
     fn clear_caller_timeouts(&self) {
         self.caller_timeouts
--- a/crates/oriolecrank-gateway/src/entry_site.rs
+++ b/crates/oriolecrank-gateway/src/entry_site.rs
@@ -21,6 +21,7 @@
 use crate::caller_server::CallerServer;
 use crate::control_link::ControlLink;
 use crate::dialect::CallerDialect;
+use crate::document_fetcher::{DocumentFetcher, DocumentOffers};
 use crate::entry_shared::{EntryShared, EntrySiteOptions};
 use crate::entry_sync::EntrySync;
 
@@ -75,9 +76,17 @@
     let event = LogEvent::ProcessStarted.number();
     tracing::info!(event, entry = %options.run.entry, callers = %options.caller_listen, "entry started");
     let shared = Arc::new(EntryShared::new(options, dialect, client, BootClock.now()));
+    let offers = DocumentOffers::default();
+    let fetcher = DocumentFetcher {
+        shared: Arc::clone(&shared),
+        link: link.clone(),
+        offers: offers.clone(),
+    };
+    tokio::spawn(fetcher.run());
     let sync = EntrySync {
         shared: Arc::clone(&shared),
         link,
+        offers,
         seeds,
     };
     tokio::spawn(sync.run());
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -2,7 +2,8 @@
 //! own loads and usage counts.
 //!
 //! The entry syncs with several control instances at the same time and applies the newest state
-//! that any of them sends, so that a slow or partitioned instance delays nothing.
+//! that any of them sends, so that a slow or partitioned instance delays nothing. Documents are
+//! only announced here; [`DocumentFetcher`](crate::document_fetcher::DocumentFetcher) fetches them.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,9 +11,7 @@
 
 use indexmap::IndexMap;
 use oriolecrank_net::BootClock;
-use oriolecrank_routing::{
-    KnownGroup, PlacedParts, RouteTable, SyncCursor, WindowCounts, sync_targets,
-};
+use oriolecrank_routing::{KnownGroup, PlacedParts, SyncCursor, WindowCounts, sync_targets};
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
 use tokio::sync::{mpsc, watch};
@@ -21,6 +20,7 @@
 
 use crate::control_link::ControlLink;
 use crate::dialect::CallerDialect;
+use crate::document_fetcher::DocumentOffers;
 use crate::entry_shared::EntryShared;
 use crate::site_messages::{SYNC_PATH, SyncAnswer, SyncRequest};
 
@@ -43,6 +43,8 @@
 pub(crate) struct EntrySync<D> {
     pub(crate) shared: Arc<EntryShared<D>>,
     pub(crate) link: ControlLink,
+    /// Versions that control instances announce, for the task that fetches them.
+    pub(crate) offers: DocumentOffers,
     /// Internal addresses of control instances from the settings.
     pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
 }
@@ -70,6 +72,8 @@
                         link: self.link.clone(),
                         address,
                         group_sender: group_sender.clone(),
+                        offers: self.offers.clone(),
+                        announced_version: 0,
                         cursor: SyncCursor::default(),
                         sent_placement_sequence: 0,
                         placement_sequence: 0,
@@ -121,6 +125,9 @@
     link: ControlLink,
     address: SocketAddr,
     group_sender: mpsc::Sender<NamedGroup>,
+    offers: DocumentOffers,
+    /// Newest version that the control instance has announced and the entry has to fetch.
+    announced_version: u64,
     cursor: SyncCursor,
     /// Sequence of the newest placement of this entry that the control instance has received.
     sent_placement_sequence: u64,
@@ -181,7 +188,8 @@
         let shared = &self.shared;
         SyncRequest {
             run: shared.options.run.clone(),
-            document_version: shared.document_version(),
+            document_version: shared.document_version().max(self.announced_version),
+            fetches_documents: true,
             control_run: self.cursor.control_run(),
             directory_revision: self.cursor.directory_revision(),
             usage: self.cursor.unacknowledged(counts),
@@ -207,31 +215,10 @@
             .clock
             .record_peer_time(self.address, answer.unix_ms, now);
         if let Some(document) = answer.document {
-            shared.metrics.count_document_bytes(document.source.len());
-            match shared.dialect.decode_document(&document.source) {
-                Ok(decoded) => {
-                    if shared.put_in_force(RouteTable::new(decoded)) {
-                        let event = LogEvent::DocumentInForce.number();
-                        let version = document.version;
-                        tracing::info!(
-                            event,
-                            version,
-                            source = %self.address,
-                            bytes = document.source.len(),
-                            elapsed_ms = now.since(requested_at).as_millis(),
-                            "a document is in force"
-                        );
-                    }
-                }
-                // Not expected: the control instance that accepted the document has decoded it.
-                Err(reason) => {
-                    tracing::error!(
-                        event = LogEvent::DocumentNotCommitted.number(),
-                        reason,
-                        "a committed document cannot be decoded; the previous one stays in force"
-                    );
-                }
-            }
+            shared.apply_document(&document, self.address, now.since(requested_at));
+        } else if answer.document_version > shared.document_version() {
+            self.announced_version = answer.document_version;
+            self.offers.record(self.address, answer.document_version);
         }
         shared.apply_announcements(answer.upstreams, now);
         shared.set_remote_loads(&answer.other_loads);
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -21,7 +21,8 @@
 use crate::site_clock::SiteClock;
 use crate::site_gossip::apply_batch;
 use crate::site_messages::{
-    GOSSIP_PATH, GossipBatch, JOIN_PATH, PUBLISH_PATH, SYNC_PATH, SyncAnswer, SyncRequest,
+    DOCUMENT_PATH, DocumentAnswer, DocumentRequest, GOSSIP_PATH, GossipBatch, JOIN_PATH,
+    PUBLISH_PATH, SYNC_PATH, SyncAnswer, SyncRequest,
 };
 use crate::site_publisher::SitePublisher;
 use crate::site_tables::SiteTables;
@@ -62,6 +63,7 @@
     ) -> Result<Response<AnswerBody>, CodecError> {
         let answer = match path {
             SYNC_PATH => message_answer(&self.answer_sync(codec::decode(body)?).await),
+            DOCUMENT_PATH => message_answer(&self.answer_document(&codec::decode(body)?)),
             GOSSIP_PATH => self.answer_gossip(codec::decode(body)?),
             PUBLISH_PATH => {
                 let request = codec::decode(body)?;
@@ -132,13 +134,24 @@
         self.sync_answer(&request, seen)
     }
 
+    fn answer_document(&self, request: &DocumentRequest) -> DocumentAnswer {
+        let state = self.publisher.site.read();
+        let document = state.document();
+        let newer = document.filter(|document| document.version > request.known_version);
+        DocumentAnswer {
+            document: newer.cloned(),
+        }
+    }
+
     fn sync_answer(&self, request: &SyncRequest, seen: SeenRevisions) -> SyncAnswer {
-        let document = {
+        let (document, document_version) = {
             let state = self.publisher.site.read();
             let document = state.document();
-            document
-                .filter(|document| document.version > request.document_version)
-                .cloned()
+            let version = document.map_or(0, |document| document.version);
+            let inline = document.filter(|document| {
+                !request.fetches_documents && document.version > request.document_version
+            });
+            (inline.cloned(), version)
         };
         let status = self.publisher.replica.status().node;
         let leader = self.publisher.replica.leader();
@@ -155,6 +168,7 @@
             placed: placed.unwrap_or_default(),
             placement_sequence: tables.placements.newest_sequence(),
             document,
+            document_version,
             control_run: self.tables.run,
             directory_revision: tables.directory.revision(),
             upstreams: tables.announcements(seen.directory_revision, BootClock.now()),
--- a/crates/oriolecrank-gateway/src/lib.rs
+++ b/crates/oriolecrank-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod control_metrics;
 mod control_site;
 mod dialect;
+mod document_fetcher;
 mod entry_metrics;
 mod entry_shared;
 mod entry_site;
--- a/crates/oriolecrank-gateway/src/site_messages.rs
+++ b/crates/oriolecrank-gateway/src/site_messages.rs
@@ -13,6 +13,8 @@
 
 /// Path of [`SyncRequest`].
 pub(crate) const SYNC_PATH: &str = "/v1/site/sync";
+/// Path of [`DocumentRequest`].
+pub(crate) const DOCUMENT_PATH: &str = "/v1/site/document";
 /// Path of [`GossipBatch`].
 pub(crate) const GOSSIP_PATH: &str = "/v1/site/gossip";
 /// Path of [`PublishRequest`].
@@ -26,8 +28,13 @@
 pub(crate) struct SyncRequest {
     /// Name of the entry and random number of this run of its process.
     pub(crate) run: EntryRun,
-    /// Version of the document in force; 0 before the first one.
+    /// Newest version that the entry holds or was told of by this control instance; 0 before the
+    /// first one.
     pub(crate) document_version: u64,
+    /// The entry asks for documents with [`DocumentRequest`]. Answers to older entries, which do
+    /// not, contain the document.
+    #[serde(default)]
+    pub(crate) fetches_documents: bool,
     /// Run of the control process to which `directory_revision` belongs; 0 before the first answer.
     pub(crate) control_run: u64,
     /// Newest revision of the upstream directory that the entry has received.
@@ -57,8 +64,12 @@
 /// Answer to [`SyncRequest`] with what has changed since the entry's revisions.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct SyncAnswer {
-    /// The newest document, if it is newer than the entry's.
+    /// The newest document, if it is newer than the entry's and the entry does not fetch documents
+    /// itself.
     pub(crate) document: Option<StoredDocument>,
+    /// Version of the newest document; 0 without one, and from older control instances.
+    #[serde(default)]
+    pub(crate) document_version: u64,
     /// Random number of this run of the control process.
     pub(crate) control_run: u64,
     /// Newest revision of the control instance's upstream directory.
@@ -86,6 +97,20 @@
     pub(crate) unix_ms: u64,
 }
 
+/// Request of an entry for the newest document.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct DocumentRequest {
+    /// Version of the document in force; 0 before the first one.
+    pub(crate) known_version: u64,
+}
+
+/// Answer to [`DocumentRequest`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct DocumentAnswer {
+    /// The newest document, if it is newer than the one in force at the entry.
+    pub(crate) document: Option<StoredDocument>,
+}
+
 /// An announcement with its age instead of a time, because processes share no clock.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct AgedAnnouncement {
--- a/crates/oriolecrank-net/src/http_client.rs
+++ b/crates/oriolecrank-net/src/http_client.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -292,6 +292,47 @@
         Ok(bytes)
     }
 
+    /// Like [`collect`](Self::collect), but also fails if no byte of the body arrives for
+    /// `stall_limit`. For large bodies, whose total time depends on the link.
+    pub async fn collect_while_progressing(
+        mut self,
+        limit: usize,
+        stall_limit: Duration,
+        time_limit: Duration,
+    ) -> Result<Bytes, SendError> {
+        let address = self.address;
+        let time_out = |time_limit| AnswerTimeoutSnafu {
+            address,
+            time_limit,
+        };
+        let body = self.response.body_mut();
+        let reading = async {
+            let mut bytes = BytesMut::new();
+            loop {
+                let Ok(frame) = timeout(stall_limit, body.frame()).await else {
+                    return time_out(stall_limit).fail();
+                };
+                let Some(frame) = frame else {
+                    return Ok(bytes.freeze());
+                };
+                let Ok(frame) = frame else {
+                    return BadBodySnafu { address }.fail();
+                };
+                let data = frame.into_data().unwrap_or_default();
+                if bytes.len() + data.len() > limit {
+                    return BadBodySnafu { address }.fail();
+                }
+                bytes.extend_from_slice(&data);
+            }
+        };
+        let Ok(read) = timeout(time_limit, reading).await else {
+            return time_out(time_limit).fail();
+        };
+        let bytes = read?;
+        self.recycle();
+        Ok(bytes)
+    }
+
     /// Returns the connection to the pool. Must be called only after the whole body was read.
     pub fn recycle(self) {
         let limit = self.client.settings.idle_limit;
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -20,6 +20,7 @@
 mod choice_search;
 mod direct_chooser;
 mod direct_upstream;
+mod document_fetch;
 mod load_table;
 mod member_repair;
 mod names;
@@ -41,6 +42,7 @@
     CallPlan, ChoiceRequest, ChooserSettings, ChosenUpstream, DirectChooser, NoUpstream,
 };
 pub use direct_upstream::{CallTiming, DirectUpstream, DispatchTicket, UpstreamLoad};
+pub use document_fetch::{DocumentFetch, PlannedFetch};
 pub use load_table::{LoadTable, UpstreamLoads};
 pub use member_repair::{JoiningMember, MemberHealth, RepairSettings, next_members};
 pub use names::{DomainName, EntryName, OrganisationName, ServiceName, UpstreamName};
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -2,6 +2,7 @@
 
 mod caller_timeout_range;
 mod direct_chooser;
+mod document_fetch;
 mod fixtures;
 mod load_table;
 mod member_repair;
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -52,6 +52,7 @@
     UpstreamUnusable = 204, "The record of an upstream cannot be used; the upstream is left out.";
     SubscriptionRestored = 205, "A control instance that could not be reached answers again.";
     GroupFollowed = 206, "An entry follows another leader or other members of the control group; the instance that named them is in the line.";
+    DocumentNotFetched = 207, "An entry could not fetch a newer document from a control instance; another one is asked.";
     RequestFailed = 210, "A request failed; the verdict says whether it may have run.";
     StreamSilent = 211, "An answer stream broke or sent nothing for too long; it is resumed on a new connection.";
     AnswerBroken = 212, "An answer failed after its beginning was sent; the caller got an error event, or the connection was closed early.";
