Compress documents on their way to entries

Callers saw: routes and keys of a confirmed change were refused by some entries for seconds. Cause: every entry needs each version, and a document with 3,000 routes has 590 KB, so that the links of the control instances and of the smallest entries are full for a second or more after each change. Change: a control instance compresses a document once and sends the same bytes to all entries.

--- a/crates/oriolecrank-gateway/src/control_site.rs
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -26,6 +26,7 @@
 use crate::control_link::ControlLink;
 use crate::control_metrics::{ControlMetrics, SiteGaugeValues};
 use crate::dialect::{SiteDialect, UsageDialect};
+use crate::document_transfer::DocumentCache;
 use crate::group_repair::GroupRepair;
 use crate::internal_server::InternalServer;
 use crate::site_clock::SiteClock;
@@ -141,6 +142,7 @@
         publisher: publisher.clone(),
         tables: Arc::clone(&tables),
         clock: Arc::clone(&clock),
+        documents: DocumentCache::default(),
     };
     let site_server = SiteServer {
         dialect: Arc::clone(&dialect),
--- a/crates/oriolecrank-gateway/src/document_fetcher.rs
+++ b/crates/oriolecrank-gateway/src/document_fetcher.rs
@@ -88,7 +88,19 @@
             Ok(DocumentAnswer {
                 document: Some(document),
             }) => {
-                self.shared.apply_document(&document, source, elapsed);
+                let transfer_bytes = document.transfer_bytes();
+                match document.into_document() {
+                    Ok(document) => {
+                        let shared = &self.shared;
+                        shared.apply_document(&document, source, transfer_bytes, elapsed);
+                    }
+                    Err(error) => tracing::error!(
+                        event = LogEvent::DocumentNotFetched.number(),
+                        %source,
+                        %error,
+                        "a document cannot be decompressed; another control instance is asked"
+                    ),
+                }
             }
             Ok(DocumentAnswer { document: None }) => {
                 tracing::info!(
@@ -103,7 +115,7 @@
                     event = LogEvent::DocumentNotFetched.number(),
                     %source,
                     known_version,
-                    elapsed_ms = elapsed.as_millis(),
+                    elapsed_ms = elapsed.as_millis() as u64,
                     %error,
                     "a document could not be fetched; another control instance is asked"
                 );
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -157,16 +157,18 @@
     }
 
     /// Decodes a document that a control instance has sent and puts it in force, unless it is not
-    /// newer than the present one. `elapsed` is the time since the entry asked for it.
+    /// newer than the present one. `transfer_bytes` is its size on the network and `elapsed` the
+    /// time since the entry asked for it.
     pub(crate) fn apply_document(
         &self,
         document: &StoredDocument,
         source: SocketAddr,
+        transfer_bytes: usize,
         elapsed: Duration,
     ) where
         D: CallerDialect,
     {
-        self.metrics.count_document_bytes(document.source.len());
+        self.metrics.count_document_bytes(transfer_bytes);
         match self.dialect.decode_document(&document.source) {
             Ok(decoded) => {
                 if self.put_in_force(RouteTable::new(decoded)) {
@@ -175,7 +177,8 @@
                         version = document.version,
                         %source,
                         bytes = document.source.len(),
-                        elapsed_ms = elapsed.as_millis(),
+                        transfer_bytes,
+                        elapsed_ms = elapsed.as_millis() as u64,
                         "a document is in force"
                     );
                 }
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -215,7 +215,8 @@
             .clock
             .record_peer_time(self.address, answer.unix_ms, now);
         if let Some(document) = answer.document {
-            shared.apply_document(&document, self.address, now.since(requested_at));
+            let (transfer_bytes, elapsed) = (document.source.len(), now.since(requested_at));
+            shared.apply_document(&document, self.address, transfer_bytes, elapsed);
         } else if answer.document_version > shared.document_version() {
             self.announced_version = answer.document_version;
             self.offers.record(self.address, answer.document_version);
--- a/crates/oriolecrank-gateway/src/group_repair.rs
+++ b/crates/oriolecrank-gateway/src/group_repair.rs
@@ -121,7 +121,7 @@
                     event,
                     members = count,
                     change,
-                    leading_for_ms = leading_for.as_millis(),
+                    leading_for_ms = leading_for.as_millis() as u64,
                     "the control group has changed"
                 );
             }
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -18,6 +18,7 @@
 use oriolecrank_schema::control::JoinRequest;
 use tokio::time::timeout;
 
+use crate::document_transfer::DocumentCache;
 use crate::site_clock::SiteClock;
 use crate::site_gossip::apply_batch;
 use crate::site_messages::{
@@ -46,6 +47,7 @@
     pub(crate) publisher: SitePublisher,
     pub(crate) tables: Arc<SiteTables>,
     pub(crate) clock: Arc<SiteClock>,
+    pub(crate) documents: DocumentCache,
 }
 
 /// Newest state of this run of the control process that an entry has already received.
@@ -63,7 +65,7 @@
     ) -> Result<Response<AnswerBody>, CodecError> {
         let answer = match path {
             SYNC_PATH => message_answer(&self.answer_sync(codec::decode(body)?).await),
-            DOCUMENT_PATH => message_answer(&self.answer_document(&codec::decode(body)?)),
+            DOCUMENT_PATH => self.answer_document(&codec::decode(body)?),
             GOSSIP_PATH => self.answer_gossip(codec::decode(body)?),
             PUBLISH_PATH => {
                 let request = codec::decode(body)?;
@@ -134,12 +136,12 @@
         self.sync_answer(&request, seen)
     }
 
-    fn answer_document(&self, request: &DocumentRequest) -> DocumentAnswer {
+    fn answer_document(&self, request: &DocumentRequest) -> Response<AnswerBody> {
         let state = self.publisher.site.read();
         let document = state.document();
-        let newer = document.filter(|document| document.version > request.known_version);
-        DocumentAnswer {
-            document: newer.cloned(),
+        match document.filter(|document| document.version > request.known_version) {
+            Some(document) => Response::new(AnswerBody::full(self.documents.answer_with(document))),
+            None => message_answer(&DocumentAnswer { document: None }),
         }
     }
 
--- a/crates/oriolecrank-gateway/src/lib.rs
+++ b/crates/oriolecrank-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod control_site;
 mod dialect;
 mod document_fetcher;
+mod document_transfer;
 mod entry_metrics;
 mod entry_shared;
 mod entry_site;
--- a/crates/oriolecrank-gateway/src/site_messages.rs
+++ b/crates/oriolecrank-gateway/src/site_messages.rs
@@ -11,6 +11,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::document_transfer::TransferredDocument;
+
 /// Path of [`SyncRequest`].
 pub(crate) const SYNC_PATH: &str = "/v1/site/sync";
 /// Path of [`DocumentRequest`].
@@ -108,7 +110,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct DocumentAnswer {
     /// The newest document, if it is newer than the one in force at the entry.
-    pub(crate) document: Option<StoredDocument>,
+    pub(crate) document: Option<TransferredDocument>,
 }
 
 /// An announcement with its age instead of a time, because processes share no clock.
