Give large batches between control instances the time their size needs

Callers saw: changes confirmed seconds late; usage windows were not reported. A batch to a follower had a fixed limit of 300 ms, which a heartbeat needs, also when it carried a large document to five followers over one link. It was cut off and sent again from zero until the leader lost its quorum. Evidence: with 3,000 more routes the leader of a grown site lost its leadership four and three times within 16 s although no process or link failed. Change: the limit grows with the size of the batch. Conclusion: documents are still replicated uncompressed, so that a storm of versions with 3,000 routes can still depose a leader.

--- a/crates/oriolecrank-control/src/peer_transport.rs
+++ b/crates/oriolecrank-control/src/peer_transport.rs
@@ -28,11 +28,15 @@
 /// for the response to the previous one, which takes 40 ms between regions.
 const BATCHES_IN_FLIGHT: usize = 4;
 
-/// Time limit for the head of a response, and again for its body. Shorter than the minimum election
+/// Time limit for the response to a small batch: for its head, and again for its body. Shorter than the minimum election
 /// timeout, so that heartbeats move from an unresponsive connection to a new one before the
 /// followers start an election.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Slowest transfer of a large batch that is waited for, in bytes per second. A transfer that is cut
+/// off starts from zero on the same link, so a large entry would never arrive.
+const MIN_TRANSFER_RATE: f64 = 1_000_000.0;
+
 /// Largest response body, in bytes; a valid response is empty.
 const MAX_RESPONSE_BYTES: usize = 1_024;
 
@@ -133,8 +137,10 @@
             messages: messages.into_iter().map(Into::into).collect(),
         };
         let body = Bytes::from(codec::encode(&batch));
+        let transfer_time = Duration::from_secs_f64(body.len() as f64 / MIN_TRANSFER_RATE);
         let request = peer_request(&self.secret, PEER_PATH, body);
-        match self.client.send(address, request, RESPONSE_TIMEOUT).await {
+        let head_timeout = RESPONSE_TIMEOUT + transfer_time;
+        match self.client.send(address, request, head_timeout).await {
             Ok(response) => {
                 let read = response.collect(MAX_RESPONSE_BYTES, RESPONSE_TIMEOUT).await;
                 if let Err(error) = read {
