Replace a lost control instance within the time that its successor has to catch up

Callers saw: service does not return after the machines have, because the control group has no majority. Cause: a voter at another address was replaced after 4 s of silence, and each new leader counted the silence anew. The platform counts the lost machine only until 4 s after the start of its successor; a disk that is lost then leaves one live voter of three. Change: the limit follows from the catch-up time of the settings (three quarters of it), and the silence of an earlier leader counts from its last message. RepairPlanner holds the decision, so that a test can run it with the consensus core.

--- a/crates/oriolecrank-consensus/src/election.rs
+++ b/crates/oriolecrank-consensus/src/election.rs
@@ -31,7 +31,10 @@
         let is_recent = |time: TimePoint| now < time + vote_withholding;
         self.is_leader()
             || is_recent(self.started_at)
-            || self.last_leader_contact.is_some_and(is_recent)
+            || self
+                .last_leader_contact
+                .as_ref()
+                .is_some_and(|leader| is_recent(leader.last_contact))
     }
 
     pub(crate) fn start_pre_vote(&mut self, now: TimePoint) {
--- a/crates/oriolecrank-consensus/src/follower.rs
+++ b/crates/oriolecrank-consensus/src/follower.rs
@@ -11,6 +11,7 @@
 };
 use crate::node::{NodeRole, RaftNode};
 use crate::numbers::{LogIndex, Term};
+use crate::ready::PreviousLeader;
 use crate::snapshot::{PartialSnapshot, Snapshot};
 
 impl RaftNode {
@@ -34,7 +35,10 @@
         }
         self.role = NodeRole::Follower;
         self.leader = Some(from.clone());
-        self.last_leader_contact = Some(now);
+        self.last_leader_contact = Some(PreviousLeader {
+            id: from.clone(),
+            last_contact: now,
+        });
         self.reset_election_deadline(now);
         true
     }
--- a/crates/oriolecrank-consensus/src/node.rs
+++ b/crates/oriolecrank-consensus/src/node.rs
@@ -15,7 +15,8 @@
 use crate::numbers::{DiskTag, LogIndex, Term};
 use crate::raft_log::RaftLog;
 use crate::ready::{
-    FoundingTags, HardState, LogRecord, NodeStatus, ReadOutcome, ReadyBatch, RoleName,
+    FoundingTags, HardState, LogRecord, NodeStatus, PreviousLeader, ReadOutcome, ReadyBatch,
+    RoleName,
 };
 use crate::settings::RaftSettings;
 use crate::snapshot::{PartialSnapshot, Snapshot};
@@ -71,9 +72,9 @@
     pub(crate) role: NodeRole,
     /// Leader of the current term, if known.
     pub(crate) leader: Option<InstanceId>,
-    /// Time of the last accepted message of a leader of any term; votes are withheld for the
-    /// minimum election timeout after it.
-    pub(crate) last_leader_contact: Option<TimePoint>,
+    /// Last accepted message of a leader of any term; votes are withheld for the minimum election
+    /// timeout after it.
+    pub(crate) last_leader_contact: Option<PreviousLeader>,
     /// Time at which this node was created; votes are withheld after it too.
     pub(crate) started_at: TimePoint,
     election_deadline: TimePoint,
@@ -199,6 +200,10 @@
             snapshot_index: self.log.snapshot_index(),
             membership: self.membership().clone(),
             founding: self.founding.progress,
+            previous_leader: self
+                .last_leader_contact
+                .clone()
+                .filter(|_| self.is_leader()),
             progress: self.member_progress(),
         }
     }
--- a/crates/oriolecrank-consensus/src/ready.rs
+++ b/crates/oriolecrank-consensus/src/ready.rs
@@ -129,10 +129,21 @@
     pub membership: Membership,
     /// Progress of the founding check.
     pub founding: FoundingProgress,
+    /// Leader before this instance, if this instance leads and has heard from one since its start.
+    pub previous_leader: Option<PreviousLeader>,
     /// Progress of all members if this instance is the leader; otherwise empty.
     pub progress: Vec<MemberProgress>,
 }
 
+/// Last contact with the leader of an earlier term.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PreviousLeader {
+    /// Identity of the earlier leader.
+    pub id: InstanceId,
+    /// When its last accepted message arrived.
+    pub last_contact: TimePoint,
+}
+
 /// Replication progress of a member, as known to the leader.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemberProgress {
--- a/crates/oriolecrank-gateway/src/group_repair.rs
+++ b/crates/oriolecrank-gateway/src/group_repair.rs
@@ -9,7 +9,7 @@
     InstanceId, Member, Membership, MembershipRequest, NodeStatus, RoleName,
 };
 use oriolecrank_net::BootClock;
-use oriolecrank_routing::{JoiningMember, MemberHealth, RepairSettings, next_members};
+use oriolecrank_routing::{JoiningMember, RepairPlanner, RepairSettings};
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::control::{JoinRequest, JoiningInstance};
 use oriolecrank_schema::event::LogEvent;
@@ -26,10 +26,6 @@
 /// Timeout of a request to join.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// A member that lacks at most this many log entries has caught up; the same limit as in the
-/// consensus core.
-const CAUGHT_UP_ENTRIES: u64 = 64;
-
 /// Task that sends requests to join or, while this instance leads, changes the members.
 #[derive(Debug)]
 pub(crate) struct GroupRepair {
@@ -48,19 +44,19 @@
     pub(crate) async fn run(self) {
         let mut ticks = interval(CHECK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut leader_since: Option<TimePoint> = None;
+        let mut planner = RepairPlanner::new(self.settings.clone());
         loop {
             ticks.tick().await;
             let now = BootClock.now();
             self.tables.lock().prune(now);
             let status = self.publisher.replica.status().node;
             if status.role != RoleName::Leader {
-                leader_since = None;
                 self.request_join_if_not_member(&status).await;
-                continue;
             }
-            let leader_since = *leader_since.get_or_insert(now);
-            self.repair(&status, leader_since, now).await;
+            let joining = self.joining(&status, now);
+            if let Some(request) = planner.next_change(&status, &joining, now) {
+                self.change(&status.membership, request).await;
+            }
         }
     }
 
@@ -86,42 +82,29 @@
         }
     }
 
-    /// Proposes the next change of the membership, if one is due.
-    async fn repair(&self, status: &NodeStatus, leader_since: TimePoint, now: TimePoint) {
-        let health: Vec<MemberHealth> = member_health(status, leader_since, now);
+    /// Instances that ask to join and are not members.
+    fn joining(&self, status: &NodeStatus, now: TimePoint) -> Vec<JoiningMember> {
         let waiting = self.tables.lock().joins.waiting(
             |id| status.membership.member(&InstanceId::new(id)).is_some(),
             now,
         );
-        let joining: Vec<JoiningMember> = waiting
-            .into_iter()
-            .map(|instance| JoiningMember {
-                id: InstanceId::new(&instance.instance),
-                address: instance.address,
-            })
-            .filter(|joining| !status.membership.is_retired(&joining.id))
-            .collect();
-        let membership = &status.membership;
-        let next_members = next_members(&self.settings, membership, &status.id, &health, &joining);
-        let Some(members) = next_members else {
-            return;
-        };
-        let count = members.len();
-        let change = describe_change(membership, &members);
-        let leading_for = now.since(leader_since);
-        let request = MembershipRequest {
-            base_version: membership.version,
-            members,
-            forced: false,
-        };
-        let event = LogEvent::MembershipChanged.number();
+        let joining = waiting.into_iter().map(|instance| JoiningMember {
+            id: InstanceId::new(&instance.instance),
+            address: instance.address,
+        });
+        joining.collect()
+    }
+
+    /// Proposes a change of the membership and logs what becomes of it.
+    async fn change(&self, membership: &Membership, request: MembershipRequest) {
+        let count = request.members.len();
+        let change = describe_change(membership, &request.members);
         match self.publisher.replica.change_membership(request).await {
             Ok(_) => {
                 tracing::info!(
-                    event,
+                    event = LogEvent::MembershipChanged.number(),
                     members = count,
                     change,
-                    leading_for_ms = leading_for.as_millis() as u64,
                     "the control group has changed"
                 );
             }
@@ -156,29 +139,3 @@
     }
     changes.join(", ")
 }
-
-/// Health of the members as the leader sees it. Silence counts from the start of its leadership at
-/// the earliest, because it has no contacts before that.
-fn member_health(
-    status: &NodeStatus,
-    leader_since: TimePoint,
-    now: TimePoint,
-) -> Vec<MemberHealth> {
-    let progress = status.progress.iter();
-    let health = progress.map(|member| {
-        let last_contact = member
-            .last_contact
-            .map_or(leader_since, |contact| contact.max(leader_since));
-        let is_self = member.id == status.id;
-        MemberHealth {
-            id: member.id.clone(),
-            silent_for: if is_self {
-                Duration::ZERO
-            } else {
-                now.since(last_contact)
-            },
-            caught_up: status.last_index.0 <= member.match_index.0 + CAUGHT_UP_ENTRIES,
-        }
-    });
-    health.collect()
-}
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -12,9 +12,10 @@
 //! - [`SharedRetryBudget`] limits the extra attempts, beyond the first, of all entries together.
 //! - [`UsageCounter`] and [`UsageCollector`] count requests by organisation and usage window;
 //!   [`UsageSchedule`] decides when the leader reports them.
+//! - [`DocumentFetch`] chooses the control instance from which an entry fetches a document.
 //! - [`SyncCursor`] tracks what an entry and a control instance have already sent to each other.
-//! - [`SiteState`] is the replicated state of the control group; [`next_members`] returns the next
-//!   change of its membership.
+//! - [`SiteState`] is the replicated state of the control group; [`RepairPlanner`] plans the changes
+//!   of its membership.
 
 mod caller_timeout_range;
 mod choice_search;
@@ -44,7 +45,7 @@
 pub use direct_upstream::{CallTiming, DirectUpstream, DispatchTicket, UpstreamLoad};
 pub use document_fetch::{DocumentFetch, PlannedFetch};
 pub use load_table::{LoadTable, UpstreamLoads};
-pub use member_repair::{JoiningMember, MemberHealth, RepairSettings, next_members};
+pub use member_repair::{JoiningMember, MemberHealth, RepairPlanner, RepairSettings, next_members};
 pub use names::{DomainName, EntryName, OrganisationName, ServiceName, UpstreamName};
 pub use part_cache::PartCache;
 pub use part_placement::{PartPlacements, PlacedParts, PlacementLog};
--- a/crates/oriolecrank-routing/src/member_repair.rs
+++ b/crates/oriolecrank-routing/src/member_repair.rs
@@ -6,7 +6,17 @@
 
 use std::time::Duration;
 
-use oriolecrank_consensus::{InstanceId, Member, MemberRole, Membership};
+use oriolecrank_consensus::{
+    InstanceId, Member, MemberRole, Membership, MembershipRequest, NodeStatus, RoleName,
+};
+use oriolecrank_schema::TimePoint;
+
+/// A member that lacks at most this many log entries has caught up; the same limit as in the
+/// consensus core.
+const CAUGHT_UP_ENTRIES: u64 = 64;
+
+/// Shortest silence after which a voter is replaced; longer than an election.
+const MIN_SILENCE: Duration = Duration::from_secs(1);
 
 /// Settings of the automatic repair.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,10 +30,13 @@
 }
 
 impl RepairSettings {
-    /// Settings of a group that survives the loss of `losses` instances at the same time.
-    pub fn tolerating_losses(losses: usize) -> Self {
+    /// Settings of a group that survives the loss of `losses` instances at the same time, and the
+    /// next loss as soon as the successor of a lost instance has had `catch_up` to join.
+    pub fn tolerating_losses(losses: usize, catch_up: Duration) -> Self {
         Self {
             voters: 2 * losses + 1,
+            // The rest is for the two changes of the membership.
+            replace_voter_after: catch_up.mul_f64(0.75).max(MIN_SILENCE),
             ..Self::default()
         }
     }
@@ -34,7 +47,7 @@
         Self {
             voters: 3,
             // Longer than a restart of the process, which takes about a second.
-            replace_voter_after: Duration::from_secs(4),
+            replace_voter_after: Duration::from_secs(3),
             remove_learner_after: Duration::from_secs(20),
         }
     }
@@ -60,6 +73,83 @@
     pub address: String,
 }
 
+/// Plans the membership changes that an instance proposes while it leads.
+#[derive(Debug)]
+pub struct RepairPlanner {
+    settings: RepairSettings,
+    /// When this instance became leader; `None` while it does not lead.
+    leader_since: Option<TimePoint>,
+}
+
+impl RepairPlanner {
+    /// A planner for an instance that does not lead yet.
+    pub const fn new(settings: RepairSettings) -> Self {
+        Self {
+            settings,
+            leader_since: None,
+        }
+    }
+
+    /// Next change, if this instance leads and one is due. Must be called regularly, also while the
+    /// instance does not lead.
+    pub fn next_change(
+        &mut self,
+        status: &NodeStatus,
+        joining: &[JoiningMember],
+        now: TimePoint,
+    ) -> Option<MembershipRequest> {
+        if status.role != RoleName::Leader {
+            self.leader_since = None;
+            return None;
+        }
+        let leader_since = *self.leader_since.get_or_insert(now);
+        let health = member_health(status, leader_since, now);
+        let membership = &status.membership;
+        let joining: Vec<JoiningMember> = joining
+            .iter()
+            .filter(|joining| !membership.is_retired(&joining.id))
+            .cloned()
+            .collect();
+        let members = next_members(&self.settings, membership, &status.id, &health, &joining)?;
+        Some(MembershipRequest {
+            base_version: membership.version,
+            members,
+            forced: false,
+        })
+    }
+}
+
+/// Health of the members as the leader sees it. Silence counts from the start of its leadership at
+/// the earliest, because it has no contacts before that, but that of the leader before it from its
+/// last message.
+fn member_health(
+    status: &NodeStatus,
+    leader_since: TimePoint,
+    now: TimePoint,
+) -> Vec<MemberHealth> {
+    let progress = status.progress.iter();
+    let health = progress.map(|member| {
+        let known_since = match &status.previous_leader {
+            Some(previous) if previous.id == member.id => previous.last_contact,
+            _ => leader_since,
+        };
+        let last_contact = member
+            .last_contact
+            .map_or(known_since, |contact| contact.max(known_since));
+        let is_self = member.id == status.id;
+        MemberHealth {
+            id: member.id.clone(),
+            silent_for: if is_self {
+                Duration::ZERO
+            } else {
+                now.since(last_contact)
+            },
+            caught_up: status.last_index.0 <= member.match_index.0 + CAUGHT_UP_ENTRIES,
+        }
+    });
+    health.collect()
+}
+
 /// Members after the next change; `None` if no change is needed. `own_id` is the leader, which
 /// never removes itself.
 pub fn next_members(
