Count the silence of a new member from its addition

Callers saw: service does not return after the machines have, because the control group has no majority. Cause: the leader counted the silence of a member without a reply from the start of its own leadership. A leader older than 20 s therefore took an instance that had just joined for a learner silent for over 20 s, and removed it at its next check, up to 250 ms later, unless the first reply had arrived. A removed identity never joins again, so that a machine with a new disk was lost to the group for good, and the next lost disk left one live voter of three. Change: RepairPlanner counts from the addition of the member.

--- a/crates/oriolecrank-routing/src/member_repair.rs
+++ b/crates/oriolecrank-routing/src/member_repair.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use oriolecrank_consensus::{
     InstanceId, Member, MemberRole, Membership, MembershipRequest, NodeStatus, RoleName,
 };
@@ -77,16 +78,17 @@
 #[derive(Debug)]
 pub struct RepairPlanner {
     settings: RepairSettings,
-    /// When this instance became leader; `None` while it does not lead.
-    leader_since: Option<TimePoint>,
+    /// When this instance, as the leader, first expected each member to reply: the start of its
+    /// leadership, or the addition of the member. Empty while it does not lead.
+    expected_since: IndexMap<InstanceId, TimePoint>,
 }
 
 impl RepairPlanner {
     /// A planner for an instance that does not lead yet.
-    pub const fn new(settings: RepairSettings) -> Self {
+    pub fn new(settings: RepairSettings) -> Self {
         Self {
             settings,
-            leader_since: None,
+            expected_since: IndexMap::new(),
         }
     }
 
@@ -99,12 +101,18 @@
         now: TimePoint,
     ) -> Option<MembershipRequest> {
         if status.role != RoleName::Leader {
-            self.leader_since = None;
+            self.expected_since.clear();
             return None;
         }
-        let leader_since = *self.leader_since.get_or_insert(now);
-        let health = member_health(status, leader_since, now);
         let membership = &status.membership;
+        self.expected_since
+            .retain(|id, _| membership.member(id).is_some());
+        for member in &membership.members {
+            self.expected_since
+                .entry(member.id.clone())
+                .or_insert_with(|| expected_since(status, &member.id, now));
+        }
+        let health = self.member_health(status, now);
         let joining: Vec<JoiningMember> = joining
             .iter()
             .filter(|joining| !membership.is_retired(&joining.id))
@@ -117,37 +125,33 @@
             forced: false,
         })
     }
+
+    /// Health of the members as the leader sees it.
+    fn member_health(&self, status: &NodeStatus, now: TimePoint) -> Vec<MemberHealth> {
+        let health = status.progress.iter().map(|member| {
+            let expected_since = self.expected_since.get(&member.id).copied();
+            let last_contact = member.last_contact.max(expected_since);
+            let is_self = member.id == status.id;
+            MemberHealth {
+                id: member.id.clone(),
+                silent_for: match last_contact {
+                    Some(contact) if !is_self => now.since(contact),
+                    _ => Duration::ZERO,
+                },
+                caught_up: status.last_index.0 <= member.match_index.0 + CAUGHT_UP_ENTRIES,
+            }
+        });
+        health.collect()
+    }
 }
 
-/// Health of the members as the leader sees it. Silence counts from the start of its leadership at
-/// the earliest, because it has no contacts before that, but that of the leader before it from its
-/// last message.
-fn member_health(
-    status: &NodeStatus,
-    leader_since: TimePoint,
-    now: TimePoint,
-) -> Vec<MemberHealth> {
-    let progress = status.progress.iter();
-    let health = progress.map(|member| {
-        let known_since = match &status.previous_leader {
-            Some(previous) if previous.id == member.id => previous.last_contact,
-            _ => leader_since,
-        };
-        let last_contact = member
-            .last_contact
-            .map_or(known_since, |contact| contact.max(known_since));
-        let is_self = member.id == status.id;
-        MemberHealth {
-            id: member.id.clone(),
-            silent_for: if is_self {
-                Duration::ZERO
-            } else {
-                now.since(last_contact)
-            },
-            caught_up: status.last_index.0 <= member.match_index.0 + CAUGHT_UP_ENTRIES,
-        }
-    });
-    health.collect()
+/// When the leader starts to expect replies of a member: now, or at the last message of the leader
+/// before it.
+fn expected_since(status: &NodeStatus, id: &InstanceId, now: TimePoint) -> TimePoint {
+    match &status.previous_leader {
+        Some(previous) if previous.id == *id => previous.last_contact,
+        _ => now,
+    }
 }
 
 /// Members after the next change; `None` if no change is needed. `own_id` is the leader, which
--- a/crates/oriolecrank-routing/tests/repair_schedules.rs
+++ b/crates/oriolecrank-routing/tests/repair_schedules.rs
@@ -29,6 +29,14 @@
 /// milliseconds.
 const CATCH_UP_MS: u64 = 4_000;
 
+/// Time for which an instance has led, in milliseconds; longer than the silence after which a
+/// learner is removed.
+const LONG_LEADERSHIP_MS: u64 = 25_000;
+
+/// Time until the first reply of an instance that joins, in milliseconds: a lost connection request
+/// is repeated after a second.
+const FIRST_REPLY_MS: u64 = 1_200;
+
 /// Time within which a group that has a majority must commit again, in milliseconds.
 const RECOVERY_MS: u64 = 12_000;
 
@@ -152,3 +160,32 @@
     }
     assert!(stopped.is_empty(), "no majority is left: seeds {stopped:?}");
 }
+
+/// Guards against a control group that removes an instance for good right after it has joined,
+/// because the silence before its first reply counts from the start of the leader.
+#[test]
+fn an_instance_whose_first_reply_is_late_joins_a_group_with_a_long_serving_leader() {
+    let mut stopped = Vec::new();
+    for seed in SEEDS {
+        let mut repaired = RepairedGroup::new(seed);
+        repaired.run(LONG_LEADERSHIP_MS);
+        let leader = repaired.leader().expect("the group has a leader");
+        let ids: Vec<InstanceId> = repaired.group.instances.keys().cloned().collect();
+        let followers: Vec<&InstanceId> = ids.iter().filter(|id| **id != leader).collect();
+        repaired.wipe(followers[0]);
+        let mut present = repaired.group.instances.keys();
+        let joined = present.find(|id| !ids.contains(id)).cloned();
+        let joined = joined.expect("the instance has a new identity");
+        // Its first connection is lost and opened again.
+        let links = [(joined.clone(), leader.clone()), (leader.clone(), joined)];
+        repaired.group.network.blocked.extend(links);
+        repaired.run(FIRST_REPLY_MS);
+        repaired.group.network.blocked.clear();
+        repaired.run(CATCH_UP_MS - FIRST_REPLY_MS);
+        repaired.wipe(followers[1]);
+        if !repaired.commits_within(RECOVERY_MS) {
+            stopped.push(seed);
+        }
+    }
+    assert!(stopped.is_empty(), "no majority is left: seeds {stopped:?}");
+}
