Let a removed control instance join again under a new identity

Callers saw: service does not return after the machines have, because the control group has no majority. Cause: a voter that is silent for some seconds is replaced if another instance waits to join. The removed instance never learned of it: members ignore a removed identity, so that it stayed without a leader, did not ask to join, and its machine was lost to the group. Each later loss found the group smaller than the machines that the platform counts. Change: a member without a leader for 3 s asks the seeds and the members; an instance whose removal is committed is told so, marks its data folder and exits, and the next start gives the folder a new identity. The platform's supervisor starts it again. The storage test interrupts the reset at each kind of fault in 200 schedules.

--- a/crates/oriolecrank-consensus/src/node.rs
+++ b/crates/oriolecrank-consensus/src/node.rs
@@ -199,6 +199,7 @@
             last_index: self.log.last_index(),
             snapshot_index: self.log.snapshot_index(),
             membership: self.membership().clone(),
+            removed: self.log.membership_at(self.commit_index).retired.clone(),
             founding: self.founding.progress,
             previous_leader: self
                 .last_leader_contact
--- a/crates/oriolecrank-consensus/src/ready.rs
+++ b/crates/oriolecrank-consensus/src/ready.rs
@@ -127,6 +127,8 @@
     pub snapshot_index: LogIndex,
     /// Current membership: the last one in the log, committed or not.
     pub membership: Membership,
+    /// Identities whose removal from the group is committed.
+    pub removed: Vec<InstanceId>,
     /// Progress of the founding check.
     pub founding: FoundingProgress,
     /// Leader before this instance, if this instance leads and has heard from one since its start.
--- a/crates/oriolecrank-consensus/src/storage/file_operations.rs
+++ b/crates/oriolecrank-consensus/src/storage/file_operations.rs
@@ -22,7 +22,9 @@
     fn create(&self, path: &Path) -> io::Result<Self::File>;
     /// Renames a file, replacing an older one.
     fn rename(&self, from: &Path, to: &Path) -> io::Result<()>;
-    /// Makes created and renamed directory entries of a folder durable.
+    /// Removes a file; without effect if it does not exist.
+    fn remove_file(&self, path: &Path) -> io::Result<()>;
+    /// Makes created, renamed and removed directory entries of a folder durable.
     fn sync_folder(&self, path: &Path) -> io::Result<()>;
 }
 
@@ -75,6 +77,13 @@
         std::fs::rename(from, to)
     }
 
+    fn remove_file(&self, path: &Path) -> io::Result<()> {
+        match std::fs::remove_file(path) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+            _ => Ok(()),
+        }
+    }
+
     fn sync_folder(&self, path: &Path) -> io::Result<()> {
         File::open(path)?.sync_all()
     }
--- a/crates/oriolecrank-consensus/src/storage/log_storage.rs
+++ b/crates/oriolecrank-consensus/src/storage/log_storage.rs
@@ -61,6 +61,10 @@
         let lock_path = folder.join("lock");
         let lock = file_result("lock", &lock_path, files.lock(&lock_path))?;
         let lock = lock.context(FolderLockedSnafu { path: folder })?;
+        let marker = folder.join(REMOVED_FILE);
+        if file_result("read", &marker, files.read(&marker))?.is_some() {
+            reset_folder(&files, folder, request)?;
+        }
         let identity = load_or_create_identity(&files, folder, request)?;
         let state = load_state(&files, folder)?;
         // Rewriting the log removes a torn tail. It also makes durable what was read, which may
@@ -81,6 +85,16 @@
         })
     }
 
+    /// Marks a folder whose instance was removed from its group. The next
+    /// [`open`](Self::open) discards the content and gives the folder the identity of a new
+    /// instance that waits to be added.
+    ///
+    /// The removal must be committed: the old identity neither votes nor acknowledges entries any
+    /// more.
+    pub fn mark_removed(files: &F, folder: &Path) -> Result<(), StorageError> {
+        write_file(files, folder, REMOVED_FILE, &RemovalRecord {})
+    }
+
     /// Buffers records, which the next [`sync`](Self::sync) makes durable.
     pub fn append(&mut self, records: Vec<LogRecord>) {
         self.pending.extend(records.into_iter().map(Into::into));
@@ -140,6 +154,34 @@
 const LOG_FILE: &str = "log";
 const SNAPSHOT_FILE: &str = "snapshot";
 const IDENTITY_FILE: &str = "identity";
+/// Exists from the removal of the instance until its folder has a new identity.
+const REMOVED_FILE: &str = "removed";
+
+/// Content of [`REMOVED_FILE`], whose existence is all that counts.
+#[derive(Serialize)]
+struct RemovalRecord {}
+
+/// Gives the folder of a removed instance a new identity and no content. After a crash in between
+/// all steps are repeated, because the marker is removed last.
+fn reset_folder<F: FileOperations>(
+    files: &F,
+    folder: &Path,
+    request: &FolderRequest,
+) -> Result<(), StorageError> {
+    let snapshot = folder.join(SNAPSHOT_FILE);
+    file_result("remove", &snapshot, files.remove_file(&snapshot))?;
+    rewrite_log(files, folder, &StoredState::default())?;
+    // Not as a founding member: the group has been founded.
+    let request = FolderRequest {
+        founders: Vec::new(),
+        ..request.clone()
+    };
+    let identity = peer::FolderIdentity::from(&request.new_identity());
+    write_file(files, folder, IDENTITY_FILE, &identity)?;
+    let marker = folder.join(REMOVED_FILE);
+    file_result("remove", &marker, files.remove_file(&marker))?;
+    file_result("sync", folder, files.sync_folder(folder))
+}
 
 /// Checks that the folder belongs to the instance; an empty folder gets a new identity.
 fn load_or_create_identity<F: FileOperations>(
--- a/crates/oriolecrank-consensus/src/storage/mod.rs
+++ b/crates/oriolecrank-consensus/src/storage/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! The folder holds `lock`, `identity`, `snapshot` and `log`. `identity` and `snapshot` are written
 //! to a temporary file, synced and renamed; `log` is appended to, one frame for each sync. These
-//! three files are sequences of frames with a CRC, see [`frame`]; `lock` is empty.
+//! three files are sequences of frames with a CRC, see [`frame`]; `lock` is empty. `removed` exists
+//! between the removal of the instance from its group and the next start.
 
 mod file_operations;
 mod folder_identity;
--- a/crates/oriolecrank-consensus/tests/storage_faults.rs
+++ b/crates/oriolecrank-consensus/tests/storage_faults.rs
@@ -412,3 +412,35 @@
         );
     }
 }
+
+/// Guards against an instance that was removed from its group and can never join again, or that
+/// comes back under an identity that may not vote, or with entries that the group has replaced.
+#[test]
+fn the_folder_of_a_removed_instance_becomes_that_of_a_new_one() {
+    for seed in 0..200 {
+        let files = folder_with_entries();
+        let mut random = StdRng::seed_from_u64(seed);
+        let path = Path::new(FOLDER);
+        let old = open(&files).unwrap().identity.instance;
+        LogStorage::mark_removed(&files, path).unwrap();
+        let faults = [
+            None,
+            Some(DiskFault::Rename),
+            Some(DiskFault::FolderSync),
+            Some(DiskFault::FullAfter(40)),
+        ];
+        files.inject(faults[seed as usize % faults.len()]);
+        // The first start may fail at any step and lose power.
+        let _ = open(&files);
+        files.inject(None);
+        files.crash(&mut random);
+        let opened = open(&files).unwrap();
+        assert_ne!(opened.identity.instance, old, "seed {seed}");
+        assert!(opened.state.entries.is_empty(), "seed {seed}");
+        assert!(opened.state.snapshot.is_none(), "seed {seed}");
+        let identity = opened.identity.instance.clone();
+        drop(opened);
+        files.crash(&mut random);
+        assert_eq!(open(&files).unwrap().identity.instance, identity);
+    }
+}
--- a/crates/oriolecrank-consensus/tests/support/memory_files.rs
+++ b/crates/oriolecrank-consensus/tests/support/memory_files.rs
@@ -153,6 +153,11 @@
         Ok(())
     }
 
+    fn remove_file(&self, path: &Path) -> io::Result<()> {
+        self.0.lock().unwrap().names.remove(path);
+        Ok(())
+    }
+
     fn sync_folder(&self, _path: &Path) -> io::Result<()> {
         let mut disk = self.0.lock().unwrap();
         if disk.fault == Some(DiskFault::FolderSync) {
--- a/crates/oriolecrank-gateway/src/control_site.rs
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriolecrank_consensus::{InstanceId, Member, MemberRole};
+use oriolecrank_consensus::{DiskFiles, InstanceId, LogStorage, Member, MemberRole, StorageError};
 use oriolecrank_control::{
     PeerDirectory, PeerIngress, PeerTransport, ReplicaError, ReplicaHandle, ReplicaPhase,
     ReplicaSettings, start_replica,
@@ -20,7 +20,7 @@
 use rand::Rng as _;
 use snafu::{ResultExt, Snafu};
 use tokio::net::TcpListener;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{interval, sleep};
 
 use crate::control_link::ControlLink;
@@ -88,6 +88,18 @@
         /// Cause.
         source: ReplicaError,
     },
+    /// The group has removed this instance. Its data folder is marked, and the next start gives it
+    /// a new identity.
+    #[snafu(display(
+        "this instance was removed from the control group; it rejoins under a new identity"
+    ))]
+    Removed,
+    /// The removal of this instance cannot be stored in the data folder.
+    #[snafu(display("cannot mark the data folder of a removed instance: {source}"))]
+    MarkRemoved {
+        /// Cause.
+        source: StorageError,
+    },
     /// The replica stopped because its data folder cannot be written.
     #[snafu(display("the replica stopped: {reason}"))]
     ReplicaFailed {
@@ -150,6 +162,7 @@
         tables: Arc::clone(&tables),
         gossip: SiteGossip::start(options.cluster.clone(), publisher.clone()),
     };
+    let removed = Arc::new(Notify::new());
     let repair = GroupRepair {
         cluster: options.cluster.clone(),
         address: options.internal_listen,
@@ -157,6 +170,7 @@
         settings: options.repair.clone(),
         publisher: publisher.clone(),
         tables: Arc::clone(&tables),
+        removed: Arc::clone(&removed),
     };
     tokio::spawn(repair.run());
     let metrics = serve_metrics(&options, &publisher, &tables).await?;
@@ -184,6 +198,8 @@
         internal,
         site_server,
         internal_server,
+        removed,
+        data_folder: options.data_folder,
     };
     servers.run(replica, shutdown).await
 }
@@ -194,10 +210,14 @@
     internal: TcpListener,
     site_server: SiteServer<D>,
     internal_server: InternalServer,
+    /// Notified when the group has removed this instance.
+    removed: Arc<Notify>,
+    data_folder: PathBuf,
 }
 
 impl<D: SiteDialect> SiteListeners<D> {
-    /// Serves until shutdown or until the replica fails, and then stops the replica.
+    /// Serves until shutdown, until the replica fails or until the group has removed the instance,
+    /// and then stops the replica.
     async fn run(
         self,
         replica: ReplicaHandle<SiteOutcome>,
@@ -224,6 +244,12 @@
                     "the shutdown timeout has passed; running requests were aborted"
                 );
             }
+            () = self.removed.notified() => {
+                replica.stop();
+                replica.stopped().await;
+                LogStorage::mark_removed(&DiskFiles, &self.data_folder).context(MarkRemovedSnafu)?;
+                return RemovedSnafu.fail();
+            }
             phase = replica.stopped() => {
                 if let ReplicaPhase::Failed(reason) = phase {
                     sleep(FAILED_DISK_DELAY).await;
--- a/crates/oriolecrank-gateway/src/group_repair.rs
+++ b/crates/oriolecrank-gateway/src/group_repair.rs
@@ -1,10 +1,12 @@
-//! Repairs the control group: an instance that is no member asks to join, and the leader replaces
-//! failed members.
+//! Repairs the control group: an instance that is no member asks to join, one without a leader asks
+//! whether it was removed, and the leader replaces failed members.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::StatusCode;
+use indexmap::IndexSet;
 use oriolecrank_consensus::{
     InstanceId, Member, Membership, MembershipRequest, NodeStatus, RoleName,
 };
@@ -13,9 +15,11 @@
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::control::{JoinRequest, JoiningInstance};
 use oriolecrank_schema::event::LogEvent;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::control_link::LinkError;
 use crate::site_messages::JOIN_PATH;
 use crate::site_publisher::SitePublisher;
 use crate::site_tables::SiteTables;
@@ -23,6 +27,10 @@
 /// Interval between checks of the membership.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time without a leader after which a member asks whether it was removed; longer than the
+/// elections after a failed leader.
+const REMOVAL_CHECK_DELAY: Duration = Duration::from_secs(3);
+
 /// Timeout of a request to join.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -37,6 +45,8 @@
     pub(crate) settings: RepairSettings,
     pub(crate) publisher: SitePublisher,
     pub(crate) tables: Arc<SiteTables>,
+    /// Notified when another instance states that this one was removed from the group.
+    pub(crate) removed: Arc<Notify>,
 }
 
 impl GroupRepair {
@@ -44,14 +54,21 @@
     pub(crate) async fn run(self) {
         let mut ticks = interval(CHECK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut leaderless_since: Option<TimePoint> = None;
         let mut planner = RepairPlanner::new(self.settings.clone());
         loop {
             ticks.tick().await;
             let now = BootClock.now();
             self.tables.lock().prune(now);
             let status = self.publisher.replica.status().node;
-            if status.role != RoleName::Leader {
-                self.request_join_if_not_member(&status).await;
+            if status.role == RoleName::Leader || status.leader.is_some() {
+                leaderless_since = None;
+            } else {
+                let since = *leaderless_since.get_or_insert(now);
+                let is_member = !status.membership.is_empty();
+                if !is_member || now.since(since) > REMOVAL_CHECK_DELAY {
+                    self.request_join(&status).await;
+                }
             }
             let joining = self.joining(&status, now);
             if let Some(request) = planner.next_change(&status, &joining, now) {
@@ -60,24 +77,40 @@
         }
     }
 
-    /// Asks all seeds to let this instance join, unless it already has a membership.
-    async fn request_join_if_not_member(&self, status: &NodeStatus) {
-        if !status.membership.is_empty() {
-            return;
-        }
-        let request = JoinRequest {
+    /// Asks the seeds and all known members to let this instance join. A member that was removed
+    /// while it was cut off learns of that from the answer.
+    async fn request_join(&self, status: &NodeStatus) {
+        let request = Arc::new(JoinRequest {
             cluster: self.cluster.clone(),
             instance: JoiningInstance {
                 address: self.address.to_string(),
                 instance: status.id.to_string(),
                 name: self.address.to_string(),
             },
-        };
-        let seeds = self.seeds.borrow().clone();
-        for seed in seeds.into_iter().filter(|seed| *seed != self.address) {
-            let link = &self.publisher.link;
-            if let Err(error) = link.notify(seed, JOIN_PATH, &request, JOIN_TIMEOUT).await {
-                tracing::debug!(%seed, %error, "a request to join failed; it is repeated");
+        });
+        let mut addresses: IndexSet<SocketAddr> = self.seeds.borrow().iter().copied().collect();
+        addresses.extend(self.publisher.other_members());
+        let mut calls = JoinSet::new();
+        for address in addresses {
+            if address == self.address {
+                continue;
+            }
+            let (link, request) = (self.publisher.link.clone(), Arc::clone(&request));
+            calls.spawn(async move {
+                let answer = link.notify(address, JOIN_PATH, &*request, JOIN_TIMEOUT);
+                match answer.await {
+                    Err(LinkError::Refused { status, .. }) if status == StatusCode::GONE => true,
+                    Err(error) => {
+                        tracing::debug!(%address, %error, "a request to join failed; it is repeated");
+                        false
+                    }
+                    Ok(()) => false,
+                }
+            });
+        }
+        while let Some(answer) = calls.join_next().await {
+            if answer.is_ok_and(|is_removed| is_removed) {
+                self.removed.notify_one();
             }
         }
     }
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
+use oriolecrank_consensus::InstanceId;
 use oriolecrank_control::{PEER_PATH, PeerIngress};
 use oriolecrank_net::{
     AnswerBody, BootClock, HttpHandler, PeerGuard, empty_answer, message_answer, read_body,
@@ -18,6 +19,7 @@
 use oriolecrank_schema::control::JoinRequest;
 use tokio::time::timeout;
 
+use crate::control_link::LinkError;
 use crate::document_transfer::DocumentCache;
 use crate::site_clock::SiteClock;
 use crate::site_gossip::apply_batch;
@@ -86,16 +88,21 @@
     }
 
     /// Forwards a request to join to the leader, or records the instance here if this one leads or
-    /// knows no leader.
+    /// knows no leader. An instance that was removed must come back under a new identity.
     async fn answer_join(&self, request: JoinRequest) -> Response<AnswerBody> {
         if request.cluster != self.cluster {
             return empty_answer(StatusCode::CONFLICT);
         }
+        let id = InstanceId::new(&request.instance.instance);
+        if self.publisher.replica.status().node.removed.contains(&id) {
+            return empty_answer(StatusCode::GONE);
+        }
         if let Some(leader) = self.publisher.remote_leader() {
             let link = &self.publisher.link;
             let forwarded = link.notify(leader, JOIN_PATH, &request, JOIN_TIMEOUT).await;
             return match forwarded {
                 Ok(()) => empty_answer(StatusCode::NO_CONTENT),
+                Err(LinkError::Refused { status, .. }) => empty_answer(status),
                 Err(error) => text_answer(StatusCode::SERVICE_UNAVAILABLE, error.to_string()),
             };
         }
