Follow the newest known control group instead of the one named last

Callers saw: usage was missing, and changes reached some entries late, while a control instance was cut off. Cause: an entry took leader and members from whichever instance answered last. One that is cut off names no leader, or outdated members, so that the entry left the leader and dropped its running syncs with each answer. Change: the group carries term and membership version; an older one, or the same one without a leader, does not replace it. After 2 s without confirmation the seeds are used as before.

--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -16,7 +16,7 @@
 use oriolecrank_schema::event::LogEvent;
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::control_link::ControlLink;
 use crate::dialect::CallerDialect;
@@ -34,8 +34,8 @@
 /// Shortest time between two syncs with one instance, which limits the cost of frequent changes.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time without any answer after which the known control group is dropped and the seeds are used
-/// again.
+/// Time without an answer that confirms the known control group or names a newer one, after which
+/// it is dropped and the seeds are used again.
 const GROUP_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Task that runs one [`SyncTarget`] for each control instance to sync with.
@@ -55,6 +55,7 @@
         let (group_sender, mut group_receiver) = mpsc::channel::<NamedGroup>(16);
         let mut targets: IndexMap<SocketAddr, AbortHandle> = IndexMap::new();
         let mut group = KnownGroup::default();
+        let mut valid_until = Instant::now() + GROUP_TIMEOUT;
         loop {
             let run = self.shared.options.run.run;
             let addresses = sync_targets(&group, &self.seeds.borrow(), run);
@@ -82,15 +83,19 @@
                 });
             }
             tokio::select! {
-                answer = timeout(GROUP_TIMEOUT, group_receiver.recv()) => match answer {
-                    Ok(Some(named)) if !named.group.members.is_empty() => {
+                named = timeout_at(valid_until, group_receiver.recv()) => match named {
+                    Ok(Some(named)) if group.accepts(&named.group) => {
+                        valid_until = Instant::now() + GROUP_TIMEOUT;
                         if named.group != group {
                             log_followed_group(&named);
+                            group = named.group;
                         }
-                        group = named.group;
                     }
                     Ok(_) => {}
-                    Err(_) => group = KnownGroup::default(),
+                    Err(_) => {
+                        valid_until = Instant::now() + GROUP_TIMEOUT;
+                        group = KnownGroup::default();
+                    }
                 },
                 changed = self.seeds.changed() => if changed.is_err() {
                     // The sender was dropped and the seeds cannot change; avoid a busy loop.
@@ -234,6 +239,8 @@
         let _ = self.group_sender.try_send(NamedGroup {
             source: self.address,
             group: KnownGroup {
+                term: answer.term,
+                membership_version: answer.membership_version,
                 members: answer.members,
                 leader: answer.leader,
             },
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -183,6 +183,8 @@
             upstreams: tables.announcements(seen.directory_revision, BootClock.now()),
             other_loads: tables.loads_excluding(&request.run),
             entries: tables.loads.entry_count(),
+            term: status.term.0,
+            membership_version: status.membership.version.0,
             members: members.collect(),
             leader: leader.and_then(|leader| leader.address.parse().ok()),
             unix_ms: self.clock.local_unix_ms(BootClock.now()),
--- a/crates/oriolecrank-gateway/src/site_messages.rs
+++ b/crates/oriolecrank-gateway/src/site_messages.rs
@@ -89,6 +89,12 @@
     pub(crate) placement_sequence: u64,
     /// Entries that sync with this control instance, including the requesting one.
     pub(crate) entries: u32,
+    /// Raft term of the control instance; 0 from older ones.
+    #[serde(default)]
+    pub(crate) term: u64,
+    /// Version of `members`; 0 from older control instances.
+    #[serde(default)]
+    pub(crate) membership_version: u64,
     /// Internal addresses of the members of the control group.
     pub(crate) members: Vec<SocketAddr>,
     /// Internal address of the leader, if known; every entry must sync with it, because it needs
