Keep prompt parts that crash engines away from them

Callers saw: most fitness checks failed for the 22 s in which one prompt part crashed each engine that began to answer on it, also those of other callers. Nothing on the direct path connects a crash with the requests that ran, so that each request with the part, and each retry, took down the next engine (a poison request that is retried; the agent path recognises only requests that are alike as a whole). Change: an entry whose attempts break off tests whether the upstream refuses connections, and reports the crash with the prompt parts that ran. The leader (PartQuarantine) refuses a part that ran during three crashes without a complete answer shortly before, in between or after, and tells all entries at once. A refused part is tried with one request after 5 s and then at growing intervals; one answer clears it.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Response;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, Response};
 use http_body_util::BodyExt as _;
 use oriolecrank_net::{AnswerBody, BodyAborted, BodySender};
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
@@ -236,16 +237,22 @@
                     );
                 }
                 Ok(None) if self.splitter.is_empty() => {
+                    // An answer that ends with its connection may have been cut off.
+                    if has_explicit_end(response.headers()) && self.any_event_sent {
+                        self.runner.record_complete_answer();
+                    }
                     attempt.record_start(now);
                     attempt.record_outcome(UpstreamOutcome::Answered, now);
                     response.recycle_with_idle_limit(idle_limit(&head));
                     return RelayEnd::Complete;
                 }
                 Ok(None) => {
+                    self.runner.record_broken_attempt(&attempt);
                     attempt.record_outcome(UpstreamOutcome::Failed, now);
                     return RelayEnd::Broken("the stream ended within an event".to_owned());
                 }
                 Ok(Some(Err(error))) => {
+                    self.runner.record_broken_attempt(&attempt);
                     attempt.record_outcome(UpstreamOutcome::Failed, now);
                     return RelayEnd::Broken(error.to_string());
                 }
@@ -289,5 +296,10 @@
     }
 }
 
+/// Whether the end of an answer's body shows in the body, and not only by the end of its connection.
+fn has_explicit_end(fields: &HeaderMap) -> bool {
+    fields.contains_key(CONTENT_LENGTH) || fields.contains_key(TRANSFER_ENCODING)
+}
+
 /// Lower limit of the silence timeout.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -260,6 +260,7 @@
     ) -> Result<(Option<RunningAttempt<D>>, RunningAttempt<D>), CallFailure> {
         let request = &self.request;
         let now = current_time();
+        self.check_parts(now)?;
         let choice_request = self.choice_request(resume_after, now);
         let chosen = self.shared.with_service(&request.service, |state| {
             state.chooser.choose(&choice_request, now, &mut rand::rng())
@@ -308,6 +309,45 @@
         ))
     }
 
+    /// Fails if the prompt has a part that is refused because it crashes upstreams.
+    fn check_parts(&self, now: TimePoint) -> Result<(), CallFailure> {
+        let Some(prompt) = &self.request.head.prompt else {
+            return Ok(());
+        };
+        let checked = self
+            .shared
+            .lock_part_watch()
+            .check(&prompt.shared_parts(), now);
+        let Err(retry_after) = checked else {
+            return Ok(());
+        };
+        self.shared.metrics.count_refused_part();
+        if self.may_have_run {
+            return Err(self.call_failure());
+        }
+        Err(CallFailure::NotRun { retry_after })
+    }
+
+    /// Records that an attempt broke off after the request was sent, perhaps because the upstream
+    /// has crashed.
+    pub(crate) fn record_broken_attempt(&self, attempt: &RunningAttempt<D>) {
+        if let Some(prompt) = &self.request.head.prompt {
+            let upstream = &attempt.chosen.announcement;
+            self.shared
+                .record_broken_attempt(upstream, prompt.shared_parts());
+        }
+    }
+
+    /// Records a complete answer, which proves the parts of the prompt sound.
+    pub(crate) fn record_complete_answer(&self) {
+        if let Some(prompt) = &self.request.head.prompt {
+            let parts = prompt.shared_parts();
+            self.shared
+                .lock_part_watch()
+                .record_completed(&parts, current_time());
+        }
+    }
+
     fn no_upstream_failure(&self, reason: NoUpstream) -> CallFailure {
         match reason {
             _ if self.may_have_run => self.call_failure(),
@@ -506,6 +546,9 @@
         if error.verdict() == RunVerdict::NotRun {
             return AttemptFailure::NotConnected;
         }
+        if matches!(error, SendError::Broken { .. }) {
+            self.record_broken_attempt(attempt);
+        }
         AttemptFailure::Lost
     }
 
--- /dev/null
+++ b/crates/oriolecrank-gateway/src/crash_probe.rs
@@ -0,0 +1,86 @@
+//! Finds out whether an upstream whose connections broke has crashed.
+//!
+//! Connections also break on a fault of the network. Only after a crash does the upstream's machine
+//! refuse new connections.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use oriolecrank_net::BootClock;
+use oriolecrank_routing::{CrashId, PartId, UpstreamAnnouncement};
+use oriolecrank_schema::event::LogEvent;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use crate::entry_shared::EntryShared;
+
+/// Time between the first broken attempt and the connection that tests the upstream; the other
+/// attempts at it break in the meantime.
+const GATHER_TIME: Duration = Duration::from_millis(30);
+
+/// Timeout of the connection. A crashed process refuses within a round trip.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Broken attempts by upstream, until it is known whether the upstream has crashed.
+#[derive(Debug, Default)]
+pub(crate) struct CrashProbe {
+    /// Prompt parts of the broken attempts. Taken alone and never held across an await.
+    broken: Mutex<IndexMap<CrashId, IndexSet<PartId>>>,
+}
+
+impl CrashProbe {
+    fn lock(&self) -> MutexGuard<'_, IndexMap<CrashId, IndexSet<PartId>>> {
+        self.broken
+            .lock()
+            .expect("no holder of the broken attempts lock panics")
+    }
+}
+
+impl<D: Send + Sync + 'static> EntryShared<D> {
+    /// Records that an attempt at an upstream broke off while the upstream ran a request with these
+    /// prompt parts.
+    pub(crate) fn record_broken_attempt(
+        self: &Arc<Self>,
+        upstream: &UpstreamAnnouncement,
+        parts: Vec<PartId>,
+    ) {
+        let crash = CrashId {
+            upstream: upstream.name.clone(),
+            started_ms: upstream.started_ms,
+        };
+        let mut broken = self.crash_probe.lock();
+        if let Some(known) = broken.get_mut(&crash) {
+            known.extend(parts);
+            return;
+        }
+        broken.insert(crash.clone(), parts.into_iter().collect());
+        drop(broken);
+        tokio::spawn(Arc::clone(self).test_upstream(crash, upstream.address));
+    }
+
+    /// Reports a crash if the upstream refuses a connection.
+    async fn test_upstream(self: Arc<Self>, crash: CrashId, address: SocketAddr) {
+        sleep(GATHER_TIME).await;
+        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let is_refused = matches!(
+            connected,
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused
+        );
+        let parts = self.crash_probe.lock().shift_remove(&crash);
+        let parts = parts.unwrap_or_default();
+        if !is_refused {
+            return;
+        }
+        tracing::warn!(
+            event = LogEvent::UpstreamCrashed.number(),
+            upstream = %crash.upstream,
+            started_ms = crash.started_ms,
+            parts = parts.len(),
+            "an upstream crashed while requests of this entry were running"
+        );
+        let now = BootClock.now();
+        self.lock_part_watch().record_crash(crash, parts, now);
+    }
+}
--- a/crates/oriolecrank-gateway/src/entry_metrics.rs
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -179,6 +179,12 @@
         self.refusals.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a request that was refused because a part of its prompt crashes upstreams.
+    pub(crate) fn count_refused_part(&self) {
+        let outcome = "crashing_part";
+        self.refusals.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts an attempt that has received an answer or has failed.
     pub(crate) fn count_attempt(&self, outcome: AttemptOutcome) {
         let outcome = match outcome {
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -9,13 +9,14 @@
 use oriolecrank_net::{ClusterSecret, HttpClient};
 use oriolecrank_routing::{
     CallerTimeoutRange, ChooserSettings, DirectChooser, EntryRun, OrganisationName, PartId,
-    PlacedParts, PlacementLog, RetryGrant, RouteTable, ServiceName, SharedRetryBudget,
-    StoredDocument, UpstreamAnnouncement, UpstreamDirectory, UpstreamName, UsageCounter,
-    WindowNumber,
+    PartVerdicts, PartWatch, PlacedParts, PlacementLog, RetryGrant, RouteTable, ServiceName,
+    SharedRetryBudget, StoredDocument, UpstreamAnnouncement, UpstreamDirectory, UpstreamName,
+    UsageCounter, WindowNumber,
 };
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
 
+use crate::crash_probe::CrashProbe;
 use crate::dialect::CallerDialect;
 use crate::entry_metrics::EntryMetrics;
 use crate::site_clock::SiteClock;
@@ -82,6 +83,10 @@
     usage: Mutex<UsageCounter>,
     /// Placements of shared prompt parts by this entry, to be sent to the control instances.
     placements: Mutex<PlacementLog>,
+    /// Prompt parts that crash upstreams.
+    part_watch: Mutex<PartWatch>,
+    /// Broken attempts at upstreams that may have crashed.
+    pub(crate) crash_probe: CrashProbe,
     /// Range of the timeouts that callers state, by name of the route.
     caller_timeouts: Mutex<IndexMap<String, CallerTimeoutRange>>,
     /// Number of entries among which the fixed part of the retry grant is divided; 0 before the
@@ -108,6 +113,8 @@
             tables: Mutex::default(),
             usage: Mutex::default(),
             placements: Mutex::default(),
+            part_watch: Mutex::default(),
+            crash_probe: CrashProbe::default(),
             caller_timeouts: Mutex::default(),
             entry_count: AtomicU32::new(0),
             stop_requested_at: OnceLock::new(),
@@ -306,6 +313,34 @@
         }
     }
 
+    /// What this entry knows of prompt parts that crash upstreams.
+    pub(crate) fn lock_part_watch(&self) -> MutexGuard<'_, PartWatch> {
+        self.part_watch
+            .lock()
+            .expect("no holder of the part watch lock panics")
+    }
+
+    /// Applies the leader's verdicts about prompt parts.
+    pub(crate) fn set_part_verdicts(&self, verdicts: PartVerdicts, now: TimePoint) {
+        let mut part_watch = self.lock_part_watch();
+        if part_watch.refused() != verdicts.refused {
+            tracing::warn!(
+                event = LogEvent::PartsRefused.number(),
+                refused = ?verdicts.refused,
+                suspected = verdicts.suspected.len(),
+                "the prompt parts that are refused because they crash upstreams have changed"
+            );
+        }
+        if !verdicts.trials.is_empty() {
+            tracing::info!(
+                event = LogEvent::PartTried.number(),
+                trials = ?verdicts.trials,
+                "one request with a refused prompt part is sent, to find out whether it is sound"
+            );
+        }
+        part_watch.set_verdicts(verdicts, now);
+    }
+
     /// Estimated time that the caller has already spent on earlier attempts at this request, judged
     /// by how far its timeout is below the usual one of the route; zero for a first attempt.
     pub(crate) fn time_since_first_attempt(
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -77,6 +77,7 @@
                         announced_version: 0,
                         cursor: SyncCursor::default(),
                         sent_placement_sequence: 0,
+                        sent_report_sequence: 0,
                         placement_sequence: 0,
                     };
                     tokio::spawn(target.run()).abort_handle()
@@ -136,6 +137,8 @@
     cursor: SyncCursor,
     /// Sequence of the newest placement of this entry that the control instance has received.
     sent_placement_sequence: u64,
+    /// Sequence of the newest report about prompt parts that the control instance has received.
+    sent_report_sequence: u64,
     /// Sequence of the newest placement of other entries received from the control instance.
     placement_sequence: u64,
 }
@@ -152,6 +155,7 @@
                     log.newest_sequence(),
                 )
             };
+            let newest_report = self.shared.lock_part_watch().newest_sequence();
             let request = self.request(&counts, placed);
             let requested_at = BootClock.now();
             let link = &self.link;
@@ -167,6 +171,7 @@
                     }
                     reachable = true;
                     self.sent_placement_sequence = newest_placement;
+                    self.sent_report_sequence = newest_report;
                     self.apply_answer(answer, counts, requested_at);
                     sleep(MIN_INTERVAL).await;
                 }
@@ -191,14 +196,23 @@
     /// acknowledged are sent.
     fn request(&self, counts: &[WindowCounts], placed: Vec<PlacedParts>) -> SyncRequest {
         let shared = &self.shared;
+        let now = BootClock.now();
+        let mut part_watch = shared.lock_part_watch();
+        let part_reports = part_watch.reports_since(self.sent_report_sequence, now);
+        let wanted_parts = part_watch.wanted(now);
+        let holds_part_verdicts = part_watch.holds_verdicts();
+        drop(part_watch);
         SyncRequest {
+            part_reports,
+            wanted_parts,
+            holds_part_verdicts,
             run: shared.options.run.clone(),
             document_version: shared.document_version().max(self.announced_version),
             fetches_documents: true,
             control_run: self.cursor.control_run(),
             directory_revision: self.cursor.directory_revision(),
             usage: self.cursor.unacknowledged(counts),
-            loads: shared.local_loads(BootClock.now()),
+            loads: shared.local_loads(now),
             placed,
             placement_sequence: self.placement_sequence,
             stopping: shared.is_stopping(),
@@ -230,6 +244,9 @@
         shared.set_remote_loads(&answer.other_loads);
         shared.apply_placements(&answer.placed, now);
         self.placement_sequence = answer.placement_sequence;
+        if let Some(verdicts) = answer.part_verdicts {
+            shared.set_part_verdicts(verdicts, now);
+        }
         shared.set_entry_count(answer.entries);
         let upstreams = shared.upstream_count();
         shared
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -14,7 +14,7 @@
     AnswerBody, BootClock, HttpHandler, PeerGuard, empty_answer, message_answer, read_body,
     text_answer,
 };
-use oriolecrank_routing::SiteOutcome;
+use oriolecrank_routing::{PartVerdicts, SiteOutcome};
 use oriolecrank_schema::codec::{self, CodecError};
 use oriolecrank_schema::control::JoinRequest;
 use tokio::time::timeout;
@@ -117,9 +117,8 @@
     async fn answer_sync(&self, mut request: SyncRequest) -> SyncAnswer {
         let mut changed_revision = self.tables.subscribe_revision();
         let mut version = self.publisher.site.subscribe_version();
-        self.tables
-            .lock()
-            .record_sync(&mut request, BootClock.now());
+        self.tables.record_sync(&mut request, BootClock.now());
+        let mut refusals = self.tables.subscribe_refusals();
         let is_current_run = request.control_run == self.tables.run;
         let seen = if is_current_run {
             SeenRevisions {
@@ -134,6 +133,7 @@
             tokio::select! {
                 _ = changed_revision.wait_for(|changed| *changed > revision) => {}
                 _ = version.wait_for(|version| *version > request.document_version) => {}
+                _ = refusals.changed() => {}
             }
         };
         if is_current_run && !request.stopping {
@@ -167,7 +167,11 @@
         let members = status.membership.members.iter();
         let members = members.filter_map(|member| member.address.parse().ok());
         let is_leader = leader.as_ref().is_some_and(|leader| leader.id == status.id);
-        let tables = self.tables.lock();
+        let mut tables = self.tables.lock();
+        let now = BootClock.now();
+        let verdicts = is_leader.then(|| tables.quarantine.verdicts(&request.wanted_parts, now));
+        let part_verdicts = verdicts
+            .filter(|verdicts| request.holds_part_verdicts || *verdicts != PartVerdicts::default());
         let placed = is_leader.then(|| {
             tables
                 .placements
@@ -182,6 +186,7 @@
             directory_revision: tables.directory.revision(),
             upstreams: tables.announcements(seen.directory_revision, BootClock.now()),
             other_loads: tables.loads_excluding(&request.run),
+            part_verdicts,
             entries: tables.loads.entry_count(),
             term: status.term.0,
             membership_version: status.membership.version.0,
--- a/crates/oriolecrank-gateway/src/lib.rs
+++ b/crates/oriolecrank-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod control_link;
 mod control_metrics;
 mod control_site;
+mod crash_probe;
 mod dialect;
 mod document_fetcher;
 mod document_transfer;
--- a/crates/oriolecrank-gateway/src/site_tables.rs
+++ b/crates/oriolecrank-gateway/src/site_tables.rs
@@ -2,8 +2,8 @@
 
 use oriolecrank_control::JoinTable;
 use oriolecrank_routing::{
-    EntryRun, LoadTable, MergeEffect, PlacementLog, UpstreamAnnouncement, UpstreamDirectory,
-    UpstreamName, UsageCollector,
+    EntryRun, LoadTable, MergeEffect, PartQuarantine, PlacementLog, UpstreamAnnouncement,
+    UpstreamDirectory, UpstreamName, UsageCollector,
 };
 use oriolecrank_schema::TimePoint;
 use std::sync::{Mutex, MutexGuard};
@@ -22,6 +22,8 @@
     /// Revision of the newest change in the directory that matters to entries. An announcement
     /// with the same effect on entries as the one before does not count.
     changed_revision: watch::Sender<u64>,
+    /// Number of changes of the refused prompt parts.
+    refusal_changes: watch::Sender<u64>,
 }
 
 /// Tables behind the lock of [`SiteTables`].
@@ -37,6 +39,8 @@
     pub(crate) loads: LoadTable,
     /// Engines to which entries have sent requests with shared prompt parts.
     pub(crate) placements: PlacementLog,
+    /// Prompt parts that crash upstreams.
+    pub(crate) quarantine: PartQuarantine,
 }
 
 impl SiteTables {
@@ -46,6 +50,7 @@
             run,
             inner: Mutex::default(),
             changed_revision: watch::Sender::new(0),
+            refusal_changes: watch::Sender::new(0),
         }
     }
 
@@ -61,6 +66,25 @@
         self.changed_revision.subscribe()
     }
 
+    /// Subscribes to changes of the refused prompt parts.
+    pub(crate) fn subscribe_refusals(&self) -> watch::Receiver<u64> {
+        self.refusal_changes.subscribe()
+    }
+
+    /// Records the state in an entry's sync request, and wakes waiting syncs if the refused prompt
+    /// parts have changed.
+    pub(crate) fn record_sync(&self, request: &mut SyncRequest, now: TimePoint) {
+        let mut tables = self.lock();
+        tables.record_sync(request, now);
+        let mut changed = false;
+        for report in std::mem::take(&mut request.part_reports) {
+            changed |= tables.quarantine.record(&report, now);
+        }
+        if changed {
+            self.refusal_changes.send_modify(|changes| *changes += 1);
+        }
+    }
+
     /// Merges an announcement into the directory and wakes waiting syncs if it changed anything
     /// that matters to entries.
     pub(crate) fn apply_announcement(
@@ -101,7 +125,7 @@
 impl TableContent {
     /// Records the usage counts, placements and loads of an entry's sync request, and takes the
     /// counts and loads out of it.
-    pub(crate) fn record_sync(&mut self, request: &mut SyncRequest, now: TimePoint) {
+    fn record_sync(&mut self, request: &mut SyncRequest, now: TimePoint) {
         self.usage
             .record(&request.run, std::mem::take(&mut request.usage));
         for placed in &request.placed {
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -7,6 +7,8 @@
 //! - [`DirectChooser`] chooses the upstream of a request by the expected time to the first answer.
 //! - [`PlacementLog`], at the leader, and [`PartPlacements`], at an entry, record which engine
 //!   caches a shared prompt part.
+//! - [`PartQuarantine`], at the leader, decides which prompt parts crash upstreams, from what the
+//!   [`PartWatch`] of each entry reports.
 //! - [`LoadTable`] sums the load that entries put on upstreams.
 //! - [`CallerTimeoutRange`] distinguishes callers that retry after a refusal from new ones.
 //! - [`SharedRetryBudget`] limits the extra attempts, beyond the first, of all entries together.
@@ -27,6 +29,9 @@
 mod names;
 mod part_cache;
 mod part_placement;
+mod part_quarantine;
+mod part_report;
+mod part_watch;
 mod prompt_shape;
 mod route_document;
 mod route_table;
@@ -49,6 +54,9 @@
 pub use names::{DomainName, EntryName, OrganisationName, ServiceName, UpstreamName};
 pub use part_cache::PartCache;
 pub use part_placement::{PartPlacements, PlacedParts, PlacementLog};
+pub use part_quarantine::{PartQuarantine, QuarantineSettings};
+pub use part_report::{CrashId, PartEvent, PartReport, PartVerdicts, RunningPart};
+pub use part_watch::PartWatch;
 pub use prompt_shape::{PartId, PromptPart, PromptShape};
 pub use route_document::{
     CallKind, CallerLimits, DocumentError, EngineSpec, OrganisationKey, OrganisationSpec,
--- /dev/null
+++ b/crates/oriolecrank-routing/src/part_quarantine.rs
@@ -0,0 +1,237 @@
+//! Decision which prompt parts crash upstreams, over the reports of all entries.
+//!
+//! Many requests run on an upstream when it crashes, and one report cannot tell which of them was
+//! the cause. A part is refused once it ran during several crashes without a complete answer shortly
+//! before, in between or after. A part that many requests share is among the running ones at each
+//! crash, but is answered all the time; an upstream that crashes for another reason runs such parts
+//! mostly.
+//!
+//! A refused part is tried again with single requests at growing intervals, and is accepted after
+//! the first complete answer.
+
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use oriolecrank_schema::TimePoint;
+
+use crate::part_report::{CrashId, PROVEN_WINDOW, PartEvent, PartReport, PartVerdicts};
+use crate::prompt_shape::PartId;
+
+/// Settings of a [`PartQuarantine`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuarantineSettings {
+    /// Number of crashes without a complete answer in between after which a part is refused.
+    pub refuse_after_crashes: usize,
+    /// Time for which a crash counts.
+    pub crash_retention: Duration,
+    /// Time before a crash in which a complete answer on a part clears it of that crash. The time
+    /// for which a part goes on to crash upstreams after it has been sound is longer by as much.
+    pub proven_window: Duration,
+    /// Time from the refusal of a part to its first trial.
+    pub first_trial_after: Duration,
+    /// Factor by which the time to the next trial grows.
+    pub trial_backoff: u32,
+    /// Longest time between two trials. A part for which none was due for twice this time is
+    /// forgotten.
+    pub max_trial_interval: Duration,
+}
+
+impl Default for QuarantineSettings {
+    fn default() -> Self {
+        Self {
+            // Two crashes in a row have a part in common by chance.
+            refuse_after_crashes: 3,
+            crash_retention: Duration::from_mins(1),
+            proven_window: PROVEN_WINDOW,
+            first_trial_after: Duration::from_secs(5),
+            trial_backoff: 4,
+            max_trial_interval: Duration::from_mins(10),
+        }
+    }
+}
+
+/// Largest number of crashes that are retained; the oldest are dropped first.
+const MAX_CRASHES: usize = 256;
+
+/// Largest number of parts of one crash; further ones are ignored.
+const MAX_CRASH_PARTS: usize = 1_024;
+
+/// Largest number of suspected parts in the verdicts; those of the newest crashes come first.
+const MAX_SUSPECTED: usize = 512;
+
+/// Crashes, and the parts that are refused because of them.
+#[derive(Debug, Default)]
+pub struct PartQuarantine {
+    settings: QuarantineSettings,
+    crashes: IndexMap<CrashId, CrashRecord>,
+    /// Last complete answer on parts that ran during a retained crash.
+    completed_at: IndexMap<PartId, TimePoint>,
+    refusals: IndexMap<PartId, PartRefusal>,
+}
+
+#[derive(Debug)]
+struct CrashRecord {
+    seen_at: TimePoint,
+    /// Parts that ran, and whether an entry had received an answer on them shortly before.
+    parts: IndexMap<PartId, bool>,
+}
+
+#[derive(Debug)]
+struct PartRefusal {
+    /// Last crash that is blamed on the part.
+    crashed_at: TimePoint,
+    next_trial_at: TimePoint,
+    trial_interval: Duration,
+}
+
+#[derive(Debug, Default)]
+struct BlamedCrashes {
+    count: usize,
+    last_at: TimePoint,
+}
+
+impl PartQuarantine {
+    /// Without crashes.
+    pub fn new(settings: QuarantineSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Records a report; one that arrives twice has no further effect. Returns whether the refused
+    /// parts have changed.
+    pub fn record(&mut self, report: &PartReport, now: TimePoint) -> bool {
+        let age_ms = report.age.as_millis() as u64;
+        let seen_at = TimePoint::from_millis(now.as_millis().saturating_sub(age_ms));
+        self.drop_expired(now);
+        match &report.event {
+            PartEvent::Crash { crash, parts } => {
+                let record = self
+                    .crashes
+                    .entry(crash.clone())
+                    .or_insert_with(|| CrashRecord {
+                        seen_at,
+                        parts: IndexMap::new(),
+                    });
+                record.seen_at = record.seen_at.min(seen_at);
+                for running in parts.iter().take(MAX_CRASH_PARTS) {
+                    *record.parts.entry(running.part).or_default() |= running.proven;
+                }
+                while self.crashes.len() > MAX_CRASHES {
+                    self.crashes.shift_remove_index(0);
+                }
+                self.refuse_blamed(now)
+            }
+            PartEvent::Completed { parts } => {
+                let mut changed = false;
+                for part in parts {
+                    changed |= self.record_completed(*part, seen_at);
+                }
+                changed
+            }
+        }
+    }
+
+    fn record_completed(&mut self, part: PartId, at: TimePoint) -> bool {
+        if !self.is_suspected(part) && !self.refusals.contains_key(&part) {
+            return false;
+        }
+        let completed_at = self.completed_at.entry(part).or_insert(at);
+        *completed_at = at.max(*completed_at);
+        let is_cleared = |refusal: &PartRefusal| refusal.crashed_at < at;
+        if self.refusals.get(&part).is_some_and(is_cleared) {
+            self.refusals.shift_remove(&part);
+            return true;
+        }
+        false
+    }
+
+    fn is_suspected(&self, part: PartId) -> bool {
+        let crashes = self.crashes.values();
+        crashes
+            .into_iter()
+            .any(|crash| crash.parts.contains_key(&part))
+    }
+
+    /// Refuses the parts that enough crashes are blamed on.
+    fn refuse_blamed(&mut self, now: TimePoint) -> bool {
+        let mut blamed: IndexMap<PartId, BlamedCrashes> = IndexMap::new();
+        for crash in self.crashes.values() {
+            for part in self.blamed_parts(crash) {
+                let crashes = blamed.entry(part).or_default();
+                crashes.count += 1;
+                crashes.last_at = crashes.last_at.max(crash.seen_at);
+            }
+        }
+        let mut changed = false;
+        for (part, crashes) in blamed {
+            if let Some(refusal) = self.refusals.get_mut(&part) {
+                refusal.crashed_at = refusal.crashed_at.max(crashes.last_at);
+            } else if crashes.count >= self.settings.refuse_after_crashes {
+                let trial_interval = self.settings.first_trial_after;
+                let refusal = PartRefusal {
+                    crashed_at: crashes.last_at,
+                    next_trial_at: now + trial_interval,
+                    trial_interval,
+                };
+                self.refusals.insert(part, refusal);
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// Parts that ran during a crash and were answered neither shortly before nor after it.
+    fn blamed_parts(&self, crash: &CrashRecord) -> impl Iterator<Item = PartId> {
+        let window = self.settings.proven_window;
+        let parts = crash.parts.iter().filter(move |(part, proven)| {
+            let answered_at = self.completed_at.get(*part);
+            !**proven && answered_at.is_none_or(|at| *at + window < crash.seen_at)
+        });
+        parts.map(|(part, _)| *part)
+    }
+
+    /// Parts that are refused or suspected, and the trials that an entry may make now. `wanted` are
+    /// the refused parts of requests that the entry has refused lately.
+    pub fn verdicts(&mut self, wanted: &[PartId], now: TimePoint) -> PartVerdicts {
+        self.drop_expired(now);
+        let mut trials = Vec::new();
+        for part in wanted {
+            let Some(refusal) = self.refusals.get_mut(part) else {
+                continue;
+            };
+            if refusal.next_trial_at <= now {
+                let next = refusal.trial_interval * self.settings.trial_backoff;
+                refusal.trial_interval = next.min(self.settings.max_trial_interval);
+                refusal.next_trial_at = now + refusal.trial_interval;
+                trials.push(*part);
+            }
+        }
+        let crashes = self.crashes.values().rev();
+        let suspected: IndexSet<PartId> = crashes
+            .flat_map(|crash| self.blamed_parts(crash))
+            .take(MAX_SUSPECTED)
+            .collect();
+        PartVerdicts {
+            refused: self.refusals.keys().copied().collect(),
+            suspected: suspected.into_iter().collect(),
+            trials,
+        }
+    }
+
+    fn drop_expired(&mut self, now: TimePoint) {
+        let retention = self.settings.crash_retention;
+        self.crashes
+            .retain(|_, crash| now.since(crash.seen_at) <= retention);
+        let unused = self.settings.max_trial_interval * 2;
+        self.refusals
+            .retain(|_, refusal| now.since(refusal.next_trial_at) <= unused);
+        let crashes = &self.crashes;
+        let refusals = &self.refusals;
+        self.completed_at.retain(|part, _| {
+            let mut records = crashes.values();
+            refusals.contains_key(part) || records.any(|crash| crash.parts.contains_key(part))
+        });
+    }
+}
--- a/crates/oriolecrank-routing/src/prompt_shape.rs
+++ b/crates/oriolecrank-routing/src/prompt_shape.rs
@@ -27,6 +27,15 @@
 }
 
 impl PromptShape {
+    /// Parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> Vec<PartId> {
+        let shared = self
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id).collect()
+    }
+
     /// The last part that other requests may share, which is the one before the last; `None` if the
     /// prompt has fewer than two parts.
     pub fn shared_part(&self) -> Option<PartId> {
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -7,6 +7,7 @@
 mod load_table;
 mod member_repair;
 mod part_placement;
+mod part_quarantine;
 mod route_document;
 mod shared_retry_budget;
 mod site_state;
--- /dev/null
+++ b/crates/oriolecrank-routing/tests/routing/part_quarantine.rs
@@ -0,0 +1,192 @@
+//! Which prompt parts are refused because they crash upstreams.
+
+use std::time::Duration;
+
+use oriolecrank_routing::{
+    CrashId, PartEvent, PartId, PartQuarantine, PartReport, PartWatch, QuarantineSettings,
+    RunningPart, UpstreamName,
+};
+use oriolecrank_schema::TimePoint;
+
+/// Part that crashes each upstream that begins to answer on it.
+const DEADLY: PartId = PartId(666);
+
+/// Part that all requests share.
+const COMMON: PartId = PartId(1);
+
+fn at(millis: u64) -> TimePoint {
+    TimePoint::from_millis(millis)
+}
+
+fn crash(number: u64, parts: &[(PartId, bool)]) -> PartReport {
+    let parts = parts.iter().map(|(part, proven)| RunningPart {
+        part: *part,
+        proven: *proven,
+    });
+    PartReport {
+        event: PartEvent::Crash {
+            crash: CrashId {
+                upstream: UpstreamName::from(format!("engine-{number}")),
+                started_ms: number,
+            },
+            parts: parts.collect(),
+        },
+        age: Duration::ZERO,
+    }
+}
+
+fn completed(part: PartId) -> PartReport {
+    PartReport {
+        event: PartEvent::Completed { parts: vec![part] },
+        age: Duration::ZERO,
+    }
+}
+
+/// A quarantine with three crashes that are blamed on [`DEADLY`].
+fn quarantine_of_deadly_part() -> PartQuarantine {
+    let mut quarantine = PartQuarantine::default();
+    for number in 0..3 {
+        let report = crash(number, &[(COMMON, true), (DEADLY, false)]);
+        let changed = quarantine.record(&report, at(10_000 + number * 100));
+        assert_eq!(changed, number == 2);
+    }
+    quarantine
+}
+
+fn refused(quarantine: &mut PartQuarantine, now: TimePoint) -> Vec<PartId> {
+    quarantine.verdicts(&[], now).refused
+}
+
+/// Guards against requests that crash one upstream after the other, and against a part that many
+/// sound requests share and that is refused because it runs during each of the crashes.
+#[test]
+fn only_the_part_without_answers_is_refused() {
+    let mut quarantine = quarantine_of_deadly_part();
+    assert_eq!(refused(&mut quarantine, at(10_300)), [DEADLY]);
+}
+
+/// Guards against a part that is refused because several entries report the same crash, or one of
+/// them reports it to several control instances.
+#[test]
+fn one_crash_counts_once() {
+    let mut quarantine = PartQuarantine::default();
+    for _ in 0..5 {
+        quarantine.record(&crash(7, &[(DEADLY, false)]), at(10_000));
+    }
+    assert!(refused(&mut quarantine, at(10_000)).is_empty());
+}
+
+/// Guards against sound parts that are refused because upstreams crash for another reason while
+/// many requests run on them.
+#[test]
+fn crashes_of_all_upstreams_at_once_refuse_no_part_that_was_answered() {
+    let mut quarantine = PartQuarantine::default();
+    let parts: Vec<(PartId, bool)> = (0..100).map(|part| (PartId(part), true)).collect();
+    for number in 0..8 {
+        quarantine.record(&crash(number, &parts), at(10_000 + number));
+    }
+    assert!(refused(&mut quarantine, at(10_100)).is_empty());
+}
+
+/// Guards against a sound part that is refused although another entry has had answers on it.
+#[test]
+fn an_answer_at_any_entry_clears_earlier_crashes() {
+    let mut quarantine = PartQuarantine::default();
+    let part = PartId(5);
+    quarantine.record(&crash(1, &[(part, false)]), at(10_000));
+    quarantine.record(&crash(2, &[(part, false)]), at(10_100));
+    quarantine.record(&completed(part), at(10_200));
+    quarantine.record(&crash(3, &[(part, false)]), at(10_300));
+    assert!(refused(&mut quarantine, at(10_300)).is_empty());
+}
+
+/// Guards against a part that stays refused although it no longer crashes upstreams, and against
+/// trials that crash upstreams again and again.
+#[test]
+fn a_refused_part_is_tried_at_growing_intervals_until_it_is_answered() {
+    let mut quarantine = quarantine_of_deadly_part();
+    let settings = QuarantineSettings::default();
+    let mut trials = Vec::new();
+    for second in 10..400 {
+        let now = at(second * 1_000 + 300);
+        let verdicts = quarantine.verdicts(&[DEADLY], now);
+        if !verdicts.trials.is_empty() {
+            trials.push(second);
+            quarantine.record(&crash(second, &[(DEADLY, false)]), now);
+        }
+    }
+    let first_wait = settings.first_trial_after.as_secs();
+    assert!(trials[0] >= 10 + first_wait, "{trials:?}");
+    let intervals: Vec<u64> = trials.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(intervals.is_sorted() && intervals.len() >= 2, "{trials:?}");
+    assert!(trials.len() <= 4, "{trials:?}");
+    quarantine.record(&completed(DEADLY), at(401_000));
+    assert!(refused(&mut quarantine, at(401_000)).is_empty());
+}
+
+/// Guards against trials that no request is waiting for, which would use up the interval.
+#[test]
+fn only_an_entry_with_requests_for_the_part_gets_a_trial() {
+    let mut quarantine = quarantine_of_deadly_part();
+    assert!(quarantine.verdicts(&[], at(60_000)).trials.is_empty());
+    assert_eq!(quarantine.verdicts(&[DEADLY], at(60_000)).trials, [DEADLY]);
+    assert!(quarantine.verdicts(&[DEADLY], at(60_100)).trials.is_empty());
+}
+
+/// Guards against a refusal that ends when the crashes that led to it are forgotten.
+#[test]
+fn a_refusal_outlives_its_crashes() {
+    let mut quarantine = quarantine_of_deadly_part();
+    assert_eq!(refused(&mut quarantine, at(200_000)), [DEADLY]);
+    assert!(refused(&mut quarantine, at(4_000_000)).is_empty());
+}
+
+/// Guards against a sound request that is refused with one that is not, against a trial that is
+/// used twice, and against a trial by a request with another refused part.
+#[test]
+fn an_entry_refuses_requests_with_the_part_and_uses_a_trial_once() {
+    let mut quarantine = quarantine_of_deadly_part();
+    let mut watch = PartWatch::default();
+    watch.set_verdicts(quarantine.verdicts(&[], at(10_300)), at(10_300));
+    assert!(watch.check(&[COMMON, PartId(9)], at(10_300)).is_ok());
+    assert!(watch.check(&[COMMON, DEADLY], at(10_300)).is_err());
+    assert_eq!(watch.wanted(at(10_400)), [DEADLY]);
+    let verdicts = quarantine.verdicts(&[DEADLY], at(16_000));
+    watch.set_verdicts(verdicts, at(16_000));
+    assert!(watch.check(&[COMMON, DEADLY], at(16_100)).is_ok());
+    assert!(watch.check(&[COMMON, DEADLY], at(16_200)).is_err());
+}
+
+/// Guards against a part that is blamed although the reporting entry had answers on it shortly
+/// before, and against answers that an entry does not report although their part is suspected.
+#[test]
+fn an_entry_reports_which_parts_it_has_had_answers_on() {
+    let mut watch = PartWatch::default();
+    watch.record_completed(&[COMMON], at(9_000));
+    let id = CrashId {
+        upstream: UpstreamName::from("engine".to_owned()),
+        started_ms: 1,
+    };
+    watch.record_crash(id, [COMMON, DEADLY], at(10_000));
+    let reports = watch.reports_since(0, at(10_000));
+    let PartEvent::Crash { parts, .. } = &reports[0].event else {
+        panic!("{reports:?}");
+    };
+    let proven: Vec<PartId> = parts
+        .iter()
+        .filter(|running| running.proven)
+        .map(|running| running.part)
+        .collect();
+    assert_eq!(proven, [COMMON]);
+    let sequence = watch.newest_sequence();
+    let mut other = PartWatch::default();
+    other.record_completed(&[PartId(5)], at(9_500));
+    let mut quarantine = PartQuarantine::default();
+    quarantine.record(&crash(1, &[(PartId(5), false)]), at(10_000));
+    other.set_verdicts(quarantine.verdicts(&[], at(10_000)), at(10_000));
+    for report in other.reports_since(0, at(10_100)) {
+        quarantine.record(&report, at(10_100));
+    }
+    assert!(quarantine.verdicts(&[], at(10_100)).suspected.is_empty());
+    assert!(watch.reports_since(sequence, at(10_200)).is_empty());
+}
