Search the bytes of a stream for the end of an event only once

Callers saw: nothing yet; found while writing the tests for answers without end. Cause: each received piece led to a search through all bytes since the last event, so that a server that sends bytes without an event costs an entry time that grows with the square of their number. Change: only the new bytes, and the three before them, are searched. Conclusion: fixed.

--- a/crates/oriolecrank-gateway/src/event_stream.rs
+++ b/crates/oriolecrank-gateway/src/event_stream.rs
@@ -31,8 +31,11 @@
 impl NumberedEventSplitter {
     /// Adds received bytes and returns all events that are now complete; `None` if there are none.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<EventBatch>, EventTooLong> {
+        // The end of an event may begin in the bytes before.
+        let searched = self.buffer.len().saturating_sub(LONGEST_EVENT_END - 1);
         self.buffer.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.buffer) else {
+        let end = last_event_end(&self.buffer[searched..]).map(|end| searched + end);
+        let Some(end) = end else {
             if self.buffer.len() > MAX_EVENT_BYTES {
                 return Err(EventTooLong);
             }
@@ -54,6 +57,9 @@
     }
 }
 
+/// Length of the longest empty line that ends an event, `\r\n\r\n`, in bytes.
+const LONGEST_EVENT_END: usize = 4;
+
 /// Offset after the last empty line, where the last complete event ends.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
     (0..bytes.len()).rev().find_map(|offset| {
