Hold unfinished answers of all requests within a common limit

Cause: each plain answer was collected up to 16 MiB, whatever other requests held. A few servers that send bytes without end fill the memory of an entry, which the smallest machine (160 MB) does not survive. Change: unfinished answers of an entry share 32 MiB (AnswerMemory); an answer that finds no room fails like one that is interrupted.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -17,9 +17,6 @@
 use crate::event_stream::NumberedEventSplitter;
 use crate::running_attempt::current_time;
 
-/// Largest answer, in bytes, that is buffered until it is complete.
-const MAX_PLAIN_BYTES: usize = 16 * 1024 * 1024;
-
 impl<D: CallerDialect> CallRunner<D> {
     /// Runs a request whose answer is buffered and sent to the caller once it is complete, so that
     /// an interrupted answer can still be retried.
@@ -28,17 +25,16 @@
             let StartedAnswer {
                 mut attempt,
                 head,
-                response,
+                mut response,
             } = self.start(None).await?;
             let time_left = self.request.deadline.since(current_time());
             let status = response.status();
             let fields = self.shared.dialect.answer_fields(response.headers());
             let limit = idle_limit(&head);
-            match response
-                .collect_with_idle_limit(MAX_PLAIN_BYTES, time_left, limit)
-                .await
-            {
+            let memory = &self.shared.answer_memory;
+            match memory.read(&mut response, time_left).await {
                 Ok(body) => {
+                    response.recycle_with_idle_limit(limit);
                     let now = current_time();
                     attempt.record_completion(now);
                     attempt.record_outcome(UpstreamOutcome::Answered, now);
@@ -99,20 +95,33 @@
         let StartedAnswer {
             mut attempt,
             head,
-            response,
+            mut response,
         } = started;
         attempt.record_start(current_time());
         let time_left = self.request.deadline.since(current_time());
         let status = response.status();
         let fields = self.shared.dialect.answer_fields(response.headers());
         let limit = idle_limit(&head);
-        let body = response
-            .collect_with_idle_limit(MAX_PLAIN_BYTES, time_left, limit)
-            .await;
-        let Ok(body) = body else {
-            self.record_lost_answer();
-            return Err(self.call_failure());
+        let body = match self
+            .shared
+            .answer_memory
+            .read(&mut response, time_left)
+            .await
+        {
+            Ok(body) => body,
+            Err(error) => {
+                tracing::info!(
+                    event = LogEvent::AttemptFailed.number(),
+                    request = self.request.head.request_id,
+                    upstream = %attempt.chosen.announcement.name,
+                    %error,
+                    "an error answer of an upstream was interrupted"
+                );
+                self.record_lost_answer();
+                return Err(self.call_failure());
+            }
         };
+        response.recycle_with_idle_limit(limit);
         let mut answer = Response::new(AnswerBody::full(body));
         *answer.status_mut() = status;
         *answer.headers_mut() = fields;
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -19,6 +19,7 @@
 use crate::crash_probe::CrashProbe;
 use crate::dialect::CallerDialect;
 use crate::entry_metrics::EntryMetrics;
+use crate::plain_body::AnswerMemory;
 use crate::site_clock::SiteClock;
 use crate::site_messages::{AgedAnnouncement, NamedLoad};
 
@@ -77,6 +78,8 @@
     pub(crate) client: HttpClient,
     pub(crate) clock: SiteClock,
     pub(crate) metrics: EntryMetrics,
+    /// Memory for answers that are held until they are complete.
+    pub(crate) answer_memory: AnswerMemory,
     /// Route table of the document in force; its version never decreases.
     route_table: RwLock<Option<Arc<RouteTable>>>,
     tables: Mutex<UpstreamTables>,
@@ -109,6 +112,7 @@
             client,
             clock: SiteClock::start(now),
             metrics: EntryMetrics::default(),
+            answer_memory: AnswerMemory::default(),
             route_table: RwLock::default(),
             tables: Mutex::default(),
             usage: Mutex::default(),
--- a/crates/oriolecrank-gateway/src/lib.rs
+++ b/crates/oriolecrank-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod event_stream;
 mod group_repair;
 mod internal_server;
+mod plain_body;
 mod prefilled_prompt;
 mod running_attempt;
 mod site_clock;
