End a claimed call whose answer the agent cannot buffer

Cause: nothing of the answer to a claimed call is freed before its end, and such a call is never cancelled. An answer longer than the buffer of 4 MiB, with or without an end, therefore occupied its place at the upstream for good. Change: such a call fails with 'may have run', which closes its connection. An unclaimed answer without end, which is cancelled 5 s after the entry has left, and a head without end were handled before as well. Conclusion: a claimed answer that goes on slowly below 4 MiB still occupies its place.

--- a/crates/oriolecrank-agent/src/agent_core.rs
+++ b/crates/oriolecrank-agent/src/agent_core.rs
@@ -202,7 +202,9 @@
         answer.set_head(head);
         while let Some(bytes) = upstream_answer.next().await? {
             meter.push(&bytes);
-            answer.append(bytes).await;
+            if !answer.append(bytes).await {
+                return Err(CallError::TooLong);
+            }
         }
         meter.finish();
         if succeeded && !meter.is_complete() {
--- a/crates/oriolecrank-agent/src/running_answer.rs
+++ b/crates/oriolecrank-agent/src/running_answer.rs
@@ -135,8 +135,9 @@
         self.lock().head.clone()
     }
 
-    /// Appends bytes to the body; waits while the buffer is full.
-    pub async fn append(&self, mut bytes: Bytes) {
+    /// Appends bytes to the body; waits while the buffer is full. Returns false if it stays full,
+    /// because nothing of the answer to a claimed call is freed before its end.
+    pub async fn append(&self, mut bytes: Bytes) -> bool {
         let mut changes = self.changes();
         while !bytes.is_empty() {
             changes.borrow_and_update();
@@ -145,12 +146,16 @@
                 self.changed.send_replace(());
                 continue;
             }
+            if self.origin.claim_id.is_some() {
+                return false;
+            }
             // The sender lives as long as the answer, so an error means that the answer was
             // dropped.
             if changes.changed().await.is_err() {
-                return;
+                return true;
             }
         }
+        true
     }
 
     /// Marks the answer as complete; has no effect after a failure.
--- a/crates/oriolecrank-agent/src/upstream_client.rs
+++ b/crates/oriolecrank-agent/src/upstream_client.rs
@@ -63,6 +63,9 @@
     /// end marker.
     #[snafu(display("the upstream closed the connection before the end of the answer"))]
     Disconnected,
+    /// The answer to a claimed call is longer than the agent can buffer.
+    #[snafu(display("the answer to the claimed call is longer than the agent can buffer"))]
+    TooLong,
     /// The upstream sent no data within the time limit.
     #[snafu(display("the upstream sent no data for {} ms", time_limit.as_millis()))]
     IdleTimeout {
@@ -77,7 +80,7 @@
         match self {
             Self::BadRequest => RunVerdict::NotRun,
             Self::Send { source } => source.verdict(),
-            Self::Disconnected | Self::IdleTimeout { .. } => RunVerdict::MayHaveRun,
+            Self::Disconnected | Self::TooLong | Self::IdleTimeout { .. } => RunVerdict::MayHaveRun,
         }
     }
 }
--- a/crates/oriolecrank-agent/tests/agent/support.rs
+++ b/crates/oriolecrank-agent/tests/agent/support.rs
@@ -11,7 +11,7 @@
 use oriolecrank_agent::{AgentOptions, AgentProcess};
 use oriolecrank_net::frame::{DataFrame, encode_frame};
 use oriolecrank_net::logging::LogFormat;
-use oriolecrank_net::shutdown::{ShutdownTrigger, shutdown_channel};
+use oriolecrank_net::shutdown::{ShutdownSignal, ShutdownTrigger, shutdown_channel};
 use oriolecrank_net::{
     AnswerBody, ClusterSecret, FrameReader, HttpClient, HttpHandler, empty_answer, message_answer,
     peer_request, read_body, serve,
@@ -104,7 +104,7 @@
     _fakes: ShutdownTrigger,
 }
 
-async fn bind_listener() -> (TcpListener, SocketAddr) {
+pub async fn bind_listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
     let address = listener.local_addr().unwrap();
     (listener, address)
@@ -112,9 +112,23 @@
 
 impl TestAgent {
     pub async fn start<H: HttpHandler>(upstream: H) -> Self {
-        let (fakes, fakes_shutdown) = shutdown_channel();
         let (listener, upstream_address) = bind_listener().await;
+        let (fakes, fakes_shutdown) = shutdown_channel();
         tokio::spawn(serve(listener, Arc::new(upstream), fakes_shutdown.clone()));
+        Self::start_beside(upstream_address, fakes, fakes_shutdown).await
+    }
+
+    /// Starts an agent beside an upstream that listens already.
+    pub async fn start_beside_listener(upstream_address: SocketAddr) -> Self {
+        let (fakes, fakes_shutdown) = shutdown_channel();
+        Self::start_beside(upstream_address, fakes, fakes_shutdown).await
+    }
+
+    async fn start_beside(
+        upstream_address: SocketAddr,
+        fakes: ShutdownTrigger,
+        fakes_shutdown: ShutdownSignal,
+    ) -> Self {
         let control = RecordingControl::default();
         let (listener, control_address) = bind_listener().await;
         tokio::spawn(serve(listener, Arc::new(control.clone()), fakes_shutdown));
