Refuse a prompt part only if it explains at least half of the crashes

Cause: with many engines that end at the same time, a rare or long-running part runs on three of them by chance. Change: a part must run during at least half of all crashes between its first and its last one, and a stream that has been going on for 500 ms is not blamed for the end of its engine. The new test of a rare part fails before and passes now. Conclusion: a wrong refusal is still possible and ends with the first trial.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt as _;
 use oriolecrank_net::{AnswerBody, BodyAborted, BodySender};
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
+use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
 use tokio::time::timeout;
 
@@ -15,7 +16,7 @@
 use crate::dialect::{CallFailure, CallerDialect};
 use crate::entry_metrics::StreamOutcome;
 use crate::event_stream::NumberedEventSplitter;
-use crate::running_attempt::current_time;
+use crate::running_attempt::{RunningAttempt, current_time};
 
 impl<D: CallerDialect> CallRunner<D> {
     /// Runs a request whose answer is buffered and sent to the caller once it is complete, so that
@@ -220,6 +221,7 @@
             mut response,
         } = started;
         let mut last_data_at = current_time();
+        let mut first_data_at: Option<TimePoint> = None;
         loop {
             let time_left = self.runner.request.deadline.since(current_time());
             let wait = self.silence_timeout().min(time_left);
@@ -256,12 +258,12 @@
                     return RelayEnd::Complete;
                 }
                 Ok(None) => {
-                    self.runner.record_broken_attempt(&attempt);
+                    self.record_broken_relay(&attempt, first_data_at, now);
                     attempt.record_outcome(UpstreamOutcome::Failed, now);
                     return RelayEnd::Broken("the stream ended within an event".to_owned());
                 }
                 Ok(Some(Err(error))) => {
-                    self.runner.record_broken_attempt(&attempt);
+                    self.record_broken_relay(&attempt, first_data_at, now);
                     attempt.record_outcome(UpstreamOutcome::Failed, now);
                     return RelayEnd::Broken(error.to_string());
                 }
@@ -271,6 +273,7 @@
                 continue;
             }
             last_data_at = now;
+            first_data_at.get_or_insert(now);
             attempt.record_start(now);
             if let Some(end) = self.forward_events(&data).await {
                 return end;
@@ -278,6 +281,19 @@
         }
     }
 
+    /// Records a stream that broke off, unless its upstream had been sending it for so long that its
+    /// prompt cannot be what the upstream crashed on.
+    fn record_broken_relay(
+        &self,
+        attempt: &RunningAttempt<D>,
+        first_data_at: Option<TimePoint>,
+        now: TimePoint,
+    ) {
+        if first_data_at.is_none_or(|first| now.since(first) <= ANSWER_START_TIME) {
+            self.runner.record_broken_attempt(attempt);
+        }
+    }
+
     /// Sends the complete events to the caller and holds back the rest; returns the end of the
     /// relay if there is one.
     async fn forward_events(&mut self, data: &[u8]) -> Option<RelayEnd> {
@@ -305,6 +321,9 @@
     }
 }
 
+/// Time from the first bytes of a stream in which a crash of its upstream may be due to its prompt.
+const ANSWER_START_TIME: Duration = Duration::from_millis(500);
+
 /// Whether the end of an answer's body shows in the body, and not only by the end of its connection.
 fn has_explicit_end(fields: &HeaderMap) -> bool {
     fields.contains_key(CONTENT_LENGTH) || fields.contains_key(TRANSFER_ENCODING)
--- a/crates/oriolecrank-routing/src/part_quarantine.rs
+++ b/crates/oriolecrank-routing/src/part_quarantine.rs
@@ -2,9 +2,9 @@
 //!
 //! Many requests run on an upstream when it crashes, and one report cannot tell which of them was
 //! the cause. A part is refused once it ran during several crashes without a complete answer shortly
-//! before, in between or after. A part that many requests share is among the running ones at each
-//! crash, but is answered all the time; an upstream that crashes for another reason runs such parts
-//! mostly.
+//! before, in between or after, and if these are at least half of all crashes in that time. A part
+//! that many requests share is among the running ones at each crash, but is answered all the time. A
+//! rare part runs during some of many crashes that have another reason, but not during most of them.
 //!
 //! A refused part is tried again with single requests at growing intervals, and is accepted after
 //! the first complete answer.
@@ -18,10 +18,13 @@
 use crate::prompt_shape::PartId;
 
 /// Settings of a [`PartQuarantine`].
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct QuarantineSettings {
     /// Number of crashes without a complete answer in between after which a part is refused.
     pub refuse_after_crashes: usize,
+    /// Least share of the crashes between the first and the last one of a part that the part must
+    /// explain. A rare part runs during some of many crashes by chance.
+    pub least_crash_share: f64,
     /// Time for which a crash counts.
     pub crash_retention: Duration,
     /// Time before a crash in which a complete answer on a part clears it of that crash. The time
@@ -41,6 +44,8 @@
         Self {
             // Two crashes in a row have a part in common by chance.
             refuse_after_crashes: 3,
+            // Two parts that crash upstreams at the same time are still recognised.
+            least_crash_share: 0.5,
             crash_retention: Duration::from_mins(1),
             proven_window: PROVEN_WINDOW,
             first_trial_after: Duration::from_secs(5),
@@ -84,12 +89,6 @@
     trial_interval: Duration,
 }
 
-#[derive(Debug, Default)]
-struct BlamedCrashes {
-    count: usize,
-    last_at: TimePoint,
-}
-
 impl PartQuarantine {
     /// Without crashes.
     pub fn new(settings: QuarantineSettings) -> Self {
@@ -156,22 +155,24 @@
 
     /// Refuses the parts that enough crashes are blamed on.
     fn refuse_blamed(&mut self, now: TimePoint) -> bool {
-        let mut blamed: IndexMap<PartId, BlamedCrashes> = IndexMap::new();
+        let mut blamed: IndexMap<PartId, Vec<TimePoint>> = IndexMap::new();
         for crash in self.crashes.values() {
             for part in self.blamed_parts(crash) {
-                let crashes = blamed.entry(part).or_default();
-                crashes.count += 1;
-                crashes.last_at = crashes.last_at.max(crash.seen_at);
+                blamed.entry(part).or_default().push(crash.seen_at);
             }
         }
         let mut changed = false;
-        for (part, crashes) in blamed {
+        for (part, mut crash_times) in blamed {
+            crash_times.sort_unstable();
+            let Some(crashed_at) = crash_times.last().copied() else {
+                continue;
+            };
             if let Some(refusal) = self.refusals.get_mut(&part) {
-                refusal.crashed_at = refusal.crashed_at.max(crashes.last_at);
-            } else if crashes.count >= self.settings.refuse_after_crashes {
+                refusal.crashed_at = refusal.crashed_at.max(crashed_at);
+            } else if self.explains(&crash_times) {
                 let trial_interval = self.settings.first_trial_after;
                 let refusal = PartRefusal {
-                    crashed_at: crashes.last_at,
+                    crashed_at,
                     next_trial_at: now + trial_interval,
                     trial_interval,
                 };
@@ -182,6 +183,19 @@
         changed
     }
 
+    /// Whether a part that is blamed for crashes at these times, in order, explains enough of all
+    /// crashes in the same time.
+    fn explains(&self, crash_times: &[TimePoint]) -> bool {
+        let [first, .., last] = crash_times else {
+            return false;
+        };
+        let all = self.crashes.values();
+        let all = all.filter(|crash| crash.seen_at >= *first && crash.seen_at <= *last);
+        let explained = crash_times.len() as f64 / all.count() as f64;
+        crash_times.len() >= self.settings.refuse_after_crashes
+            && explained >= self.settings.least_crash_share
+    }
+
     /// Parts that ran during a crash and were answered neither shortly before nor after it.
     fn blamed_parts(&self, crash: &CrashRecord) -> impl Iterator<Item = PartId> {
         let window = self.settings.proven_window;
--- a/crates/oriolecrank-routing/tests/routing/part_quarantine.rs
+++ b/crates/oriolecrank-routing/tests/routing/part_quarantine.rs
@@ -88,6 +88,37 @@
     assert!(refused(&mut quarantine, at(10_100)).is_empty());
 }
 
+/// Guards against a rare part that is refused because it runs during some of many crashes that have
+/// another reason.
+#[test]
+fn a_rare_part_that_runs_during_few_of_many_crashes_is_not_refused() {
+    let mut quarantine = PartQuarantine::default();
+    let rare = PartId(5);
+    for number in 0..12 {
+        let other = PartId(100 + number);
+        let mut parts = vec![(other, false)];
+        if number % 4 == 0 {
+            parts.push((rare, false));
+        }
+        quarantine.record(&crash(number, &parts), at(10_000 + number * 500));
+    }
+    assert!(refused(&mut quarantine, at(16_000)).is_empty());
+}
+
+/// Guards against two parts that crash upstreams at the same time and hide each other.
+#[test]
+fn two_parts_that_crash_upstreams_in_turn_are_both_refused() {
+    let mut quarantine = PartQuarantine::default();
+    for number in 0..8 {
+        let part = PartId(600 + number % 2);
+        quarantine.record(&crash(number, &[(part, false)]), at(10_000 + number * 100));
+    }
+    assert_eq!(
+        refused(&mut quarantine, at(11_000)),
+        [PartId(600), PartId(601)]
+    );
+}
+
 /// Guards against a sound part that is refused although another entry has had answers on it.
 #[test]
 fn an_answer_at_any_entry_clears_earlier_crashes() {
