--- a/crates/oriolecrank-routing/src/part_quarantine.rs
+++ b/crates/oriolecrank-routing/src/part_quarantine.rs
@@ -147,10 +147,8 @@
     }
 
     fn is_suspected(&self, part: PartId) -> bool {
-        let crashes = self.crashes.values();
-        crashes
-            .into_iter()
-            .any(|crash| crash.parts.contains_key(&part))
+        let mut crashes = self.crashes.values();
+        crashes.any(|crash| crash.parts.contains_key(&part))
     }
 
     /// Refuses the parts that enough crashes are blamed on.
@@ -235,17 +233,21 @@
     }
 
     fn drop_expired(&mut self, now: TimePoint) {
+        let retained = self.crashes.len() + self.refusals.len();
         let retention = self.settings.crash_retention;
         self.crashes
             .retain(|_, crash| now.since(crash.seen_at) <= retention);
         let unused = self.settings.max_trial_interval * 2;
         self.refusals
             .retain(|_, refusal| now.since(refusal.next_trial_at) <= unused);
-        let crashes = &self.crashes;
-        let refusals = &self.refusals;
-        self.completed_at.retain(|part, _| {
-            let mut records = crashes.values();
-            refusals.contains_key(part) || records.any(|crash| crash.parts.contains_key(part))
-        });
+        if self.crashes.len() + self.refusals.len() == retained {
+            return;
+        }
+        let crashes = self.crashes.values();
+        let mut watched: IndexSet<PartId> = crashes
+            .flat_map(|crash| crash.parts.keys().copied())
+            .collect();
+        watched.extend(self.refusals.keys().copied());
+        self.completed_at.retain(|part, _| watched.contains(part));
     }
 }
