--- a/crates/oriolecrank-routing/tests/routing/part_quarantine.rs
+++ b/crates/oriolecrank-routing/tests/routing/part_quarantine.rs
@@ -9,7 +9,7 @@
 use oriolecrank_schema::TimePoint;
 
 /// Part that crashes each upstream that begins to answer on it.
-const DEADLY: PartId = PartId(666);
+const CRASHING: PartId = PartId(666);
 
 /// Part that all requests share.
 const COMMON: PartId = PartId(1);
@@ -42,11 +42,11 @@
     }
 }
 
-/// A quarantine with three crashes that are blamed on [`DEADLY`].
-fn quarantine_of_deadly_part() -> PartQuarantine {
+/// A quarantine with three crashes that are blamed on [`CRASHING`].
+fn quarantine_of_crashing_part() -> PartQuarantine {
     let mut quarantine = PartQuarantine::default();
     for number in 0..3 {
-        let report = crash(number, &[(COMMON, true), (DEADLY, false)]);
+        let report = crash(number, &[(COMMON, true), (CRASHING, false)]);
         let changed = quarantine.record(&report, at(10_000 + number * 100));
         assert_eq!(changed, number == 2);
     }
@@ -61,8 +61,8 @@
 /// sound requests share and that is refused because it runs during each of the crashes.
 #[test]
 fn only_the_part_without_answers_is_refused() {
-    let mut quarantine = quarantine_of_deadly_part();
-    assert_eq!(refused(&mut quarantine, at(10_300)), [DEADLY]);
+    let mut quarantine = quarantine_of_crashing_part();
+    assert_eq!(refused(&mut quarantine, at(10_300)), [CRASHING]);
 }
 
 /// Guards against a part that is refused because several entries report the same crash, or one of
@@ -71,7 +71,7 @@
 fn one_crash_counts_once() {
     let mut quarantine = PartQuarantine::default();
     for _ in 0..5 {
-        quarantine.record(&crash(7, &[(DEADLY, false)]), at(10_000));
+        quarantine.record(&crash(7, &[(CRASHING, false)]), at(10_000));
     }
     assert!(refused(&mut quarantine, at(10_000)).is_empty());
 }
@@ -135,15 +135,15 @@
 /// trials that crash upstreams again and again.
 #[test]
 fn a_refused_part_is_tried_at_growing_intervals_until_it_is_answered() {
-    let mut quarantine = quarantine_of_deadly_part();
+    let mut quarantine = quarantine_of_crashing_part();
     let settings = QuarantineSettings::default();
     let mut trials = Vec::new();
     for second in 10..400 {
         let now = at(second * 1_000 + 300);
-        let verdicts = quarantine.verdicts(&[DEADLY], now);
+        let verdicts = quarantine.verdicts(&[CRASHING], now);
         if !verdicts.trials.is_empty() {
             trials.push(second);
-            quarantine.record(&crash(second, &[(DEADLY, false)]), now);
+            quarantine.record(&crash(second, &[(CRASHING, false)]), now);
         }
     }
     let first_wait = settings.first_trial_after.as_secs();
@@ -151,24 +151,32 @@
     let intervals: Vec<u64> = trials.windows(2).map(|pair| pair[1] - pair[0]).collect();
     assert!(intervals.is_sorted() && intervals.len() >= 2, "{trials:?}");
     assert!(trials.len() <= 4, "{trials:?}");
-    quarantine.record(&completed(DEADLY), at(401_000));
+    quarantine.record(&completed(CRASHING), at(401_000));
     assert!(refused(&mut quarantine, at(401_000)).is_empty());
 }
 
 /// Guards against trials that no request is waiting for, which would use up the interval.
 #[test]
 fn only_an_entry_with_requests_for_the_part_gets_a_trial() {
-    let mut quarantine = quarantine_of_deadly_part();
+    let mut quarantine = quarantine_of_crashing_part();
     assert!(quarantine.verdicts(&[], at(60_000)).trials.is_empty());
-    assert_eq!(quarantine.verdicts(&[DEADLY], at(60_000)).trials, [DEADLY]);
-    assert!(quarantine.verdicts(&[DEADLY], at(60_100)).trials.is_empty());
+    assert_eq!(
+        quarantine.verdicts(&[CRASHING], at(60_000)).trials,
+        [CRASHING]
+    );
+    assert!(
+        quarantine
+            .verdicts(&[CRASHING], at(60_100))
+            .trials
+            .is_empty()
+    );
 }
 
 /// Guards against a refusal that ends when the crashes that led to it are forgotten.
 #[test]
 fn a_refusal_outlives_its_crashes() {
-    let mut quarantine = quarantine_of_deadly_part();
-    assert_eq!(refused(&mut quarantine, at(200_000)), [DEADLY]);
+    let mut quarantine = quarantine_of_crashing_part();
+    assert_eq!(refused(&mut quarantine, at(200_000)), [CRASHING]);
     assert!(refused(&mut quarantine, at(4_000_000)).is_empty());
 }
 
@@ -176,16 +184,16 @@
 /// used twice, and against a trial by a request with another refused part.
 #[test]
 fn an_entry_refuses_requests_with_the_part_and_uses_a_trial_once() {
-    let mut quarantine = quarantine_of_deadly_part();
+    let mut quarantine = quarantine_of_crashing_part();
     let mut watch = PartWatch::default();
     watch.set_verdicts(quarantine.verdicts(&[], at(10_300)), at(10_300));
     assert!(watch.check(&[COMMON, PartId(9)], at(10_300)).is_ok());
-    assert!(watch.check(&[COMMON, DEADLY], at(10_300)).is_err());
-    assert_eq!(watch.wanted(at(10_400)), [DEADLY]);
-    let verdicts = quarantine.verdicts(&[DEADLY], at(16_000));
+    assert!(watch.check(&[COMMON, CRASHING], at(10_300)).is_err());
+    assert_eq!(watch.wanted(at(10_400)), [CRASHING]);
+    let verdicts = quarantine.verdicts(&[CRASHING], at(16_000));
     watch.set_verdicts(verdicts, at(16_000));
-    assert!(watch.check(&[COMMON, DEADLY], at(16_100)).is_ok());
-    assert!(watch.check(&[COMMON, DEADLY], at(16_200)).is_err());
+    assert!(watch.check(&[COMMON, CRASHING], at(16_100)).is_ok());
+    assert!(watch.check(&[COMMON, CRASHING], at(16_200)).is_err());
 }
 
 /// Guards against a part that is blamed although the reporting entry had answers on it shortly
@@ -198,7 +206,7 @@
         upstream: UpstreamName::from("engine".to_owned()),
         started_ms: 1,
     };
-    watch.record_crash(id, [COMMON, DEADLY], at(10_000));
+    watch.record_crash(id, [COMMON, CRASHING], at(10_000));
     let reports = watch.reports_since(0, at(10_000));
     let PartEvent::Crash { parts, .. } = &reports[0].event else {
         panic!("{reports:?}");
