Log which requests broke off when an upstream crashed

On the direct path the end of a plain server left no line, and the lines of a request have its id and path only, so that on-call engineers cannot see whether the same request comes again under another id. The hypotheses on the plain request that crashes servers could not be separated.

A request now has a fingerprint over organisation, method, host, target, prompt and body. What is reported to the leader is unchanged: only crashes with prompt parts.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -16,6 +16,7 @@
 use crate::dialect::{CallFailure, CallerDialect};
 use crate::entry_metrics::StreamOutcome;
 use crate::event_stream::NumberedEventSplitter;
+use crate::plain_body::PlainBodyError;
 use crate::running_attempt::{RunningAttempt, current_time};
 
 impl<D: CallerDialect> CallRunner<D> {
@@ -48,10 +49,14 @@
                     tracing::info!(
                         event = LogEvent::AttemptFailed.number(),
                         request = self.request.head.request_id,
+                        fingerprint = %self.request.fingerprint,
                         upstream = %attempt.chosen.announcement.name,
                         %error,
                         "an answer was interrupted; the request may be retried"
                     );
+                    if matches!(error, PlainBodyError::Interrupted { .. }) {
+                        self.record_broken_attempt(&attempt);
+                    }
                     attempt.record_outcome(UpstreamOutcome::Failed, current_time());
                 }
             }
@@ -114,10 +119,14 @@
                 tracing::info!(
                     event = LogEvent::AttemptFailed.number(),
                     request = self.request.head.request_id,
+                    fingerprint = %self.request.fingerprint,
                     upstream = %attempt.chosen.announcement.name,
                     %error,
                     "an error answer of an upstream was interrupted"
                 );
+                if matches!(error, PlainBodyError::Interrupted { .. }) {
+                    self.record_broken_attempt(&attempt);
+                }
                 self.record_lost_answer();
                 return Err(self.call_failure());
             }
--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -9,8 +9,8 @@
 use oriolecrank_net::{ClientResponse, SendError};
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
 use oriolecrank_routing::{
-    CallKind, CallTiming, ChoiceRequest, NoUpstream, OrganisationName, PromptShape, RouteSpec,
-    ServiceName, UpstreamName,
+    CallKind, CallTiming, ChoiceRequest, NoUpstream, OrganisationName, PromptShape,
+    RequestFingerprint, RouteSpec, ServiceName, UpstreamName,
 };
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::data_path::RunVerdict;
@@ -58,6 +58,8 @@
     pub(crate) route: Arc<RouteSpec>,
     pub(crate) service: ServiceName,
     pub(crate) organisation: Option<OrganisationName>,
+    /// Recognises the request when it comes again under another id.
+    pub(crate) fingerprint: RequestFingerprint,
     /// Priority of the organisation, or else of the route; 0 is the most urgent.
     pub(crate) priority: u8,
     /// Arrival plus the caller's timeout or the route's, whichever is shorter.
@@ -331,11 +333,11 @@
     /// Records that an attempt broke off after the request was sent, perhaps because the upstream
     /// has crashed.
     pub(crate) fn record_broken_attempt(&self, attempt: &RunningAttempt<D>) {
-        if let Some(prompt) = &self.request.head.prompt {
-            let upstream = &attempt.chosen.announcement;
-            self.shared
-                .record_broken_attempt(upstream, prompt.shared_parts());
-        }
+        let upstream = &attempt.chosen.announcement;
+        let prompt = self.request.head.prompt.as_ref();
+        let parts = prompt.map(PromptShape::shared_parts).unwrap_or_default();
+        self.shared
+            .record_broken_attempt(upstream, self.request.fingerprint, parts);
     }
 
     /// Records a complete answer, which proves the parts of the prompt sound.
@@ -535,6 +537,7 @@
         tracing::info!(
             event = LogEvent::AttemptFailed.number(),
             request = self.request.head.request_id,
+            fingerprint = %self.request.fingerprint,
             upstream = %attempt.chosen.announcement.name,
             %error,
             "an attempt got no answer"
--- a/crates/oriolecrank-gateway/src/caller_server.rs
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -8,7 +8,9 @@
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use oriolecrank_net::{AnswerBody, HttpHandler, read_body};
-use oriolecrank_routing::{CallKind, CallerOrganisation, RouteTable};
+use oriolecrank_routing::{
+    CallKind, CallerOrganisation, RequestContent, RequestFingerprint, RouteTable,
+};
 use oriolecrank_schema::event::LogEvent;
 use rand::Rng as _;
 
@@ -73,14 +75,27 @@
         let priority = organisation
             .as_ref()
             .and_then(|organisation| organisation.priority);
+        let organisation = organisation.map(|organisation| organisation.name);
+        let fingerprint = RequestFingerprint::from(&RequestContent {
+            organisation: organisation.as_ref(),
+            method: parts.method.as_str(),
+            host: &head.host,
+            target: parts
+                .uri
+                .path_and_query()
+                .map_or("", |target| target.as_str()),
+            prompt: head.prompt.as_ref(),
+            body: &body,
+        });
         Ok(CallerRequest {
+            fingerprint,
             method: parts.method,
             uri: parts.uri,
             header_fields: parts.headers,
             body,
             service,
             priority: priority.unwrap_or(route.priority),
-            organisation: organisation.map(|organisation| organisation.name),
+            organisation,
             deadline: arrived_at + caller_timeout.min(route.timeout),
             target_time,
             route,
--- a/crates/oriolecrank-gateway/src/crash_probe.rs
+++ b/crates/oriolecrank-gateway/src/crash_probe.rs
@@ -9,7 +9,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use oriolecrank_net::BootClock;
-use oriolecrank_routing::{CrashId, PartId, UpstreamAnnouncement};
+use oriolecrank_routing::{CrashId, PartId, RequestFingerprint, UpstreamAnnouncement};
 use oriolecrank_schema::event::LogEvent;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -23,15 +23,26 @@
 /// Timeout of the connection. A crashed process refuses within a round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Largest number of fingerprints in the log line of a crash.
+const MAX_LOGGED_FINGERPRINTS: usize = 16;
+
+/// Requests whose attempts at one upstream broke off.
+#[derive(Debug, Default)]
+struct BrokenRequests {
+    fingerprints: IndexSet<RequestFingerprint>,
+    /// Shared parts of their prompts.
+    parts: IndexSet<PartId>,
+}
+
 /// Broken attempts by upstream, until it is known whether the upstream has crashed.
 #[derive(Debug, Default)]
 pub(crate) struct CrashProbe {
-    /// Prompt parts of the broken attempts. Taken alone and never held across an await.
-    broken: Mutex<IndexMap<CrashId, IndexSet<PartId>>>,
+    /// Taken alone and never held across an await.
+    broken: Mutex<IndexMap<CrashId, BrokenRequests>>,
 }
 
 impl CrashProbe {
-    fn lock(&self) -> MutexGuard<'_, IndexMap<CrashId, IndexSet<PartId>>> {
+    fn lock(&self) -> MutexGuard<'_, IndexMap<CrashId, BrokenRequests>> {
         self.broken
             .lock()
             .expect("no holder of the broken attempts lock panics")
@@ -39,11 +50,12 @@
 }
 
 impl<D: Send + Sync + 'static> EntryShared<D> {
-    /// Records that an attempt at an upstream broke off while the upstream ran a request with these
-    /// prompt parts.
+    /// Records that an attempt at an upstream broke off while the upstream ran a request with this
+    /// fingerprint and these prompt parts.
     pub(crate) fn record_broken_attempt(
         self: &Arc<Self>,
         upstream: &UpstreamAnnouncement,
+        fingerprint: RequestFingerprint,
         parts: Vec<PartId>,
     ) {
         let crash = CrashId {
@@ -51,13 +63,14 @@
             started_ms: upstream.started_ms,
         };
         let mut broken = self.crash_probe.lock();
-        if let Some(known) = broken.get_mut(&crash) {
-            known.extend(parts);
-            return;
-        }
-        broken.insert(crash.clone(), parts.into_iter().collect());
+        let is_first = !broken.contains_key(&crash);
+        let requests = broken.entry(crash.clone()).or_default();
+        requests.fingerprints.insert(fingerprint);
+        requests.parts.extend(parts);
         drop(broken);
-        tokio::spawn(Arc::clone(self).test_upstream(crash, upstream.address));
+        if is_first {
+            tokio::spawn(Arc::clone(self).test_upstream(crash, upstream.address));
+        }
     }
 
     /// Reports a crash if the upstream refuses a connection.
@@ -68,19 +81,26 @@
             connected,
             Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused
         );
-        let parts = self.crash_probe.lock().shift_remove(&crash);
-        let parts = parts.unwrap_or_default();
+        let requests = self.crash_probe.lock().shift_remove(&crash);
+        let requests = requests.unwrap_or_default();
         if !is_refused {
             return;
         }
+        let fingerprints = requests.fingerprints.iter().take(MAX_LOGGED_FINGERPRINTS);
+        let fingerprints: Vec<String> = fingerprints.map(ToString::to_string).collect();
         tracing::warn!(
             event = LogEvent::UpstreamCrashed.number(),
             upstream = %crash.upstream,
             started_ms = crash.started_ms,
-            parts = parts.len(),
+            requests = requests.fingerprints.len(),
+            ?fingerprints,
+            parts = requests.parts.len(),
             "an upstream crashed while requests of this entry were running"
         );
         let now = BootClock.now();
-        self.lock_part_watch().record_crash(crash, parts, now);
+        if !requests.parts.is_empty() {
+            let parts = requests.parts;
+            self.lock_part_watch().record_crash(crash, parts, now);
+        }
     }
 }
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -9,6 +9,7 @@
 //!   caches a shared prompt part.
 //! - [`PartQuarantine`], at the leader, decides which prompt parts crash upstreams, from what the
 //!   [`PartWatch`] of each entry reports.
+//! - [`RequestFingerprint`] recognises a request that comes again under another id.
 //! - [`LoadTable`] sums the load that entries put on upstreams.
 //! - [`CallerTimeoutRange`] distinguishes callers that retry after a refusal from new ones.
 //! - [`SharedRetryBudget`] limits the extra attempts, beyond the first, of all entries together.
@@ -33,6 +34,7 @@
 mod part_report;
 mod part_watch;
 mod prompt_shape;
+mod request_fingerprint;
 mod route_document;
 mod route_table;
 mod shared_retry_budget;
@@ -58,6 +60,7 @@
 pub use part_report::{CrashId, PartEvent, PartReport, PartVerdicts, RunningPart};
 pub use part_watch::PartWatch;
 pub use prompt_shape::{PartId, PromptPart, PromptShape};
+pub use request_fingerprint::{RequestContent, RequestFingerprint};
 pub use route_document::{
     CallKind, CallerLimits, DocumentError, EngineSpec, OrganisationKey, OrganisationSpec,
     RouteDocument, RouteSpec, ServiceShare, ServiceSpec,
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -8,6 +8,7 @@
 mod member_repair;
 mod part_placement;
 mod part_quarantine;
+mod request_fingerprint;
 mod route_document;
 mod shared_retry_budget;
 mod site_state;
--- a/crates/oriolecrank-schema/src/digest.rs
+++ b/crates/oriolecrank-schema/src/digest.rs
@@ -28,13 +28,27 @@
 /// It covers organisation, method, target and body. The body alone does not identify a call,
 /// because most reads have the same empty body.
 pub fn call_digest(organisation: &str, method: &str, target: &str, body: &[u8]) -> String {
+    hex(&framed_hash(&[organisation, method, target], body))
+}
+
+/// First 64 bits of the digest of a call, for tables that hold many of them.
+///
+/// It covers `fields`, each with its length, and the body.
+pub fn short_call_digest(fields: &[&str], body: &[u8]) -> u64 {
+    let hash = framed_hash(fields, body);
+    let first = hash.first_chunk().expect("a hash has 32 bytes");
+    u64::from_be_bytes(*first)
+}
+
+/// SHA-256 hash of fields, each preceded by its length, and of a body.
+fn framed_hash(fields: &[&str], body: &[u8]) -> [u8; 32] {
     let mut hasher = Sha256::new();
-    for part in [organisation, method, target] {
-        hasher.update((part.len() as u64).to_be_bytes());
-        hasher.update(part.as_bytes());
+    for field in fields {
+        hasher.update((field.len() as u64).to_be_bytes());
+        hasher.update(field.as_bytes());
     }
     hasher.update(body);
-    hex(&hasher.finalize())
+    hasher.finalize().into()
 }
 
 /// Hexadecimal digest of a caller's text that must not be stored itself, such as an idempotency
