Name what may crash upstreams a suspect, of which a prompt part is one kind

The quarantine of prompt parts is to recognise whole requests as well, by one mechanism. CrashSuspect has a variant for each; reports, watch and quarantine work on suspects and are renamed after them. Only parts are reported, so that behaviour does not change: the tests of routing pass with the same checks. Messages have new field names, because an older process could not decode a suspect; it ignores the fields.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -9,7 +9,7 @@
 use oriolecrank_net::{ClientResponse, SendError};
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
 use oriolecrank_routing::{
-    CallKind, CallTiming, ChoiceRequest, NoUpstream, OrganisationName, PromptShape,
+    CallKind, CallTiming, ChoiceRequest, CrashSuspect, NoUpstream, OrganisationName, PromptShape,
     RequestFingerprint, RouteSpec, ServiceName, UpstreamName,
 };
 use oriolecrank_schema::TimePoint;
@@ -318,8 +318,8 @@
         };
         let checked = self
             .shared
-            .lock_part_watch()
-            .check(&prompt.shared_parts(), now);
+            .lock_suspect_watch()
+            .check(&part_suspects(prompt), now);
         let Err(retry_after) = checked else {
             return Ok(());
         };
@@ -343,10 +343,10 @@
     /// Records a complete answer, which proves the parts of the prompt sound.
     pub(crate) fn record_complete_answer(&self) {
         if let Some(prompt) = &self.request.head.prompt {
-            let parts = prompt.shared_parts();
+            let suspects = part_suspects(prompt);
             self.shared
-                .lock_part_watch()
-                .record_completed(&parts, current_time());
+                .lock_suspect_watch()
+                .record_completed(&suspects, current_time());
         }
     }
 
@@ -564,6 +564,12 @@
     }
 }
 
+/// Prompt parts that may crash upstreams.
+fn part_suspects(prompt: &PromptShape) -> Vec<CrashSuspect> {
+    let parts = prompt.shared_parts().into_iter();
+    parts.map(CrashSuspect::Part).collect()
+}
+
 /// Failure for a request that no upstream has run or will run. The caller may retry after `wait`
 /// plus a random delay.
 pub(crate) fn refusal(wait: Duration) -> CallFailure {
--- a/crates/oriolecrank-gateway/src/crash_probe.rs
+++ b/crates/oriolecrank-gateway/src/crash_probe.rs
@@ -9,7 +9,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 use oriolecrank_net::BootClock;
-use oriolecrank_routing::{CrashId, PartId, RequestFingerprint, UpstreamAnnouncement};
+use oriolecrank_routing::{
+    CrashId, CrashSuspect, PartId, RequestFingerprint, UpstreamAnnouncement,
+};
 use oriolecrank_schema::event::LogEvent;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -100,7 +102,11 @@
         let now = BootClock.now();
         if !requests.parts.is_empty() {
             let parts = requests.parts;
-            self.lock_part_watch().record_crash(crash, parts, now);
+            self.lock_suspect_watch().record_crash(
+                crash,
+                parts.into_iter().map(CrashSuspect::Part),
+                now,
+            );
         }
     }
 }
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -9,9 +9,9 @@
 use oriolecrank_net::{ClusterSecret, HttpClient};
 use oriolecrank_routing::{
     CallerTimeoutRange, ChooserSettings, DirectChooser, EntryRun, OrganisationName, PartId,
-    PartVerdicts, PartWatch, PlacedParts, PlacementLog, RetryGrant, RouteTable, ServiceName,
-    SharedRetryBudget, StoredDocument, UpstreamAnnouncement, UpstreamDirectory, UpstreamName,
-    UsageCounter, WindowNumber,
+    PlacedParts, PlacementLog, RetryGrant, RouteTable, ServiceName, SharedRetryBudget,
+    StoredDocument, SuspectVerdicts, SuspectWatch, UpstreamAnnouncement, UpstreamDirectory,
+    UpstreamName, UsageCounter, WindowNumber,
 };
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
@@ -86,8 +86,8 @@
     usage: Mutex<UsageCounter>,
     /// Placements of shared prompt parts by this entry, to be sent to the control instances.
     placements: Mutex<PlacementLog>,
-    /// Prompt parts that crash upstreams.
-    part_watch: Mutex<PartWatch>,
+    /// Suspects that crash upstreams.
+    suspect_watch: Mutex<SuspectWatch>,
     /// Broken attempts at upstreams that may have crashed.
     pub(crate) crash_probe: CrashProbe,
     /// Range of the timeouts that callers state, by name of the route.
@@ -117,7 +117,7 @@
             tables: Mutex::default(),
             usage: Mutex::default(),
             placements: Mutex::default(),
-            part_watch: Mutex::default(),
+            suspect_watch: Mutex::default(),
             crash_probe: CrashProbe::default(),
             caller_timeouts: Mutex::default(),
             entry_count: AtomicU32::new(0),
@@ -317,32 +317,32 @@
         }
     }
 
-    /// What this entry knows of prompt parts that crash upstreams.
-    pub(crate) fn lock_part_watch(&self) -> MutexGuard<'_, PartWatch> {
-        self.part_watch
+    /// What this entry knows of suspects that crash upstreams.
+    pub(crate) fn lock_suspect_watch(&self) -> MutexGuard<'_, SuspectWatch> {
+        self.suspect_watch
             .lock()
             .expect("no holder of the part watch lock panics")
     }
 
-    /// Applies the leader's verdicts about prompt parts.
-    pub(crate) fn set_part_verdicts(&self, verdicts: PartVerdicts, now: TimePoint) {
-        let mut part_watch = self.lock_part_watch();
-        if part_watch.refused() != verdicts.refused {
+    /// Applies the leader's verdicts about suspects.
+    pub(crate) fn set_suspect_verdicts(&self, verdicts: SuspectVerdicts, now: TimePoint) {
+        let mut suspect_watch = self.lock_suspect_watch();
+        if suspect_watch.refused() != verdicts.refused {
             tracing::warn!(
-                event = LogEvent::PartsRefused.number(),
+                event = LogEvent::RefusalsChanged.number(),
                 refused = ?verdicts.refused,
                 suspected = verdicts.suspected.len(),
-                "the prompt parts that are refused because they crash upstreams have changed"
+                "the prompt parts and requests that are refused because they crash upstreams have changed"
             );
         }
         if !verdicts.trials.is_empty() {
             tracing::info!(
-                event = LogEvent::PartTried.number(),
+                event = LogEvent::SuspectTried.number(),
                 trials = ?verdicts.trials,
-                "one request with a refused prompt part is sent, to find out whether it is sound"
+                "one request that was refused because it crashes upstreams is sent, to find out whether it is sound"
             );
         }
-        part_watch.set_verdicts(verdicts, now);
+        suspect_watch.set_verdicts(verdicts, now);
     }
 
     /// Estimated time that the caller has already spent on earlier attempts at this request, judged
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -137,7 +137,7 @@
     cursor: SyncCursor,
     /// Sequence of the newest placement of this entry that the control instance has received.
     sent_placement_sequence: u64,
-    /// Sequence of the newest report about prompt parts that the control instance has received.
+    /// Sequence of the newest report about crashes that the control instance has received.
     sent_report_sequence: u64,
     /// Sequence of the newest placement of other entries received from the control instance.
     placement_sequence: u64,
@@ -155,7 +155,7 @@
                     log.newest_sequence(),
                 )
             };
-            let newest_report = self.shared.lock_part_watch().newest_sequence();
+            let newest_report = self.shared.lock_suspect_watch().newest_sequence();
             let request = self.request(&counts, placed);
             let requested_at = BootClock.now();
             let link = &self.link;
@@ -197,15 +197,15 @@
     fn request(&self, counts: &[WindowCounts], placed: Vec<PlacedParts>) -> SyncRequest {
         let shared = &self.shared;
         let now = BootClock.now();
-        let mut part_watch = shared.lock_part_watch();
-        let part_reports = part_watch.reports_since(self.sent_report_sequence, now);
-        let wanted_parts = part_watch.wanted(now);
-        let holds_part_verdicts = part_watch.holds_verdicts();
-        drop(part_watch);
+        let mut suspect_watch = shared.lock_suspect_watch();
+        let suspect_reports = suspect_watch.reports_since(self.sent_report_sequence, now);
+        let wanted_suspects = suspect_watch.wanted(now);
+        let holds_suspect_verdicts = suspect_watch.holds_verdicts();
+        drop(suspect_watch);
         SyncRequest {
-            part_reports,
-            wanted_parts,
-            holds_part_verdicts,
+            suspect_reports,
+            wanted_suspects,
+            holds_suspect_verdicts,
             run: shared.options.run.clone(),
             document_version: shared.document_version().max(self.announced_version),
             fetches_documents: true,
@@ -244,8 +244,8 @@
         shared.set_remote_loads(&answer.other_loads);
         shared.apply_placements(&answer.placed, now);
         self.placement_sequence = answer.placement_sequence;
-        if let Some(verdicts) = answer.part_verdicts {
-            shared.set_part_verdicts(verdicts, now);
+        if let Some(verdicts) = answer.suspect_verdicts {
+            shared.set_suspect_verdicts(verdicts, now);
         }
         shared.set_entry_count(answer.entries);
         let upstreams = shared.upstream_count();
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -14,7 +14,7 @@
     AnswerBody, BootClock, HttpHandler, PeerGuard, empty_answer, message_answer, read_body,
     text_answer,
 };
-use oriolecrank_routing::{PartVerdicts, SiteOutcome};
+use oriolecrank_routing::{SiteOutcome, SuspectVerdicts};
 use oriolecrank_schema::codec::{self, CodecError};
 use oriolecrank_schema::control::JoinRequest;
 use tokio::time::timeout;
@@ -169,9 +169,10 @@
         let is_leader = leader.as_ref().is_some_and(|leader| leader.id == status.id);
         let mut tables = self.tables.lock();
         let now = BootClock.now();
-        let verdicts = is_leader.then(|| tables.quarantine.verdicts(&request.wanted_parts, now));
-        let part_verdicts = verdicts
-            .filter(|verdicts| request.holds_part_verdicts || *verdicts != PartVerdicts::default());
+        let verdicts = is_leader.then(|| tables.quarantine.verdicts(&request.wanted_suspects, now));
+        let suspect_verdicts = verdicts.filter(|verdicts| {
+            request.holds_suspect_verdicts || *verdicts != SuspectVerdicts::default()
+        });
         let placed = is_leader.then(|| {
             tables
                 .placements
@@ -186,7 +187,7 @@
             directory_revision: tables.directory.revision(),
             upstreams: tables.announcements(seen.directory_revision, BootClock.now()),
             other_loads: tables.loads_excluding(&request.run),
-            part_verdicts,
+            suspect_verdicts,
             entries: tables.loads.entry_count(),
             term: status.term.0,
             membership_version: status.membership.version.0,
--- a/crates/oriolecrank-gateway/src/site_messages.rs
+++ b/crates/oriolecrank-gateway/src/site_messages.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use oriolecrank_routing::{
-    EntryRun, PartId, PartReport, PartVerdicts, PlacedParts, StoredDocument, UpstreamAnnouncement,
-    UpstreamLoad, UpstreamName, WindowCounts,
+    CrashSuspect, EntryRun, PlacedParts, StoredDocument, SuspectReport, SuspectVerdicts,
+    UpstreamAnnouncement, UpstreamLoad, UpstreamName, WindowCounts,
 };
 use serde::{Deserialize, Serialize};
 
@@ -51,15 +51,15 @@
     /// Sequence of the newest placement of other entries that the entry has received.
     #[serde(default)]
     pub(crate) placement_sequence: u64,
-    /// Reports about prompt parts that the control instance has not received.
+    /// Reports about crashes that the control instance has not received.
     #[serde(default)]
-    pub(crate) part_reports: Vec<PartReport>,
-    /// Refused prompt parts of requests that the entry has refused lately.
+    pub(crate) suspect_reports: Vec<SuspectReport>,
+    /// Refused suspects of requests that the entry has refused lately.
     #[serde(default)]
-    pub(crate) wanted_parts: Vec<PartId>,
+    pub(crate) wanted_suspects: Vec<CrashSuspect>,
     /// The entry holds verdicts, which the leader replaces even by empty ones.
     #[serde(default)]
-    pub(crate) holds_part_verdicts: bool,
+    pub(crate) holds_suspect_verdicts: bool,
     /// The entry is stopping; the answer is sent immediately.
     #[serde(default)]
     pub(crate) stopping: bool,
@@ -96,10 +96,10 @@
     /// Sequence of the newest placement at this control instance.
     #[serde(default)]
     pub(crate) placement_sequence: u64,
-    /// Verdicts about prompt parts. Only the leader sends them, because only it receives the reports
+    /// Verdicts about suspects. Only the leader sends them, because only it receives the reports
     /// of all entries.
     #[serde(default)]
-    pub(crate) part_verdicts: Option<PartVerdicts>,
+    pub(crate) suspect_verdicts: Option<SuspectVerdicts>,
     /// Entries that sync with this control instance, including the requesting one.
     pub(crate) entries: u32,
     /// Raft term of the control instance; 0 from older ones.
--- a/crates/oriolecrank-gateway/src/site_tables.rs
+++ b/crates/oriolecrank-gateway/src/site_tables.rs
@@ -2,7 +2,7 @@
 
 use oriolecrank_control::JoinTable;
 use oriolecrank_routing::{
-    EntryRun, LoadTable, MergeEffect, PartQuarantine, PlacementLog, UpstreamAnnouncement,
+    EntryRun, LoadTable, MergeEffect, PlacementLog, SuspectQuarantine, UpstreamAnnouncement,
     UpstreamDirectory, UpstreamName, UsageCollector,
 };
 use oriolecrank_schema::TimePoint;
@@ -22,7 +22,7 @@
     /// Revision of the newest change in the directory that matters to entries. An announcement
     /// with the same effect on entries as the one before does not count.
     changed_revision: watch::Sender<u64>,
-    /// Number of changes of the refused prompt parts.
+    /// Number of changes of the refused suspects.
     refusal_changes: watch::Sender<u64>,
 }
 
@@ -39,8 +39,8 @@
     pub(crate) loads: LoadTable,
     /// Engines to which entries have sent requests with shared prompt parts.
     pub(crate) placements: PlacementLog,
-    /// Prompt parts that crash upstreams.
-    pub(crate) quarantine: PartQuarantine,
+    /// Suspects that crash upstreams.
+    pub(crate) quarantine: SuspectQuarantine,
 }
 
 impl SiteTables {
@@ -66,18 +66,18 @@
         self.changed_revision.subscribe()
     }
 
-    /// Subscribes to changes of the refused prompt parts.
+    /// Subscribes to changes of the refused suspects.
     pub(crate) fn subscribe_refusals(&self) -> watch::Receiver<u64> {
         self.refusal_changes.subscribe()
     }
 
-    /// Records the state in an entry's sync request, and wakes waiting syncs if the refused prompt
-    /// parts have changed.
+    /// Records the state in an entry's sync request, and wakes waiting syncs if the refused
+    /// suspects have changed.
     pub(crate) fn record_sync(&self, request: &mut SyncRequest, now: TimePoint) {
         let mut tables = self.lock();
         tables.record_sync(request, now);
         let mut changed = false;
-        for report in std::mem::take(&mut request.part_reports) {
+        for report in std::mem::take(&mut request.suspect_reports) {
             changed |= tables.quarantine.record(&report, now);
         }
         if changed {
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -7,8 +7,8 @@
 //! - [`DirectChooser`] chooses the upstream of a request by the expected time to the first answer.
 //! - [`PlacementLog`], at the leader, and [`PartPlacements`], at an entry, record which engine
 //!   caches a shared prompt part.
-//! - [`PartQuarantine`], at the leader, decides which prompt parts crash upstreams, from what the
-//!   [`PartWatch`] of each entry reports.
+//! - [`SuspectQuarantine`], at the leader, decides which [`CrashSuspect`]s crash upstreams, from what
+//!   the [`SuspectWatch`] of each entry reports.
 //! - [`RequestFingerprint`] recognises a request that comes again under another id.
 //! - [`LoadTable`] sums the load that entries put on upstreams.
 //! - [`CallerTimeoutRange`] distinguishes callers that retry after a refusal from new ones.
@@ -22,6 +22,7 @@
 
 mod caller_timeout_range;
 mod choice_search;
+mod crash_suspect;
 mod direct_chooser;
 mod direct_upstream;
 mod document_fetch;
@@ -30,15 +31,15 @@
 mod names;
 mod part_cache;
 mod part_placement;
-mod part_quarantine;
-mod part_report;
-mod part_watch;
 mod prompt_shape;
 mod request_fingerprint;
 mod route_document;
 mod route_table;
 mod shared_retry_budget;
 mod site_state;
+mod suspect_quarantine;
+mod suspect_report;
+mod suspect_watch;
 mod sync_cursor;
 mod sync_targets;
 mod upstream_directory;
@@ -46,6 +47,7 @@
 mod usage_window;
 
 pub use caller_timeout_range::CallerTimeoutRange;
+pub use crash_suspect::CrashSuspect;
 pub use direct_chooser::{
     CallPlan, ChoiceRequest, ChooserSettings, ChosenUpstream, DirectChooser, NoUpstream,
 };
@@ -56,9 +58,6 @@
 pub use names::{DomainName, EntryName, OrganisationName, ServiceName, UpstreamName};
 pub use part_cache::PartCache;
 pub use part_placement::{PartPlacements, PlacedParts, PlacementLog};
-pub use part_quarantine::{PartQuarantine, QuarantineSettings};
-pub use part_report::{CrashId, PartEvent, PartReport, PartVerdicts, RunningPart};
-pub use part_watch::PartWatch;
 pub use prompt_shape::{PartId, PromptPart, PromptShape};
 pub use request_fingerprint::{RequestContent, RequestFingerprint};
 pub use route_document::{
@@ -68,6 +67,9 @@
 pub use route_table::{CallerOrganisation, RouteTable};
 pub use shared_retry_budget::{RetryGrant, SharedRetryBudget};
 pub use site_state::{ClosedWindow, SiteCommand, SiteOutcome, SiteState, StoredDocument};
+pub use suspect_quarantine::{QuarantineSettings, SuspectQuarantine};
+pub use suspect_report::{CrashId, RunningSuspect, SuspectEvent, SuspectReport, SuspectVerdicts};
+pub use suspect_watch::SuspectWatch;
 pub use sync_cursor::SyncCursor;
 pub use sync_targets::{KnownGroup, MAX_SYNC_TARGETS, sync_targets};
 pub use upstream_directory::{
--- a/crates/oriolecrank-routing/src/part_quarantine.rs
+++ b/crates/oriolecrank-routing/src/suspect_quarantine.rs
@@ -1,12 +1,13 @@
-//! Decision which prompt parts crash upstreams, over the reports of all entries.
+//! Decision which suspects crash upstreams, over the reports of all entries.
 //!
 //! Many requests run on an upstream when it crashes, and one report cannot tell which of them was
-//! the cause. A part is refused once it ran during several crashes without a complete answer shortly
-//! before, in between or after, and if these are at least half of all crashes in that time. A part
-//! that many requests share is among the running ones at each crash, but is answered all the time. A
-//! rare part runs during some of many crashes that have another reason, but not during most of them.
+//! the cause. A suspect is refused once it ran during several crashes without a complete answer
+//! shortly before, in between or after, and if these are at least half of all crashes in that time.
+//! A prompt part that many requests share is among the running ones at each crash, but is answered
+//! all the time. A rare part runs during some of many crashes that have another reason, but not
+//! during most of them.
 //!
-//! A refused part is tried again with single requests at growing intervals, and is accepted after
+//! A refused suspect is tried again with single requests at growing intervals, and is accepted after
 //! the first complete answer.
 
 use std::time::Duration;
@@ -14,37 +15,38 @@
 use indexmap::{IndexMap, IndexSet};
 use oriolecrank_schema::TimePoint;
 
-use crate::part_report::{CrashId, PROVEN_WINDOW, PartEvent, PartReport, PartVerdicts};
-use crate::prompt_shape::PartId;
+use crate::crash_suspect::CrashSuspect;
+use crate::suspect_report::{CrashId, PROVEN_WINDOW, SuspectEvent, SuspectReport, SuspectVerdicts};
 
-/// Settings of a [`PartQuarantine`].
+/// Settings of a [`SuspectQuarantine`].
 #[derive(Debug, Clone, PartialEq)]
 pub struct QuarantineSettings {
-    /// Number of crashes without a complete answer in between after which a part is refused.
+    /// Number of crashes without a complete answer in between after which a suspect is
+    /// refused.
     pub refuse_after_crashes: usize,
-    /// Least share of the crashes between the first and the last one of a part that the part must
+    /// Least share of the crashes between the first and the last one of a suspect that it must
     /// explain. A rare part runs during some of many crashes by chance.
     pub least_crash_share: f64,
     /// Time for which a crash counts.
     pub crash_retention: Duration,
-    /// Time before a crash in which a complete answer on a part clears it of that crash. The time
-    /// for which a part goes on to crash upstreams after it has been sound is longer by as much.
+    /// Time before a crash in which a complete answer clears a suspect of that crash. The time for
+    /// which a suspect goes on to crash upstreams after it has been sound is longer by as much.
     pub proven_window: Duration,
-    /// Time from the refusal of a part to its first trial.
+    /// Time from the refusal of a suspect to its first trial.
     pub first_trial_after: Duration,
     /// Factor by which the time to the next trial grows.
     pub trial_backoff: u32,
-    /// Longest time between two trials. A part for which none was due for twice this time is
-    /// forgotten.
+    /// Longest time between two trials. A suspect for which none was due for twice this time
+    /// is forgotten.
     pub max_trial_interval: Duration,
 }
 
 impl Default for QuarantineSettings {
     fn default() -> Self {
         Self {
-            // Two crashes in a row have a part in common by chance.
+            // Two crashes in a row have a suspect in common by chance.
             refuse_after_crashes: 3,
-            // Two parts that crash upstreams at the same time are still recognised.
+            // Two suspects that crash upstreams at the same time are still recognised.
             least_crash_share: 0.5,
             crash_retention: Duration::from_mins(1),
             proven_window: PROVEN_WINDOW,
@@ -58,38 +60,38 @@
 /// Largest number of crashes that are retained; the oldest are dropped first.
 const MAX_CRASHES: usize = 256;
 
-/// Largest number of parts of one crash; further ones are ignored.
-const MAX_CRASH_PARTS: usize = 1_024;
+/// Largest number of suspects of one crash; further ones are ignored.
+const MAX_RUNNING: usize = 1_024;
 
-/// Largest number of suspected parts in the verdicts; those of the newest crashes come first.
+/// Largest number of suspects in the verdicts; those of the newest crashes come first.
 const MAX_SUSPECTED: usize = 512;
 
-/// Crashes, and the parts that are refused because of them.
+/// Crashes, and the suspects that are refused because of them.
 #[derive(Debug, Default)]
-pub struct PartQuarantine {
+pub struct SuspectQuarantine {
     settings: QuarantineSettings,
     crashes: IndexMap<CrashId, CrashRecord>,
-    /// Last complete answer on parts that ran during a retained crash.
-    completed_at: IndexMap<PartId, TimePoint>,
-    refusals: IndexMap<PartId, PartRefusal>,
+    /// Last complete answer with suspects that ran during a retained crash.
+    completed_at: IndexMap<CrashSuspect, TimePoint>,
+    refusals: IndexMap<CrashSuspect, SuspectRefusal>,
 }
 
 #[derive(Debug)]
 struct CrashRecord {
     seen_at: TimePoint,
-    /// Parts that ran, and whether an entry had received an answer on them shortly before.
-    parts: IndexMap<PartId, bool>,
+    /// Suspects that ran, and whether an entry had received an answer with them shortly before.
+    running: IndexMap<CrashSuspect, bool>,
 }
 
 #[derive(Debug)]
-struct PartRefusal {
-    /// Last crash that is blamed on the part.
+struct SuspectRefusal {
+    /// Last crash that is blamed on the suspect.
     crashed_at: TimePoint,
     next_trial_at: TimePoint,
     trial_interval: Duration,
 }
 
-impl PartQuarantine {
+impl SuspectQuarantine {
     /// Without crashes.
     pub fn new(settings: QuarantineSettings) -> Self {
         Self {
@@ -99,89 +101,89 @@
     }
 
     /// Records a report; one that arrives twice has no further effect. Returns whether the refused
-    /// parts have changed.
-    pub fn record(&mut self, report: &PartReport, now: TimePoint) -> bool {
+    /// suspects have changed.
+    pub fn record(&mut self, report: &SuspectReport, now: TimePoint) -> bool {
         let age_ms = report.age.as_millis() as u64;
         let seen_at = TimePoint::from_millis(now.as_millis().saturating_sub(age_ms));
         self.drop_expired(now);
         match &report.event {
-            PartEvent::Crash { crash, parts } => {
+            SuspectEvent::Crash { crash, running } => {
                 let record = self
                     .crashes
                     .entry(crash.clone())
                     .or_insert_with(|| CrashRecord {
                         seen_at,
-                        parts: IndexMap::new(),
+                        running: IndexMap::new(),
                     });
                 record.seen_at = record.seen_at.min(seen_at);
-                for running in parts.iter().take(MAX_CRASH_PARTS) {
-                    *record.parts.entry(running.part).or_default() |= running.proven;
+                for running in running.iter().take(MAX_RUNNING) {
+                    *record.running.entry(running.suspect).or_default() |= running.proven;
                 }
                 while self.crashes.len() > MAX_CRASHES {
                     self.crashes.shift_remove_index(0);
                 }
                 self.refuse_blamed(now)
             }
-            PartEvent::Completed { parts } => {
+            SuspectEvent::Completed { suspects } => {
                 let mut changed = false;
-                for part in parts {
-                    changed |= self.record_completed(*part, seen_at);
+                for suspect in suspects {
+                    changed |= self.record_completed(*suspect, seen_at);
                 }
                 changed
             }
         }
     }
 
-    fn record_completed(&mut self, part: PartId, at: TimePoint) -> bool {
-        if !self.is_suspected(part) && !self.refusals.contains_key(&part) {
+    fn record_completed(&mut self, suspect: CrashSuspect, at: TimePoint) -> bool {
+        if !self.is_suspected(suspect) && !self.refusals.contains_key(&suspect) {
             return false;
         }
-        let completed_at = self.completed_at.entry(part).or_insert(at);
+        let completed_at = self.completed_at.entry(suspect).or_insert(at);
         *completed_at = at.max(*completed_at);
-        let is_cleared = |refusal: &PartRefusal| refusal.crashed_at < at;
-        if self.refusals.get(&part).is_some_and(is_cleared) {
-            self.refusals.shift_remove(&part);
+        let is_cleared = |refusal: &SuspectRefusal| refusal.crashed_at < at;
+        if self.refusals.get(&suspect).is_some_and(is_cleared) {
+            self.refusals.shift_remove(&suspect);
             return true;
         }
         false
     }
 
-    fn is_suspected(&self, part: PartId) -> bool {
+    fn is_suspected(&self, suspect: CrashSuspect) -> bool {
         let mut crashes = self.crashes.values();
-        crashes.any(|crash| crash.parts.contains_key(&part))
+        crashes.any(|crash| crash.running.contains_key(&suspect))
     }
 
-    /// Refuses the parts that enough crashes are blamed on.
+    /// Refuses the suspects that enough crashes are blamed on.
     fn refuse_blamed(&mut self, now: TimePoint) -> bool {
-        let mut blamed: IndexMap<PartId, Vec<TimePoint>> = IndexMap::new();
+        let mut blamed: IndexMap<CrashSuspect, Vec<TimePoint>> = IndexMap::new();
         for crash in self.crashes.values() {
-            for part in self.blamed_parts(crash) {
-                blamed.entry(part).or_default().push(crash.seen_at);
+            for suspect in self.blamed_suspects(crash) {
+                blamed.entry(suspect).or_default().push(crash.seen_at);
             }
         }
         let mut changed = false;
-        for (part, mut crash_times) in blamed {
+        for (suspect, mut crash_times) in blamed {
             crash_times.sort_unstable();
             let Some(crashed_at) = crash_times.last().copied() else {
                 continue;
             };
-            if let Some(refusal) = self.refusals.get_mut(&part) {
+            if let Some(refusal) = self.refusals.get_mut(&suspect) {
                 refusal.crashed_at = refusal.crashed_at.max(crashed_at);
             } else if self.explains(&crash_times) {
                 let trial_interval = self.settings.first_trial_after;
-                let refusal = PartRefusal {
+                let refusal = SuspectRefusal {
                     crashed_at,
                     next_trial_at: now + trial_interval,
                     trial_interval,
                 };
-                self.refusals.insert(part, refusal);
+                self.refusals.insert(suspect, refusal);
                 changed = true;
             }
         }
         changed
     }
 
-    /// Whether a part that is blamed for crashes at these times, in order, explains enough of all
+    /// Whether a suspect that is blamed for crashes at these times, in order, explains enough of all
     /// crashes in the same time.
     fn explains(&self, crash_times: &[TimePoint]) -> bool {
         let [first, .., last] = crash_times else {
@@ -194,38 +196,38 @@
             && explained >= self.settings.least_crash_share
     }
 
-    /// Parts that ran during a crash and were answered neither shortly before nor after it.
-    fn blamed_parts(&self, crash: &CrashRecord) -> impl Iterator<Item = PartId> {
+    /// Suspects that ran during a crash and were answered neither shortly before nor after it.
+    fn blamed_suspects(&self, crash: &CrashRecord) -> impl Iterator<Item = CrashSuspect> {
         let window = self.settings.proven_window;
-        let parts = crash.parts.iter().filter(move |(part, proven)| {
-            let answered_at = self.completed_at.get(*part);
+        let suspects = crash.running.iter().filter(move |(suspect, proven)| {
+            let answered_at = self.completed_at.get(*suspect);
             !**proven && answered_at.is_none_or(|at| *at + window < crash.seen_at)
         });
-        parts.map(|(part, _)| *part)
+        suspects.map(|(suspect, _)| *suspect)
     }
 
-    /// Parts that are refused or suspected, and the trials that an entry may make now. `wanted` are
-    /// the refused parts of requests that the entry has refused lately.
-    pub fn verdicts(&mut self, wanted: &[PartId], now: TimePoint) -> PartVerdicts {
+    /// Suspects that are refused or not, and the trials that an entry may make now. `wanted` are the
+    /// refused suspects of requests that the entry has refused lately.
+    pub fn verdicts(&mut self, wanted: &[CrashSuspect], now: TimePoint) -> SuspectVerdicts {
         self.drop_expired(now);
         let mut trials = Vec::new();
-        for part in wanted {
-            let Some(refusal) = self.refusals.get_mut(part) else {
+        for suspect in wanted {
+            let Some(refusal) = self.refusals.get_mut(suspect) else {
                 continue;
             };
             if refusal.next_trial_at <= now {
                 let next = refusal.trial_interval * self.settings.trial_backoff;
                 refusal.trial_interval = next.min(self.settings.max_trial_interval);
                 refusal.next_trial_at = now + refusal.trial_interval;
-                trials.push(*part);
+                trials.push(*suspect);
             }
         }
         let crashes = self.crashes.values().rev();
-        let suspected: IndexSet<PartId> = crashes
-            .flat_map(|crash| self.blamed_parts(crash))
+        let suspected: IndexSet<CrashSuspect> = crashes
+            .flat_map(|crash| self.blamed_suspects(crash))
             .take(MAX_SUSPECTED)
             .collect();
-        PartVerdicts {
+        SuspectVerdicts {
             refused: self.refusals.keys().copied().collect(),
             suspected: suspected.into_iter().collect(),
             trials,
@@ -244,10 +246,11 @@
             return;
         }
         let crashes = self.crashes.values();
-        let mut watched: IndexSet<PartId> = crashes
-            .flat_map(|crash| crash.parts.keys().copied())
+        let mut watched: IndexSet<CrashSuspect> = crashes
+            .flat_map(|crash| crash.running.keys().copied())
             .collect();
         watched.extend(self.refusals.keys().copied());
-        self.completed_at.retain(|part, _| watched.contains(part));
+        self.completed_at
+            .retain(|suspect, _| watched.contains(suspect));
     }
 }
--- a/crates/oriolecrank-routing/tests/routing/part_quarantine.rs
+++ b/crates/oriolecrank-routing/tests/routing/suspect_quarantine.rs
@@ -3,48 +3,54 @@
 use std::time::Duration;
 
 use oriolecrank_routing::{
-    CrashId, PartEvent, PartId, PartQuarantine, PartReport, PartWatch, QuarantineSettings,
-    RunningPart, UpstreamName,
+    CrashId, CrashSuspect, PartId, QuarantineSettings, RunningSuspect, SuspectEvent,
+    SuspectQuarantine, SuspectReport, SuspectWatch, UpstreamName,
 };
 use oriolecrank_schema::TimePoint;
 
 /// Part that crashes each upstream that begins to answer on it.
-const CRASHING: PartId = PartId(666);
+const CRASHING: CrashSuspect = part(666);
 
 /// Part that all requests share.
-const COMMON: PartId = PartId(1);
+const COMMON: CrashSuspect = part(1);
+
+const fn part(id: u64) -> CrashSuspect {
+    CrashSuspect::Part(PartId(id))
+}
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::from_millis(millis)
 }
 
-fn crash(number: u64, parts: &[(PartId, bool)]) -> PartReport {
-    let parts = parts.iter().map(|(part, proven)| RunningPart {
-        part: *part,
+fn crash(number: u64, parts: &[(CrashSuspect, bool)]) -> SuspectReport {
+    let running = parts.iter().map(|(suspect, proven)| RunningSuspect {
+        suspect: *suspect,
         proven: *proven,
     });
-    PartReport {
-        event: PartEvent::Crash {
+    SuspectReport {
+        event: SuspectEvent::Crash {
             crash: CrashId {
                 upstream: UpstreamName::from(format!("engine-{number}")),
                 started_ms: number,
             },
-            parts: parts.collect(),
+            running: running.collect(),
         },
         age: Duration::ZERO,
     }
 }
 
-fn completed(part: PartId) -> PartReport {
-    PartReport {
-        event: PartEvent::Completed { parts: vec![part] },
+fn completed(part: CrashSuspect) -> SuspectReport {
+    SuspectReport {
+        event: SuspectEvent::Completed {
+            suspects: vec![part],
+        },
         age: Duration::ZERO,
     }
 }
 
 /// A quarantine with three crashes that are blamed on [`CRASHING`].
-fn quarantine_of_crashing_part() -> PartQuarantine {
-    let mut quarantine = PartQuarantine::default();
+fn quarantine_of_crashing_part() -> SuspectQuarantine {
+    let mut quarantine = SuspectQuarantine::default();
     for number in 0..3 {
         let report = crash(number, &[(COMMON, true), (CRASHING, false)]);
         let changed = quarantine.record(&report, at(10_000 + number * 100));
@@ -53,7 +59,7 @@
     quarantine
 }
 
-fn refused(quarantine: &mut PartQuarantine, now: TimePoint) -> Vec<PartId> {
+fn refused(quarantine: &mut SuspectQuarantine, now: TimePoint) -> Vec<CrashSuspect> {
     quarantine.verdicts(&[], now).refused
 }
 
@@ -69,7 +75,7 @@
 /// them reports it to several control instances.
 #[test]
 fn one_crash_counts_once() {
-    let mut quarantine = PartQuarantine::default();
+    let mut quarantine = SuspectQuarantine::default();
     for _ in 0..5 {
         quarantine.record(&crash(7, &[(CRASHING, false)]), at(10_000));
     }
@@ -80,8 +86,8 @@
 /// many requests run on them.
 #[test]
 fn crashes_of_all_upstreams_at_once_refuse_no_part_that_was_answered() {
-    let mut quarantine = PartQuarantine::default();
-    let parts: Vec<(PartId, bool)> = (0..100).map(|part| (PartId(part), true)).collect();
+    let mut quarantine = SuspectQuarantine::default();
+    let parts: Vec<(CrashSuspect, bool)> = (0..100).map(|id| (part(id), true)).collect();
     for number in 0..8 {
         quarantine.record(&crash(number, &parts), at(10_000 + number));
     }
@@ -92,10 +98,10 @@
 /// another reason.
 #[test]
 fn a_rare_part_that_runs_during_few_of_many_crashes_is_not_refused() {
-    let mut quarantine = PartQuarantine::default();
-    let rare = PartId(5);
+    let mut quarantine = SuspectQuarantine::default();
+    let rare = part(5);
     for number in 0..12 {
-        let other = PartId(100 + number);
+        let other = part(100 + number);
         let mut parts = vec![(other, false)];
         if number % 4 == 0 {
             parts.push((rare, false));
@@ -108,22 +114,19 @@
 /// Guards against two parts that crash upstreams at the same time and hide each other.
 #[test]
 fn two_parts_that_crash_upstreams_in_turn_are_both_refused() {
-    let mut quarantine = PartQuarantine::default();
+    let mut quarantine = SuspectQuarantine::default();
     for number in 0..8 {
-        let part = PartId(600 + number % 2);
+        let part = part(600 + number % 2);
         quarantine.record(&crash(number, &[(part, false)]), at(10_000 + number * 100));
     }
-    assert_eq!(
-        refused(&mut quarantine, at(11_000)),
-        [PartId(600), PartId(601)]
-    );
+    assert_eq!(refused(&mut quarantine, at(11_000)), [part(600), part(601)]);
 }
 
 /// Guards against a sound part that is refused although another entry has had answers on it.
 #[test]
 fn an_answer_at_any_entry_clears_earlier_crashes() {
-    let mut quarantine = PartQuarantine::default();
-    let part = PartId(5);
+    let mut quarantine = SuspectQuarantine::default();
+    let part = part(5);
     quarantine.record(&crash(1, &[(part, false)]), at(10_000));
     quarantine.record(&crash(2, &[(part, false)]), at(10_100));
     quarantine.record(&completed(part), at(10_200));
@@ -185,9 +188,9 @@
 #[test]
 fn an_entry_refuses_requests_with_the_part_and_uses_a_trial_once() {
     let mut quarantine = quarantine_of_crashing_part();
-    let mut watch = PartWatch::default();
+    let mut watch = SuspectWatch::default();
     watch.set_verdicts(quarantine.verdicts(&[], at(10_300)), at(10_300));
-    assert!(watch.check(&[COMMON, PartId(9)], at(10_300)).is_ok());
+    assert!(watch.check(&[COMMON, part(9)], at(10_300)).is_ok());
     assert!(watch.check(&[COMMON, CRASHING], at(10_300)).is_err());
     assert_eq!(watch.wanted(at(10_400)), [CRASHING]);
     let verdicts = quarantine.verdicts(&[CRASHING], at(16_000));
@@ -200,7 +203,7 @@
 /// before, and against answers that an entry does not report although their part is suspected.
 #[test]
 fn an_entry_reports_which_parts_it_has_had_answers_on() {
-    let mut watch = PartWatch::default();
+    let mut watch = SuspectWatch::default();
     watch.record_completed(&[COMMON], at(9_000));
     let id = CrashId {
         upstream: UpstreamName::from("engine".to_owned()),
@@ -208,20 +211,20 @@
     };
     watch.record_crash(id, [COMMON, CRASHING], at(10_000));
     let reports = watch.reports_since(0, at(10_000));
-    let PartEvent::Crash { parts, .. } = &reports[0].event else {
+    let SuspectEvent::Crash { running, .. } = &reports[0].event else {
         panic!("{reports:?}");
     };
-    let proven: Vec<PartId> = parts
+    let proven: Vec<CrashSuspect> = running
         .iter()
         .filter(|running| running.proven)
-        .map(|running| running.part)
+        .map(|running| running.suspect)
         .collect();
     assert_eq!(proven, [COMMON]);
     let sequence = watch.newest_sequence();
-    let mut other = PartWatch::default();
-    other.record_completed(&[PartId(5)], at(9_500));
-    let mut quarantine = PartQuarantine::default();
-    quarantine.record(&crash(1, &[(PartId(5), false)]), at(10_000));
+    let mut other = SuspectWatch::default();
+    other.record_completed(&[part(5)], at(9_500));
+    let mut quarantine = SuspectQuarantine::default();
+    quarantine.record(&crash(1, &[(part(5), false)]), at(10_000));
     other.set_verdicts(quarantine.verdicts(&[], at(10_000)), at(10_000));
     for report in other.reports_since(0, at(10_100)) {
         quarantine.record(&report, at(10_100));
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -66,8 +66,8 @@
     UsageReportFailed = 220, "A batch of usage records was not acknowledged; it is sent again.";
     UsageDropped = 221, "Usage records were dropped, because too many were waiting or they were not acknowledged before the process ended.";
     FieldNotSent = 222, "A name from the settings or the document cannot be sent in a header field; the field is left out.";
-    PartsRefused = 223, "The prompt parts that an entry refuses because they crash upstreams have changed.";
-    PartTried = 224, "An entry sends one request with a refused prompt part, to find out whether the part still crashes upstreams.";
+    RefusalsChanged = 223, "The prompt parts and requests that an entry refuses because they crash upstreams have changed.";
+    SuspectTried = 224, "An entry sends one request that was refused because it or a prompt part crashes upstreams, to find out whether it still does.";
     UpstreamAnnounced = 300, "An upstream was announced to the control group.";
     AnnounceFailed = 301, "An announcement could not be delivered; it is repeated.";
     AgentSuperseded = 302, "A newer agent for the same upstream exists; this one refuses orders and requests.";
