Refuse plain requests that crash one upstream after the other

Callers of a plain service got 502 and 503 for seconds, again and again. One request ended each server that began to run it; entries retried it at the next server, and its callers sent it again with a new id as soon as servers were back.

Cause: what ran on an upstream when it crashed was remembered by prompt part only, so a request without a prompt was neither reported nor refused.

The whole request is now a suspect like a prompt part, recognised by its fingerprint, on plain routes and engine routes. Reports, the leader's quarantine and trials are the same for both. A request need not explain half of all crashes, because refusing it by mistake concerns no other one; crashes of plain upstreams do not count against a part. A complete answer proves the request sound unless it is a server error, which a failing server may send before it begins.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -32,12 +32,17 @@
             let time_left = self.request.deadline.since(current_time());
             let status = response.status();
             let fields = self.shared.dialect.answer_fields(response.headers());
+            let explicit_end = has_explicit_end(response.headers());
             let limit = idle_limit(&head);
             let memory = &self.shared.answer_memory;
             match memory.read(&mut response, time_left).await {
                 Ok(body) => {
                     response.recycle_with_idle_limit(limit);
                     let now = current_time();
+                    // A failing server may answer before it begins to run the request.
+                    if explicit_end && !status.is_server_error() {
+                        self.record_complete_answer();
+                    }
                     attempt.record_completion(now);
                     attempt.record_outcome(UpstreamOutcome::Answered, now);
                     let mut answer = Response::new(AnswerBody::full(body));
--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -68,6 +68,17 @@
     pub(crate) target_time: TimePoint,
 }
 
+impl CallerRequest {
+    /// What may be the cause if upstreams crash while they run the request.
+    fn suspects(&self) -> Vec<CrashSuspect> {
+        let parts = self.head.prompt.as_ref().map(PromptShape::shared_parts);
+        let parts = parts.into_iter().flatten().map(CrashSuspect::Part);
+        parts
+            .chain([CrashSuspect::Request(self.fingerprint)])
+            .collect()
+    }
+}
+
 /// An upstream's answer whose head has arrived and whose body has not been read.
 #[derive(Debug)]
 pub(crate) struct StartedAnswer<D> {
@@ -262,7 +273,7 @@
     ) -> Result<(Option<RunningAttempt<D>>, RunningAttempt<D>), CallFailure> {
         let request = &self.request;
         let now = current_time();
-        self.check_parts(now)?;
+        self.check_suspects(now)?;
         let choice_request = self.choice_request(resume_after, now);
         let chosen = self.shared.with_service(&request.service, |state| {
             state.chooser.choose(&choice_request, now, &mut rand::rng())
@@ -311,43 +322,42 @@
         ))
     }
 
-    /// Fails if the prompt has a part that is refused because it crashes upstreams.
-    fn check_parts(&self, now: TimePoint) -> Result<(), CallFailure> {
-        let Some(prompt) = &self.request.head.prompt else {
+    /// Fails if the request or a part of its prompt is refused because it crashes upstreams.
+    fn check_suspects(&self, now: TimePoint) -> Result<(), CallFailure> {
+        let suspects = self.request.suspects();
+        let checked = self.shared.lock_suspect_watch().check(&suspects, now);
+        let Err(refusal) = checked else {
             return Ok(());
         };
-        let checked = self
-            .shared
-            .lock_suspect_watch()
-            .check(&part_suspects(prompt), now);
-        let Err(retry_after) = checked else {
-            return Ok(());
-        };
-        self.shared.metrics.count_refused_part();
+        self.shared.metrics.count_refused_suspect(refusal.suspect);
+        tracing::info!(
+            event = LogEvent::RequestRefused.number(),
+            request = self.request.head.request_id,
+            fingerprint = %self.request.fingerprint,
+            suspect = ?refusal.suspect,
+            "a request is refused because it crashes upstreams"
+        );
         if self.may_have_run {
             return Err(self.call_failure());
         }
-        Err(CallFailure::NotRun { retry_after })
+        Err(CallFailure::NotRun {
+            retry_after: refusal.retry_after,
+        })
     }
 
     /// Records that an attempt broke off after the request was sent, perhaps because the upstream
     /// has crashed.
     pub(crate) fn record_broken_attempt(&self, attempt: &RunningAttempt<D>) {
         let upstream = &attempt.chosen.announcement;
-        let prompt = self.request.head.prompt.as_ref();
-        let parts = prompt.map(PromptShape::shared_parts).unwrap_or_default();
         self.shared
-            .record_broken_attempt(upstream, self.request.fingerprint, parts);
+            .record_broken_attempt(upstream, self.request.suspects());
     }
 
-    /// Records a complete answer, which proves the parts of the prompt sound.
+    /// Records a complete answer, which proves the request and the parts of its prompt sound.
     pub(crate) fn record_complete_answer(&self) {
-        if let Some(prompt) = &self.request.head.prompt {
-            let suspects = part_suspects(prompt);
-            self.shared
-                .lock_suspect_watch()
-                .record_completed(&suspects, current_time());
-        }
+        self.shared
+            .lock_suspect_watch()
+            .record_completed(&self.request.suspects(), current_time());
     }
 
     fn no_upstream_failure(&self, reason: NoUpstream) -> CallFailure {
@@ -564,12 +574,6 @@
     }
 }
 
-/// Prompt parts that may crash upstreams.
-fn part_suspects(prompt: &PromptShape) -> Vec<CrashSuspect> {
-    let parts = prompt.shared_parts().into_iter();
-    parts.map(CrashSuspect::Part).collect()
-}
-
 /// Failure for a request that no upstream has run or will run. The caller may retry after `wait`
 /// plus a random delay.
 pub(crate) fn refusal(wait: Duration) -> CallFailure {
--- a/crates/oriolecrank-gateway/src/entry_metrics.rs
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oriolecrank_routing::{CallKind, NoUpstream};
+use oriolecrank_routing::{CallKind, CrashSuspect, NoUpstream};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -180,8 +180,11 @@
     }
 
     /// Counts a request that was refused because a part of its prompt crashes upstreams.
-    pub(crate) fn count_refused_part(&self) {
-        let outcome = "crashing_part";
+    pub(crate) fn count_refused_suspect(&self, suspect: CrashSuspect) {
+        let outcome = match suspect {
+            CrashSuspect::Part(_) => "crashing_part",
+            CrashSuspect::Request(_) => "crashing_request",
+        };
         self.refusals.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
--- a/crates/oriolecrank-routing/src/suspect_quarantine.rs
+++ b/crates/oriolecrank-routing/src/suspect_quarantine.rs
@@ -2,10 +2,11 @@
 //!
 //! Many requests run on an upstream when it crashes, and one report cannot tell which of them was
 //! the cause. A suspect is refused once it ran during several crashes without a complete answer
-//! shortly before, in between or after, and if these are at least half of all crashes in that time.
-//! A prompt part that many requests share is among the running ones at each crash, but is answered
-//! all the time. A rare part runs during some of many crashes that have another reason, but not
-//! during most of them.
+//! shortly before, in between or after. A prompt part that many requests share is among the running
+//! ones at each crash, but is answered all the time. A rare part runs during some of many crashes
+//! that have another reason, but not during most of them: a part must also explain at least half of
+//! the crashes of engines in that time. A whole request comes again too seldom for that, and
+//! refusing it by mistake concerns no other request.
 //!
 //! A refused suspect is tried again with single requests at growing intervals, and is accepted after
 //! the first complete answer.
@@ -16,7 +17,9 @@
 use oriolecrank_schema::TimePoint;
 
 use crate::crash_suspect::CrashSuspect;
-use crate::suspect_report::{CrashId, PROVEN_WINDOW, SuspectEvent, SuspectReport, SuspectVerdicts};
+use crate::suspect_report::{
+    CrashId, PROVEN_WINDOW, RunningSuspect, SuspectEvent, SuspectReport, SuspectVerdicts,
+};
 
 /// Settings of a [`SuspectQuarantine`].
 #[derive(Debug, Clone, PartialEq)]
@@ -24,8 +27,8 @@
     /// Number of crashes without a complete answer in between after which a suspect is
     /// refused.
     pub refuse_after_crashes: usize,
-    /// Least share of the crashes between the first and the last one of a suspect that it must
-    /// explain. A rare part runs during some of many crashes by chance.
+    /// Least share of the crashes of engines between the first and the last one of a prompt part that
+    /// the part must explain. A rare part runs during some of many crashes by chance.
     pub least_crash_share: f64,
     /// Time for which a crash counts.
     pub crash_retention: Duration,
@@ -46,7 +49,7 @@
         Self {
             // Two crashes in a row have a suspect in common by chance.
             refuse_after_crashes: 3,
-            // Two suspects that crash upstreams at the same time are still recognised.
+            // Two parts that crash upstreams at the same time are still recognised.
             least_crash_share: 0.5,
             crash_retention: Duration::from_mins(1),
             proven_window: PROVEN_WINDOW,
@@ -63,9 +66,13 @@
 /// Largest number of suspects of one crash; further ones are ignored.
 const MAX_RUNNING: usize = 1_024;
 
-/// Largest number of suspects in the verdicts; those of the newest crashes come first.
+/// Largest number of suspects in the verdicts; prompt parts come first, because requests share them,
+/// and then those of the newest crashes.
 const MAX_SUSPECTED: usize = 512;
 
+/// Largest number of refused suspects; the oldest are dropped first.
+const MAX_REFUSALS: usize = 256;
+
 /// Crashes, and the suspects that are refused because of them.
 #[derive(Debug, Default)]
 pub struct SuspectQuarantine {
@@ -83,6 +90,17 @@
     running: IndexMap<CrashSuspect, bool>,
 }
 
+impl CrashRecord {
+    /// Whether the upstream ran prompts.
+    fn is_engine(&self) -> bool {
+        self.running.keys().any(|suspect| is_part(*suspect))
+    }
+}
+
+const fn is_part(suspect: CrashSuspect) -> bool {
+    matches!(suspect, CrashSuspect::Part(_))
+}
+
 #[derive(Debug)]
 struct SuspectRefusal {
     /// Last crash that is blamed on the suspect.
@@ -122,7 +140,7 @@
                 while self.crashes.len() > MAX_CRASHES {
                     self.crashes.shift_remove_index(0);
                 }
-                self.refuse_blamed(now)
+                self.refuse_blamed(running, now)
             }
             SuspectEvent::Completed { suspects } => {
                 let mut changed = false;
@@ -153,23 +171,23 @@
         crashes.any(|crash| crash.running.contains_key(&suspect))
     }
 
-    /// Refuses the suspects that enough crashes are blamed on.
-    fn refuse_blamed(&mut self, now: TimePoint) -> bool {
-        let mut blamed: IndexMap<CrashSuspect, Vec<TimePoint>> = IndexMap::new();
-        for crash in self.crashes.values() {
-            for suspect in self.blamed_suspects(crash) {
-                blamed.entry(suspect).or_default().push(crash.seen_at);
-            }
-        }
+    /// Refuses those suspects of a newly reported crash that enough crashes are blamed on.
+    fn refuse_blamed(&mut self, reported: &[RunningSuspect], now: TimePoint) -> bool {
         let mut changed = false;
-        for (suspect, mut crash_times) in blamed {
+        for RunningSuspect { suspect, .. } in reported.iter().take(MAX_RUNNING) {
+            let suspect = *suspect;
+            let crashes = self.crashes.values();
+            let blamed = crashes.filter(|crash| self.is_blamed(suspect, crash));
+            let mut crash_times: Vec<TimePoint> = blamed.map(|crash| crash.seen_at).collect();
             crash_times.sort_unstable();
             let Some(crashed_at) = crash_times.last().copied() else {
                 continue;
             };
             if let Some(refusal) = self.refusals.get_mut(&suspect) {
                 refusal.crashed_at = refusal.crashed_at.max(crashed_at);
-            } else if self.explains(&crash_times) {
+            } else if crash_times.len() >= self.settings.refuse_after_crashes
+                && (!is_part(suspect) || self.explains(&crash_times))
+            {
                 let trial_interval = self.settings.first_trial_after;
                 let refusal = SuspectRefusal {
                     crashed_at,
@@ -180,30 +198,37 @@
                 changed = true;
             }
         }
+        let surplus = self.refusals.len().saturating_sub(MAX_REFUSALS);
+        self.refusals.drain(..surplus);
         changed
     }
 
-    /// Whether a suspect that is blamed for crashes at these times, in order, explains enough of all
-    /// crashes in the same time.
+    /// Whether a prompt part that is blamed for crashes at these times, in order, explains enough of
+    /// all crashes of engines in the same time.
     fn explains(&self, crash_times: &[TimePoint]) -> bool {
         let [first, .., last] = crash_times else {
             return false;
         };
-        let all = self.crashes.values();
+        let all = self.crashes.values().filter(|crash| crash.is_engine());
         let all = all.filter(|crash| crash.seen_at >= *first && crash.seen_at <= *last);
         let explained = crash_times.len() as f64 / all.count() as f64;
-        crash_times.len() >= self.settings.refuse_after_crashes
-            && explained >= self.settings.least_crash_share
+        explained >= self.settings.least_crash_share
     }
 
-    /// Suspects that ran during a crash and were answered neither shortly before nor after it.
-    fn blamed_suspects(&self, crash: &CrashRecord) -> impl Iterator<Item = CrashSuspect> {
+    /// Whether a suspect ran during a crash and was answered neither shortly before nor after it.
+    fn is_blamed(&self, suspect: CrashSuspect, crash: &CrashRecord) -> bool {
+        let answered_at = self.completed_at.get(&suspect);
         let window = self.settings.proven_window;
-        let suspects = crash.running.iter().filter(move |(suspect, proven)| {
-            let answered_at = self.completed_at.get(*suspect);
-            !**proven && answered_at.is_none_or(|at| *at + window < crash.seen_at)
-        });
-        suspects.map(|(suspect, _)| *suspect)
+        crash.running.get(&suspect) == Some(&false)
+            && answered_at.is_none_or(|at| *at + window < crash.seen_at)
+    }
+
+    /// Suspects that crashes are blamed on, newest first.
+    fn blamed_suspects(&self) -> impl Iterator<Item = CrashSuspect> {
+        self.crashes.values().rev().flat_map(|crash| {
+            let suspects = crash.running.keys().copied();
+            suspects.filter(|suspect| self.is_blamed(*suspect, crash))
+        })
     }
 
     /// Suspects that are refused or not, and the trials that an entry may make now. `wanted` are the
@@ -222,11 +247,9 @@
                 trials.push(*suspect);
             }
         }
-        let crashes = self.crashes.values().rev();
-        let suspected: IndexSet<CrashSuspect> = crashes
-            .flat_map(|crash| self.blamed_suspects(crash))
-            .take(MAX_SUSPECTED)
-            .collect();
+        let parts = self.blamed_suspects().filter(|suspect| is_part(*suspect));
+        let requests = self.blamed_suspects().filter(|suspect| !is_part(*suspect));
+        let suspected: IndexSet<CrashSuspect> = parts.chain(requests).take(MAX_SUSPECTED).collect();
         SuspectVerdicts {
             refused: self.refusals.keys().copied().collect(),
             suspected: suspected.into_iter().collect(),
--- a/crates/oriolecrank-routing/src/suspect_watch.rs
+++ b/crates/oriolecrank-routing/src/suspect_watch.rs
@@ -28,13 +28,22 @@
 /// gains nothing from more frequent attempts.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_secs(10);
 
-/// Largest number of suspects whose last answer is remembered; the oldest are dropped first.
+/// Largest number of suspects whose last answer is remembered; the oldest half is dropped beyond.
 const MAX_ANSWERED: usize = 16_384;
 
+/// Refusal of a request because it crashes upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SuspectRefusal {
+    /// Suspect of the request that is refused.
+    pub suspect: CrashSuspect,
+    /// Time after which the caller may come back.
+    pub retry_after: Duration,
+}
+
 /// State of an entry: its own reports and the verdicts of the leader.
 #[derive(Debug, Default)]
 pub struct SuspectWatch {
-    /// Last complete answer by suspect, oldest first.
+    /// Last complete answer by suspect, in the order in which they were first answered.
     answered_at: IndexMap<CrashSuspect, TimePoint>,
     /// Oldest first, with their sequence numbers.
     reports: VecDeque<(u64, TimePoint, SuspectEvent)>,
@@ -68,14 +77,9 @@
 
     /// Records a complete answer with these suspects. It is reported if one of them is suspected.
     pub fn record_completed(&mut self, suspects: &[CrashSuspect], now: TimePoint) {
-        for suspect in suspects {
-            // Entries stay ordered by time.
-            self.answered_at.shift_remove(suspect);
-            self.answered_at.insert(*suspect, now);
-        }
-        while self.answered_at.len() > MAX_ANSWERED {
-            self.answered_at.shift_remove_index(0);
-        }
+        self.answered_at
+            .extend(suspects.iter().map(|suspect| (*suspect, now)));
+        self.prune_answered(now);
         let watched = |suspect: &&CrashSuspect| {
             self.verdicts.suspected.contains(suspect) || self.verdicts.refused.contains(suspect)
         };
@@ -85,6 +89,16 @@
         }
     }
 
+    fn prune_answered(&mut self, now: TimePoint) {
+        if self.answered_at.len() <= MAX_ANSWERED {
+            return;
+        }
+        self.answered_at
+            .retain(|_, at| now.since(*at) <= PROVEN_WINDOW);
+        let surplus = self.answered_at.len().saturating_sub(MAX_ANSWERED / 2);
+        self.answered_at.drain(..surplus);
+    }
+
     /// Replaces the verdicts with those of the leader. Recent answers with suspects that are new
     /// are reported.
     pub fn set_verdicts(&mut self, verdicts: SuspectVerdicts, now: TimePoint) {
@@ -105,28 +119,41 @@
         }
     }
 
-    /// Refuses a request with a refused suspect, unless this entry may make a trial with it; returns
-    /// the time after which the caller may come back.
-    pub fn check(&mut self, suspects: &[CrashSuspect], now: TimePoint) -> Result<(), Duration> {
+    /// Refuses a request with a refused suspect, unless this entry may make a trial with all of them:
+    /// a trial of one says nothing if another one crashes the upstream.
+    pub fn check(
+        &mut self,
+        suspects: &[CrashSuspect],
+        now: TimePoint,
+    ) -> Result<(), SuspectRefusal> {
         let is_valid = self
             .verdicts_at
             .is_some_and(|at| now.since(at) <= VERDICT_RETENTION);
-        let mut refused = suspects
+        let refused = suspects
             .iter()
             .filter(|suspect| self.verdicts.refused.contains(suspect));
-        let Some(suspect) = refused.next().filter(|_| is_valid) else {
+        let refused: Vec<CrashSuspect> = refused.copied().collect();
+        let Some(suspect) = refused.first().copied().filter(|_| is_valid) else {
             return Ok(());
         };
-        // A trial of one suspect says nothing if another one crashes the upstream.
-        if refused.next().is_some() {
-            return Err(REFUSED_RETRY_AFTER);
+        self.trials.retain(|_, valid_until| now <= *valid_until);
+        let is_trial = refused
+            .iter()
+            .all(|suspect| self.trials.contains_key(suspect));
+        for suspect in refused {
+            if is_trial {
+                self.trials.shift_remove(&suspect);
+            } else {
+                self.demanded_at.insert(suspect, now);
+            }
         }
-        let trial = self.trials.shift_remove(suspect);
-        if trial.is_some_and(|valid_until| now <= valid_until) {
+        if is_trial {
             return Ok(());
         }
-        self.demanded_at.insert(*suspect, now);
-        Err(REFUSED_RETRY_AFTER)
+        Err(SuspectRefusal {
+            suspect,
+            retry_after: REFUSED_RETRY_AFTER,
+        })
     }
 
     /// Suspects that are refused.
--- a/crates/oriolecrank-routing/tests/routing/suspect_quarantine.rs
+++ b/crates/oriolecrank-routing/tests/routing/suspect_quarantine.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use oriolecrank_routing::{
-    CrashId, CrashSuspect, PartId, QuarantineSettings, RunningSuspect, SuspectEvent,
-    SuspectQuarantine, SuspectReport, SuspectWatch, UpstreamName,
+    CrashId, CrashSuspect, PartId, QuarantineSettings, RequestContent, RequestFingerprint,
+    RunningSuspect, SuspectEvent, SuspectQuarantine, SuspectReport, SuspectWatch, UpstreamName,
 };
 use oriolecrank_schema::TimePoint;
 
@@ -18,6 +18,17 @@
     CrashSuspect::Part(PartId(id))
 }
 
+fn request(body: &str) -> CrashSuspect {
+    CrashSuspect::Request(RequestFingerprint::from(&RequestContent {
+        organisation: None,
+        method: "POST",
+        host: "h.example",
+        target: "/",
+        prompt: None,
+        body: body.as_bytes(),
+    }))
+}
+
 fn at(millis: u64) -> TimePoint {
     TimePoint::from_millis(millis)
 }
@@ -232,3 +243,119 @@
     assert!(quarantine.verdicts(&[], at(10_100)).suspected.is_empty());
     assert!(watch.reports_since(sequence, at(10_200)).is_empty());
 }
+
+/// Guards against a request that is not refused because upstreams of other services crash for other
+/// reasons at the same time, or because several such requests crash upstreams in turn.
+#[test]
+fn requests_that_crash_upstreams_are_refused_beside_other_crashes() {
+    let mut quarantine = SuspectQuarantine::default();
+    let crashing = ["first", "second", "third"].map(request);
+    for number in 0..9 {
+        let suspect = crashing[number as usize % 3];
+        let other = request(&number.to_string());
+        let report = crash(number, &[(suspect, false), (other, false)]);
+        quarantine.record(&report, at(10_000 + number * 100));
+        let report = crash(100 + number, &[(part(number), false)]);
+        quarantine.record(&report, at(10_050 + number * 100));
+    }
+    assert_eq!(refused(&mut quarantine, at(11_000)), crashing);
+}
+
+/// Guards against crashes of plain services that make a prompt part explain too few of all crashes.
+#[test]
+fn crashes_of_plain_upstreams_do_not_hide_a_crashing_part() {
+    let mut quarantine = SuspectQuarantine::default();
+    for number in 0..12 {
+        let running = if number % 4 == 0 {
+            [(CRASHING, false), (request("prompt"), true)]
+        } else {
+            let body = number.to_string();
+            [(request(&body), false), (request("often answered"), true)]
+        };
+        quarantine.record(&crash(number, &running), at(10_000 + number * 100));
+    }
+    assert_eq!(refused(&mut quarantine, at(12_000)), [CRASHING]);
+}
+
+/// Guards against a sound request that is refused because it ran beside a crashing one three times,
+/// although it was answered afterwards.
+#[test]
+fn a_request_that_ran_beside_three_crashes_is_accepted_after_an_answer() {
+    let mut quarantine = SuspectQuarantine::default();
+    let (crashing, sound) = (request("crashing"), request("sound"));
+    for number in 0..3 {
+        let running = [(crashing, false), (sound, false)];
+        quarantine.record(&crash(number, &running), at(10_000 + number * 100));
+    }
+    assert_eq!(refused(&mut quarantine, at(10_300)), [crashing, sound]);
+    let verdicts = quarantine.verdicts(&[sound], at(16_000));
+    assert_eq!(verdicts.trials, [sound]);
+    let answer = SuspectEvent::Completed {
+        suspects: vec![sound],
+    };
+    let report = SuspectReport {
+        event: answer,
+        age: Duration::ZERO,
+    };
+    assert!(quarantine.record(&report, at(16_100)));
+    assert_eq!(refused(&mut quarantine, at(16_200)), [crashing]);
+}
+
+/// Guards against a request that can never be tried because a part of its prompt is refused as well,
+/// and against one that is tried without a grant for each of them.
+#[test]
+fn a_trial_needs_a_grant_for_each_refused_suspect() {
+    let whole = request("prompt");
+    let mut quarantine = SuspectQuarantine::default();
+    for number in 0..3 {
+        let running = [(CRASHING, false), (whole, false)];
+        quarantine.record(&crash(number, &running), at(10_000 + number * 100));
+    }
+    let mut watch = SuspectWatch::default();
+    watch.set_verdicts(quarantine.verdicts(&[], at(10_300)), at(10_300));
+    assert!(watch.check(&[CRASHING, whole], at(10_400)).is_err());
+    assert_eq!(watch.wanted(at(10_400)), [CRASHING, whole]);
+    watch.set_verdicts(quarantine.verdicts(&[CRASHING], at(16_000)), at(16_000));
+    assert!(watch.check(&[CRASHING, whole], at(16_000)).is_err());
+    watch.set_verdicts(quarantine.verdicts(&[whole], at(16_100)), at(16_100));
+    assert!(watch.check(&[CRASHING, whole], at(16_200)).is_ok());
+    assert!(watch.check(&[CRASHING, whole], at(16_300)).is_err());
+}
+
+/// Guards against a request that a new leader lets through because only its predecessor had the
+/// reports.
+#[test]
+fn a_new_leader_learns_of_earlier_crashes_from_the_entries() {
+    let crashing = request("crashing");
+    let mut watches = [SuspectWatch::default(), SuspectWatch::default()];
+    for number in 0..3 {
+        let id = CrashId {
+            upstream: UpstreamName::from(format!("server-{number}")),
+            started_ms: 1,
+        };
+        let watch = &mut watches[number % 2];
+        watch.record_crash(id, [crashing], at(10_000 + number as u64 * 100));
+    }
+    let mut successor = SuspectQuarantine::default();
+    for watch in &mut watches {
+        for report in watch.reports_since(0, at(30_000)) {
+            successor.record(&report, at(30_000));
+        }
+    }
+    assert_eq!(refused(&mut successor, at(30_000)), [crashing]);
+}
+
+/// Guards against verdicts that grow with the number of requests that were ever refused.
+#[test]
+fn the_number_of_refused_suspects_is_limited() {
+    let mut quarantine = SuspectQuarantine::default();
+    let running: Vec<_> = (0..400)
+        .map(|number| (request(&number.to_string()), false))
+        .collect();
+    for number in 0..3 {
+        quarantine.record(&crash(number, &running), at(10_000 + number * 100));
+    }
+    let refused = refused(&mut quarantine, at(11_000));
+    assert_eq!(refused.len(), 256);
+    assert_eq!(refused.last(), running.last().map(|(suspect, _)| suspect));
+}
