Recognise a crash whose upstream listens again at once

Cause: a refused connection was the only sign of a crash, and it is missing after a restart within some 30 ms, or if a supervisor keeps the socket. If the connection is accepted, the entry now waits up to 2 s for the announcement of a later incarnation of the upstream, or of its service at the address. Connections that break on the network still blame nothing.

--- a/crates/oriolecrank-gateway/src/crash_probe.rs
+++ b/crates/oriolecrank-gateway/src/crash_probe.rs
@@ -1,7 +1,7 @@
 //! Finds out whether an upstream whose connections broke has crashed.
 //!
-//! Connections also break on a fault of the network. Only after a crash does the upstream's machine
-//! refuse new connections.
+//! Connections also break on a fault of the network. After a crash, the upstream's machine refuses
+//! new connections until the upstream is back, which then announces itself as a new incarnation.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -23,6 +23,14 @@
 /// Timeout of the connection. A crashed process refuses within a round trip.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time for which the announcement of a new incarnation is awaited if the upstream accepts the
+/// connection. Upstreams announce themselves when they start, and entries learn of it within a
+/// second.
+const RESTART_WINDOW: Duration = Duration::from_secs(2);
+
+/// Time between two looks for a new incarnation.
+const RESTART_POLL_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Largest number of fingerprints in the log line of a crash.
 const MAX_LOGGED_FINGERPRINTS: usize = 16;
 
@@ -63,10 +71,11 @@
         tokio::spawn(Arc::clone(self).test_upstream(crash, upstream.clone()));
     }
 
-    /// Reports a crash if the upstream refuses a connection.
+    /// Reports a crash if the upstream refuses a connection or is succeeded by a new incarnation.
     async fn test_upstream(self: Arc<Self>, crash: CrashId, upstream: UpstreamAnnouncement) {
         sleep(GATHER_TIME).await;
-        let has_crashed = refuses_connections(upstream.address).await;
+        let has_crashed =
+            refuses_connections(upstream.address).await || self.has_restarted(&upstream).await;
         let suspects = self.crash_probe.lock().shift_remove(&crash);
         let suspects = suspects.filter(|_| has_crashed).unwrap_or_default();
         if suspects.is_empty() {
@@ -89,6 +98,20 @@
         let now = BootClock.now();
         self.lock_suspect_watch().record_crash(crash, suspects, now);
     }
+
+    /// Waits until a new incarnation of the upstream is announced; false if none is in time.
+    async fn has_restarted(&self, upstream: &UpstreamAnnouncement) -> bool {
+        let deadline = BootClock.now() + RESTART_WINDOW;
+        loop {
+            if self.has_successor(upstream) {
+                return true;
+            }
+            if BootClock.now() >= deadline {
+                return false;
+            }
+            sleep(RESTART_POLL_INTERVAL).await;
+        }
+    }
 }
 
 async fn refuses_connections(address: SocketAddr) -> bool {
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -246,6 +246,12 @@
         }
     }
 
+    /// Whether a later incarnation of the upstream is known at its address.
+    pub(crate) fn has_successor(&self, upstream: &UpstreamAnnouncement) -> bool {
+        let tables = self.lock_tables();
+        tables.directory.has_successor(upstream)
+    }
+
     /// Number of known upstreams.
     pub(crate) fn upstream_count(&self) -> usize {
         let tables = self.lock_tables();
--- a/crates/oriolecrank-routing/src/upstream_directory.rs
+++ b/crates/oriolecrank-routing/src/upstream_directory.rs
@@ -275,6 +275,17 @@
         self.records.get(name)
     }
 
+    /// Whether a later incarnation of the upstream is known, or a later one of its service at its
+    /// address.
+    pub fn has_successor(&self, upstream: &UpstreamAnnouncement) -> bool {
+        self.records.values().any(|record| {
+            let other = &record.announcement;
+            other.service == upstream.service
+                && other.started_ms > upstream.started_ms
+                && (other.name == upstream.name || other.address == upstream.address)
+        })
+    }
+
     /// Records with an announcement passed on after `revision`.
     pub fn since(&self, revision: u64) -> impl Iterator<Item = &UpstreamRecord> {
         self.records
--- a/crates/oriolecrank-routing/tests/routing/upstream_directory.rs
+++ b/crates/oriolecrank-routing/tests/routing/upstream_directory.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use oriolecrank_routing::{
-    DirectorySettings, MergeEffect, UpstreamAnnouncement, UpstreamDirectory, UpstreamReadiness,
+    DirectorySettings, MergeEffect, ServiceName, UpstreamAnnouncement, UpstreamDirectory,
+    UpstreamReadiness,
 };
 use proptest::prelude::*;
 
@@ -169,3 +170,24 @@
         prop_assert_eq!(newest_upstream(&announcements), newest_upstream(&shuffled));
     }
 }
+
+/// Guards against a crash that goes unnoticed because the upstream was back before its connections
+/// were tested, and against another service at the address that is taken for the same upstream.
+#[test]
+fn only_a_later_incarnation_of_the_service_is_a_successor() {
+    let crashed = announcement("u", 5, 1);
+    let is_succeeded_by = |other: UpstreamAnnouncement| {
+        let mut directory = UpstreamDirectory::default();
+        directory.merge(crashed.clone(), at(0));
+        directory.merge(other, at(1));
+        directory.has_successor(&crashed)
+    };
+    assert!(is_succeeded_by(announcement("u", 6, 1)));
+    assert!(is_succeeded_by(announcement("v", 6, 1)));
+    assert!(!is_succeeded_by(announcement("u", 5, 2)));
+    assert!(!is_succeeded_by(announcement("v", 4, 1)));
+    assert!(!is_succeeded_by(UpstreamAnnouncement {
+        service: ServiceName::from("other"),
+        ..announcement("v", 6, 1)
+    }));
+}
