Log which limits of requests upstreams state in their answers

A server that had stated a limit of requests got many times more, and no line of any process mentions a limit, so that on-call engineers cannot tell whether it is read, divided wrongly or learned too late.

The adapter decodes the field into a statement of the answer: a limit, none, or unknown if another upstream answered or the number is malformed. The choice of upstreams does not depend on it yet.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -511,6 +511,7 @@
             .shared
             .dialect
             .decode_answer(response.status(), response.headers());
+        attempt.record_limit(head.limit);
         if head.not_run {
             let status = response.status();
             tracing::debug!(
--- a/crates/oriolecrank-gateway/src/dialect.rs
+++ b/crates/oriolecrank-gateway/src/dialect.rs
@@ -11,8 +11,8 @@
 use http_body_util::Full;
 use oriolecrank_net::AnswerBody;
 use oriolecrank_routing::{
-    OrganisationCounts, OrganisationName, PromptShape, RouteDocument, UpstreamAnnouncement,
-    UpstreamName, WindowNumber,
+    LimitStatement, OrganisationCounts, OrganisationName, PromptShape, RouteDocument,
+    UpstreamAnnouncement, UpstreamName, WindowNumber,
 };
 
 /// Decodes the route documents of a platform.
@@ -87,6 +87,8 @@
     pub request_id: Option<String>,
     /// Time for which the upstream keeps an idle connection open, if it states one.
     pub keep_alive: Option<Duration>,
+    /// What the upstream says about the requests that it takes.
+    pub limit: LimitStatement,
 }
 
 /// Why a request ends without an upstream's answer.
--- a/crates/oriolecrank-gateway/src/running_attempt.rs
+++ b/crates/oriolecrank-gateway/src/running_attempt.rs
@@ -5,7 +5,9 @@
 
 use oriolecrank_net::BootClock;
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
-use oriolecrank_routing::{CallKind, ChosenUpstream, OrganisationName, ServiceName};
+use oriolecrank_routing::{
+    CallKind, ChosenUpstream, LimitStatement, OrganisationName, ServiceName,
+};
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
 
@@ -103,6 +105,23 @@
         });
     }
 
+    /// Records what the answer says about the upstream's limit, and logs a change.
+    pub(crate) fn record_limit(&self, statement: LimitStatement) {
+        let name = &self.chosen.announcement.name;
+        let changed = self.shared.with_service(&self.service, |state| {
+            state.chooser.record_limit(name.as_str(), statement)
+        });
+        if changed {
+            tracing::info!(
+                event = LogEvent::LimitChanged.number(),
+                upstream = %name,
+                service = %self.service,
+                ?statement,
+                "an upstream states another limit than before"
+            );
+        }
+    }
+
     /// Whether the upstream has answered other requests of this entry since this one was sent. Such
     /// an upstream is slow or full, but has not failed.
     pub(crate) fn has_upstream_answered(&self) -> bool {
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -21,6 +21,7 @@
 use crate::names::{DomainName, UpstreamName};
 use crate::part_placement::{PartPlacements, PlacedParts};
 use crate::prompt_shape::PromptShape;
+use crate::request_rate::LimitStatement;
 use crate::route_document::EngineSpec;
 use crate::upstream_directory::{UpstreamAnnouncement, UpstreamReadiness};
 
@@ -473,6 +474,13 @@
         }
     }
 
+    /// Records what an answer of an upstream says about its limit; returns whether the limit has
+    /// changed.
+    pub fn record_limit(&mut self, name: &str, statement: LimitStatement) -> bool {
+        let upstream = self.upstreams.get_mut(name);
+        upstream.is_some_and(|upstream| upstream.record_limit(statement))
+    }
+
     /// Removes the load of a request that has ended. `service_time` is given for a plain request
     /// that was answered.
     pub fn finish(
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -9,6 +9,7 @@
 
 use crate::part_cache::PartCache;
 use crate::prompt_shape::PromptShape;
+use crate::request_rate::{LimitStatement, RequestRate};
 use crate::upstream_directory::UpstreamAnnouncement;
 
 /// Load of requests on an upstream, from one entry or summed over several.
@@ -203,6 +204,8 @@
     last_refusal: Option<TimePoint>,
     /// Mean prefill speed, in tokens per millisecond; at least 1 once observed.
     prefill_speed: f64,
+    /// Limit that the upstream has stated last; `None` if it takes as many requests as it can.
+    limit: Option<RequestRate>,
     /// Weight set by outlier ejection, between 0 (ejected) and 1.
     pub(crate) weight: f64,
 }
@@ -231,6 +234,7 @@
             last_answer: None,
             last_refusal: None,
             prefill_speed,
+            limit: None,
             weight: 1.0,
         }
     }
@@ -489,6 +493,16 @@
         self.last_refusal = Some(now);
     }
 
+    /// Records what an answer says about the limit; returns whether the limit has changed.
+    pub fn record_limit(&mut self, statement: LimitStatement) -> bool {
+        let limit = match statement {
+            LimitStatement::Unknown => return false,
+            LimitStatement::Unlimited => None,
+            LimitStatement::Limited(limit) => Some(limit),
+        };
+        std::mem::replace(&mut self.limit, limit) != limit
+    }
+
     /// Removes the load of a request that has ended.
     pub fn finish(&mut self, ticket: &DispatchTicket, now: TimePoint) {
         self.local_load = self.local_load.saturating_sub(ticket.load());
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -33,6 +33,7 @@
 mod part_placement;
 mod prompt_shape;
 mod request_fingerprint;
+mod request_rate;
 mod route_document;
 mod route_table;
 mod shared_retry_budget;
@@ -60,6 +61,7 @@
 pub use part_placement::{PartPlacements, PlacedParts, PlacementLog};
 pub use prompt_shape::{PartId, PromptPart, PromptShape};
 pub use request_fingerprint::{RequestContent, RequestFingerprint};
+pub use request_rate::{LimitStatement, RequestRate};
 pub use route_document::{
     CallKind, CallerLimits, DocumentError, EngineSpec, OrganisationKey, OrganisationSpec,
     RouteDocument, RouteSpec, ServiceShare, ServiceSpec,
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -68,6 +68,8 @@
     FieldNotSent = 222, "A name from the settings or the document cannot be sent in a header field; the field is left out.";
     RefusalsChanged = 223, "The prompt parts and requests that an entry refuses because they crash upstreams have changed.";
     SuspectTried = 224, "An entry sends one request that was refused because it or a prompt part crashes upstreams, to find out whether it still does.";
+    LimitChanged = 225, "An upstream states another limit of requests than before, or none any more.";
+    FieldIgnored = 226, "A header field of an upstream's answer cannot be decoded and is ignored.";
     UpstreamAnnounced = 300, "An upstream was announced to the control group.";
     AnnounceFailed = 301, "An announcement could not be delivered; it is repeated.";
     AgentSuperseded = 302, "A newer agent for the same upstream exists; this one refuses orders and requests.";
