Keep to the limits of requests that upstreams state

Callers saw nothing of it, but a server that asks for relief got none.

Cause: the field was not read. The arrivals by second do not change with the statement, which rules out a wrong division or a late start.

An entry keeps what the answers of an upstream state, refusals too. The entries divide the limit by the requests that each wants to send, sent or held back, which they report to the leader with their sync; without news of the others an entry takes an equal part. An upstream whose part is used up is left out of the choice, for requests, retries, resumed streams and prefills alike; if no other one takes the request, it is refused at once, and refused callers are asked to come back in turn. Urgent requests come first. An answer without a limit lifts it if its request was sent after the statement, and all entries learn of it; 0.2 requests a second are sent at least, so that the end of a limit near 0 is noticed. Equal parts were weighed and left: an upstream is used from its own region mostly, so that most of its limit would lie idle. 95% are used, because several entries may send at the same moment.

request_limit on loopback, two entries: limits of 0.01, 6 and 12 a second gave 128, 267 and 133 requests in 4 s, now at most the limit times 4 s plus 5, and 95% of the callers are served. Model of 8 and 33 entries (request_limits): the same bound, at least 80% of the limit used.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -234,6 +234,7 @@
             time_to_target: request.target_time.since(now),
             entries: self.shared.entry_count(),
             allow_remote_prefill: !self.may_have_prefilled && resume_after.is_none(),
+            priority: request.priority,
         }
     }
 
@@ -363,7 +364,7 @@
     fn no_upstream_failure(&self, reason: NoUpstream) -> CallFailure {
         match reason {
             _ if self.may_have_run => self.call_failure(),
-            NoUpstream::Full(wait) => refusal(wait),
+            NoUpstream::Full(wait) | NoUpstream::Limited(wait) => refusal(wait),
             NoUpstream::None => refusal(Duration::ZERO),
         }
     }
@@ -511,7 +512,7 @@
             .shared
             .dialect
             .decode_answer(response.status(), response.headers());
-        attempt.record_limit(head.limit);
+        attempt.record_limit(head.limit, current_time());
         if head.not_run {
             let status = response.status();
             tracing::debug!(
--- a/crates/oriolecrank-gateway/src/entry_metrics.rs
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -175,6 +175,7 @@
         let outcome = match reason {
             NoUpstream::None => "no_upstream",
             NoUpstream::Full(_) => "full",
+            NoUpstream::Limited(_) => "limited",
         };
         self.refusals.get_or_create(&OutcomeLabel { outcome }).inc();
     }
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -8,8 +8,8 @@
 use indexmap::IndexMap;
 use oriolecrank_net::{ClusterSecret, HttpClient};
 use oriolecrank_routing::{
-    CallerTimeoutRange, ChooserSettings, DirectChooser, EntryRun, OrganisationName, PartId,
-    PlacedParts, PlacementLog, RetryGrant, RouteTable, ServiceName, SharedRetryBudget,
+    CallerTimeoutRange, ChooserSettings, DirectChooser, EntryRun, LimitReport, OrganisationName,
+    PartId, PlacedParts, PlacementLog, RetryGrant, RouteTable, ServiceName, SharedRetryBudget,
     StoredDocument, SuspectVerdicts, SuspectWatch, UpstreamAnnouncement, UpstreamDirectory,
     UpstreamName, UsageCounter, WindowNumber,
 };
@@ -299,6 +299,44 @@
         }
     }
 
+    /// Limits that upstreams state, and the requests that this entry wants to send to them.
+    pub(crate) fn limit_reports(&self, now: TimePoint) -> Vec<LimitReport> {
+        let mut tables = self.lock_tables();
+        let services = tables.services.values_mut();
+        services
+            .flat_map(|state| state.chooser.limit_reports(now))
+            .collect()
+    }
+
+    /// Applies what the leader tells about limits, and logs those that have changed.
+    pub(crate) fn apply_limit_reports(&self, reports: &[LimitReport], now: TimePoint) {
+        let mut tables = self.lock_tables();
+        for report in reports {
+            let mut services = tables.services.values_mut();
+            if services.any(|state| {
+                state
+                    .chooser
+                    .apply_limit_report(report, now, &mut rand::rng())
+            }) {
+                tracing::info!(
+                    event = LogEvent::LimitChanged.number(),
+                    upstream = %report.upstream,
+                    statement = ?report.statement,
+                    age_ms = report.age.as_millis() as u64,
+                    "an upstream has stated another limit to another entry"
+                );
+            }
+        }
+    }
+
+    /// Records a message to an upstream that is not an attempt at a request.
+    pub(crate) fn record_extra_message(&self, address: SocketAddr, now: TimePoint) {
+        let mut tables = self.lock_tables();
+        for state in tables.services.values_mut() {
+            state.chooser.record_extra_message(address, now);
+        }
+    }
+
     /// Records that a request with a shared prompt part is sent to an upstream.
     pub(crate) fn record_placement(&self, part: PartId, upstream: &UpstreamName, now: TimePoint) {
         let source = self.options.run.run;
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -213,6 +213,7 @@
             directory_revision: self.cursor.directory_revision(),
             usage: self.cursor.unacknowledged(counts),
             loads: shared.local_loads(now),
+            limits: shared.limit_reports(now),
             placed,
             placement_sequence: self.placement_sequence,
             stopping: shared.is_stopping(),
@@ -242,6 +243,7 @@
         }
         shared.apply_announcements(answer.upstreams, now);
         shared.set_remote_loads(&answer.other_loads);
+        shared.apply_limit_reports(&answer.limits, now);
         shared.apply_placements(&answer.placed, now);
         self.placement_sequence = answer.placement_sequence;
         if let Some(verdicts) = answer.suspect_verdicts {
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -178,7 +178,9 @@
                 .placements
                 .since(seen.placement_sequence, Some(request.run.run))
         });
+        let limits = is_leader.then(|| tables.limits.reports_for(&request.run, now));
         SyncAnswer {
+            limits: limits.unwrap_or_default(),
             placed: placed.unwrap_or_default(),
             placement_sequence: tables.placements.newest_sequence(),
             document,
--- a/crates/oriolecrank-gateway/src/prefilled_prompt.rs
+++ b/crates/oriolecrank-gateway/src/prefilled_prompt.rs
@@ -5,6 +5,7 @@
 
 use crate::dialect::{CallerDialect, PromptHandle};
 use crate::entry_shared::EntryShared;
+use crate::running_attempt::current_time;
 
 /// Timeout of a release request.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -35,6 +36,8 @@
             return;
         }
         let request = self.shared.dialect.release_prompt(&self.handle);
+        let now = current_time();
+        self.shared.record_extra_message(self.handle.engine, now);
         let (client, engine) = (self.shared.client.clone(), self.handle.engine);
         tokio::spawn(async move {
             let error = match client.send(engine, request, RELEASE_TIMEOUT).await {
--- a/crates/oriolecrank-gateway/src/running_attempt.rs
+++ b/crates/oriolecrank-gateway/src/running_attempt.rs
@@ -106,10 +106,17 @@
     }
 
     /// Records what the answer says about the upstream's limit, and logs a change.
-    pub(crate) fn record_limit(&self, statement: LimitStatement) {
+    pub(crate) fn record_limit(&self, statement: LimitStatement, now: TimePoint) {
         let name = &self.chosen.announcement.name;
         let changed = self.shared.with_service(&self.service, |state| {
-            state.chooser.record_limit(name.as_str(), statement)
+            let chooser = &mut state.chooser;
+            chooser.record_limit(
+                name.as_str(),
+                statement,
+                self.sent_at,
+                now,
+                &mut rand::rng(),
+            )
         });
         if changed {
             tracing::info!(
--- a/crates/oriolecrank-gateway/src/site_messages.rs
+++ b/crates/oriolecrank-gateway/src/site_messages.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use oriolecrank_routing::{
-    CrashSuspect, EntryRun, PlacedParts, StoredDocument, SuspectReport, SuspectVerdicts,
-    UpstreamAnnouncement, UpstreamLoad, UpstreamName, WindowCounts,
+    CrashSuspect, EntryRun, LimitReport, PlacedParts, StoredDocument, SuspectReport,
+    SuspectVerdicts, UpstreamAnnouncement, UpstreamLoad, UpstreamName, WindowCounts,
 };
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +45,9 @@
     pub(crate) usage: Vec<WindowCounts>,
     /// Load that this entry puts on upstreams.
     pub(crate) loads: Vec<NamedLoad>,
+    /// Limits that upstreams state, with the demand of this entry.
+    #[serde(default)]
+    pub(crate) limits: Vec<LimitReport>,
     /// Placements of shared prompt parts by this entry since its last answered message.
     #[serde(default)]
     pub(crate) placed: Vec<PlacedParts>,
@@ -89,6 +92,10 @@
     pub(crate) upstreams: Vec<AgedAnnouncement>,
     /// Load that the other entries put on upstreams.
     pub(crate) other_loads: Vec<NamedLoad>,
+    /// Limits that upstreams state, with the demand of the other entries. Only the leader sends them,
+    /// because only it receives the reports of all entries.
+    #[serde(default)]
+    pub(crate) limits: Vec<LimitReport>,
     /// Placements of shared prompt parts by other entries. Only the leader sends them, because only
     /// it receives those of all entries.
     #[serde(default)]
--- a/crates/oriolecrank-gateway/src/site_tables.rs
+++ b/crates/oriolecrank-gateway/src/site_tables.rs
@@ -2,8 +2,8 @@
 
 use oriolecrank_control::JoinTable;
 use oriolecrank_routing::{
-    EntryRun, LoadTable, MergeEffect, PlacementLog, SuspectQuarantine, UpstreamAnnouncement,
-    UpstreamDirectory, UpstreamName, UsageCollector,
+    EntryRun, LimitTable, LoadTable, MergeEffect, PlacementLog, SuspectQuarantine,
+    UpstreamAnnouncement, UpstreamDirectory, UpstreamName, UsageCollector,
 };
 use oriolecrank_schema::TimePoint;
 use std::sync::{Mutex, MutexGuard};
@@ -37,6 +37,8 @@
     pub(crate) joins: JoinTable,
     /// Loads that entries put on upstreams.
     pub(crate) loads: LoadTable,
+    /// Limits that upstreams state, as entries report them.
+    pub(crate) limits: LimitTable,
     /// Engines to which entries have sent requests with shared prompt parts.
     pub(crate) placements: PlacementLog,
     /// Suspects that crash upstreams.
@@ -134,6 +136,8 @@
                 self.placements.record(source, *part, &placed.upstream, now);
             }
         }
+        let limits = std::mem::take(&mut request.limits);
+        self.limits.set_reports(&request.run, limits, now);
         let loads = std::mem::take(&mut request.loads).into_iter();
         if request.stopping {
             self.loads.remove_entry(&request.run);
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -121,6 +121,15 @@
     Any,
 }
 
+/// Whether a search keeps to the limits that upstreams state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LimitUse {
+    /// Upstreams whose limit leaves no request are left out.
+    Kept,
+    /// Limits are ignored, to find out which upstream would be chosen without them.
+    Ignored,
+}
+
 impl WorkEstimate {
     /// Time to the first answer plus the weighted delay of other requests, in milliseconds.
     fn cost_ms(&self) -> f64 {
@@ -133,6 +142,7 @@
     pub(crate) chooser: &'a DirectChooser,
     pub(crate) request: &'a ChoiceRequest<'a>,
     pub(crate) timing: CallTiming,
+    pub(crate) limits: LimitUse,
     pub(crate) now: TimePoint,
 }
 
@@ -311,6 +321,10 @@
             if !self.is_usable(upstream, filter) {
                 continue;
             }
+            let priority = self.request.priority;
+            if self.limits == LimitUse::Kept && !upstream.limit.allows(priority, self.now) {
+                continue;
+            }
             // The queue of an engine is short: a late request in it could displace one that can
             // still be answered in time.
             let late = self.timing == CallTiming::Late && self.request.prompt.is_some();
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -16,8 +16,9 @@
 use oriolecrank_schema::document::UpstreamId;
 use rand::Rng;
 
-use crate::choice_search::{Candidate, ChoiceSearch};
+use crate::choice_search::{Candidate, ChoiceSearch, LimitUse};
 use crate::direct_upstream::{CallTiming, DirectUpstream, DispatchTicket, UpstreamLoad};
+use crate::limit_report::LimitReport;
 use crate::names::{DomainName, UpstreamName};
 use crate::part_placement::{PartPlacements, PlacedParts};
 use crate::prompt_shape::PromptShape;
@@ -91,6 +92,8 @@
     pub entries: u32,
     /// Whether another engine than the serving one may prefill the prompt.
     pub allow_remote_prefill: bool,
+    /// Priority of the request; 0 is the most urgent.
+    pub priority: u8,
 }
 
 /// Why no upstream was chosen.
@@ -101,6 +104,8 @@
     /// No upstream can answer before the deadline. Holds the estimated wait until one could; zero
     /// if unknown.
     Full(Duration),
+    /// The limits that upstreams state leave no request for this one. Holds the time until they do.
+    Limited(Duration),
 }
 
 /// Upstreams chosen for a request.
@@ -138,6 +143,15 @@
     serving_upstream: Candidate,
 }
 
+impl CandidatePlan {
+    /// Indices of the upstreams that get a message.
+    fn indices(&self) -> impl Iterator<Item = usize> {
+        let prefill = self.prefill_upstream.iter();
+        let candidates = prefill.chain([&self.serving_upstream]);
+        candidates.map(|candidate| candidate.index)
+    }
+}
+
 /// Chooses among the upstreams of one service at one entry, and tracks their load.
 #[derive(Debug)]
 pub struct DirectChooser {
@@ -295,7 +309,15 @@
                 upstream.weight = change.weight;
             }
         }
-        let plan = self.find_plan(request, now, random)?;
+        self.refill_limit_shares(request.entries, now);
+        let wanted = self.find_plan(request, LimitUse::Ignored, now, random)?;
+        let plan = if self.is_within_limits(&wanted, request.priority, now) {
+            wanted
+        } else {
+            self.record_missed(&wanted, request.priority, now);
+            let plan = self.find_plan(request, LimitUse::Kept, now, random);
+            plan.map_err(|_| NoUpstream::Limited(self.reserve_return(request, now)))?
+        };
         let timing = plan.timing;
         let prefill_upstream = plan.prefill_upstream;
         self.record_placement(request, plan.serving_upstream.index, now);
@@ -315,7 +337,50 @@
         now: TimePoint,
         random: &mut R,
     ) -> bool {
-        self.find_plan(request, now, random).is_ok()
+        self.find_plan(request, LimitUse::Kept, now, random).is_ok()
+    }
+
+    fn refill_limit_shares(&mut self, entries: u32, now: TimePoint) {
+        let upstreams = self.upstreams.values_mut();
+        let shares = upstreams.filter_map(|upstream| upstream.limit.share.as_mut());
+        for share in shares {
+            share.refill(entries, now);
+        }
+    }
+
+    fn is_within_limits(&self, plan: &CandidatePlan, priority: u8, now: TimePoint) -> bool {
+        plan.indices().all(|index| {
+            let upstream = self.upstreams.get_index(index);
+            upstream.is_none_or(|(_, upstream)| upstream.limit.allows(priority, now))
+        })
+    }
+
+    /// Records that the plan was not followed because of the limits of its upstreams.
+    fn record_missed(&mut self, plan: &CandidatePlan, priority: u8, now: TimePoint) {
+        for index in plan.indices() {
+            let upstream = self.upstreams.get_index_mut(index);
+            let share = upstream.and_then(|(_, upstream)| upstream.limit.share.as_mut());
+            if let Some(share) = share.filter(|share| !share.allows(priority, now)) {
+                share.record_missed(priority, now);
+            }
+        }
+    }
+
+    /// Time until one of the limited upstreams has a request for the caller. The place is kept for
+    /// it if it can come back before its deadline.
+    fn reserve_return(&mut self, request: &ChoiceRequest<'_>, now: TimePoint) -> Duration {
+        let upstreams = self.upstreams.values_mut();
+        let untried =
+            upstreams.filter(|upstream| !request.tried.contains(&upstream.announcement().name));
+        let shares = untried.filter_map(|upstream| upstream.limit.share.as_mut());
+        let Some(first) = shares.min_by_key(|share| share.return_time(now)) else {
+            return Duration::ZERO;
+        };
+        let wait = first.return_time(now);
+        if wait < request.time_left {
+            first.reserve_return(wait, now);
+        }
+        wait
     }
 
     /// Candidates that are expected to answer within the target, or else at least before the
@@ -323,10 +388,11 @@
     fn find_plan<R: Rng>(
         &self,
         request: &ChoiceRequest<'_>,
+        limits: LimitUse,
         now: TimePoint,
         random: &mut R,
     ) -> Result<CandidatePlan, NoUpstream> {
-        let on_time = self.search(request, CallTiming::OnTime, now, random)?;
+        let on_time = self.search(request, CallTiming::OnTime, limits, now, random)?;
         let limit = request.time_to_target.mul_f64(ON_TIME_TARGET_SHARE);
         let timing = if on_time.serving_upstream.expected() <= limit {
             CallTiming::OnTime
@@ -336,7 +402,7 @@
         let plan = match timing {
             CallTiming::OnTime => on_time,
             CallTiming::Late => self
-                .search(request, timing, now, random)
+                .search(request, timing, limits, now, random)
                 .map_err(|_| NoUpstream::Full(Duration::ZERO))?,
         };
         let expected = plan.serving_upstream.expected();
@@ -350,6 +416,7 @@
         &self,
         request: &ChoiceRequest<'_>,
         timing: CallTiming,
+        limits: LimitUse,
         now: TimePoint,
         random: &mut R,
     ) -> Result<CandidatePlan, NoUpstream> {
@@ -357,6 +424,7 @@
             chooser: self,
             request,
             timing,
+            limits,
             now,
         };
         let direct = search.serving_upstream(None, random);
@@ -409,6 +477,9 @@
             .upstreams
             .get_index_mut(candidate.index)
             .expect("the index was found in the table");
+        if let Some(share) = &mut upstream.limit.share {
+            share.record_sent(now);
+        }
         ChosenUpstream {
             ticket: upstream.dispatch(
                 request.prompt,
@@ -474,11 +545,49 @@
         }
     }
 
-    /// Records what an answer of an upstream says about its limit; returns whether the limit has
-    /// changed.
-    pub fn record_limit(&mut self, name: &str, statement: LimitStatement) -> bool {
+    /// Records what the answer of an upstream to a request sent at `sent_at` says about its limit;
+    /// returns whether the limit has changed.
+    pub fn record_limit<R: Rng>(
+        &mut self,
+        name: &str,
+        statement: LimitStatement,
+        sent_at: TimePoint,
+        now: TimePoint,
+        random: &mut R,
+    ) -> bool {
         let upstream = self.upstreams.get_mut(name);
-        upstream.is_some_and(|upstream| upstream.record_limit(statement))
+        upstream.is_some_and(|upstream| upstream.limit.record(statement, sent_at, now, random))
+    }
+
+    /// Records a message to an upstream that was sent without a choice, such as the release of a
+    /// prefilled prompt. It counts against the limit like a request.
+    pub fn record_extra_message(&mut self, address: SocketAddr, now: TimePoint) {
+        let mut upstreams = self.upstreams.values_mut();
+        let upstream = upstreams.find(|upstream| upstream.announcement().address == address);
+        if let Some(share) = upstream.and_then(|upstream| upstream.limit.share.as_mut()) {
+            share.record_sent(now);
+        }
+    }
+
+    /// Reports about upstreams that state limits or have done so lately, for the leader.
+    pub fn limit_reports(&mut self, now: TimePoint) -> Vec<LimitReport> {
+        let upstreams = self.upstreams.values_mut();
+        upstreams
+            .filter_map(|upstream| upstream.limit_report(now))
+            .collect()
+    }
+
+    /// Applies what the leader tells about a limit; returns whether the limit has changed. A report
+    /// about an unknown incarnation is ignored.
+    pub fn apply_limit_report<R: Rng>(
+        &mut self,
+        report: &LimitReport,
+        now: TimePoint,
+        random: &mut R,
+    ) -> bool {
+        let upstream = self.upstreams.get_mut(&report.upstream);
+        let upstream = upstream.filter(|upstream| upstream.started_ms() == report.started_ms);
+        upstream.is_some_and(|upstream| upstream.limit.apply_report(report, now, random))
     }
 
     /// Removes the load of a request that has ended. `service_time` is given for a plain request
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -7,10 +7,11 @@
 use oriolecrank_schema::TimePoint;
 use serde::{Deserialize, Serialize};
 
+use crate::limit_report::LimitReport;
 use crate::part_cache::PartCache;
 use crate::prompt_shape::PromptShape;
-use crate::request_rate::{LimitStatement, RequestRate};
 use crate::upstream_directory::UpstreamAnnouncement;
+use crate::upstream_limit::UpstreamLimit;
 
 /// Load of requests on an upstream, from one entry or summed over several.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -204,8 +205,8 @@
     last_refusal: Option<TimePoint>,
     /// Mean prefill speed, in tokens per millisecond; at least 1 once observed.
     prefill_speed: f64,
-    /// Limit that the upstream has stated last; `None` if it takes as many requests as it can.
-    limit: Option<RequestRate>,
+    /// Limit that the upstream states in its answers.
+    pub(crate) limit: UpstreamLimit,
     /// Weight set by outlier ejection, between 0 (ejected) and 1.
     pub(crate) weight: f64,
 }
@@ -234,7 +235,7 @@
             last_answer: None,
             last_refusal: None,
             prefill_speed,
-            limit: None,
+            limit: UpstreamLimit::default(),
             weight: 1.0,
         }
     }
@@ -493,14 +494,9 @@
         self.last_refusal = Some(now);
     }
 
-    /// Records what an answer says about the limit; returns whether the limit has changed.
-    pub fn record_limit(&mut self, statement: LimitStatement) -> bool {
-        let limit = match statement {
-            LimitStatement::Unknown => return false,
-            LimitStatement::Unlimited => None,
-            LimitStatement::Limited(limit) => Some(limit),
-        };
-        std::mem::replace(&mut self.limit, limit) != limit
+    /// What the leader has to know about the upstream's limit; `None` without one now or lately.
+    pub(crate) fn limit_report(&mut self, now: TimePoint) -> Option<LimitReport> {
+        self.limit.report(&self.announcement, now)
     }
 
     /// Removes the load of a request that has ended.
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -11,6 +11,8 @@
 //!   the [`SuspectWatch`] of each entry reports.
 //! - [`RequestFingerprint`] recognises a request that comes again under another id.
 //! - [`LoadTable`] sums the load that entries put on upstreams.
+//! - [`LimitTable`], at the leader, collects the limits of requests that upstreams state and the
+//!   demands by which the entries divide them.
 //! - [`CallerTimeoutRange`] distinguishes callers that retry after a refusal from new ones.
 //! - [`SharedRetryBudget`] limits the extra attempts, beyond the first, of all entries together.
 //! - [`UsageCounter`] and [`UsageCollector`] count requests by organisation and usage window;
@@ -26,6 +28,8 @@
 mod direct_chooser;
 mod direct_upstream;
 mod document_fetch;
+mod limit_report;
+mod limit_share;
 mod load_table;
 mod member_repair;
 mod names;
@@ -44,6 +48,7 @@
 mod sync_cursor;
 mod sync_targets;
 mod upstream_directory;
+mod upstream_limit;
 mod usage_schedule;
 mod usage_window;
 
@@ -54,6 +59,7 @@
 };
 pub use direct_upstream::{CallTiming, DirectUpstream, DispatchTicket, UpstreamLoad};
 pub use document_fetch::{DocumentFetch, PlannedFetch};
+pub use limit_report::{LimitReport, LimitTable};
 pub use load_table::{LoadTable, UpstreamLoads};
 pub use member_repair::{JoiningMember, MemberHealth, RepairPlanner, RepairSettings, next_members};
 pub use names::{DomainName, EntryName, OrganisationName, ServiceName, UpstreamName};
--- a/crates/oriolecrank-routing/src/request_rate.rs
+++ b/crates/oriolecrank-routing/src/request_rate.rs
@@ -1,6 +1,7 @@
 //! Rates of requests and the limits that upstreams state.
 
 use std::fmt;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -23,10 +24,25 @@
         })
     }
 
+    /// Rate of `count` requests in a window.
+    pub(crate) fn from_count(count: u64, window: Duration) -> Self {
+        Self {
+            milli: count * 1_000_000 / (window.as_millis() as u64).max(1),
+        }
+    }
+
     /// Requests per second.
     pub fn per_second(self) -> f64 {
         self.milli as f64 / 1_000.0
     }
+
+    /// Sum of two rates.
+    #[must_use]
+    pub(crate) const fn saturating_add(self, other: Self) -> Self {
+        Self {
+            milli: self.milli.saturating_add(other.milli),
+        }
+    }
 }
 
 impl fmt::Display for RequestRate {
--- a/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
+++ b/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
@@ -47,6 +47,7 @@
         time_to_target: Duration::from_millis(250),
         entries: 2,
         allow_remote_prefill: true,
+        priority: 0,
     }
 }
 
@@ -199,6 +200,7 @@
     assert_eq!(plan.serving_upstream.announcement.name.as_str(), "decode");
     let without_remote_prefill = ChoiceRequest {
         allow_remote_prefill: false,
+        priority: 0,
         ..request(Some(&prompt), &[])
     };
     assert!(
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -8,6 +8,7 @@
 mod member_repair;
 mod part_placement;
 mod request_fingerprint;
+mod request_limits;
 mod route_document;
 mod shared_retry_budget;
 mod site_state;
