Hand the refusals of crashing requests over to a new leader

A request that crashes upstreams would have been let through again, and would have ended three more of them, when a leader was replaced more than a minute after the crashes: the new one refuses only what the entries still report, and they keep reports for a minute. Within that minute, it forgot which trials had been made and began with the first one again, so that a change of the leader added trials.

Entries now tell a leader the refusals that an earlier one gave them, with the times of their trials; the later trial of the two holds. Found by reading, for the case of a leader that changes meanwhile; without the takeover both tests fail.

--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -369,12 +369,18 @@
     }
 
     /// Applies the leader's verdicts about suspects.
-    pub(crate) fn set_suspect_verdicts(&self, verdicts: SuspectVerdicts, now: TimePoint) {
+    pub(crate) fn set_suspect_verdicts(
+        &self,
+        verdicts: SuspectVerdicts,
+        control_run: u64,
+        now: TimePoint,
+    ) {
         let mut suspect_watch = self.lock_suspect_watch();
-        if suspect_watch.refused() != verdicts.refused {
+        let refused = verdicts.refused_suspects();
+        if suspect_watch.refused() != refused {
             tracing::warn!(
                 event = LogEvent::RefusalsChanged.number(),
-                refused = ?verdicts.refused,
+                ?refused,
                 suspected = verdicts.suspected.len(),
                 "the prompt parts and requests that are refused because they crash upstreams have changed"
             );
@@ -386,7 +392,7 @@
                 "one request that was refused because it crashes upstreams is sent, to find out whether it is sound"
             );
         }
-        suspect_watch.set_verdicts(verdicts, now);
+        suspect_watch.set_verdicts(verdicts, control_run, now);
     }
 
     /// Estimated time that the caller has already spent on earlier attempts at this request, judged
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -201,11 +201,13 @@
         let suspect_reports = suspect_watch.reports_since(self.sent_report_sequence, now);
         let wanted_suspects = suspect_watch.wanted(now);
         let holds_suspect_verdicts = suspect_watch.holds_verdicts();
+        let held_refusals = suspect_watch.held_refusals(self.cursor.control_run(), now);
         drop(suspect_watch);
         SyncRequest {
             suspect_reports,
             wanted_suspects,
             holds_suspect_verdicts,
+            held_refusals,
             run: shared.options.run.clone(),
             document_version: shared.document_version().max(self.announced_version),
             fetches_documents: true,
@@ -247,7 +249,7 @@
         shared.apply_placements(&answer.placed, now);
         self.placement_sequence = answer.placement_sequence;
         if let Some(verdicts) = answer.suspect_verdicts {
-            shared.set_suspect_verdicts(verdicts, now);
+            shared.set_suspect_verdicts(verdicts, answer.control_run, now);
         }
         shared.set_entry_count(answer.entries);
         let upstreams = shared.upstream_count();
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -169,6 +169,9 @@
         let is_leader = leader.as_ref().is_some_and(|leader| leader.id == status.id);
         let mut tables = self.tables.lock();
         let now = BootClock.now();
+        if is_leader {
+            tables.quarantine.adopt(&request.held_refusals, now);
+        }
         let verdicts = is_leader.then(|| tables.quarantine.verdicts(&request.wanted_suspects, now));
         let suspect_verdicts = verdicts.filter(|verdicts| {
             request.holds_suspect_verdicts || *verdicts != SuspectVerdicts::default()
--- a/crates/oriolecrank-gateway/src/site_messages.rs
+++ b/crates/oriolecrank-gateway/src/site_messages.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use oriolecrank_routing::{
-    CrashSuspect, EntryRun, LimitReport, PlacedParts, StoredDocument, SuspectReport,
+    CrashSuspect, EntryRun, HeldRefusal, LimitReport, PlacedParts, StoredDocument, SuspectReport,
     SuspectVerdicts, UpstreamAnnouncement, UpstreamLoad, UpstreamName, WindowCounts,
 };
 use serde::{Deserialize, Serialize};
@@ -63,6 +63,9 @@
     /// The entry holds verdicts, which the leader replaces even by empty ones.
     #[serde(default)]
     pub(crate) holds_suspect_verdicts: bool,
+    /// Refusals that another control process gave. The leader takes them over.
+    #[serde(default)]
+    pub(crate) held_refusals: Vec<HeldRefusal>,
     /// The entry is stopping; the answer is sent immediately.
     #[serde(default)]
     pub(crate) stopping: bool,
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -76,7 +76,9 @@
 pub use shared_retry_budget::{RetryGrant, SharedRetryBudget};
 pub use site_state::{ClosedWindow, SiteCommand, SiteOutcome, SiteState, StoredDocument};
 pub use suspect_quarantine::{QuarantineSettings, SuspectQuarantine};
-pub use suspect_report::{CrashId, RunningSuspect, SuspectEvent, SuspectReport, SuspectVerdicts};
+pub use suspect_report::{
+    CrashId, HeldRefusal, RunningSuspect, SuspectEvent, SuspectReport, SuspectVerdicts,
+};
 pub use suspect_watch::{SuspectRefusal, SuspectWatch};
 pub use sync_cursor::SyncCursor;
 pub use sync_targets::{KnownGroup, MAX_SYNC_TARGETS, sync_targets};
--- a/crates/oriolecrank-routing/src/suspect_quarantine.rs
+++ b/crates/oriolecrank-routing/src/suspect_quarantine.rs
@@ -18,7 +18,8 @@
 
 use crate::crash_suspect::CrashSuspect;
 use crate::suspect_report::{
-    CrashId, PROVEN_WINDOW, RunningSuspect, SuspectEvent, SuspectReport, SuspectVerdicts,
+    CrashId, HeldRefusal, PROVEN_WINDOW, RunningSuspect, SuspectEvent, SuspectReport,
+    SuspectVerdicts,
 };
 
 /// Settings of a [`SuspectQuarantine`].
@@ -152,6 +153,33 @@
         }
     }
 
+    /// Takes over refusals of an earlier leader, with the times of their trials. The reports about
+    /// the crashes that led to them may have expired.
+    pub fn adopt(&mut self, held: &[HeldRefusal], now: TimePoint) {
+        for refusal in held {
+            let next_trial_at = now + refusal.trial_in;
+            let crash_age_ms = refusal.crash_age.as_millis() as u64;
+            let crashed_at = TimePoint::from_millis(now.as_millis().saturating_sub(crash_age_ms));
+            let known = self
+                .refusals
+                .entry(refusal.suspect)
+                .or_insert(SuspectRefusal {
+                    crashed_at,
+                    next_trial_at,
+                    trial_interval: refusal.trial_interval,
+                });
+            known.crashed_at = known.crashed_at.max(crashed_at);
+            known.next_trial_at = known.next_trial_at.max(next_trial_at);
+            known.trial_interval = known.trial_interval.max(refusal.trial_interval);
+        }
+        self.drop_surplus();
+    }
+
+    fn drop_surplus(&mut self) {
+        let surplus = self.refusals.len().saturating_sub(MAX_REFUSALS);
+        self.refusals.drain(..surplus);
+    }
+
     fn record_completed(&mut self, suspect: CrashSuspect, at: TimePoint) -> bool {
         if !self.is_suspected(suspect) && !self.refusals.contains_key(&suspect) {
             return false;
@@ -198,8 +226,7 @@
                 changed = true;
             }
         }
-        let surplus = self.refusals.len().saturating_sub(MAX_REFUSALS);
-        self.refusals.drain(..surplus);
+        self.drop_surplus();
         changed
     }
 
@@ -250,8 +277,14 @@
         let parts = self.blamed_suspects().filter(|suspect| is_part(*suspect));
         let requests = self.blamed_suspects().filter(|suspect| !is_part(*suspect));
         let suspected: IndexSet<CrashSuspect> = parts.chain(requests).take(MAX_SUSPECTED).collect();
+        let refused = self.refusals.iter().map(|(suspect, refusal)| HeldRefusal {
+            suspect: *suspect,
+            crash_age: now.since(refusal.crashed_at),
+            trial_in: refusal.next_trial_at.since(now),
+            trial_interval: refusal.trial_interval,
+        });
         SuspectVerdicts {
-            refused: self.refusals.keys().copied().collect(),
+            refused: refused.collect(),
             suspected: suspected.into_iter().collect(),
             trials,
         }
--- a/crates/oriolecrank-routing/src/suspect_report.rs
+++ b/crates/oriolecrank-routing/src/suspect_report.rs
@@ -55,11 +55,24 @@
     pub age: Duration,
 }
 
+/// A refusal as the leader tells it to the entries, and they to the next leader.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldRefusal {
+    /// The refused suspect.
+    pub suspect: CrashSuspect,
+    /// Time since the last crash that is blamed on it.
+    pub crash_age: Duration,
+    /// Time until the next trial is due.
+    pub trial_in: Duration,
+    /// Time from that trial to the one after it, before it grows.
+    pub trial_interval: Duration,
+}
+
 /// What the leader of the control group tells an entry about suspects.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectVerdicts {
     /// Suspects that crash upstreams; requests with one of them are refused.
-    pub refused: Vec<CrashSuspect>,
+    pub refused: Vec<HeldRefusal>,
     /// Suspects that ran during a crash and are not proven since; completed answers with them are
     /// reported.
     pub suspected: Vec<CrashSuspect>,
@@ -67,3 +80,18 @@
     /// crash upstreams.
     pub trials: Vec<CrashSuspect>,
 }
+
+impl SuspectVerdicts {
+    /// Whether requests with a suspect are refused.
+    pub fn refuses(&self, suspect: CrashSuspect) -> bool {
+        self.refused
+            .iter()
+            .any(|refusal| refusal.suspect == suspect)
+    }
+
+    /// Suspects that are refused.
+    pub fn refused_suspects(&self) -> Vec<CrashSuspect> {
+        let refused = self.refused.iter();
+        refused.map(|refusal| refusal.suspect).collect()
+    }
+}
--- a/crates/oriolecrank-routing/src/suspect_watch.rs
+++ b/crates/oriolecrank-routing/src/suspect_watch.rs
@@ -8,7 +8,8 @@
 
 use crate::crash_suspect::CrashSuspect;
 use crate::suspect_report::{
-    CrashId, PROVEN_WINDOW, RunningSuspect, SuspectEvent, SuspectReport, SuspectVerdicts,
+    CrashId, HeldRefusal, PROVEN_WINDOW, RunningSuspect, SuspectEvent, SuspectReport,
+    SuspectVerdicts,
 };
 
 /// Time for which reports are kept for control instances that have not received them; the same as
@@ -50,6 +51,8 @@
     newest_sequence: u64,
     verdicts: SuspectVerdicts,
     verdicts_at: Option<TimePoint>,
+    /// Run of the control process that gave the verdicts.
+    verdicts_from: u64,
     /// Suspects of requests that were refused, with the time of the last one.
     demanded_at: IndexMap<CrashSuspect, TimePoint>,
     /// Granted trials that have not started, with the end of their validity.
@@ -81,7 +84,7 @@
             .extend(suspects.iter().map(|suspect| (*suspect, now)));
         self.prune_answered(now);
         let watched = |suspect: &&CrashSuspect| {
-            self.verdicts.suspected.contains(suspect) || self.verdicts.refused.contains(suspect)
+            self.verdicts.suspected.contains(suspect) || self.verdicts.refuses(**suspect)
         };
         let suspects: Vec<CrashSuspect> = suspects.iter().filter(watched).copied().collect();
         if !suspects.is_empty() {
@@ -99,9 +102,11 @@
         self.answered_at.drain(..surplus);
     }
 
-    /// Replaces the verdicts with those of the leader. Recent answers with suspects that are new
+    /// Replaces the verdicts with those of the leader, whose process has the run number
+    /// `control_run`. Recent answers with suspects that are new
     /// are reported.
-    pub fn set_verdicts(&mut self, verdicts: SuspectVerdicts, now: TimePoint) {
+    pub fn set_verdicts(&mut self, verdicts: SuspectVerdicts, control_run: u64, now: TimePoint) {
+        self.verdicts_from = control_run;
         for suspect in &verdicts.trials {
             self.trials.insert(*suspect, now + TRIAL_VALIDITY);
         }
@@ -131,7 +136,7 @@
             .is_some_and(|at| now.since(at) <= VERDICT_RETENTION);
         let refused = suspects
             .iter()
-            .filter(|suspect| self.verdicts.refused.contains(suspect));
+            .filter(|suspect| self.verdicts.refuses(**suspect));
         let refused: Vec<CrashSuspect> = refused.copied().collect();
         let Some(suspect) = refused.first().copied().filter(|_| is_valid) else {
             return Ok(());
@@ -157,8 +162,22 @@
     }
 
     /// Suspects that are refused.
-    pub fn refused(&self) -> &[CrashSuspect] {
-        &self.verdicts.refused
+    pub fn refused(&self) -> Vec<CrashSuspect> {
+        self.verdicts.refused_suspects()
+    }
+
+    /// Refusals that a control process has to know if it leads now and another one gave them.
+    pub fn held_refusals(&self, control_run: u64, now: TimePoint) -> Vec<HeldRefusal> {
+        let elapsed = self.verdicts_at.map_or(Duration::ZERO, |at| now.since(at));
+        if control_run == self.verdicts_from || elapsed > VERDICT_RETENTION {
+            return Vec::new();
+        }
+        let held = self.verdicts.refused.iter().map(|refusal| HeldRefusal {
+            crash_age: refusal.crash_age + elapsed,
+            trial_in: refusal.trial_in.saturating_sub(elapsed),
+            ..*refusal
+        });
+        held.collect()
     }
 
     /// Whether verdicts of a leader are known.
--- a/crates/oriolecrank-routing/tests/routing/suspect_quarantine.rs
+++ b/crates/oriolecrank-routing/tests/routing/suspect_quarantine.rs
@@ -11,6 +11,9 @@
 /// Part that crashes each upstream that begins to answer on it.
 const CRASHING: CrashSuspect = part(666);
 
+/// Run of the leader's process.
+const LEADER: u64 = 7;
+
 /// Part that all requests share.
 const COMMON: CrashSuspect = part(1);
 
@@ -71,7 +74,7 @@
 }
 
 fn refused(quarantine: &mut SuspectQuarantine, now: TimePoint) -> Vec<CrashSuspect> {
-    quarantine.verdicts(&[], now).refused
+    quarantine.verdicts(&[], now).refused_suspects()
 }
 
 /// Guards against requests that crash one upstream after the other, and against a part that many
@@ -200,12 +203,12 @@
 fn an_entry_refuses_requests_with_the_part_and_uses_a_trial_once() {
     let mut quarantine = quarantine_of_crashing_part();
     let mut watch = SuspectWatch::default();
-    watch.set_verdicts(quarantine.verdicts(&[], at(10_300)), at(10_300));
+    watch.set_verdicts(quarantine.verdicts(&[], at(10_300)), LEADER, at(10_300));
     assert!(watch.check(&[COMMON, part(9)], at(10_300)).is_ok());
     assert!(watch.check(&[COMMON, CRASHING], at(10_300)).is_err());
     assert_eq!(watch.wanted(at(10_400)), [CRASHING]);
     let verdicts = quarantine.verdicts(&[CRASHING], at(16_000));
-    watch.set_verdicts(verdicts, at(16_000));
+    watch.set_verdicts(verdicts, LEADER, at(16_000));
     assert!(watch.check(&[COMMON, CRASHING], at(16_100)).is_ok());
     assert!(watch.check(&[COMMON, CRASHING], at(16_200)).is_err());
 }
@@ -236,7 +239,7 @@
     other.record_completed(&[part(5)], at(9_500));
     let mut quarantine = SuspectQuarantine::default();
     quarantine.record(&crash(1, &[(part(5), false)]), at(10_000));
-    other.set_verdicts(quarantine.verdicts(&[], at(10_000)), at(10_000));
+    other.set_verdicts(quarantine.verdicts(&[], at(10_000)), LEADER, at(10_000));
     for report in other.reports_since(0, at(10_100)) {
         quarantine.record(&report, at(10_100));
     }
@@ -312,12 +315,20 @@
         quarantine.record(&crash(number, &running), at(10_000 + number * 100));
     }
     let mut watch = SuspectWatch::default();
-    watch.set_verdicts(quarantine.verdicts(&[], at(10_300)), at(10_300));
+    watch.set_verdicts(quarantine.verdicts(&[], at(10_300)), LEADER, at(10_300));
     assert!(watch.check(&[CRASHING, whole], at(10_400)).is_err());
     assert_eq!(watch.wanted(at(10_400)), [CRASHING, whole]);
-    watch.set_verdicts(quarantine.verdicts(&[CRASHING], at(16_000)), at(16_000));
+    watch.set_verdicts(
+        quarantine.verdicts(&[CRASHING], at(16_000)),
+        LEADER,
+        at(16_000),
+    );
     assert!(watch.check(&[CRASHING, whole], at(16_000)).is_err());
-    watch.set_verdicts(quarantine.verdicts(&[whole], at(16_100)), at(16_100));
+    watch.set_verdicts(
+        quarantine.verdicts(&[whole], at(16_100)),
+        LEADER,
+        at(16_100),
+    );
     assert!(watch.check(&[CRASHING, whole], at(16_200)).is_ok());
     assert!(watch.check(&[CRASHING, whole], at(16_300)).is_err());
 }
@@ -359,3 +370,48 @@
     assert_eq!(refused.len(), 256);
     assert_eq!(refused.last(), running.last().map(|(suspect, _)| suspect));
 }
+
+/// Guards against a crashing request that a new leader lets through because the reports about it
+/// have expired, or tries again although its predecessor has just done so.
+#[test]
+fn a_new_leader_takes_over_the_refusals_that_entries_hold() {
+    let mut quarantine = quarantine_of_crashing_part();
+    let mut watch = SuspectWatch::default();
+    let verdicts = quarantine.verdicts(&[CRASHING], at(16_000));
+    assert_eq!(verdicts.trials, [CRASHING]);
+    watch.set_verdicts(verdicts, LEADER, at(16_000));
+    quarantine.record(&crash(4, &[(CRASHING, false)]), at(16_100));
+    watch.set_verdicts(quarantine.verdicts(&[], at(75_000)), LEADER, at(75_000));
+    assert!(watch.held_refusals(LEADER, at(76_000)).is_empty());
+    assert!(watch.reports_since(0, at(76_000)).is_empty());
+    let mut successor = SuspectQuarantine::default();
+    successor.adopt(&watch.held_refusals(8, at(76_000)), at(76_000));
+    let verdicts = successor.verdicts(&[CRASHING], at(76_000));
+    assert_eq!(verdicts.refused_suspects(), [CRASHING]);
+    // The trial that was due 20 s after the first one.
+    assert_eq!(verdicts.trials, [CRASHING]);
+    let verdicts = successor.verdicts(&[CRASHING], at(150_000));
+    assert!(verdicts.trials.is_empty(), "{verdicts:?}");
+}
+
+/// Guards against trials that start from anew because the new leader hears of the crashes before it
+/// hears of the refusal.
+#[test]
+fn a_refusal_that_is_taken_over_keeps_the_later_trial() {
+    let mut quarantine = quarantine_of_crashing_part();
+    let mut watch = SuspectWatch::default();
+    quarantine.verdicts(&[CRASHING], at(16_000));
+    watch.set_verdicts(quarantine.verdicts(&[], at(16_100)), LEADER, at(16_100));
+    let mut successor = quarantine_of_crashing_part();
+    successor.adopt(&watch.held_refusals(8, at(17_000)), at(17_000));
+    assert!(
+        successor
+            .verdicts(&[CRASHING], at(30_000))
+            .trials
+            .is_empty()
+    );
+    assert_eq!(
+        successor.verdicts(&[CRASHING], at(36_100)).trials,
+        [CRASHING]
+    );
+}
