Report the end of a limit for ten seconds only

An entry that had seen the end of a limit reported it to the leader with each sync for as long as the upstream answered, and the leader passed it on to all entries: each answer without a limit renewed the time of the end. It counts only while a limit is in force now. Found by reading.

--- a/crates/oriolecrank-routing/src/upstream_limit.rs
+++ b/crates/oriolecrank-routing/src/upstream_limit.rs
@@ -38,7 +38,7 @@
         match statement {
             LimitStatement::Unknown => false,
             LimitStatement::Unlimited => {
-                self.stated_at.is_some() && self.apply(statement, sent_at, now, random)
+                self.share.is_some() && self.apply(statement, sent_at, now, random)
             }
             LimitStatement::Limited(_) => self.apply(statement, now, now, random),
         }
--- a/crates/oriolecrank-routing/tests/routing/request_limits.rs
+++ b/crates/oriolecrank-routing/tests/routing/request_limits.rs
@@ -251,6 +251,26 @@
     assert!(is_allowed(&mut chooser, at(190)));
 }
 
+/// Guards against entries that report the end of a limit for as long as the upstream answers.
+#[test]
+fn the_end_of_a_limit_is_reported_for_a_time_only() {
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut chooser = chooser(&["u"]);
+    chooser.record_limit("u", limited(10.0), at(0), at(10), &mut random);
+    let mut reported_until = 0;
+    for now_ms in (100..30_000).step_by(100) {
+        let (sent_at, now) = (at(now_ms - 30), at(now_ms));
+        chooser.record_limit("u", LimitStatement::Unlimited, sent_at, now, &mut random);
+        if !chooser.limit_reports(now).is_empty() {
+            reported_until = now_ms;
+        }
+    }
+    assert!(
+        (5_000..12_000).contains(&reported_until),
+        "{reported_until} ms"
+    );
+}
+
 /// Guards against a request that is refused although another upstream takes it, and against refused
 /// callers that are all asked to come back at the same time.
 #[test]
