Log rates and fingerprints in the form that operators search for

The line about refused suspects had the fingerprint as a decimal number, while the lines of a request have 16 hexadecimal digits, and the line about a limit had thousandths. Both types print the same text everywhere now. No decision changes.

--- a/crates/oriolecrank-routing/src/request_fingerprint.rs
+++ b/crates/oriolecrank-routing/src/request_fingerprint.rs
@@ -28,7 +28,7 @@
 
 /// Short digest of a [`RequestContent`], equal at all entries. Requests of two organisations never
 /// share one, except by a collision of 64 bits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestFingerprint(u64);
 
 impl From<&RequestContent<'_>> for RequestFingerprint {
@@ -56,3 +56,10 @@
         write!(formatter, "{:016x}", self.0)
     }
 }
+
+/// The same as `Display`, so that log lines with a list of suspects can be searched for it.
+impl fmt::Debug for RequestFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
--- a/crates/oriolecrank-routing/src/request_rate.rs
+++ b/crates/oriolecrank-routing/src/request_rate.rs
@@ -6,9 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Requests per second, with a resolution of a thousandth.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash, Serialize, Deserialize)]
 pub struct RequestRate {
     /// Thousandths of a request per second.
     milli: u64,
@@ -45,7 +43,8 @@
     }
 }
 
-impl fmt::Display for RequestRate {
+/// As in `12.7/s`, for log lines.
+impl fmt::Debug for RequestRate {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}/s", self.per_second())
     }
--- a/crates/oriolecrank-routing/src/suspect_quarantine.rs
+++ b/crates/oriolecrank-routing/src/suspect_quarantine.rs
@@ -81,7 +81,7 @@
     crashes: IndexMap<CrashId, CrashRecord>,
     /// Last complete answer with suspects that ran during a retained crash.
     completed_at: IndexMap<CrashSuspect, TimePoint>,
-    refusals: IndexMap<CrashSuspect, SuspectRefusal>,
+    refusals: IndexMap<CrashSuspect, RefusalRecord>,
 }
 
 #[derive(Debug)]
@@ -103,7 +103,7 @@
 }
 
 #[derive(Debug)]
-struct SuspectRefusal {
+struct RefusalRecord {
     /// Last crash that is blamed on the suspect.
     crashed_at: TimePoint,
     next_trial_at: TimePoint,
@@ -163,7 +163,7 @@
             let known = self
                 .refusals
                 .entry(refusal.suspect)
-                .or_insert(SuspectRefusal {
+                .or_insert(RefusalRecord {
                     crashed_at,
                     next_trial_at,
                     trial_interval: refusal.trial_interval,
@@ -186,7 +186,7 @@
         }
         let completed_at = self.completed_at.entry(suspect).or_insert(at);
         *completed_at = at.max(*completed_at);
-        let is_cleared = |refusal: &SuspectRefusal| refusal.crashed_at < at;
+        let is_cleared = |refusal: &RefusalRecord| refusal.crashed_at < at;
         if self.refusals.get(&suspect).is_some_and(is_cleared) {
             self.refusals.shift_remove(&suspect);
             return true;
@@ -217,7 +217,7 @@
                 && (!is_part(suspect) || self.explains(&crash_times))
             {
                 let trial_interval = self.settings.first_trial_after;
-                let refusal = SuspectRefusal {
+                let refusal = RefusalRecord {
                     crashed_at,
                     next_trial_at: now + trial_interval,
                     trial_interval,
@@ -258,8 +258,8 @@
         })
     }
 
-    /// Suspects that are refused or not, and the trials that an entry may make now. `wanted` are the
-    /// refused suspects of requests that the entry has refused lately.
+    /// What an entry has to know, with the trials that it may make now. `wanted` are the refused
+    /// suspects of requests that the entry has refused lately.
     pub fn verdicts(&mut self, wanted: &[CrashSuspect], now: TimePoint) -> SuspectVerdicts {
         self.drop_expired(now);
         let mut trials = Vec::new();
--- a/crates/oriolecrank-routing/src/suspect_watch.rs
+++ b/crates/oriolecrank-routing/src/suspect_watch.rs
@@ -103,8 +103,7 @@
     }
 
     /// Replaces the verdicts with those of the leader, whose process has the run number
-    /// `control_run`. Recent answers with suspects that are new
-    /// are reported.
+    /// `control_run`. Recent answers with suspects that are new are reported.
     pub fn set_verdicts(&mut self, verdicts: SuspectVerdicts, control_run: u64, now: TimePoint) {
         self.verdicts_from = control_run;
         for suspect in &verdicts.trials {
--- a/crates/oriolecrank-routing/tests/routing/request_fingerprint.rs
+++ b/crates/oriolecrank-routing/tests/routing/request_fingerprint.rs
@@ -1,7 +1,8 @@
 //! Which requests count as the same.
 
 use oriolecrank_routing::{
-    OrganisationName, PartId, PromptPart, PromptShape, RequestContent, RequestFingerprint,
+    CrashSuspect, OrganisationName, PartId, PromptPart, PromptShape, RequestContent,
+    RequestFingerprint,
 };
 
 fn fingerprint(content: RequestContent<'_>) -> RequestFingerprint {
@@ -71,3 +72,20 @@
     seen.dedup();
     assert_eq!(seen.len(), variants.len());
 }
+
+/// Guards against a list of refused requests in which an operator cannot find the fingerprint that
+/// the lines of the request have.
+#[test]
+fn a_suspect_is_logged_with_the_digits_of_its_fingerprint() {
+    let fingerprint = fingerprint(RequestContent {
+        organisation: None,
+        method: "GET",
+        host: "h.example",
+        target: "/",
+        prompt: None,
+        body: b"",
+    });
+    let suspect = CrashSuspect::Request(fingerprint);
+    assert_eq!(format!("{suspect:?}"), format!("Request({fingerprint})"));
+    assert_eq!(fingerprint.to_string().len(), 16);
+}
--- a/crates/oriolecrank-routing/tests/routing/request_limits.rs
+++ b/crates/oriolecrank-routing/tests/routing/request_limits.rs
@@ -298,3 +298,13 @@
     assert!(waits_ms.is_sorted() && waits_ms[0] <= 110, "{waits_ms:?}");
     assert!(gaps_ms.all(|in_turn| in_turn), "{waits_ms:?}");
 }
+
+/// Guards against numbers that are no rates, and against log lines in another unit.
+#[test]
+fn a_rate_is_a_decimal_number_of_requests_a_second() {
+    let rate = RequestRate::from_per_second(12.7).expect("a valid rate");
+    assert_eq!(format!("{rate:?}"), "12.7/s");
+    for invalid in [-0.1, f64::NAN, f64::INFINITY] {
+        assert!(RequestRate::from_per_second(invalid).is_none(), "{invalid}");
+    }
+}
