Tell in a refusal whether engines lack the role that serves requests

Event 217 gave the reason `None` both when no upstream of a service is known and when its engines are ready but only prefill prompts.

The reason is now `NoServingRole` in the second case, counted as `no_serving_role` in `entry_refusals`, and the line has the numbers of upstreams that are known, ready and able to serve.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -277,17 +277,21 @@
         self.check_suspects(now)?;
         let choice_request = self.choice_request(resume_after, now);
         let chosen = self.shared.with_service(&request.service, |state| {
-            state.chooser.choose(&choice_request, now, &mut rand::rng())
+            let chosen = state.chooser.choose(&choice_request, now, &mut rand::rng());
+            chosen.map_err(|reason| (reason, state.chooser.census()))
         });
         let plan = match chosen {
             Ok(plan) => plan,
-            Err(reason) => {
+            Err((reason, census)) => {
                 self.shared.metrics.count_refusal(reason);
                 tracing::info!(
                     event = LogEvent::RequestRefused.number(),
                     request = request.head.request_id,
                     service = %request.service,
                     ?reason,
+                    known = census.known,
+                    ready = census.ready,
+                    serving = census.serving,
                     tried = self.tried.len(),
                     time_left_ms = choice_request.time_left.as_millis() as u64,
                     target_left_ms = choice_request.time_to_target.as_millis() as u64,
@@ -365,7 +369,7 @@
         match reason {
             _ if self.may_have_run => self.call_failure(),
             NoUpstream::Full(wait) | NoUpstream::Limited(wait) => refusal(wait),
-            NoUpstream::None => refusal(Duration::ZERO),
+            NoUpstream::None | NoUpstream::NoServingRole => refusal(Duration::ZERO),
         }
     }
 
--- a/crates/oriolecrank-gateway/src/entry_metrics.rs
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -174,6 +174,7 @@
     pub(crate) fn count_refusal(&self, reason: NoUpstream) {
         let outcome = match reason {
             NoUpstream::None => "no_upstream",
+            NoUpstream::NoServingRole => "no_serving_role",
             NoUpstream::Full(_) => "full",
             NoUpstream::Limited(_) => "limited",
         };
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -433,6 +433,6 @@
 
 /// Whether an upstream does the work of `role`; an upstream without a role serves requests like a
 /// decode engine.
-fn serves_role(upstream: &DirectUpstream, role: EngineRole) -> bool {
+pub(crate) fn serves_role(upstream: &DirectUpstream, role: EngineRole) -> bool {
     upstream.announcement().role.unwrap_or(EngineRole::Decode) == role
 }
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -16,7 +16,7 @@
 use oriolecrank_schema::document::UpstreamId;
 use rand::Rng;
 
-use crate::choice_search::{Candidate, ChoiceSearch, LimitUse};
+use crate::choice_search::{Candidate, ChoiceSearch, LimitUse, serves_role};
 use crate::direct_upstream::{CallTiming, DirectUpstream, DispatchTicket, UpstreamLoad};
 use crate::limit_report::LimitReport;
 use crate::names::{DomainName, UpstreamName};
@@ -24,7 +24,7 @@
 use crate::prompt_shape::PromptShape;
 use crate::request_rate::LimitStatement;
 use crate::route_document::EngineSpec;
-use crate::upstream_directory::{UpstreamAnnouncement, UpstreamReadiness};
+use crate::upstream_directory::{EngineRole, UpstreamAnnouncement, UpstreamReadiness};
 
 /// Settings of a [`DirectChooser`].
 #[derive(Debug, Clone, PartialEq)]
@@ -101,6 +101,8 @@
 pub enum NoUpstream {
     /// No upstream is ready, untried and has a free connection.
     None,
+    /// Upstreams are ready, but none of them has the role that serves requests.
+    NoServingRole,
     /// No upstream can answer before the deadline. Holds the estimated wait until one could; zero
     /// if unknown.
     Full(Duration),
@@ -108,6 +110,17 @@
     Limited(Duration),
 }
 
+/// Numbers of upstreams of a service, as an entry knows them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct UpstreamCensus {
+    /// Upstreams that have not left, with those that are silent or ejected.
+    pub known: usize,
+    /// Those of `known` that state that they are ready.
+    pub ready: usize,
+    /// Those of `ready` whose role serves requests.
+    pub serving: usize,
+}
+
 /// Upstreams chosen for a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallPlan {
@@ -439,7 +452,7 @@
                 (Some(prefill_upstream), serving_upstream)
             }
             (Some(direct), _) => (None, direct),
-            (None, None) => return Err(NoUpstream::None),
+            (None, None) => return Err(self.reason_without_candidate()),
         };
         Ok(CandidatePlan {
             timing,
@@ -448,6 +461,30 @@
         })
     }
 
+    fn reason_without_candidate(&self) -> NoUpstream {
+        let census = self.census();
+        if census.ready > 0 && census.serving == 0 {
+            NoUpstream::NoServingRole
+        } else {
+            NoUpstream::None
+        }
+    }
+
+    /// Numbers of upstreams, to explain why none was chosen.
+    pub fn census(&self) -> UpstreamCensus {
+        let mut census = UpstreamCensus {
+            known: self.upstreams.len(),
+            ..UpstreamCensus::default()
+        };
+        for upstream in self.upstreams.values() {
+            let is_ready = upstream.announcement().state == UpstreamReadiness::Ready;
+            let serves = is_ready && serves_role(upstream, EngineRole::Decode);
+            census.ready += usize::from(is_ready);
+            census.serving += usize::from(serves);
+        }
+        census
+    }
+
     /// Records that the serving engine caches the shared part of the prompt.
     fn record_placement(&mut self, request: &ChoiceRequest<'_>, index: usize, now: TimePoint) {
         let part = request.prompt.and_then(PromptShape::shared_part);
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -56,6 +56,7 @@
 pub use crash_suspect::CrashSuspect;
 pub use direct_chooser::{
     CallPlan, ChoiceRequest, ChooserSettings, ChosenUpstream, DirectChooser, NoUpstream,
+    UpstreamCensus,
 };
 pub use direct_upstream::{CallTiming, DirectUpstream, DispatchTicket, UpstreamLoad};
 pub use document_fetch::{DocumentFetch, PlannedFetch};
--- a/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
+++ b/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
@@ -405,3 +405,22 @@
     let tried = [UpstreamName::from("u")];
     assert!(!chooser.can_choose(&request(None, &tried), at(10), &mut random));
 }
+
+/// Guards against a refusal whose log line does not tell a service without upstreams from one whose
+/// engines all have the role that only prefills.
+#[test]
+fn a_service_without_an_engine_that_decodes_is_reported_as_such() {
+    let prompt = prompt(1, 2);
+    let mut none_known = engines(&[]);
+    let refused = choose(&mut none_known, &request(Some(&prompt), &[]));
+    assert_eq!(refused, Err(NoUpstream::None));
+    let mut prefill_only = engines(&[engine("u", 1, EngineRole::Prefill)]);
+    let refused = choose(&mut prefill_only, &request(Some(&prompt), &[]));
+    assert_eq!(refused, Err(NoUpstream::NoServingRole));
+    let census = prefill_only.census();
+    assert_eq!((census.known, census.ready, census.serving), (1, 1, 0));
+    let mut decoding = engines(&[engine("u", 1, EngineRole::Decode)]);
+    let tried = [UpstreamName::from("u")];
+    let refused = choose(&mut decoding, &request(Some(&prompt), &tried));
+    assert_eq!(refused, Err(NoUpstream::None));
+}
