Order prefill engines to decode when no engine of a service does

Cause: engines start in a role that the platform gives them, and are lost whatever it is. When the last engine that decodes has gone, the prefill engines that are left cannot serve, and no part of the system changed roles. Traffic cannot end this state, and neither can a restart, because the state is that of the engines.

Change: the leader checks twice a second whether a service has a live engine that decodes. If there is none, it orders two of three prefill engines, or all if there are fewer than three, to decode. Orders carry the term as fencing number and the name of the machine, and a new leader waits for one lease; the rule for that was part of `UsageSchedule` and is now `ActingTerm`, which both use. No engine is ever ordered to prefill, so that an order which is carried out late does no harm. A control instance that has started less than four heartbeats ago gives no orders, as it may not know all engines.

--- a/crates/oriolecrank-gateway/src/control_metrics.rs
+++ b/crates/oriolecrank-gateway/src/control_metrics.rs
@@ -33,6 +33,8 @@
     unreported_windows: Gauge,
     windows_reported: Counter,
     reports_refused: Counter,
+    orders_accepted: Counter,
+    orders_refused: Counter,
 }
 
 impl ControlMetrics {
@@ -76,6 +78,10 @@
         registry.register("windows_reported", help, self.windows_reported.clone());
         let help = "Usage reports of this instance that were not accepted";
         registry.register("reports_refused", help, self.reports_refused.clone());
+        let help = "Orders to engines that were accepted";
+        registry.register("orders_accepted", help, self.orders_accepted.clone());
+        let help = "Orders to engines that were refused or got no answer";
+        registry.register("orders_refused", help, self.orders_refused.clone());
     }
 
     /// Updates all gauges.
@@ -103,4 +109,13 @@
             self.reports_refused.inc();
         }
     }
+
+    /// Counts an order to an engine; `accepted` is false if it was refused or got no answer.
+    pub(crate) fn count_order(&self, accepted: bool) {
+        if accepted {
+            self.orders_accepted.inc();
+        } else {
+            self.orders_refused.inc();
+        }
+    }
 }
--- a/crates/oriolecrank-gateway/src/control_site.rs
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -25,10 +25,11 @@
 
 use crate::control_link::ControlLink;
 use crate::control_metrics::{ControlMetrics, SiteGaugeValues};
-use crate::dialect::{SiteDialect, UsageDialect};
+use crate::dialect::{OrderDialect, SiteDialect, UsageDialect};
 use crate::document_transfer::DocumentCache;
 use crate::group_repair::GroupRepair;
 use crate::internal_server::InternalServer;
+use crate::role_orders::{RoleOrderSettings, RoleOrders};
 use crate::site_clock::SiteClock;
 use crate::site_gossip::SiteGossip;
 use crate::site_machine::{SharedSite, SiteMachine};
@@ -67,6 +68,8 @@
     pub secret: ClusterSecret,
     /// When members of the control group are replaced.
     pub repair: RepairSettings,
+    /// When engines are ordered to change their roles.
+    pub orders: RoleOrderSettings,
     /// Settings of usage reports; `None` if this site reports no usage.
     pub usage: Option<UsageReportSettings>,
 }
@@ -112,7 +115,7 @@
 ///
 /// `seeds` holds internal addresses of other control instances, to which an instance that is no
 /// member yet sends its request to join.
-pub async fn run_control_site<D: SiteDialect + UsageDialect>(
+pub async fn run_control_site<D: SiteDialect + UsageDialect + OrderDialect>(
     options: ControlSiteOptions,
     dialect: Arc<D>,
     seeds: watch::Receiver<Vec<SocketAddr>>,
@@ -174,6 +177,15 @@
     };
     tokio::spawn(repair.run());
     let metrics = serve_metrics(&options, &publisher, &tables).await?;
+    let orders = RoleOrders {
+        settings: options.orders.clone(),
+        dialect: Arc::clone(&dialect),
+        client: client.clone(),
+        publisher: publisher.clone(),
+        tables: Arc::clone(&tables),
+        metrics: metrics.clone(),
+    };
+    tokio::spawn(orders.run());
     if let Some(settings) = options.usage.clone() {
         let reporter = UsageReporter {
             settings,
--- a/crates/oriolecrank-gateway/src/dialect.rs
+++ b/crates/oriolecrank-gateway/src/dialect.rs
@@ -11,8 +11,8 @@
 use http_body_util::Full;
 use oriolecrank_net::AnswerBody;
 use oriolecrank_routing::{
-    LimitStatement, OrganisationCounts, OrganisationName, PromptShape, RouteDocument,
-    UpstreamAnnouncement, UpstreamName, WindowNumber,
+    LimitStatement, OrderOutcome, OrganisationCounts, OrganisationName, PromptShape, RoleOrder,
+    RouteDocument, UpstreamAnnouncement, UpstreamName, WindowNumber,
 };
 
 /// Decodes the route documents of a platform.
@@ -186,6 +186,16 @@
     fn encode_site_reply(&self, reply: SiteReply) -> Response<AnswerBody>;
 }
 
+/// Translates orders to engines.
+pub trait OrderDialect: Send + Sync + 'static {
+    /// Request that orders an engine to decode. The fencing number grows with each leader, so that
+    /// engines can refuse the orders of earlier ones.
+    fn role_order(&self, order: &RoleOrder, fencing_number: u64) -> Request<Full<Bytes>>;
+
+    /// Decodes the status of an answer to an order.
+    fn decode_role_reply(&self, status: http::StatusCode) -> OrderOutcome;
+}
+
 /// Answer of the usage interface.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UsageReply {
--- a/crates/oriolecrank-gateway/src/lib.rs
+++ b/crates/oriolecrank-gateway/src/lib.rs
@@ -2,9 +2,9 @@
 //! instances that coordinate them.
 //!
 //! - [`run_entry_site`] serves callers. Its [`CallerDialect`] translates requests and answers.
-//! - [`run_control_site`] replicates the route document, maintains the directory of upstreams and
-//!   reports usage. Its [`SiteDialect`] translates calls of operators and upstreams, and its
-//!   [`UsageDialect`] translates reports to the usage interface.
+//! - [`run_control_site`] replicates the route document, maintains the directory of upstreams, reports
+//!   usage and gives orders to engines. Its [`SiteDialect`] translates calls of operators and
+//!   upstreams, its [`UsageDialect`] reports to the usage interface and its [`OrderDialect`] orders.
 //!
 //! Routing decisions are made in `oriolecrank-routing`; the replicated log comes from
 //! `oriolecrank-control`.
@@ -28,6 +28,7 @@
 mod internal_server;
 mod plain_body;
 mod prefilled_prompt;
+mod role_orders;
 mod running_attempt;
 mod site_clock;
 mod site_gossip;
@@ -41,9 +42,10 @@
 pub use control_site::{ControlSiteError, ControlSiteOptions, run_control_site};
 pub use dialect::{
     AnswerHead, AttemptHead, AttemptStage, CallFailure, CallHead, CallerDialect, DocumentDialect,
-    PromptHandle, SiteCall, SiteDialect, SiteReply, UsageDialect, UsageReply,
+    OrderDialect, PromptHandle, SiteCall, SiteDialect, SiteReply, UsageDialect, UsageReply,
 };
 pub use entry_shared::EntrySiteOptions;
 pub use entry_site::{EntrySiteError, run_entry_site};
 pub use event_stream::{EventBatch, EventTooLong, NumberedEventSplitter};
+pub use role_orders::RoleOrderSettings;
 pub use usage_reporter::UsageReportSettings;
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -24,7 +24,9 @@
 use crate::prompt_shape::PromptShape;
 use crate::request_rate::LimitStatement;
 use crate::route_document::EngineSpec;
-use crate::upstream_directory::{EngineRole, UpstreamAnnouncement, UpstreamReadiness};
+use crate::upstream_directory::{
+    EngineRole, SILENT_AFTER, UpstreamAnnouncement, UpstreamReadiness,
+};
 
 /// Settings of a [`DirectChooser`].
 #[derive(Debug, Clone, PartialEq)]
@@ -43,7 +45,7 @@
     /// Service time assumed for plain requests before the first one is answered.
     pub initial_service_time: Duration,
     /// An upstream that has sent no announcement for this long gets requests only if no other can
-    /// take them: four heartbeats.
+    /// take them.
     pub silent_after: Duration,
     /// Requests that may wait at an upstream without a model engine, per slot. Has no effect:
     /// nothing reads it.
@@ -61,7 +63,7 @@
             region_round_trip: Duration::from_millis(42),
             initial_prefill_speed: 200.0,
             initial_service_time: Duration::from_millis(30),
-            silent_after: Duration::from_millis(4_800),
+            silent_after: SILENT_AFTER,
             queue_per_slot: 3.0,
             ejection: EjectionSettings {
                 // A crashed upstream fails all its requests, so three failures in a row are
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -22,6 +22,7 @@
 //! - [`SiteState`] is the replicated state of the control group; [`RepairPlanner`] plans the changes
 //!   of its membership.
 
+mod acting_term;
 mod caller_timeout_range;
 mod choice_search;
 mod crash_suspect;
@@ -38,6 +39,7 @@
 mod prompt_shape;
 mod request_fingerprint;
 mod request_rate;
+mod role_repair;
 mod route_document;
 mod route_table;
 mod shared_retry_budget;
@@ -52,6 +54,7 @@
 mod usage_schedule;
 mod usage_window;
 
+pub use acting_term::ActingTerm;
 pub use caller_timeout_range::CallerTimeoutRange;
 pub use crash_suspect::CrashSuspect;
 pub use direct_chooser::{
@@ -69,6 +72,7 @@
 pub use prompt_shape::{PartId, PromptPart, PromptShape};
 pub use request_fingerprint::{RequestContent, RequestFingerprint};
 pub use request_rate::{LimitStatement, RequestRate};
+pub use role_repair::{OrderOutcome, RoleOrder, RoleRepair, RoleRepairSettings};
 pub use route_document::{
     CallKind, CallerLimits, DocumentError, EngineSpec, OrganisationKey, OrganisationSpec,
     RouteDocument, RouteSpec, ServiceShare, ServiceSpec,
--- a/crates/oriolecrank-routing/src/upstream_directory.rs
+++ b/crates/oriolecrank-routing/src/upstream_directory.rs
@@ -13,6 +13,9 @@
 
 use crate::names::{DomainName, ServiceName, UpstreamName};
 
+/// Time without an announcement after which an upstream is taken for lost: four heartbeats.
+pub(crate) const SILENT_AFTER: Duration = Duration::from_millis(4_800);
+
 /// Role of a model engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum EngineRole {
@@ -270,6 +273,11 @@
         self.records.is_empty()
     }
 
+    /// All records.
+    pub fn records(&self) -> impl Iterator<Item = &UpstreamRecord> {
+        self.records.values()
+    }
+
     /// Record of the upstream `name`.
     pub fn get(&self, name: &str) -> Option<&UpstreamRecord> {
         self.records.get(name)
--- a/crates/oriolecrank-routing/src/usage_schedule.rs
+++ b/crates/oriolecrank-routing/src/usage_schedule.rs
@@ -4,6 +4,7 @@
 
 use oriolecrank_schema::TimePoint;
 
+use crate::acting_term::ActingTerm;
 use crate::usage_window::WindowNumber;
 
 /// A window is closed once this share of the time until its report is due has passed. Entries send
@@ -22,55 +23,31 @@
     pub lease: Duration,
 }
 
-/// A term in which this instance is the leader.
-#[derive(Debug, Clone, Copy)]
-struct LedTerm {
-    term: u64,
-    led_since: TimePoint,
-    /// Whether the usage interface has seen a higher fencing number; nothing more is sent in this
-    /// term.
-    fenced: bool,
-}
-
 /// Decides when this instance closes and reports usage windows.
 #[derive(Debug)]
 pub struct UsageSchedule {
     settings: ScheduleSettings,
-    led_term: Option<LedTerm>,
+    acting_term: ActingTerm,
 }
 
 impl UsageSchedule {
     /// Creates the schedule of an instance that does not lead.
     pub const fn new(settings: ScheduleSettings) -> Self {
         Self {
+            acting_term: ActingTerm::new(settings.lease),
             settings,
-            led_term: None,
         }
     }
 
     /// Updates the schedule with the term that this instance leads at present, `None` if it does
     /// not lead. Returns the term once the instance has led it for the lease and was not fenced.
     pub fn acting_term(&mut self, led_term: Option<u64>, now: TimePoint) -> Option<u64> {
-        let Some(term) = led_term else {
-            self.led_term = None;
-            return None;
-        };
-        let known = self.led_term.filter(|led_term| led_term.term == term);
-        let led_term = known.unwrap_or(LedTerm {
-            term,
-            led_since: now,
-            fenced: false,
-        });
-        self.led_term = Some(led_term);
-        let may_act = !led_term.fenced && now.since(led_term.led_since) >= self.settings.lease;
-        may_act.then_some(term)
+        self.acting_term.update(led_term, now)
     }
 
     /// Records that a later leader has reported; this instance does nothing more in its term.
     pub const fn mark_fenced(&mut self) {
-        if let Some(led_term) = &mut self.led_term {
-            led_term.fenced = true;
-        }
+        self.acting_term.mark_fenced();
     }
 
     /// Windows to close at `unix_ms`, oldest first; those up to `closed_until` are closed already.
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -9,6 +9,7 @@
 mod part_placement;
 mod request_fingerprint;
 mod request_limits;
+mod role_repair;
 mod route_document;
 mod shared_retry_budget;
 mod site_state;
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -93,6 +93,7 @@
     StorageFailed = 420, "The data folder cannot be written; the process stops.";
     OrderSettled = 430, "An order to an agent was settled; the result and the rule are in the line.";
     OrderUnanswered = 431, "An order to an agent has an unknown outcome; it is sent again with the same fencing number.";
+    RoleOrdered = 432, "No engine of a service serves requests, so a prefill engine was ordered to decode; the outcome is in the line.";
     PlatformUnavailable = 435, "The platform interface did not answer; starts and stops wait.";
     PlatformOrderSent = 436, "A start or stop was sent to the platform.";
     PlatformOrderFailed = 437, "The platform refused a start or stop, which is settled as refused, or did not confirm it; then the list of running upstreams shows its effect.";
