Add failing tests for estimates that only an answer corrects

Three estimates have no end of their own:

- the mean service time of a plain service, after its route got a shorter timeout: 1.5 s for a timeout of 1 s refuses all requests, so that no answer comes;
- the loads that other entries report, when no control instance answers any more;
- the speed of an engine: once no request can meet its target, all are late, and late answers are not observed, so that all requests stay late with lower priority although the engine is fast again.

--- a/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
+++ b/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
@@ -8,6 +8,7 @@
     EngineSpec, NoUpstream, PartId, PlacedParts, PromptShape, UpstreamAnnouncement, UpstreamLoad,
     UpstreamName, UpstreamReadiness,
 };
+use oriolecrank_schema::TimePoint;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
@@ -424,3 +425,94 @@
     let refused = choose(&mut decoding, &request(Some(&prompt), &tried));
     assert_eq!(refused, Err(NoUpstream::None));
 }
+
+/// Time after which service must have returned, in milliseconds.
+const RECOVERY_MS: u64 = 12_000;
+
+/// Answers that an upstream sends while it is slow.
+const SLOW_ANSWERS: u64 = 300;
+
+/// Lets the only upstream answer requests one after the other, each after 1.5 s. Returns the time of
+/// the last answer.
+fn answer_slowly(chooser: &mut DirectChooser, has_prompt: bool) -> TimePoint {
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let elapsed = Duration::from_millis(1_500);
+    let mut now = at(10);
+    for own in 0..SLOW_ANSWERS {
+        let prompt = has_prompt.then(|| prompt(1, 100 + own));
+        let request = request(prompt.as_ref(), &[]);
+        let plan = chooser.choose(&request, now, &mut random);
+        let mut plan = plan.expect("the upstream takes a request");
+        now = now + elapsed;
+        chooser.record_first_answer(&mut plan.serving_upstream, elapsed, now);
+        let name = plan.serving_upstream.announcement.name.clone();
+        let service_time = (!has_prompt).then_some(elapsed);
+        let ticket = plan.serving_upstream.ticket;
+        chooser.finish(name.as_str(), &ticket, service_time, now);
+        chooser.apply_announcement(&plan.serving_upstream.announcement, now);
+    }
+    now
+}
+
+/// Guards against a plain service that is refused for good because it was slow for a while and the
+/// timeout of its route was shortened: only an answer corrected the estimate, and no request was sent
+/// any more.
+#[test]
+fn a_service_that_was_slow_is_tried_again_without_an_answer() {
+    let mut chooser = chooser(&[announcement_at_port("u", 1)]);
+    let slow_until = answer_slowly(&mut chooser, false);
+    let request = ChoiceRequest {
+        time_left: Duration::from_secs(1),
+        ..request(None, &[])
+    };
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let soon = at(slow_until.as_millis() + 500);
+    let choice = chooser.choose(&request, soon, &mut random);
+    assert!(matches!(choice, Err(NoUpstream::Full(_))), "{choice:?}");
+    let later = at(slow_until.as_millis() + RECOVERY_MS);
+    let choice = chooser.choose(&request, later, &mut random);
+    assert!(choice.is_ok(), "still refused: {choice:?}");
+}
+
+/// Guards against an engine that was slow for a while and whose requests are treated as late for
+/// good: late requests taught the estimates nothing, and no others were sent any more.
+#[test]
+fn an_engine_that_was_slow_serves_requests_on_time_again() {
+    let mut chooser = engines(&[engine("u", 1, EngineRole::Decode)]);
+    let slow_until = answer_slowly(&mut chooser, true);
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let mut timings = Vec::new();
+    for step in (500..RECOVERY_MS).step_by(100) {
+        let now = at(slow_until.as_millis() + step);
+        let prompt = prompt(1, 10_000 + step);
+        let plan = chooser.choose(&request(Some(&prompt), &[]), now, &mut random);
+        let mut plan = plan.unwrap();
+        timings.push(plan.timing);
+        let elapsed = Duration::from_millis(20);
+        let answered_at = now + elapsed;
+        chooser.record_first_answer(&mut plan.serving_upstream, elapsed, answered_at);
+        chooser.finish("u", &plan.serving_upstream.ticket, None, answered_at);
+        chooser.apply_announcement(&plan.serving_upstream.announcement, answered_at);
+    }
+    assert_eq!(timings.first(), Some(&CallTiming::Late));
+    assert_eq!(timings.last(), Some(&CallTiming::OnTime));
+}
+
+/// Guards against loads of other entries that are counted for good when no control instance answers
+/// any more.
+#[test]
+fn loads_of_other_entries_expire_without_news() {
+    let prompt = prompt(1, 2);
+    let mut chooser = engines(&[engine("u", 1, EngineRole::Decode)]);
+    let load = UpstreamLoad {
+        running: 16,
+        pending_prefill_tokens: 2_000_000,
+        ..UpstreamLoad::default()
+    };
+    chooser.set_remote_load("u", load);
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let request = request(Some(&prompt), &[]);
+    assert!(chooser.choose(&request, at(10), &mut random).is_err());
+    let choice = chooser.choose(&request, at(RECOVERY_MS), &mut random);
+    assert!(choice.is_ok(), "still refused: {choice:?}");
+}
