Give up a service time that no answer confirms

What callers saw: after a plain service was slow for a while and its route got a shorter timeout, all its requests were refused at once, although the service was fast again.

Cause: the mean service time changes only with answers, and a mean above the timeout keeps the requests away that would bring them.

Change: without an answer for 5 s, a mean above the initial one counts as the initial one.

--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -166,7 +166,8 @@
             }
             let slots = self.slots(upstream);
             let Some(prompt) = self.request.prompt else {
-                let answer_ms = upstream.plain_request_ms(self.chooser.mean_service_ms, slots);
+                let mean_ms = self.chooser.mean_service_ms(self.now);
+                let answer_ms = upstream.plain_request_ms(mean_ms, slots);
                 return Some(WorkEstimate {
                     answer_ms,
                     occupied_ms: 0.0,
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -180,8 +180,47 @@
     ejection: OutlierEjection,
     /// Recent placements of shared prompt parts by all entries.
     pub(crate) placements: PartPlacements,
-    /// Mean service time of a plain request, in milliseconds.
-    pub(crate) mean_service_ms: f64,
+    /// Mean service time of a plain request.
+    service_time: ServiceTime,
+}
+
+/// Mean service time of the plain requests of a service.
+///
+/// A mean above the timeout of a route keeps requests away, and with them the answers that would
+/// correct it. Without answers it therefore counts for [`ESTIMATE_LIFETIME`] only.
+#[derive(Debug, Clone, Copy)]
+struct ServiceTime {
+    mean_ms: f64,
+    /// Mean assumed without answers, in milliseconds.
+    initial_ms: f64,
+    /// Time of the last answer.
+    observed_at: TimePoint,
+}
+
+impl ServiceTime {
+    fn new(initial: Duration) -> Self {
+        let initial_ms = initial.as_secs_f64() * 1_000.0;
+        Self {
+            mean_ms: initial_ms,
+            initial_ms,
+            observed_at: TimePoint::default(),
+        }
+    }
+
+    fn record(&mut self, time: Duration, now: TimePoint) {
+        let time_ms = time.as_secs_f64() * 1_000.0;
+        let mean_ms = self.mean_ms(now);
+        self.mean_ms = mean_ms + (time_ms - mean_ms) * SERVICE_TIME_WEIGHT;
+        self.observed_at = now;
+    }
+
+    fn mean_ms(&self, now: TimePoint) -> f64 {
+        if now.since(self.observed_at) > ESTIMATE_LIFETIME {
+            self.mean_ms.min(self.initial_ms)
+        } else {
+            self.mean_ms
+        }
+    }
 }
 
 /// A request counts as on time if its answer is expected within this share of the time to its
@@ -189,6 +228,9 @@
 /// estimate.
 const ON_TIME_TARGET_SHARE: f64 = 0.65;
 
+/// Time without an answer after which an estimate that keeps requests away is given up.
+pub(crate) const ESTIMATE_LIFETIME: Duration = Duration::from_secs(5);
+
 /// Weight of a new observation in the mean service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.02;
 
@@ -201,7 +243,7 @@
             upstreams: IndexMap::new(),
             ejection: OutlierEjection::new(settings.ejection.clone()),
             placements: PartPlacements::default(),
-            mean_service_ms: settings.initial_service_time.as_secs_f64() * 1_000.0,
+            service_time: ServiceTime::new(settings.initial_service_time),
             settings,
         }
     }
@@ -642,8 +684,7 @@
             upstream.finish(ticket, now);
         }
         if let Some(time) = service_time {
-            let time_ms = time.as_secs_f64() * 1_000.0;
-            self.mean_service_ms += (time_ms - self.mean_service_ms) * SERVICE_TIME_WEIGHT;
+            self.service_time.record(time, now);
         }
     }
 
@@ -671,6 +712,11 @@
         true
     }
 
+    /// Mean service time of a plain request, in milliseconds.
+    pub(crate) fn mean_service_ms(&self, now: TimePoint) -> f64 {
+        self.service_time.mean_ms(now)
+    }
+
     fn distance(&self, from: &DomainName, to: &DomainName) -> DomainDistance {
         if from == to {
             return DomainDistance::Same;
