Forget the loads of other entries without news of them

What callers saw: an entry that no control instance answered refused requests at once, because engines had been full of other entries' requests when the last news came.

Cause: reported loads are replaced by the next report only.

Change: they count for 4 s, after which control instances forget the report of an entry, too.

--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -287,10 +287,10 @@
 
     /// Replaces the loads that the other entries put on upstreams; an upstream that `loads` does
     /// not name has none.
-    pub(crate) fn set_remote_loads(&self, loads: &[NamedLoad]) {
+    pub(crate) fn set_remote_loads(&self, loads: &[NamedLoad], now: TimePoint) {
         let mut tables = self.lock_tables();
         for state in tables.services.values_mut() {
-            state.chooser.clear_remote_loads();
+            state.chooser.clear_remote_loads(now);
             for named in loads {
                 state
                     .chooser
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -244,7 +244,7 @@
             self.offers.record(self.address, answer.document_version);
         }
         shared.apply_announcements(answer.upstreams, now);
-        shared.set_remote_loads(&answer.other_loads);
+        shared.set_remote_loads(&answer.other_loads, now);
         shared.apply_limit_reports(&answer.limits, now);
         shared.apply_placements(&answer.placed, now);
         self.placement_sequence = answer.placement_sequence;
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -18,7 +18,7 @@
 
 use crate::choice_search::{Candidate, ChoiceSearch, LimitUse, serves_role};
 use crate::direct_upstream::{CallTiming, DirectUpstream, DispatchTicket, UpstreamLoad};
-use crate::limit_report::LimitReport;
+use crate::limit_report::{LimitReport, REPORT_LIFETIME};
 use crate::names::{DomainName, UpstreamName};
 use crate::part_placement::{PartPlacements, PlacedParts};
 use crate::prompt_shape::PromptShape;
@@ -178,6 +178,9 @@
     max_connections: u32,
     pub(crate) upstreams: IndexMap<UpstreamName, DirectUpstream>,
     ejection: OutlierEjection,
+    /// When the loads of other entries were reported last. They count for [`REPORT_LIFETIME`], because
+    /// an entry that no control instance answers would count them for good.
+    remote_loads_at: TimePoint,
     /// Recent placements of shared prompt parts by all entries.
     pub(crate) placements: PartPlacements,
     /// Mean service time of a plain request.
@@ -242,6 +245,7 @@
             max_connections: 0,
             upstreams: IndexMap::new(),
             ejection: OutlierEjection::new(settings.ejection.clone()),
+            remote_loads_at: TimePoint::default(),
             placements: PartPlacements::default(),
             service_time: ServiceTime::new(settings.initial_service_time),
             settings,
@@ -309,8 +313,9 @@
         }
     }
 
-    /// Sets the loads that other entries have reported to 0.
-    pub fn clear_remote_loads(&mut self) {
+    /// Sets the loads that other entries have reported to 0, before those reported at `now` are set.
+    pub fn clear_remote_loads(&mut self, now: TimePoint) {
+        self.remote_loads_at = now;
         for upstream in self.upstreams.values_mut() {
             upstream.set_remote_load(UpstreamLoad::default());
         }
@@ -366,6 +371,9 @@
                 upstream.weight = change.weight;
             }
         }
+        if now.since(self.remote_loads_at) > REPORT_LIFETIME {
+            self.clear_remote_loads(now);
+        }
         self.refill_limit_shares(request.entries, now);
         let wanted = self.find_plan(request, LimitUse::Ignored, now, random)?;
         let plan = if self.is_within_limits(&wanted, request.priority, now) {
