Observe late answers while an engine gets no requests on time

What callers saw: after an engine had been slow for a while, all of its requests were treated as late, with lower priority and only while a slot was free, although it was fast again.

Cause: the speed of an engine is observed in answers to requests on time only. Once no request is expected to meet its target, there are none, and the estimate stays.

--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -7,6 +7,7 @@
 use oriolecrank_schema::TimePoint;
 use serde::{Deserialize, Serialize};
 
+use crate::direct_chooser::ESTIMATE_LIFETIME;
 use crate::limit_report::LimitReport;
 use crate::part_cache::PartCache;
 use crate::prompt_shape::PromptShape;
@@ -199,6 +200,8 @@
     recent_wait_ms: f64,
     /// Time of the observation in `recent_wait_ms`.
     wait_observed: TimePoint,
+    /// Time of the last answer to a request on time, which `base_ms` and `prefill_speed` follow.
+    estimated_at: TimePoint,
     /// Time of the last answer of any kind, including refusals.
     last_answer: Option<TimePoint>,
     /// Time of the last answer that refused a request without running it.
@@ -232,6 +235,7 @@
             base_ms: FIRST_DECODE_STEP_MS,
             recent_wait_ms: 0.0,
             wait_observed: received_at,
+            estimated_at: received_at,
             last_answer: None,
             last_refusal: None,
             prefill_speed,
@@ -465,16 +469,17 @@
         self.first_answers.insert(ticket.number, now);
         self.local_load = self.local_load.combined_with(ticket.load());
         self.remove_waiting(ticket);
+        let answer_ms = elapsed.as_secs_f64() * 1_000.0;
         if ticket.timing == CallTiming::Late {
+            if now.since(self.estimated_at) > ESTIMATE_LIFETIME {
+                self.improve_estimates(ticket, answer_ms);
+            }
             return;
         }
-        let answer_ms = elapsed.as_secs_f64() * 1_000.0;
+        self.estimated_at = now;
         // The time of a short prefill depends little on the prefill speed.
         if ticket.prefill_tokens >= MIN_SPEED_SAMPLE_TOKENS {
-            let tokens = (ticket.prefill_tokens + ticket.ahead_tokens) as f64;
-            let prefill_ms = (answer_ms - self.base_ms).max(1.0);
-            self.prefill_speed += (tokens / prefill_ms - self.prefill_speed) * PREFILL_SPEED_WEIGHT;
-            self.prefill_speed = self.prefill_speed.max(1.0);
+            self.prefill_speed = self.speed_after(ticket, answer_ms).max(1.0);
         }
         let overhead_ms = answer_ms - ticket.prefill_tokens as f64 / self.prefill_speed;
         if overhead_ms < self.base_ms {
@@ -488,6 +493,25 @@
         }
     }
 
+    /// Improves the estimates by the answer to a late request. Late requests also wait for others, so
+    /// their answers show only that the upstream is faster than estimated. Without them, an upstream
+    /// that is taken for too slow to meet any target would get late requests only, for good.
+    fn improve_estimates(&mut self, ticket: &DispatchTicket, answer_ms: f64) {
+        if ticket.prefill_tokens >= MIN_SPEED_SAMPLE_TOKENS {
+            let speed = self.speed_after(ticket, answer_ms);
+            self.prefill_speed = self.prefill_speed.max(speed);
+        }
+        let overhead_ms = answer_ms - ticket.prefill_tokens as f64 / self.prefill_speed;
+        self.base_ms = self.base_ms.min(overhead_ms.max(0.0));
+    }
+
+    /// Mean prefill speed with one more answer, in tokens per millisecond.
+    fn speed_after(&self, ticket: &DispatchTicket, answer_ms: f64) -> f64 {
+        let tokens = (ticket.prefill_tokens + ticket.ahead_tokens) as f64;
+        let prefill_ms = (answer_ms - self.base_ms).max(1.0);
+        self.prefill_speed + (tokens / prefill_ms - self.prefill_speed) * PREFILL_SPEED_WEIGHT
+    }
+
     /// Records that the upstream has refused a request without running it.
     pub const fn record_refusal(&mut self, now: TimePoint) {
         self.last_answer = Some(now);
