--- a/crates/oriolecrank-policy/tests/upstream_chooser.rs
+++ b/crates/oriolecrank-policy/tests/upstream_chooser.rs
@@ -501,3 +501,20 @@
         prop_assert_eq!(chosen, best.map(|(_, state)| state.upstream.clone()));
     }
 }
+
+/// Guards against calls that are refused for good because all upstreams were full when they were last
+/// heard of: loads arrive with answers only, and a refused call brings none.
+#[test]
+fn loads_that_no_answer_confirms_expire() {
+    let mut chooser = chooser(&[upstream(0, 0), upstream(1, 0)]);
+    for number in 0..2 {
+        report(&mut chooser, number, 60.0, 1_000);
+    }
+    let delay = |millis| {
+        let delay = chooser.expected_delay(&request(), at(millis));
+        delay.expect("there is an upstream").as_millis()
+    };
+    assert!(delay(1_100) > 1_000, "{} ms soon", delay(1_100));
+    // A call that would wait for up to 50 ms is admitted whatever its deadline.
+    assert!(delay(31_000) <= 50, "{} ms after 30 s", delay(31_000));
+}
