Let the mean load of upstreams expire without reports

What callers saw: after all upstreams of a service had been full, calls with a deadline were refused for good, although the upstreams were idle again.

Cause: agents report loads with answers. An old report counts less and less against the mean of all upstreams, but the mean itself had no end, and refused calls bring no answers.

While calls are answered, the newest report is recent and nothing changes.

--- a/crates/oriolecrank-policy/src/upstream_chooser.rs
+++ b/crates/oriolecrank-policy/src/upstream_chooser.rs
@@ -130,6 +130,8 @@
     ejected: SlotSet,
     /// Mean utilisation according to the last report of each upstream; 0 without reports.
     mean_utilisation: f64,
+    /// Time of the newest report in `mean_utilisation`.
+    newest_report: Option<TimePoint>,
     /// Moving average of the time per request, from which queueing times are estimated.
     request_time_ms: f64,
     /// Moving average of the time per block of a request.
@@ -153,6 +155,7 @@
             by_phase: [SlotSet::default(); 3],
             ejected: SlotSet::default(),
             mean_utilisation: 0.0,
+            newest_report: None,
             request_time_ms: initial_ms,
             block_time_ms: initial_ms,
         }
@@ -465,7 +468,7 @@
         let settings = &self.settings.estimate;
         let blocks = slot
             .estimate
-            .blocks(capacity, self.mean_utilisation, settings, now);
+            .blocks(capacity, self.mean_utilisation(now), settings, now);
         let utilisation = blocks / capacity.get().max(1) as f64;
         let matches = self.role_matches(slot.state.role, request);
         let factor = if matches {
@@ -605,7 +608,20 @@
         }
     }
 
+    /// Mean utilisation of the upstreams that have reported one. It halves with each half-life after
+    /// the newest report: loads are reported with answers, and a mean that keeps all requests away
+    /// would stay for good.
+    fn mean_utilisation(&self, now: TimePoint) -> f64 {
+        let age = self
+            .newest_report
+            .map_or(0.0, |newest| now.since(newest).as_secs_f64());
+        let half_life = self.settings.estimate.half_life.as_secs_f64();
+        self.mean_utilisation * (-age / half_life).exp2()
+    }
+
     fn update_mean(&mut self) {
+        let estimates = self.slots.iter().flatten().map(|slot| &slot.estimate);
+        self.newest_report = estimates.filter_map(LoadEstimate::measured_at).max();
         let slots = self.slots.iter().flatten();
         let reports =
             slots.filter_map(|slot| slot.estimate.reported_utilisation(slot.state.capacity));
