Log the software versions of upstreams and streams that callers resume

The report of streams that were joined from two versions cannot be traced by logs: heartbeats state the version of a server's software and callers name the attempt that began the stream, but neither was decoded, and a caller's attempt that resumes a stream left no line.

Nothing is decided by them yet.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -76,6 +76,17 @@
     pub(crate) async fn run_stream(mut self) -> Result<Response<AnswerBody>, CallFailure> {
         let resume_after = self.request.head.resume_after;
         let started = self.start(resume_after).await?;
+        if resume_after.is_some() {
+            tracing::info!(
+                event = LogEvent::StreamResumed.number(),
+                request = self.request.head.request_id,
+                begun_as = self.request.head.begun_as,
+                after = resume_after,
+                upstream = %started.attempt.chosen.announcement.name,
+                version = ?started.attempt.chosen.announcement.version,
+                "a caller resumes a stream"
+            );
+        }
         if !started.response.status().is_success() {
             return self.relay_error_answer(started).await;
         }
@@ -187,6 +198,8 @@
                             event = LogEvent::StreamResumed.number(),
                             request = self.runner.request.head.request_id,
                             %upstream,
+                            next = %next.attempt.chosen.announcement.name,
+                            version = ?next.attempt.chosen.announcement.version,
                             reason,
                             after = self.last_number,
                             "a stream is resumed on another upstream"
--- a/crates/oriolecrank-gateway/src/dialect.rs
+++ b/crates/oriolecrank-gateway/src/dialect.rs
@@ -36,6 +36,9 @@
     pub prompt: Option<PromptShape>,
     /// Number of the last event that the caller has received, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// Identity of the caller's request that received the first event of that stream, if it is
+    /// stated.
+    pub begun_as: Option<String>,
 }
 
 /// What the gateway adds to the head of a request that it sends to an upstream.
--- a/crates/oriolecrank-gateway/src/site_server.rs
+++ b/crates/oriolecrank-gateway/src/site_server.rs
@@ -133,6 +133,7 @@
         address = %announcement.address,
         state = ?announcement.state,
         phase = ?announcement.role,
+        version = ?announcement.version,
         started_ms = announcement.started_ms,
         sequence = announcement.sequence,
         "the announcement of an upstream has changed"
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -66,7 +66,9 @@
 pub use limit_report::{LimitReport, LimitTable};
 pub use load_table::{LoadTable, UpstreamLoads};
 pub use member_repair::{JoiningMember, MemberHealth, RepairPlanner, RepairSettings, next_members};
-pub use names::{DomainName, EntryName, OrganisationName, ServiceName, UpstreamName};
+pub use names::{
+    DomainName, EntryName, OrganisationName, ServiceName, SoftwareVersion, UpstreamName,
+};
 pub use part_cache::PartCache;
 pub use part_placement::{PartPlacements, PlacedParts, PlacementLog};
 pub use prompt_shape::{PartId, PromptPart, PromptShape};
--- a/crates/oriolecrank-routing/src/names.rs
+++ b/crates/oriolecrank-routing/src/names.rs
@@ -71,6 +71,11 @@
     /// restarts.
     UpstreamName
 }
+name_type! {
+    /// Version of the software of an upstream. Versions have no order; two of them are the same or
+    /// not.
+    SoftwareVersion
+}
 name_type! {
     /// Name of a failure domain; several domains form a region.
     DomainName
--- a/crates/oriolecrank-routing/src/upstream_directory.rs
+++ b/crates/oriolecrank-routing/src/upstream_directory.rs
@@ -11,7 +11,7 @@
 use oriolecrank_schema::TimePoint;
 use serde::{Deserialize, Serialize};
 
-use crate::names::{DomainName, ServiceName, UpstreamName};
+use crate::names::{DomainName, ServiceName, SoftwareVersion, UpstreamName};
 
 /// Time without an announcement after which an upstream is taken for lost: four heartbeats.
 pub(crate) const SILENT_AFTER: Duration = Duration::from_millis(4_800);
@@ -51,6 +51,9 @@
     pub slots: u32,
     /// Readiness for requests.
     pub state: UpstreamReadiness,
+    /// Version of its software, as opposed to that of a model; `None` if it states none.
+    #[serde(default)]
+    pub version: Option<SoftwareVersion>,
     /// Role of a model engine; `None` for other upstreams.
     #[serde(rename = "phase")]
     pub role: Option<EngineRole>,
@@ -75,6 +78,7 @@
             && self.service == other.service
             && self.state == other.state
             && self.role == other.role
+            && self.version == other.version
             && self.started_ms == other.started_ms
             && self.slots == other.slots
     }
--- a/crates/oriolecrank-routing/tests/routing/fixtures.rs
+++ b/crates/oriolecrank-routing/tests/routing/fixtures.rs
@@ -20,6 +20,7 @@
         domain: DomainName::from("a"),
         slots: 4,
         state: UpstreamReadiness::Ready,
+        version: None,
         role: None,
         warmup_remaining: Duration::ZERO,
         started_ms,
--- a/crates/oriolecrank-routing/tests/schedule_support/site_model.rs
+++ b/crates/oriolecrank-routing/tests/schedule_support/site_model.rs
@@ -542,6 +542,7 @@
         domain: "d".into(),
         slots: 4,
         state: UpstreamReadiness::Ready,
+        version: None,
         role: None,
         warmup_remaining: Duration::ZERO,
         started_ms: UNIX_START_MS,
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -62,7 +62,7 @@
     UpstreamEjected = 216, "An upstream gets no requests for a time because its answers fail.";
     RequestRefused = 217, "No upstream accepts a request; the reason and the remaining time are in the line.";
     AttemptFailed = 218, "An attempt at an upstream failed or was abandoned; the request may continue at another one.";
-    StreamResumed = 219, "A stream continues at another upstream after the last event that the caller has received.";
+    StreamResumed = 219, "A stream continues after the last event that the caller has received, at another upstream or in a new request of the caller; the versions of the software are in the line.";
     UsageReportFailed = 220, "A batch of usage records was not acknowledged; it is sent again.";
     UsageDropped = 221, "Usage records were dropped, because too many were waiting or they were not acknowledged before the process ended.";
     FieldNotSent = 222, "A name from the settings or the document cannot be sent in a header field; the field is left out.";
