Let streams go on only at the software version that began them

What callers saw: streams whose first part came from one software version of an engine and the rest from another, with nothing in the answer to show it; mostly after entries were killed, but also after resets, crashes of engines and cut answers.

Cause: the version that servers state was not decoded, and neither was the attempt that a caller names when it resumes a stream. An entry resumed a broken stream on any engine, and sent a caller's resuming attempt to any engine.

Change: entries begin resumable streams only at versions that the replicated state has admitted. While a service has one such version, a resumed stream can only have begun there, and nothing is recorded. While it has several, entries send a record of each stream to the leader, which commits them. A resuming attempt is sent to the recorded version; what is unknown, or has no server left, is refused at once. The task that follows the control group no longer waits for two seconds each time when its seeds cannot change; tests depended on that for the address of the leader.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -229,7 +229,8 @@
     /// stream cannot be resumed.
     async fn resume(&mut self) -> Option<StartedAnswer<D>> {
         self.splitter.clear();
-        let resumable = !self.any_event_sent || self.last_number.is_some();
+        let continues = self.any_event_sent && self.runner.has_known_version();
+        let resumable = !self.any_event_sent || (continues && self.last_number.is_some());
         if !resumable || !self.runner.record_lost_answer() {
             return None;
         }
@@ -302,7 +303,7 @@
             last_data_at = now;
             first_data_at.get_or_insert(now);
             attempt.record_start(now);
-            if let Some(end) = self.forward_events(&data).await {
+            if let Some(end) = self.forward_events(&data, &attempt).await {
                 return end;
             }
         }
@@ -323,7 +324,11 @@
 
     /// Sends the complete events to the caller and holds back the rest; returns the end of the
     /// relay if there is one.
-    async fn forward_events(&mut self, data: &[u8]) -> Option<RelayEnd> {
+    async fn forward_events(
+        &mut self,
+        data: &[u8],
+        attempt: &RunningAttempt<D>,
+    ) -> Option<RelayEnd> {
         let batch = match self.splitter.push(data) {
             Ok(batch) => batch?,
             Err(error) => return Some(RelayEnd::Broken(error.to_string())),
@@ -331,7 +336,10 @@
         if batch.last_number.is_some() {
             self.last_number = batch.last_number;
         }
-        self.any_event_sent = true;
+        if !std::mem::replace(&mut self.any_event_sent, true) {
+            let upstream = &attempt.chosen.announcement;
+            self.runner.record_stream_begin(upstream);
+        }
         let sent = self.sender.send(Ok(batch.bytes)).await;
         sent.is_err().then_some(RelayEnd::CallerLeft)
     }
--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -10,7 +10,8 @@
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
 use oriolecrank_routing::{
     CallKind, CallTiming, ChoiceRequest, CrashSuspect, NoUpstream, OrganisationName, PromptShape,
-    RequestFingerprint, RouteSpec, ServiceName, UpstreamName,
+    RequestFingerprint, RouteSpec, ServiceName, SoftwareVersion, StreamKey, StreamOrigin,
+    UpstreamAnnouncement, UpstreamName, VersionFilter,
 };
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::data_path::RunVerdict;
@@ -25,6 +26,7 @@
 use crate::entry_shared::EntryShared;
 use crate::prefilled_prompt::PrefilledPrompt;
 use crate::running_attempt::{RunningAttempt, current_time};
+use crate::stream_resumption::cannot_resume;
 
 /// Number of connection failures after which no further attempt is made. As long as no message has
 /// reached an upstream, another attempt does not use the retry budget.
@@ -57,6 +59,8 @@
     pub(crate) head: CallHead,
     pub(crate) route: Arc<RouteSpec>,
     pub(crate) service: ServiceName,
+    /// Software version that began the stream, if the caller resumes one.
+    pub(crate) resume_version: Option<SoftwareVersion>,
     pub(crate) organisation: Option<OrganisationName>,
     /// Recognises the request when it comes again under another id.
     pub(crate) fingerprint: RequestFingerprint,
@@ -134,11 +138,15 @@
     priority: u8,
     /// The retry budget was already charged for the next attempt.
     extra_attempt_reserved: bool,
+    /// Software version that began the stream; no other may go on with it. `None` before the first
+    /// event.
+    version: Option<SoftwareVersion>,
 }
 
 impl<D: CallerDialect> CallRunner<D> {
-    pub(crate) const fn new(shared: Arc<EntryShared<D>>, request: Arc<CallerRequest>) -> Self {
+    pub(crate) fn new(shared: Arc<EntryShared<D>>, request: Arc<CallerRequest>) -> Self {
         Self {
+            version: request.resume_version.clone(),
             shared,
             request,
             tried: Vec::new(),
@@ -235,9 +243,33 @@
             entries: self.shared.entry_count(),
             allow_remote_prefill: !self.may_have_prefilled && resume_after.is_none(),
             priority: request.priority,
+            versions: match &self.version {
+                Some(version) => VersionFilter::Only(version),
+                None if request.route.resumable => VersionFilter::Admitted,
+                None => VersionFilter::Any,
+            },
         }
     }
 
+    /// Records that the first event of a stream is about to reach the caller. From now on, only
+    /// upstreams of the same software version may go on with it; none if the upstream states none.
+    pub(crate) fn record_stream_begin(&mut self, upstream: &UpstreamAnnouncement) {
+        if self.request.head.resume_after.is_some() || !self.request.route.resumable {
+            return;
+        }
+        self.version.clone_from(&upstream.version);
+        if let Some(request_id) = &self.request.head.request_id {
+            let key = StreamKey::from(request_id.as_str());
+            let origin = StreamOrigin::from(upstream);
+            self.shared.record_stream(key, origin, current_time());
+        }
+    }
+
+    /// Whether an upstream may go on with a stream of which the caller has received events.
+    pub(crate) const fn has_known_version(&self) -> bool {
+        self.version.is_some()
+    }
+
     fn spend_retry_budget(&self) -> bool {
         let (grant, entries) = (&self.shared.options.retry_grant, self.shared.entry_count());
         let granted = self.shared.with_service(&self.request.service, |state| {
@@ -369,7 +401,10 @@
         match reason {
             _ if self.may_have_run => self.call_failure(),
             NoUpstream::Full(wait) | NoUpstream::Limited(wait) => refusal(wait),
-            NoUpstream::None | NoUpstream::NoServingRole => refusal(Duration::ZERO),
+            NoUpstream::NoVersion if self.version.is_some() => cannot_resume(),
+            NoUpstream::None | NoUpstream::NoServingRole | NoUpstream::NoVersion => {
+                refusal(Duration::ZERO)
+            }
         }
     }
 
--- a/crates/oriolecrank-gateway/src/caller_server.rs
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -15,6 +15,7 @@
 use rand::Rng as _;
 
 use crate::call_runner::{CallRunner, CallerRequest, refusal};
+use crate::control_link::ControlLink;
 use crate::dialect::{CallFailure, CallHead, CallerDialect};
 use crate::entry_shared::EntryShared;
 use crate::running_attempt::current_time;
@@ -23,6 +24,8 @@
 #[derive(Debug)]
 pub(crate) struct CallerServer<D> {
     pub(crate) shared: Arc<EntryShared<D>>,
+    /// Asks control instances where streams began.
+    pub(crate) link: ControlLink,
 }
 
 impl<D: CallerDialect> CallerServer<D> {
@@ -32,8 +35,14 @@
         body: Incoming,
     ) -> Result<Response<AnswerBody>, CallFailure> {
         let head = self.shared.dialect.decode_call(&parts)?;
-        let request = self.accept(parts, head, body).await?;
+        let mut request = self.accept(parts, head, body).await?;
         let is_stream = request.route.kind == CallKind::Stream;
+        if is_stream && request.head.resume_after.is_some() {
+            let (link, head, route) = (&self.link, &request.head, &request.route);
+            let point = self.shared.find_resume_point(link, head, route).await?;
+            request.service = point.service;
+            request.resume_version = Some(point.version);
+        }
         let runner = CallRunner::new(Arc::clone(&self.shared), Arc::new(request));
         if is_stream {
             runner.run_stream().await
@@ -94,6 +103,7 @@
             header_fields: parts.headers,
             body,
             service,
+            resume_version: None,
             priority: priority.unwrap_or(route.priority),
             organisation,
             deadline: arrived_at + caller_timeout.min(route.timeout),
--- a/crates/oriolecrank-gateway/src/control_site.rs
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -36,6 +36,7 @@
 use crate::site_publisher::SitePublisher;
 use crate::site_server::SiteServer;
 use crate::site_tables::SiteTables;
+use crate::stream_records::StreamRecorder;
 use crate::usage_reporter::{UsageReportSettings, UsageReporter};
 
 /// Time that running requests get to finish when the process stops.
@@ -176,6 +177,11 @@
         removed: Arc::clone(&removed),
     };
     tokio::spawn(repair.run());
+    let recorder = StreamRecorder {
+        publisher: publisher.clone(),
+        tables: Arc::clone(&tables),
+    };
+    tokio::spawn(recorder.run());
     let metrics = serve_metrics(&options, &publisher, &tables).await?;
     let orders = RoleOrders {
         settings: options.orders.clone(),
--- a/crates/oriolecrank-gateway/src/dialect.rs
+++ b/crates/oriolecrank-gateway/src/dialect.rs
@@ -110,6 +110,12 @@
         /// Time after which the caller may retry.
         retry_after: Duration,
     },
+    /// The request resumes a stream that cannot go on where it began. It has not run and will not;
+    /// the caller may begin the stream anew.
+    CannotResume {
+        /// Time after which the caller may do so.
+        restart_after: Duration,
+    },
     /// An upstream may have run the request, but no complete answer was received.
     MayHaveRun,
     /// An upstream may have run the request, and the deadline of the request has passed.
--- a/crates/oriolecrank-gateway/src/entry_metrics.rs
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -163,7 +163,7 @@
             Some(CallFailure::TooLarge) => "too_large",
             Some(CallFailure::UnknownRoute) => "unknown_route",
             Some(CallFailure::UnknownKey) => "unknown_key",
-            Some(CallFailure::NotRun { .. }) => "not_run",
+            Some(CallFailure::NotRun { .. } | CallFailure::CannotResume { .. }) => "not_run",
             Some(CallFailure::MayHaveRun) => "may_have_run",
             Some(CallFailure::TimedOut) => "timed_out",
         };
@@ -175,12 +175,19 @@
         let outcome = match reason {
             NoUpstream::None => "no_upstream",
             NoUpstream::NoServingRole => "no_serving_role",
+            NoUpstream::NoVersion => "no_version",
             NoUpstream::Full(_) => "full",
             NoUpstream::Limited(_) => "limited",
         };
         self.refusals.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a request that resumes a stream of which nothing tells where it began.
+    pub(crate) fn count_unresumable(&self) {
+        let outcome = "unresumable";
+        self.refusals.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts a request that was refused because a part of its prompt crashes upstreams.
     pub(crate) fn count_refused_suspect(&self, suspect: CrashSuspect) {
         let outcome = match suspect {
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -8,13 +8,15 @@
 use indexmap::IndexMap;
 use oriolecrank_net::{ClusterSecret, HttpClient};
 use oriolecrank_routing::{
-    CallerTimeoutRange, ChooserSettings, DirectChooser, EntryRun, LimitReport, OrganisationName,
-    PartId, PlacedParts, PlacementLog, RetryGrant, RouteTable, ServiceName, SharedRetryBudget,
-    StoredDocument, SuspectVerdicts, SuspectWatch, UpstreamAnnouncement, UpstreamDirectory,
-    UpstreamName, UsageCounter, WindowNumber,
+    AdmittedOrigins, CallerTimeoutRange, ChooserSettings, DirectChooser, EntryRun, KnownGroup,
+    LimitReport, OrganisationName, PartId, PlacedParts, PlacementLog, RetryGrant, RouteTable,
+    ServiceName, SharedRetryBudget, StoredDocument, StreamKey, StreamLog, StreamOrigin,
+    SuspectVerdicts, SuspectWatch, UpstreamAnnouncement, UpstreamDirectory, UpstreamName,
+    UsageCounter, WindowNumber,
 };
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
+use tokio::sync::Notify;
 
 use crate::crash_probe::CrashProbe;
 use crate::dialect::CallerDialect;
@@ -66,6 +68,18 @@
     /// instances and out of order; the directory drops outdated ones.
     directory: UpstreamDirectory,
     services: IndexMap<ServiceName, ServiceState>,
+    /// Origins at which streams may begin; `None` before a control instance has told them.
+    admitted: Option<AdmittedOrigins>,
+}
+
+impl UpstreamTables {
+    /// Sets the origins at which streams may begin, also for services that appear later.
+    fn set_admitted(&mut self, admitted: AdmittedOrigins) {
+        for (service, state) in &mut self.services {
+            state.chooser.set_admitted(admitted.versions_of(service));
+        }
+        self.admitted = Some(admitted);
+    }
 }
 
 /// Shared state of an entry.
@@ -88,6 +102,12 @@
     placements: Mutex<PlacementLog>,
     /// Suspects that crash upstreams.
     suspect_watch: Mutex<SuspectWatch>,
+    /// Streams that have begun here.
+    streams: Mutex<StreamLog>,
+    /// Notified when a stream has begun that the control group has to know.
+    pub(crate) stream_begun: Notify,
+    /// Control group that the entry follows.
+    control_group: RwLock<KnownGroup>,
     /// Broken attempts at upstreams that may have crashed.
     pub(crate) crash_probe: CrashProbe,
     /// Range of the timeouts that callers state, by name of the route.
@@ -118,6 +138,9 @@
             usage: Mutex::default(),
             placements: Mutex::default(),
             suspect_watch: Mutex::default(),
+            streams: Mutex::default(),
+            stream_begun: Notify::new(),
+            control_group: RwLock::default(),
             crash_probe: CrashProbe::default(),
             caller_timeouts: Mutex::default(),
             entry_count: AtomicU32::new(0),
@@ -252,6 +275,53 @@
         tables.directory.has_successor(upstream)
     }
 
+    /// Streams that have begun at this entry.
+    pub(crate) fn lock_streams(&self) -> MutexGuard<'_, StreamLog> {
+        self.streams
+            .lock()
+            .expect("no holder of the stream lock panics")
+    }
+
+    /// Records where a stream has begun, before its first event is sent to the caller.
+    pub(crate) fn record_stream(&self, key: StreamKey, origin: StreamOrigin, now: TimePoint) {
+        let mut streams = self.lock_streams();
+        streams.record(key, origin, now);
+        if streams.has_unsent() {
+            self.stream_begun.notify_one();
+        }
+    }
+
+    /// Applies newer admitted origins of streams.
+    pub(crate) fn apply_origins(&self, admitted: &AdmittedOrigins) {
+        {
+            let mut streams = self.lock_streams();
+            if !streams.set_admitted(admitted.clone()) {
+                return;
+            }
+            if streams.has_unsent() {
+                self.stream_begun.notify_one();
+            }
+        }
+        self.lock_tables().set_admitted(admitted.clone());
+    }
+
+    /// Control group that the entry follows.
+    pub(crate) fn control_group(&self) -> KnownGroup {
+        self.control_group
+            .read()
+            .expect("no holder of the control group lock panics")
+            .clone()
+    }
+
+    /// Sets the control group that the entry follows.
+    pub(crate) fn set_control_group(&self, group: &KnownGroup) {
+        let mut known = self
+            .control_group
+            .write()
+            .expect("no holder of the control group lock panics");
+        known.clone_from(group);
+    }
+
     /// Number of known upstreams.
     pub(crate) fn upstream_count(&self) -> usize {
         let tables = self.lock_tables();
@@ -469,12 +539,16 @@
         service: &ServiceName,
     ) -> &'a mut ServiceState {
         let options = &self.options;
-        tables
-            .services
-            .entry(service.clone())
-            .or_insert_with(|| ServiceState {
-                chooser: DirectChooser::new(options.chooser.clone()),
+        let admitted = tables.admitted.as_ref();
+        tables.services.entry(service.clone()).or_insert_with(|| {
+            let mut chooser = DirectChooser::new(options.chooser.clone());
+            if let Some(admitted) = admitted {
+                chooser.set_admitted(admitted.versions_of(service));
+            }
+            ServiceState {
+                chooser,
                 budget: SharedRetryBudget::new(&options.retry_grant),
-            })
+            }
+        })
     }
 }
--- a/crates/oriolecrank-gateway/src/entry_site.rs
+++ b/crates/oriolecrank-gateway/src/entry_site.rs
@@ -24,6 +24,7 @@
 use crate::document_fetcher::{DocumentFetcher, DocumentOffers};
 use crate::entry_shared::{EntryShared, EntrySiteOptions};
 use crate::entry_sync::EntrySync;
+use crate::stream_upload::StreamUpload;
 
 /// Time for which a stopping entry still accepts connections. The load balancer probes readiness
 /// once a second and removes an entry after two failed probes; connections may still be in transit
@@ -83,9 +84,14 @@
         offers: offers.clone(),
     };
     tokio::spawn(fetcher.run());
+    let upload = StreamUpload {
+        shared: Arc::clone(&shared),
+        link: link.clone(),
+    };
+    tokio::spawn(upload.run());
     let sync = EntrySync {
         shared: Arc::clone(&shared),
-        link,
+        link: link.clone(),
         offers,
         seeds,
     };
@@ -106,6 +112,7 @@
     let (server_trigger, server_shutdown) = shutdown_channel();
     let server = Arc::new(CallerServer {
         shared: Arc::clone(&shared),
+        link,
     });
     let serving = tokio::spawn(serve_with(settings, callers, server, server_shutdown));
     let readiness = Arc::new(EntryReadiness {
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -56,6 +56,7 @@
         let mut targets: IndexMap<SocketAddr, AbortHandle> = IndexMap::new();
         let mut group = KnownGroup::default();
         let mut valid_until = Instant::now() + GROUP_TIMEOUT;
+        let mut may_change = true;
         loop {
             let run = self.shared.options.run.run;
             let addresses = sync_targets(&group, &self.seeds.borrow(), run);
@@ -89,6 +90,7 @@
                         valid_until = Instant::now() + GROUP_TIMEOUT;
                         if named.group != group {
                             log_followed_group(&named);
+                            self.shared.set_control_group(&named.group);
                             group = named.group;
                         }
                     }
@@ -98,10 +100,8 @@
                         group = KnownGroup::default();
                     }
                 },
-                changed = self.seeds.changed() => if changed.is_err() {
-                    // The sender was dropped and the seeds cannot change; avoid a busy loop.
-                    sleep(GROUP_TIMEOUT).await;
-                },
+                // Without a sender the seeds cannot change any more.
+                changed = self.seeds.changed(), if may_change => may_change = changed.is_ok(),
             }
         }
     }
@@ -218,6 +218,7 @@
             limits: shared.limit_reports(now),
             placed,
             placement_sequence: self.placement_sequence,
+            origin_revision: shared.lock_streams().revision(),
             stopping: shared.is_stopping(),
         }
     }
@@ -243,6 +244,9 @@
             self.announced_version = answer.document_version;
             self.offers.record(self.address, answer.document_version);
         }
+        if let Some(origins) = &answer.origins {
+            shared.apply_origins(origins);
+        }
         shared.apply_announcements(answer.upstreams, now);
         shared.set_remote_loads(&answer.other_loads, now);
         shared.apply_limit_reports(&answer.limits, now);
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -17,7 +17,7 @@
 use oriolecrank_routing::{SiteOutcome, SuspectVerdicts};
 use oriolecrank_schema::codec::{self, CodecError};
 use oriolecrank_schema::control::JoinRequest;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::control_link::LinkError;
 use crate::document_transfer::DocumentCache;
@@ -25,7 +25,8 @@
 use crate::site_gossip::apply_batch;
 use crate::site_messages::{
     DOCUMENT_PATH, DocumentAnswer, DocumentRequest, GOSSIP_PATH, GossipBatch, JOIN_PATH,
-    PUBLISH_PATH, SYNC_PATH, SyncAnswer, SyncRequest,
+    ORIGIN_PATH, OriginAnswer, OriginRequest, PUBLISH_PATH, RecordsAnswer, STREAMS_PATH, SYNC_PATH,
+    StreamRecords, SyncAnswer, SyncRequest,
 };
 use crate::site_publisher::SitePublisher;
 use crate::site_tables::SiteTables;
@@ -34,6 +35,13 @@
 /// and counts stay fresh.
 const SYNC_POLL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which the record of a resumed stream is awaited. Entries send records within 80 ms, and
+/// the leader commits them within 30 ms and two round trips.
+const RECORD_WAIT: Duration = Duration::from_millis(250);
+
+/// Time between two looks for the record.
+const RECORD_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Largest body of a message, in bytes: room for a document and its metadata.
 const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
 
@@ -73,12 +81,48 @@
                 let request = codec::decode(body)?;
                 message_answer(&self.publisher.commit(request).await)
             }
+            STREAMS_PATH => message_answer(&self.answer_streams(codec::decode(body)?)),
+            ORIGIN_PATH => message_answer(&self.answer_origin(codec::decode(body)?).await),
             JOIN_PATH => self.answer_join(codec::decode(body)?).await,
             _ => empty_answer(StatusCode::NOT_FOUND),
         };
         Ok(answer)
     }
 
+    fn answer_streams(&self, records: StreamRecords) -> RecordsAnswer {
+        if self.publisher.replica.authority().is_none() {
+            return RecordsAnswer::NotLeader;
+        }
+        self.tables.add_streams(records.streams);
+        RecordsAnswer::Taken
+    }
+
+    /// Answers where a stream began. A read barrier that starts with the question ensures that no
+    /// version is missing at which a stream may have begun by then. A stream that began just before
+    /// may not be recorded yet, so the answer waits for a moment.
+    async fn answer_origin(&self, request: OriginRequest) -> OriginAnswer {
+        let deadline = BootClock.now() + RECORD_WAIT;
+        loop {
+            if self.publisher.replica.read_barrier().await.is_err() {
+                return OriginAnswer::Unconfirmed;
+            }
+            {
+                let state = self.publisher.site.read();
+                let streams = state.streams();
+                let origin = streams.find(request.key);
+                let admitted = streams.admitted();
+                let needs_record = admitted.has_several_versions();
+                if origin.is_some() || !needs_record || BootClock.now() >= deadline {
+                    return OriginAnswer::Confirmed {
+                        origin: origin.cloned(),
+                        admitted: admitted.clone(),
+                    };
+                }
+            }
+            sleep(RECORD_POLL_INTERVAL).await;
+        }
+    }
+
     fn answer_gossip(&self, batch: GossipBatch) -> Response<AnswerBody> {
         if batch.cluster != self.cluster {
             return empty_answer(StatusCode::CONFLICT);
@@ -119,6 +163,7 @@
         let mut version = self.publisher.site.subscribe_version();
         self.tables.record_sync(&mut request, BootClock.now());
         let mut refusals = self.tables.subscribe_refusals();
+        let mut origins = self.publisher.site.subscribe_origins();
         let is_current_run = request.control_run == self.tables.run;
         let seen = if is_current_run {
             SeenRevisions {
@@ -129,11 +174,14 @@
             SeenRevisions::default()
         };
         let revision = seen.directory_revision;
+        // Older entries name no revision, and do not wait for origins.
+        let known_origins = request.origin_revision;
         let change = async {
             tokio::select! {
                 _ = changed_revision.wait_for(|changed| *changed > revision) => {}
                 _ = version.wait_for(|version| *version > request.document_version) => {}
                 _ = refusals.changed() => {}
+                _ = origins.wait_for(|revision| known_origins.is_some_and(|known| *revision > known)) => {}
             }
         };
         if is_current_run && !request.stopping {
@@ -153,14 +201,16 @@
     }
 
     fn sync_answer(&self, request: &SyncRequest, seen: SeenRevisions) -> SyncAnswer {
-        let (document, document_version) = {
+        let (document, document_version, origins) = {
             let state = self.publisher.site.read();
             let document = state.document();
             let version = document.map_or(0, |document| document.version);
             let inline = document.filter(|document| {
                 !request.fetches_documents && document.version > request.document_version
             });
-            (inline.cloned(), version)
+            let admitted = state.streams().admitted();
+            let newer = Some(admitted.revision) > request.origin_revision;
+            (inline.cloned(), version, newer.then(|| admitted.clone()))
         };
         let status = self.publisher.replica.status().node;
         let leader = self.publisher.replica.leader();
@@ -193,6 +243,7 @@
             upstreams: tables.announcements(seen.directory_revision, BootClock.now()),
             other_loads: tables.loads_excluding(&request.run),
             suspect_verdicts,
+            origins,
             entries: tables.loads.entry_count(),
             term: status.term.0,
             membership_version: status.membership.version.0,
--- a/crates/oriolecrank-gateway/src/lib.rs
+++ b/crates/oriolecrank-gateway/src/lib.rs
@@ -37,6 +37,9 @@
 mod site_publisher;
 mod site_server;
 mod site_tables;
+mod stream_records;
+mod stream_resumption;
+mod stream_upload;
 mod usage_reporter;
 
 pub use control_site::{ControlSiteError, ControlSiteOptions, run_control_site};
--- a/crates/oriolecrank-gateway/src/site_machine.rs
+++ b/crates/oriolecrank-gateway/src/site_machine.rs
@@ -15,6 +15,8 @@
     state: Arc<RwLock<SiteState>>,
     /// Version of the newest document; 0 without one.
     version: watch::Sender<u64>,
+    /// Revision of the admitted origins of streams.
+    origin_revision: watch::Sender<u64>,
 }
 
 impl SharedSite {
@@ -23,6 +25,7 @@
         Self {
             state: Arc::default(),
             version: watch::Sender::new(0),
+            origin_revision: watch::Sender::new(0),
         }
     }
 
@@ -38,25 +41,36 @@
         self.version.subscribe()
     }
 
+    /// Subscribes to the revision of the admitted origins of streams.
+    pub(crate) fn subscribe_origins(&self) -> watch::Receiver<u64> {
+        self.origin_revision.subscribe()
+    }
+
     fn write(&self) -> RwLockWriteGuard<'_, SiteState> {
         self.state
             .write()
             .expect("no holder of the state lock panics")
     }
 
-    fn publish_version(&self) {
-        let version = self
-            .read()
-            .document()
-            .map_or(0, |document| document.version);
-        self.version.send_if_modified(|published| {
-            let changed = *published != version;
-            *published = version;
-            changed
-        });
+    fn publish_versions(&self) {
+        let (version, revision) = {
+            let state = self.read();
+            let version = state.document().map_or(0, |document| document.version);
+            (version, state.streams().admitted().revision)
+        };
+        publish(&self.version, version);
+        publish(&self.origin_revision, revision);
     }
 }
 
+fn publish(sender: &watch::Sender<u64>, value: u64) {
+    sender.send_if_modified(|published| {
+        let changed = *published != value;
+        *published = value;
+        changed
+    });
+}
+
 /// State machine that applies committed commands to the shared state.
 #[derive(Debug)]
 pub(crate) struct SiteMachine(pub(crate) SharedSite);
@@ -70,7 +84,7 @@
         let command: SiteCommand = codec::decode(data)
             .expect("all control instances are upgraded before a new command is used");
         let outcome = self.0.write().apply(command);
-        self.0.publish_version();
+        self.0.publish_versions();
         outcome
     }
 
@@ -82,6 +96,6 @@
         let state = SiteState::decode(snapshot)
             .expect("snapshots are written by the same or an older version");
         *self.0.write() = state;
-        self.0.publish_version();
+        self.0.publish_versions();
     }
 }
--- a/crates/oriolecrank-gateway/src/site_messages.rs
+++ b/crates/oriolecrank-gateway/src/site_messages.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use oriolecrank_routing::{
-    CrashSuspect, EntryRun, HeldRefusal, LimitReport, PlacedParts, StoredDocument, SuspectReport,
-    SuspectVerdicts, UpstreamAnnouncement, UpstreamLoad, UpstreamName, WindowCounts,
+    AdmittedOrigins, CrashSuspect, EntryRun, HeldRefusal, LimitReport, PlacedParts, RecordedStream,
+    StoredDocument, StreamKey, StreamOrigin, SuspectReport, SuspectVerdicts, UpstreamAnnouncement,
+    UpstreamLoad, UpstreamName, WindowCounts,
 };
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +22,10 @@
 pub(crate) const GOSSIP_PATH: &str = "/v1/site/gossip";
 /// Path of [`PublishRequest`].
 pub(crate) const PUBLISH_PATH: &str = "/v1/site/publish";
+/// Path of [`StreamRecords`].
+pub(crate) const STREAMS_PATH: &str = "/v1/site/streams";
+/// Path of [`OriginRequest`].
+pub(crate) const ORIGIN_PATH: &str = "/v1/site/origin";
 /// Path of requests of control instances to join the group.
 pub(crate) const JOIN_PATH: &str = "/v1/join";
 
@@ -66,6 +71,10 @@
     /// Refusals that another control process gave. The leader takes them over.
     #[serde(default)]
     pub(crate) held_refusals: Vec<HeldRefusal>,
+    /// Revision of the admitted origins of streams that the entry holds; `None` before the first
+    /// ones.
+    #[serde(default)]
+    pub(crate) origin_revision: Option<u64>,
     /// The entry is stopping; the answer is sent immediately.
     #[serde(default)]
     pub(crate) stopping: bool,
@@ -110,6 +119,9 @@
     /// of all entries.
     #[serde(default)]
     pub(crate) suspect_verdicts: Option<SuspectVerdicts>,
+    /// Origins at which streams may begin, if they are newer than the entry's.
+    #[serde(default)]
+    pub(crate) origins: Option<AdmittedOrigins>,
     /// Entries that sync with this control instance, including the requesting one.
     pub(crate) entries: u32,
     /// Raft term of the control instance; 0 from older ones.
@@ -142,6 +154,41 @@
     pub(crate) document: Option<TransferredDocument>,
 }
 
+/// Streams that have begun at an entry, for the leader.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct StreamRecords {
+    pub(crate) streams: Vec<RecordedStream>,
+}
+
+/// Whether a control instance has taken [`StreamRecords`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum RecordsAnswer {
+    /// This instance leads and commits the records soon.
+    Taken,
+    /// This instance does not lead.
+    NotLeader,
+}
+
+/// Question of an entry where a stream began that a caller resumes.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct OriginRequest {
+    pub(crate) key: StreamKey,
+}
+
+/// Answer to [`OriginRequest`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum OriginAnswer {
+    /// The instance cannot confirm that its state is the newest.
+    Unconfirmed,
+    /// State that was not older than the question.
+    Confirmed {
+        /// Origin of the stream, if it is recorded.
+        origin: Option<StreamOrigin>,
+        /// Admitted origins. A stream without a record began at the only one of its service.
+        admitted: AdmittedOrigins,
+    },
+}
+
 /// An announcement with its age instead of a time, because processes share no clock.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct AgedAnnouncement {
--- a/crates/oriolecrank-gateway/src/site_tables.rs
+++ b/crates/oriolecrank-gateway/src/site_tables.rs
@@ -2,12 +2,12 @@
 
 use oriolecrank_control::JoinTable;
 use oriolecrank_routing::{
-    EntryRun, LimitTable, LoadTable, MergeEffect, PlacementLog, SuspectQuarantine,
+    EntryRun, LimitTable, LoadTable, MergeEffect, PlacementLog, RecordedStream, SuspectQuarantine,
     UpstreamAnnouncement, UpstreamDirectory, UpstreamName, UsageCollector,
 };
 use oriolecrank_schema::TimePoint;
 use std::sync::{Mutex, MutexGuard};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::site_messages::{AgedAnnouncement, NamedLoad, SyncRequest};
 
@@ -24,6 +24,8 @@
     changed_revision: watch::Sender<u64>,
     /// Number of changes of the refused suspects.
     refusal_changes: watch::Sender<u64>,
+    /// Notified when an upstream has changed or streams wait to be recorded.
+    pub(crate) origin_work: Notify,
 }
 
 /// Tables behind the lock of [`SiteTables`].
@@ -43,6 +45,8 @@
     pub(crate) placements: PlacementLog,
     /// Suspects that crash upstreams.
     pub(crate) quarantine: SuspectQuarantine,
+    /// Streams that entries have reported and that are not committed yet.
+    pub(crate) unrecorded: Vec<RecordedStream>,
 }
 
 impl SiteTables {
@@ -53,6 +57,7 @@
             inner: Mutex::default(),
             changed_revision: watch::Sender::new(0),
             refusal_changes: watch::Sender::new(0),
+            origin_work: Notify::new(),
         }
     }
 
@@ -116,11 +121,20 @@
 
     fn publish_revision(&self, tables: &TableContent) {
         let changed = tables.directory.changed_revision();
-        self.changed_revision.send_if_modified(|published| {
+        let has_changed = self.changed_revision.send_if_modified(|published| {
             let is_changed = *published != changed;
             *published = changed;
             is_changed
         });
+        if has_changed {
+            self.origin_work.notify_one();
+        }
+    }
+
+    /// Takes streams that an entry has begun, to be committed with the next ones.
+    pub(crate) fn add_streams(&self, streams: Vec<RecordedStream>) {
+        self.lock().unrecorded.extend(streams);
+        self.origin_work.notify_one();
     }
 }
 
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -164,6 +164,10 @@
             if !serves_role(upstream, EngineRole::Decode) {
                 return None;
             }
+            let versions = self.request.versions;
+            if !self.chooser.is_version_allowed(upstream, versions) {
+                return None;
+            }
             let slots = self.slots(upstream);
             let Some(prompt) = self.request.prompt else {
                 let mean_ms = self.chooser.mean_service_ms(self.now);
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -19,7 +19,7 @@
 use crate::choice_search::{Candidate, ChoiceSearch, LimitUse, serves_role};
 use crate::direct_upstream::{CallTiming, DirectUpstream, DispatchTicket, UpstreamLoad};
 use crate::limit_report::{LimitReport, REPORT_LIFETIME};
-use crate::names::{DomainName, UpstreamName};
+use crate::names::{DomainName, SoftwareVersion, UpstreamName};
 use crate::part_placement::{PartPlacements, PlacedParts};
 use crate::prompt_shape::PromptShape;
 use crate::request_rate::LimitStatement;
@@ -96,6 +96,20 @@
     pub allow_remote_prefill: bool,
     /// Priority of the request; 0 is the most urgent.
     pub priority: u8,
+    /// Software versions that may serve the request.
+    pub versions: VersionFilter<'a>,
+}
+
+/// Software versions that may serve a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum VersionFilter<'a> {
+    /// All.
+    #[default]
+    Any,
+    /// Those that are admitted for streams, if a control instance has told them.
+    Admitted,
+    /// The version that began the stream.
+    Only(&'a SoftwareVersion),
 }
 
 /// Why no upstream was chosen.
@@ -105,6 +119,8 @@
     None,
     /// Upstreams are ready, but none of them has the role that serves requests.
     NoServingRole,
+    /// Upstreams serve requests, but none of them has a software version that may serve this one.
+    NoVersion,
     /// No upstream can answer before the deadline. Holds the estimated wait until one could; zero
     /// if unknown.
     Full(Duration),
@@ -177,6 +193,8 @@
     /// limit.
     max_connections: u32,
     pub(crate) upstreams: IndexMap<UpstreamName, DirectUpstream>,
+    /// Software versions that are admitted for streams; `None` if no control instance has told them.
+    admitted: Option<Vec<Option<SoftwareVersion>>>,
     ejection: OutlierEjection,
     /// When the loads of other entries were reported last. They count for [`REPORT_LIFETIME`], because
     /// an entry that no control instance answers would count them for good.
@@ -244,6 +262,7 @@
             engine: None,
             max_connections: 0,
             upstreams: IndexMap::new(),
+            admitted: None,
             ejection: OutlierEjection::new(settings.ejection.clone()),
             remote_loads_at: TimePoint::default(),
             placements: PartPlacements::default(),
@@ -272,6 +291,25 @@
         self.max_connections = max_connections;
     }
 
+    /// Sets the software versions that are admitted for streams.
+    pub fn set_admitted(&mut self, admitted: Vec<Option<SoftwareVersion>>) {
+        self.admitted = Some(admitted);
+    }
+
+    /// Whether the software version of an upstream may serve a request.
+    pub(crate) fn is_version_allowed(
+        &self,
+        upstream: &DirectUpstream,
+        versions: VersionFilter<'_>,
+    ) -> bool {
+        let version = &upstream.announcement().version;
+        match (versions, &self.admitted) {
+            (VersionFilter::Any, _) | (VersionFilter::Admitted, None) => true,
+            (VersionFilter::Admitted, Some(admitted)) => admitted.contains(version),
+            (VersionFilter::Only(only), _) => version.as_ref() == Some(only),
+        }
+    }
+
     /// Whether this entry may open another connection to an upstream; each running request has one.
     pub(crate) fn may_connect(&self, upstream: &DirectUpstream, entries: u32) -> bool {
         let own_share = (self.max_connections / entries.max(1)).max(1);
@@ -504,7 +542,7 @@
                 (Some(prefill_upstream), serving_upstream)
             }
             (Some(direct), _) => (None, direct),
-            (None, None) => return Err(self.reason_without_candidate()),
+            (None, None) => return Err(self.reason_without_candidate(request)),
         };
         Ok(CandidatePlan {
             timing,
@@ -513,13 +551,19 @@
         })
     }
 
-    fn reason_without_candidate(&self) -> NoUpstream {
+    fn reason_without_candidate(&self, request: &ChoiceRequest<'_>) -> NoUpstream {
         let census = self.census();
         if census.ready > 0 && census.serving == 0 {
-            NoUpstream::NoServingRole
-        } else {
-            NoUpstream::None
+            return NoUpstream::NoServingRole;
         }
+        let upstreams = self.upstreams.values();
+        let mut serving = upstreams.filter(|upstream| is_serving(upstream));
+        if census.serving > 0
+            && !serving.any(|upstream| self.is_version_allowed(upstream, request.versions))
+        {
+            return NoUpstream::NoVersion;
+        }
+        NoUpstream::None
     }
 
     /// Numbers of upstreams, to explain why none was chosen.
@@ -530,9 +574,8 @@
         };
         for upstream in self.upstreams.values() {
             let is_ready = upstream.announcement().state == UpstreamReadiness::Ready;
-            let serves = is_ready && serves_role(upstream, EngineRole::Decode);
             census.ready += usize::from(is_ready);
-            census.serving += usize::from(serves);
+            census.serving += usize::from(is_serving(upstream));
         }
         census
     }
@@ -775,6 +818,12 @@
     OtherRegion,
 }
 
+/// Whether an upstream is ready and has the role that serves requests.
+fn is_serving(upstream: &DirectUpstream) -> bool {
+    upstream.announcement().state == UpstreamReadiness::Ready
+        && serves_role(upstream, EngineRole::Decode)
+}
+
 fn upstream_id(name: &UpstreamName) -> UpstreamId {
     UpstreamId(name.as_str().to_owned())
 }
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -34,6 +34,7 @@
 mod load_table;
 mod member_repair;
 mod names;
+mod origin_keeper;
 mod part_cache;
 mod part_placement;
 mod prompt_shape;
@@ -44,6 +45,8 @@
 mod route_table;
 mod shared_retry_budget;
 mod site_state;
+mod stream_log;
+mod stream_origin;
 mod suspect_quarantine;
 mod suspect_report;
 mod suspect_watch;
@@ -59,7 +62,7 @@
 pub use crash_suspect::CrashSuspect;
 pub use direct_chooser::{
     CallPlan, ChoiceRequest, ChooserSettings, ChosenUpstream, DirectChooser, NoUpstream,
-    UpstreamCensus,
+    UpstreamCensus, VersionFilter,
 };
 pub use direct_upstream::{CallTiming, DirectUpstream, DispatchTicket, UpstreamLoad};
 pub use document_fetch::{DocumentFetch, PlannedFetch};
@@ -69,6 +72,7 @@
 pub use names::{
     DomainName, EntryName, OrganisationName, ServiceName, SoftwareVersion, UpstreamName,
 };
+pub use origin_keeper::{OriginKeeper, OriginSettings};
 pub use part_cache::PartCache;
 pub use part_placement::{PartPlacements, PlacedParts, PlacementLog};
 pub use prompt_shape::{PartId, PromptPart, PromptShape};
@@ -82,6 +86,10 @@
 pub use route_table::{CallerOrganisation, RouteTable};
 pub use shared_retry_budget::{RetryGrant, SharedRetryBudget};
 pub use site_state::{ClosedWindow, SiteCommand, SiteOutcome, SiteState, StoredDocument};
+pub use stream_log::{STREAM_LIFETIME, StreamLog};
+pub use stream_origin::{
+    AdmittedOrigins, OriginNumber, RecordedStream, StreamKey, StreamOrigin, StreamOrigins,
+};
 pub use suspect_quarantine::{QuarantineSettings, SuspectQuarantine};
 pub use suspect_report::{
     CrashId, HeldRefusal, RunningSuspect, SuspectEvent, SuspectReport, SuspectVerdicts,
--- a/crates/oriolecrank-routing/src/site_state.rs
+++ b/crates/oriolecrank-routing/src/site_state.rs
@@ -1,11 +1,12 @@
 //! Replicated state of a site, which is a control group with its entries and upstreams: the newest
-//! route document and the closed usage windows.
+//! route document, the closed usage windows, and where streams began.
 
 use std::collections::BTreeMap;
 
 use oriolecrank_schema::codec::{self, CodecError};
 use serde::{Deserialize, Serialize};
 
+use crate::stream_origin::{RecordedStream, StreamOrigin, StreamOrigins};
 use crate::usage_window::{OrganisationCounts, WindowNumber};
 
 /// Number of closed windows to retain; a window that is dropped is no longer reported. A report is
@@ -48,6 +49,14 @@
         /// Reported window.
         window: WindowNumber,
     },
+    /// Allows streams to begin at upstreams of a software version.
+    AdmitOrigin(StreamOrigin),
+    /// Forgets a software version of which no stream is left.
+    RemoveOrigin(StreamOrigin),
+    /// Records at which origins streams have begun.
+    RecordStreams(Vec<RecordedStream>),
+    /// Drops the streams that were recorded before the last rotation.
+    RotateStreams,
 }
 
 /// Effect of a command.
@@ -59,6 +68,14 @@
     Superseded,
 }
 
+const fn outcome(changed: bool) -> SiteOutcome {
+    if changed {
+        SiteOutcome::Applied
+    } else {
+        SiteOutcome::Superseded
+    }
+}
+
 /// Replicated state of a site. The same commands in the same order give the same state.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SiteState {
@@ -69,6 +86,9 @@
     /// Highest window ever closed. Older windows may have been dropped, and are never closed again.
     #[serde(default)]
     closed_until: WindowNumber,
+    /// Where streams began.
+    #[serde(default)]
+    streams: StreamOrigins,
 }
 
 impl SiteState {
@@ -78,9 +98,24 @@
             SiteCommand::Publish(document) => self.publish(document),
             SiteCommand::CloseWindow { window, counts } => self.close(window, counts),
             SiteCommand::MarkReported { window } => self.mark_reported(window),
+            SiteCommand::AdmitOrigin(origin) => outcome(self.streams.admit(origin)),
+            SiteCommand::RemoveOrigin(origin) => outcome(self.streams.remove(&origin)),
+            SiteCommand::RecordStreams(streams) => {
+                self.streams.record(&streams);
+                SiteOutcome::Applied
+            }
+            SiteCommand::RotateStreams => {
+                self.streams.rotate();
+                SiteOutcome::Applied
+            }
         }
     }
 
+    /// Where streams began.
+    pub const fn streams(&self) -> &StreamOrigins {
+        &self.streams
+    }
+
     fn publish(&mut self, document: StoredDocument) -> SiteOutcome {
         let newer = |known: &StoredDocument| document.version > known.version;
         if !self.document.as_ref().is_none_or(newer) {
--- a/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
+++ b/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
@@ -6,7 +6,7 @@
 use oriolecrank_routing::{
     CallPlan, CallTiming, ChoiceRequest, ChooserSettings, DirectChooser, DomainName, EngineRole,
     EngineSpec, NoUpstream, PartId, PlacedParts, PromptShape, UpstreamAnnouncement, UpstreamLoad,
-    UpstreamName, UpstreamReadiness,
+    UpstreamName, UpstreamReadiness, VersionFilter,
 };
 use oriolecrank_schema::TimePoint;
 use rand::SeedableRng as _;
@@ -49,6 +49,7 @@
         entries: 2,
         allow_remote_prefill: true,
         priority: 0,
+        versions: VersionFilter::Any,
     }
 }
 
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -13,6 +13,7 @@
 mod route_document;
 mod shared_retry_budget;
 mod site_state;
+mod stream_origins;
 mod suspect_quarantine;
 mod sync_targets;
 mod upstream_directory;
--- a/crates/oriolecrank-routing/tests/routing/request_limits.rs
+++ b/crates/oriolecrank-routing/tests/routing/request_limits.rs
@@ -4,7 +4,7 @@
 
 use oriolecrank_routing::{
     CallPlan, ChoiceRequest, ChooserSettings, DirectChooser, EntryName, EntryRun, LimitStatement,
-    LimitTable, NoUpstream, RequestRate,
+    LimitTable, NoUpstream, RequestRate, VersionFilter,
 };
 use oriolecrank_schema::TimePoint;
 use rand::SeedableRng as _;
@@ -31,6 +31,7 @@
         entries,
         allow_remote_prefill: false,
         priority,
+        versions: VersionFilter::Any,
     }
 }
 
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -70,6 +70,7 @@
     SuspectTried = 224, "An entry sends one request that was refused because it or a prompt part crashes upstreams, to find out whether it still does.";
     LimitChanged = 225, "An upstream states another limit of requests than before, or none any more.";
     FieldIgnored = 226, "A header field of an upstream's answer cannot be decoded and is ignored.";
+    StreamRefused = 227, "A caller resumes a stream that cannot go on, because the version that began it is unknown or has no upstream; the caller has to begin it anew.";
     UpstreamAnnounced = 300, "An upstream was announced to the control group.";
     AnnounceFailed = 301, "An announcement could not be delivered; it is repeated.";
     AgentSuperseded = 302, "A newer agent for the same upstream exists; this one refuses orders and requests.";
@@ -94,6 +95,7 @@
     OrderSettled = 430, "An order to an agent was settled; the result and the rule are in the line.";
     OrderUnanswered = 431, "An order to an agent has an unknown outcome; it is sent again with the same fencing number.";
     RoleOrdered = 432, "No engine of a service serves requests, so a prefill engine was ordered to decode; the outcome is in the line.";
+    OriginsChanged = 433, "The software versions at which streams may begin have changed.";
     PlatformUnavailable = 435, "The platform interface did not answer; starts and stops wait.";
     PlatformOrderSent = 436, "A start or stop was sent to the platform.";
     PlatformOrderFailed = 437, "The platform refused a start or stop, which is settled as refused, or did not confirm it; then the list of running upstreams shows its effect.";
