Treat streams that go on as on time until their deadline

What callers saw: on a busy service most of the streams that they resumed were refused with 12 s left, although engines of their version served and more than half of the new streams began.

Cause: the target of a request is that of its first event. A resumed stream is past it, or close to it, and late requests are sent only to an engine with a free slot. With the engines of one version only, none has a free slot for long.

Change: the target of a stream of which the caller has events is its deadline, in new requests of callers and in streams that an entry resumes by itself.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -239,7 +239,7 @@
             prompt: request.head.prompt.as_ref(),
             tried: &self.tried,
             time_left: request.deadline.since(now),
-            time_to_target: request.target_time.since(now),
+            time_to_target: self.time_to_target(now),
             entries: self.shared.entry_count(),
             allow_remote_prefill: !self.may_have_prefilled && resume_after.is_none(),
             priority: request.priority,
@@ -251,6 +251,19 @@
         }
     }
 
+    /// Time left until the answer misses its target. The target is that of the first event, so that a
+    /// stream of which the caller has events is late only at its deadline. Late requests are refused
+    /// while all slots are in use, which would waste what the caller has.
+    fn time_to_target(&self, now: TimePoint) -> Duration {
+        let request = &self.request;
+        let target_time = if self.version.is_some() {
+            request.deadline
+        } else {
+            request.target_time
+        };
+        target_time.since(now)
+    }
+
     /// Records that the first event of a stream is about to reach the caller. From now on, only
     /// upstreams of the same software version may go on with it; none if the upstream states none.
     pub(crate) fn record_stream_begin(&mut self, upstream: &UpstreamAnnouncement) {
