Take a refusal of another request for a lost answer

A faulty server had written an earlier refusal once more on a kept connection.

Cause: the statement that a request did not run was read before the id of the answer was compared.

Change: the id is compared first. An answer with another id, also a refusal, leaves it open whether the request has run, and its connection is closed.

Evidence: `a_booking_whose_answer_is_lost_runs_once_and_is_not_reported_as_refused` with the new fault got 503 for a booking that ran before, and 502 now.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -564,6 +564,18 @@
             .shared
             .dialect
             .decode_answer(response.status(), response.headers());
+        if head.request_id != self.request.head.request_id {
+            // The answer to an earlier request on this connection; dropping it closes the
+            // connection. If it is a refusal, it says nothing about this request.
+            tracing::warn!(
+                event = LogEvent::AttemptFailed.number(),
+                upstream = %upstream.name,
+                request = self.request.head.request_id,
+                answered = head.request_id,
+                "an answer carries the id of another request; the connection is closed"
+            );
+            return Err(AttemptFailure::Lost);
+        }
         attempt.record_limit(head.limit, current_time());
         if head.not_run {
             let status = response.status();
@@ -576,18 +588,6 @@
             drain_refusal(response, &head).await;
             return Err(AttemptFailure::Refused);
         }
-        if head.request_id != self.request.head.request_id {
-            // The answer to an earlier request on this connection; dropping it closes the
-            // connection.
-            tracing::warn!(
-                event = LogEvent::AttemptFailed.number(),
-                upstream = %upstream.name,
-                request = self.request.head.request_id,
-                answered = head.request_id,
-                "an answer carries the id of another request; the connection is closed"
-            );
-            return Err(AttemptFailure::Lost);
-        }
         Ok((head, response))
     }
 
