Go on with a stream only by an answer of the same type

Cause: when a stream broke off, any success of the next server was joined to it. An error status never was.

Change: the content type of the answer must be that of the first one; else the stream is broken off.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING};
 use http::{HeaderMap, Response};
 use http_body_util::BodyExt as _;
 use oriolecrank_net::{AnswerBody, BodyAborted, BodySender};
@@ -97,6 +97,7 @@
             .shared
             .dialect
             .answer_fields(started.response.headers());
+        let content_type = fields.get(CONTENT_TYPE).cloned();
         *answer.headers_mut() = fields;
         let relay = StreamRelay {
             runner: self,
@@ -104,6 +105,7 @@
             splitter: NumberedEventSplitter::default(),
             last_number: resume_after,
             any_event_sent: false,
+            content_type,
         };
         tokio::spawn(relay.run(started));
         Ok(answer)
@@ -180,6 +182,9 @@
     last_number: Option<u64>,
     /// At least one event of this answer was sent to the caller.
     any_event_sent: bool,
+    /// Type of the content that the caller was told. An answer of another type does not go on with the
+    /// stream, even if it is a success.
+    content_type: Option<HeaderValue>,
 }
 
 impl<D: CallerDialect> StreamRelay<D> {
@@ -238,7 +243,20 @@
             started = self.runner.start(self.last_number) => started.ok()?,
             () = self.sender.closed() => return None,
         };
-        started.response.status().is_success().then_some(started)
+        let response = &started.response;
+        let goes_on = response.status().is_success()
+            && response.headers().get(CONTENT_TYPE) == self.content_type.as_ref();
+        if !goes_on {
+            tracing::info!(
+                event = LogEvent::AttemptFailed.number(),
+                request = self.runner.request.head.request_id,
+                upstream = %started.attempt.chosen.announcement.name,
+                status = %response.status(),
+                content_type = ?response.headers().get(CONTENT_TYPE),
+                "an upstream does not go on with a stream"
+            );
+        }
+        goes_on.then_some(started)
     }
 
     /// Forwards the answer of one attempt until it is complete or fails, or the caller disconnects.
