Break off a resumed stream that begins again

An upstream that ignores where to go on sends events that the caller has already. They were passed on: the third case of `a_stream_that_no_server_goes_on_with_is_broken_off` got events 1, 2, 1, 2, 3, 4, 5 as a complete answer. The ids of a stream rise, so an event whose id is not above the last one now ends the attempt, and the stream is broken off or goes on elsewhere.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -351,6 +351,13 @@
             Ok(batch) => batch?,
             Err(error) => return Some(RelayEnd::Broken(error.to_string())),
         };
+        // The ids of a stream rise; an upstream that ignores where to go on sends events again.
+        if let Some((last, first)) = self.last_number.zip(batch.first_number)
+            && first <= last
+        {
+            let reason = format!("event {first} came after event {last}");
+            return Some(RelayEnd::Broken(reason));
+        }
         if batch.last_number.is_some() {
             self.last_number = batch.last_number;
         }
--- a/crates/oriolecrank-gateway/src/event_stream.rs
+++ b/crates/oriolecrank-gateway/src/event_stream.rs
@@ -16,6 +16,9 @@
 pub struct EventBatch {
     /// Bytes of the events, including the empty line after the last one.
     pub bytes: Bytes,
+    /// Number in the first `id` line of the events; `None` if there is no such line or it is not a
+    /// number.
+    pub first_number: Option<u64>,
     /// Number in the last `id` line of the events; `None` if there is no such line or it is not a
     /// number.
     pub last_number: Option<u64>,
@@ -42,8 +45,15 @@
             return Ok(None);
         };
         let bytes = self.buffer.split_to(end).freeze();
-        let last_number = last_number(&bytes);
-        Ok(Some(EventBatch { bytes, last_number }))
+        let mut lines = bytes.split(|byte| *byte == b'\n');
+        let first_number = lines.find_map(id_line).and_then(parse_number);
+        let mut lines = bytes.rsplit(|byte| *byte == b'\n');
+        let last_number = lines.find_map(id_line).and_then(parse_number);
+        Ok(Some(EventBatch {
+            bytes,
+            first_number,
+            last_number,
+        }))
     }
 
     /// Whether no incomplete event is buffered.
@@ -71,9 +81,11 @@
     })
 }
 
-fn last_number(events: &[u8]) -> Option<u64> {
-    let lines = events.rsplit(|byte| *byte == b'\n');
-    let mut numbers = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let number = std::str::from_utf8(numbers.next()?.trim_ascii()).ok()?;
-    number.parse().ok()
+/// Rest of a line that states the id of an event.
+fn id_line(line: &[u8]) -> Option<&[u8]> {
+    line.strip_prefix(b"id:")
+}
+
+fn parse_number(id: &[u8]) -> Option<u64> {
+    std::str::from_utf8(id.trim_ascii()).ok()?.parse().ok()
 }
