Continue answers of agents only at the version that began them

What callers saw: an answer whose upstream failed was continued at any other upstream of the service, also one that announces another version.

Agents announce a version, but entries did not keep it.

Change: when an answer of which the caller has tokens is continued, upstreams of other versions are left out. Upstreams that announce no version count as one version, as before.

Evidence: `an_answer_continues_at_its_version_only` failed before ("one answer ran at two versions") and passes now.

--- a/crates/oriolecrank-bench/src/policy/shipped_path.rs
+++ b/crates/oriolecrank-bench/src/policy/shipped_path.rs
@@ -269,6 +269,7 @@
                 phase: UpstreamPhase::Changing,
                 capacity: capacity(info.role),
                 model: None,
+                version: None,
             },
             pool,
         });
--- a/crates/oriolecrank-bench/src/route.rs
+++ b/crates/oriolecrank-bench/src/route.rs
@@ -81,6 +81,7 @@
         phase: UpstreamPhase::Ready,
         capacity: CAPACITY,
         model: None,
+        version: None,
     });
     states.collect()
 }
--- a/crates/oriolecrank-entry/src/call_runner.rs
+++ b/crates/oriolecrank-entry/src/call_runner.rs
@@ -56,6 +56,10 @@
     attempts: u32,
     /// Upstreams at which an attempt has failed; others are preferred.
     failed: Vec<UpstreamId>,
+    /// Version of the upstream that began the answer of which the caller has a part.
+    version: Option<String>,
+    /// The next attempt continues that answer.
+    continues: bool,
     /// An attempt may have run, so the call as a whole may have run.
     may_have_run: bool,
     /// An attempt was running when its upstream crashed.
@@ -75,6 +79,8 @@
             plan,
             attempts: 0,
             failed: Vec::new(),
+            version: None,
+            continues: false,
             may_have_run: false,
             crashed: false,
             suspect_permit: None,
@@ -153,6 +159,7 @@
 
     async fn try_once(&mut self, resume_tokens: u64) -> Result<RunningAttempt, AttemptError> {
         self.suspect_permit = None;
+        self.continues = resume_tokens > 0;
         let dispatch = self.choose_permitted().await?;
         let upstream = dispatch.upstream().clone();
         let hedge_after = (resume_tokens == 0).then(|| self.hedge_after(&dispatch));
@@ -163,8 +170,13 @@
             Some(delay) => self.run_hedged(first, &upstream, delay).await,
             None => first.await,
         };
-        if result.is_err() {
-            self.failed.push(upstream);
+        match &result {
+            Ok(attempt) if !self.continues => {
+                let (pool, service) = (&self.context.pool, self.plan.service());
+                self.version = pool.version_of(service, attempt.upstream());
+            }
+            Ok(_) => {}
+            Err(_) => self.failed.push(upstream),
         }
         result
     }
@@ -225,14 +237,19 @@
     }
 
     fn choose(&mut self, excluded: &[UpstreamId]) -> Result<Dispatch, AttemptError> {
+        let mut excluded = excluded.to_vec();
+        if self.continues {
+            let (pool, service) = (&self.context.pool, self.plan.service());
+            excluded.extend(pool.of_other_versions(service, self.version.as_deref()));
+        }
         let mut all: Vec<UpstreamId> = self.failed.clone();
-        all.extend_from_slice(excluded);
+        all.extend_from_slice(&excluded);
         if let Some(dispatch) = choose(&self.context, &self.plan, &all) {
             return Ok(dispatch);
         }
         // Without another upstream, those at which the call has failed are tried again.
         self.failed.clear();
-        let chosen = choose(&self.context, &self.plan, excluded);
+        let chosen = choose(&self.context, &self.plan, &excluded);
         chosen.ok_or_else(|| match &self.budgeted_failure {
             Some(error) => AttemptError {
                 code: NO_UPSTREAM.to_owned(),
--- a/crates/oriolecrank-entry/src/upstream_pool.rs
+++ b/crates/oriolecrank-entry/src/upstream_pool.rs
@@ -141,6 +141,28 @@
         })
     }
 
+    /// Version of an upstream of a service; `None` if the upstream is unknown or has none.
+    pub fn version_of(&self, service: &ServiceId, upstream: &UpstreamId) -> Option<String> {
+        let pool = self.pool(service)?;
+        let pool = lock(&pool);
+        let state = pool
+            .chooser
+            .members()
+            .find(|state| state.upstream == *upstream)?;
+        state.version.clone()
+    }
+
+    /// Upstreams of a service whose version is not `version`.
+    pub fn of_other_versions(&self, service: &ServiceId, version: Option<&str>) -> Vec<UpstreamId> {
+        let Some(pool) = self.pool(service) else {
+            return Vec::new();
+        };
+        let pool = lock(&pool);
+        let others = pool.chooser.members();
+        let others = others.filter(|state| state.version.as_deref() != version);
+        others.map(|state| state.upstream.clone()).collect()
+    }
+
     /// Expected times of a request; `None` if no upstream may take it.
     pub fn expected_time(
         &self,
--- a/crates/oriolecrank-entry/tests/entry/streams.rs
+++ b/crates/oriolecrank-entry/tests/entry/streams.rs
@@ -237,6 +237,51 @@
     }
 }
 
+/// Starts an entry with upstreams of these versions.
+async fn start_with_versions(upstreams: &[(&FakeAgent, &'static str)]) -> TestEntry {
+    let agents = upstreams.iter();
+    let agents = agents.map(|(agent, _)| ((*agent).clone(), "assistant"));
+    let versions: Vec<_> = upstreams.iter().map(|(_, version)| *version).collect();
+    TestEntry::start(EntrySetup {
+        agents: agents.collect(),
+        control: Box::new(move |script| {
+            for (upstream, version) in script.upstreams.iter_mut().zip(versions) {
+                upstream.version = Some(version.to_owned());
+            }
+        }),
+        ..EntrySetup::default()
+    })
+    .await
+}
+
+/// Guards against an answer that goes on at an upstream of another version than the one that began
+/// it, and against one that does not go on although an upstream of its version is left.
+#[tokio::test]
+async fn an_answer_continues_at_its_version_only() {
+    let lost = failed(RunVerdict::MayHaveRun, "upstream_failed");
+    let interrupted = begin_with_then(&tokens(0, 3), lost);
+    // Each upstream loses an answer that begins, and goes on with one that was lost.
+    let agent = || {
+        let interrupted = interrupted.clone();
+        FakeAgent::new(move |call| match call {
+            AgentCall::Run { request, .. } if request.resume_tokens > 0 => {
+                stream_of(&(tokens(request.resume_tokens as usize, 6) + DONE))
+            }
+            AgentCall::Run { .. } => interrupted.clone(),
+            AgentCall::Resume { .. } => vec![failed(RunVerdict::MayHaveRun, "answer_unknown")],
+        })
+    };
+    for _ in 0..4 {
+        let (old, new, newer) = (agent(), agent(), agent());
+        let entry = start_with_versions(&[(&old, "v1"), (&new, "v2"), (&newer, "v2")]).await;
+        let reply = entry.complete(true).await;
+        assert_eq!(reply.body, whole());
+        let at_old = !old.log().runs.is_empty();
+        let at_new = !new.log().runs.is_empty() || !newer.log().runs.is_empty();
+        assert!(at_old != at_new, "one answer ran at two versions");
+    }
+}
+
 /// Guards against a continued answer that repeats the event that opens the message.
 #[tokio::test]
 async fn a_continued_stream_opens_its_message_once() {
--- a/crates/oriolecrank-policy/src/upstream_state.rs
+++ b/crates/oriolecrank-policy/src/upstream_state.rs
@@ -116,6 +116,9 @@
     pub capacity: BlockCount,
     /// Model of the upstream; `None` if it takes requests for any model.
     pub model: Option<String>,
+    /// Version of the model, or of a plain service; `None` if none was set. An answer continues only
+    /// at an upstream of the version that began it.
+    pub version: Option<String>,
 }
 
 /// An upstream record that cannot be converted.
@@ -153,6 +156,7 @@
             phase: record.phase.into(),
             capacity: BlockCount::new(record.capacity_blocks),
             model: record.model.clone(),
+            version: record.version.clone(),
         })
     }
 }
--- a/crates/oriolecrank-policy/tests/upstream_chooser.rs
+++ b/crates/oriolecrank-policy/tests/upstream_chooser.rs
@@ -56,6 +56,7 @@
         phase: UpstreamPhase::Ready,
         capacity: BlockCount::new(10),
         model: None,
+        version: None,
     }
 }
 
