Ask for the origin of a stream without a key if the caller names none

A stream whose beginning the caller does not name was looked up by the key of an empty request id, which a caller could have used. The question now says that there is no key. The log of an entry's streams drops expired ones from a queue instead of shifting a table.

--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -109,7 +109,7 @@
             {
                 let state = self.publisher.site.read();
                 let streams = state.streams();
-                let origin = streams.find(request.key);
+                let origin = request.key.and_then(|key| streams.find(key));
                 let admitted = streams.admitted();
                 let needs_record = admitted.has_several_versions();
                 if origin.is_some() || !needs_record || BootClock.now() >= deadline {
--- a/crates/oriolecrank-gateway/src/site_messages.rs
+++ b/crates/oriolecrank-gateway/src/site_messages.rs
@@ -172,7 +172,8 @@
 /// Question of an entry where a stream began that a caller resumes.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 pub(crate) struct OriginRequest {
-    pub(crate) key: StreamKey,
+    /// The stream; `None` if the caller does not name its beginning.
+    pub(crate) key: Option<StreamKey>,
 }
 
 /// Answer to [`OriginRequest`].
--- a/crates/oriolecrank-gateway/src/stream_resumption.rs
+++ b/crates/oriolecrank-gateway/src/stream_resumption.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use oriolecrank_routing::{
-    AdmittedOrigins, RouteSpec, ServiceName, SoftwareVersion, StreamKey, sync_targets,
+    AdmittedOrigins, RouteSpec, ServiceName, SoftwareVersion, StreamKey, StreamOrigin, sync_targets,
 };
 use oriolecrank_schema::event::LogEvent;
 use rand::Rng as _;
@@ -74,20 +74,10 @@
         let own = key.and_then(|key| self.lock_streams().find(key).cloned());
         let origin = match own {
             Some(origin) => origin,
-            None => {
-                // The key of a stream whose beginning the caller does not name is never recorded.
-                let key = key.unwrap_or(StreamKey::from(""));
-                let (origin, admitted) = self.ask_origin(link, key).await?;
-                let inferred = || only_origin(&admitted, route);
-                let origin = origin.or_else(inferred);
-                origin.ok_or(ResumeObstacle::UnknownVersion)?
-            }
+            None => self.ask_origin(link, key, route).await?,
         };
-        let is_routed = route
-            .shares
-            .iter()
-            .any(|share| share.service == origin.service);
-        if !is_routed {
+        let mut shares = route.shares.iter();
+        if !shares.any(|share| share.service == origin.service) {
             return Err(ResumeObstacle::ServiceChanged);
         }
         Ok(ResumePoint {
@@ -96,12 +86,14 @@
         })
     }
 
-    /// Asks control instances, the leader first, until one confirms its answer.
+    /// Asks control instances, the leader first, until one confirms its answer. `key` is `None` if the
+    /// caller does not name the beginning of the stream.
     async fn ask_origin(
         &self,
         link: &ControlLink,
-        key: StreamKey,
-    ) -> Result<(Option<oriolecrank_routing::StreamOrigin>, AdmittedOrigins), ResumeObstacle> {
+        key: Option<StreamKey>,
+        route: &RouteSpec,
+    ) -> Result<StreamOrigin, ResumeObstacle> {
         let group = self.control_group();
         let mut targets = sync_targets(&group, &[], self.options.run.run);
         targets.sort_by_key(|address| Some(*address) != group.leader);
@@ -109,11 +101,16 @@
             let question = OriginRequest { key };
             let answer = link.call(address, ORIGIN_PATH, &question, ORIGIN_TIMEOUT);
             match answer.await {
-                Ok(OriginAnswer::Confirmed { origin, admitted }) => return Ok((origin, admitted)),
-                Ok(OriginAnswer::Unconfirmed) => {}
-                Err(error) => {
-                    tracing::debug!(%address, %error, "a control instance does not tell where a stream began");
+                Ok(OriginAnswer::Confirmed { origin, admitted }) => {
+                    let origin = origin.or_else(|| only_origin(&admitted, route));
+                    return origin.ok_or(ResumeObstacle::UnknownVersion);
                 }
+                Ok(OriginAnswer::Unconfirmed) => {}
+                Err(error) => tracing::debug!(
+                    %address,
+                    %error,
+                    "a control instance does not tell where a stream began"
+                ),
             }
         }
         Err(ResumeObstacle::NotConfirmed)
@@ -122,10 +119,7 @@
 
 /// Origin of all streams of a route; `None` if it leads to several services, or if streams of its
 /// service may have begun at several versions.
-fn only_origin(
-    admitted: &AdmittedOrigins,
-    route: &RouteSpec,
-) -> Option<oriolecrank_routing::StreamOrigin> {
+fn only_origin(admitted: &AdmittedOrigins, route: &RouteSpec) -> Option<StreamOrigin> {
     let [share] = route.shares.as_slice() else {
         return None;
     };
--- a/crates/oriolecrank-routing/src/stream_log.rs
+++ b/crates/oriolecrank-routing/src/stream_log.rs
@@ -20,16 +20,12 @@
 /// Largest number of streams in one message.
 const MAX_BATCH: usize = 4_096;
 
-#[derive(Debug)]
-struct BegunStream {
-    origin: StreamOrigin,
-    begun_at: TimePoint,
-}
-
-/// Streams of one entry, oldest first.
+/// Streams of one entry.
 #[derive(Debug, Default)]
 pub struct StreamLog {
-    streams: IndexMap<StreamKey, BegunStream>,
+    origins: IndexMap<StreamKey, StreamOrigin>,
+    /// Streams in the order in which they began, with the time; each is in `origins`.
+    order: VecDeque<(TimePoint, StreamKey)>,
     admitted: Option<AdmittedOrigins>,
     /// Streams of services with several admitted origins that the control group has not received.
     unsent: VecDeque<StreamKey>,
@@ -42,13 +38,13 @@
         if self.is_mixed(&origin) {
             self.unsent.push_back(key);
         }
-        let begun_at = now;
-        self.streams.insert(key, BegunStream { origin, begun_at });
+        self.order.push_back((now, key));
+        self.origins.insert(key, origin);
     }
 
     /// Origin of a stream that this entry has begun.
     pub fn find(&self, key: StreamKey) -> Option<&StreamOrigin> {
-        self.streams.get(&key).map(|stream| &stream.origin)
+        self.origins.get(&key)
     }
 
     /// Admitted origins; `None` before a control instance has told them.
@@ -72,11 +68,10 @@
             let known = known.as_ref();
             known.is_some_and(|known| known.of_service(&origin.service).nth(1).is_some())
         };
-        let newly_mixed = self
-            .streams
-            .iter()
-            .filter(|(_, stream)| self.is_mixed(&stream.origin) && !was_mixed(&stream.origin));
-        let newly_mixed: Vec<StreamKey> = newly_mixed.map(|(key, _)| *key).collect();
+        let is_newly_mixed = |origin: &StreamOrigin| self.is_mixed(origin) && !was_mixed(origin);
+        let keys = self.order.iter().map(|(_, key)| *key);
+        let newly_mixed = keys.filter(|key| self.find(*key).is_some_and(is_newly_mixed));
+        let newly_mixed: Vec<StreamKey> = newly_mixed.collect();
         self.unsent.extend(newly_mixed);
         true
     }
@@ -99,7 +94,7 @@
         let count = self.unsent.len().min(MAX_BATCH);
         let keys: Vec<StreamKey> = self.unsent.drain(..count).collect();
         let streams = keys.into_iter().filter_map(|key| {
-            let number = self.number_of(&self.streams.get(&key)?.origin)?;
+            let number = self.number_of(self.find(key)?)?;
             Some((key, number))
         });
         streams.collect()
@@ -119,13 +114,13 @@
     }
 
     fn drop_expired(&mut self, now: TimePoint) {
-        let is_expired = |stream: &BegunStream| now.since(stream.begun_at) > STREAM_LIFETIME;
-        let expired = self
-            .streams
-            .values()
-            .take_while(|stream| is_expired(stream));
-        let surplus = self.streams.len().saturating_sub(MAX_STREAMS);
-        let dropped = expired.count().max(surplus);
-        self.streams.drain(..dropped);
+        while let Some((begun_at, key)) = self.order.front().copied() {
+            let is_expired = now.since(begun_at) > STREAM_LIFETIME;
+            if !is_expired && self.order.len() <= MAX_STREAMS {
+                return;
+            }
+            self.order.pop_front();
+            self.origins.swap_remove(&key);
+        }
     }
 }
