Keep the newest admitted versions when answers of control instances overtake each other

Answers to two syncs may be applied by two threads in the library; the older list of versions must not replace the newer one. An entry process has one thread, so this was not seen.

--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -73,8 +73,13 @@
 }
 
 impl UpstreamTables {
-    /// Sets the origins at which streams may begin, also for services that appear later.
+    /// Sets the origins at which streams may begin, also for services that appear later. Older ones
+    /// than those known have no effect.
     fn set_admitted(&mut self, admitted: AdmittedOrigins) {
+        let known = self.admitted.as_ref().map(|known| known.revision);
+        if known >= Some(admitted.revision) {
+            return;
+        }
         for (service, state) in &mut self.services {
             state.chooser.set_admitted(admitted.versions_of(service));
         }
