Give no orders right after a time in which no upstream was heard

If the leader was cut off from all upstreams for some seconds, all engines were silent. When it heard the prefill engines first, it ordered them to decode at once, although those that decode were a heartbeat away. After 4 s without any announcement, the time in which all engines must be heard now begins anew, as after a start. The new test got an order before and gets none now.

--- a/crates/oriolecrank-gateway/src/role_orders.rs
+++ b/crates/oriolecrank-gateway/src/role_orders.rs
@@ -53,6 +53,7 @@
         loop {
             ticks.tick().await;
             let now = BootClock.now();
+            repair.observe(&self.tables.lock().directory, now);
             let Some(term) = acting_term.update(self.led_term(), now) else {
                 continue;
             };
--- a/crates/oriolecrank-routing/src/role_repair.rs
+++ b/crates/oriolecrank-routing/src/role_repair.rs
@@ -20,8 +20,11 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RoleRepairSettings {
     /// Time without an announcement after which an engine is taken for lost. A control instance that
-    /// has just started does not know all engines before this time.
+    /// has just started, or was cut off, does not know all engines before this time.
     pub silent_after: Duration,
+    /// Time without an announcement of any upstream after which this instance counts as cut off from
+    /// them. Announcements that another control instance receives are passed on every 2 s.
+    pub cut_off_after: Duration,
     /// Time after an accepted order before the engine gets another one. It must exceed the time that
     /// a change takes, 3 s in the deployments, and that of two heartbeats.
     pub repeat_after: Duration,
@@ -33,6 +36,7 @@
     fn default() -> Self {
         Self {
             silent_after: SILENT_AFTER,
+            cut_off_after: Duration::from_secs(4),
             repeat_after: Duration::from_secs(8),
             retry_after: Duration::from_secs(2),
         }
@@ -93,7 +97,7 @@
 #[derive(Debug)]
 pub struct RoleRepair {
     settings: RoleRepairSettings,
-    /// Since when announcements are received.
+    /// Since when announcements are received without a long pause.
     listening_since: TimePoint,
     orders: IndexMap<UpstreamName, OrderRecord>,
 }
@@ -108,6 +112,14 @@
         }
     }
 
+    /// Notes whether upstreams can be heard; called at least once a second, also by followers.
+    pub fn observe(&mut self, directory: &UpstreamDirectory, now: TimePoint) {
+        let newest = directory.records().map(|record| record.received_at).max();
+        if newest.is_none_or(|newest| now.since(newest) > self.settings.cut_off_after) {
+            self.listening_since = now;
+        }
+    }
+
     /// Orders that are due.
     pub fn due_orders(&mut self, directory: &UpstreamDirectory, now: TimePoint) -> Vec<RoleOrder> {
         self.orders.retain(|name, order| {
--- a/crates/oriolecrank-routing/tests/routing/role_repair.rs
+++ b/crates/oriolecrank-routing/tests/routing/role_repair.rs
@@ -38,6 +38,7 @@
 
     /// Names of the engines that are ordered to decode; all orders end like `outcome`.
     fn order(&mut self, outcome: OrderOutcome, now: TimePoint) -> Vec<String> {
+        self.repair.observe(&self.directory, now);
         let orders = self.repair.due_orders(&self.directory, now);
         for order in &orders {
             self.repair.record_outcome(order, outcome, now);
@@ -180,6 +181,24 @@
     assert_eq!(given, [(5_000, "unserved".to_owned())]);
 }
 
+/// Guards against orders right after a time in which no upstream could be heard, when the prefill
+/// engines are heard first.
+#[test]
+fn nothing_is_ordered_before_all_engines_are_heard_again() {
+    let prefill = engine("prefill", 1, EngineRole::Prefill);
+    let decode = engine("decode", 2, EngineRole::Decode);
+    let both = [prefill.clone(), decode.clone()];
+    let mut control = Control::start(&both);
+    assert!(control.run(&both, ACCEPTED, 8_000).is_empty());
+    for now in (8_500..14_000).step_by(500) {
+        assert!(control.order(ACCEPTED, at(now)).is_empty(), "{now}");
+    }
+    control.hear(&[prefill], at(14_000));
+    assert!(control.order(ACCEPTED, at(14_100)).is_empty());
+    control.hear(&both, at(15_000));
+    assert!(control.order(ACCEPTED, at(15_100)).is_empty());
+}
+
 /// Guards against orders to an engine that is silent itself.
 #[test]
 fn a_silent_engine_is_not_ordered() {
