--- a/crates/oriolecrank-routing/src/role_repair.rs
+++ b/crates/oriolecrank-routing/src/role_repair.rs
@@ -44,7 +44,7 @@
 }
 
 /// One of this many engines keeps the prefill role when the others are ordered to decode. The
-/// deployments start a third of their engines or fewer as prefill engines.
+/// deployments start about a third of their engines as prefill engines.
 const ENGINES_PER_PREFILL: usize = 3;
 
 /// Order to an engine to decode.
