Forget the longest timeout of callers after a minute

What callers saw, or could: after one request with a very long timeout on a route, all others looked like retrying ones. They were late, with lower priority and only while a slot was free, until the next document.

Cause: the longest timeout that a caller of the route stated was kept until the document changed.

Change: it is observed over 30 s and counts for 30 s more.

--- a/crates/oriolecrank-gateway/src/caller_server.rs
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -77,9 +77,9 @@
         self.shared
             .with_service(&service, |state| state.budget.count_request(arrived_at));
         let caller_timeout = head.caller_timeout.unwrap_or(route.timeout);
-        let time_since_first = self
-            .shared
-            .time_since_first_attempt(&route.name, caller_timeout);
+        let time_since_first =
+            self.shared
+                .time_since_first_attempt(&route.name, caller_timeout, arrived_at);
         let target_time = arrived_at + route.answer_target.saturating_sub(time_since_first);
         let priority = organisation
             .as_ref()
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -476,15 +476,19 @@
         &self,
         route: &str,
         caller_timeout: Duration,
+        now: TimePoint,
     ) -> Duration {
         let mut ranges = self
             .caller_timeouts
             .lock()
             .expect("no holder of the caller timeout lock panics");
         match ranges.get_mut(route) {
-            Some(range) => range.time_since_first_attempt(caller_timeout),
+            Some(range) => range.time_since_first_attempt(caller_timeout, now),
             None => {
-                ranges.insert(route.to_owned(), CallerTimeoutRange::new(caller_timeout));
+                ranges.insert(
+                    route.to_owned(),
+                    CallerTimeoutRange::new(caller_timeout, now),
+                );
                 Duration::ZERO
             }
         }
--- a/crates/oriolecrank-routing/src/caller_timeout_range.rs
+++ b/crates/oriolecrank-routing/src/caller_timeout_range.rs
@@ -5,36 +5,66 @@
 
 use std::time::Duration;
 
+use oriolecrank_schema::TimePoint;
+
 /// Shortest timeout of a first attempt, relative to the longest timeout on the route: first
 /// attempts state 0.85 to 1.0 of the longest, evenly distributed.
 const MIN_FIRST_ATTEMPT_SHARE: f64 = 0.85;
 
+/// Time over which the longest timeout is observed. It counts for the next such time as well, and
+/// no longer: a single caller with a very long timeout would make all others look like retrying ones.
+const OBSERVATION_TIME: Duration = Duration::from_secs(30);
+
 /// Timeouts that the callers of one route state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerTimeoutRange {
-    /// Longest timeout stated so far.
+    /// Longest timeout stated since `observed_since`.
     longest: Duration,
+    /// Longest timeout stated in the observation time before.
+    earlier: Duration,
+    observed_since: TimePoint,
 }
 
 impl CallerTimeoutRange {
     /// Creates a range from the timeout of the first caller.
-    pub const fn new(caller_timeout: Duration) -> Self {
+    pub const fn new(caller_timeout: Duration, now: TimePoint) -> Self {
         Self {
             longest: caller_timeout,
+            earlier: Duration::ZERO,
+            observed_since: now,
         }
     }
 
     /// Estimated time since the first attempt of a caller that now states `caller_timeout`; zero if
     /// this may be its first attempt. The timeout of its first attempt is unknown, so the mean of
     /// the possible ones is assumed.
-    pub fn time_since_first_attempt(&mut self, caller_timeout: Duration) -> Duration {
+    pub fn time_since_first_attempt(
+        &mut self,
+        caller_timeout: Duration,
+        now: TimePoint,
+    ) -> Duration {
+        self.forget_earlier(now);
         self.longest = self.longest.max(caller_timeout);
-        if caller_timeout >= self.longest.mul_f64(MIN_FIRST_ATTEMPT_SHARE) {
+        let longest = self.longest.max(self.earlier);
+        if caller_timeout >= longest.mul_f64(MIN_FIRST_ATTEMPT_SHARE) {
             return Duration::ZERO;
         }
-        let first_timeout = self
-            .longest
-            .mul_f64(f64::midpoint(1.0, MIN_FIRST_ATTEMPT_SHARE));
+        let first_timeout = longest.mul_f64(f64::midpoint(1.0, MIN_FIRST_ATTEMPT_SHARE));
         first_timeout.saturating_sub(caller_timeout)
     }
+
+    fn forget_earlier(&mut self, now: TimePoint) {
+        let observed = now.since(self.observed_since);
+        if observed < OBSERVATION_TIME {
+            return;
+        }
+        let is_recent = observed < OBSERVATION_TIME * 2;
+        self.earlier = if is_recent {
+            self.longest
+        } else {
+            Duration::ZERO
+        };
+        self.longest = Duration::ZERO;
+        self.observed_since = now;
+    }
 }
