Log the pauses that upstreams ask for

Retry-After of an upstream's answer was not decoded, so that no line told whether a server had asked for a pause, in which kind of answer, and for how long. No decision changes.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -564,6 +564,19 @@
             .shared
             .dialect
             .decode_answer(response.status(), response.headers());
+        if let Some(pause) = head.pause {
+            tracing::info!(
+                event = LogEvent::PauseStated.number(),
+                request = self.request.head.request_id,
+                upstream = %upstream.name,
+                pause_ms = pause.as_millis() as u64,
+                status = response.status().as_u16(),
+                not_run = head.not_run,
+                stage = ?stage,
+                resumed = resume_after.is_some(),
+                "an upstream asks for a pause"
+            );
+        }
         if head.request_id != self.request.head.request_id {
             // The answer to an earlier request on this connection; dropping it closes the
             // connection. If it is a refusal, it says nothing about this request.
--- a/crates/oriolecrank-gateway/src/dialect.rs
+++ b/crates/oriolecrank-gateway/src/dialect.rs
@@ -92,6 +92,8 @@
     pub keep_alive: Option<Duration>,
     /// What the upstream says about the requests that it takes.
     pub limit: LimitStatement,
+    /// Time for which the upstream wants no requests of this entry; `None` if it asks for no pause.
+    pub pause: Option<Duration>,
 }
 
 /// Why a request ends without an upstream's answer.
