Send nothing to an upstream that asks for a pause

What callers saw: requests to a server that had answered 503 with Retry-After were refused one after the other, up to 84 of one entry in a pause of 3 s, and callers were told to come back 2.2 s before the first pause ended.

Cause: the pause was not decoded; a refusal counted as a sign of a queue for 300 ms.

Change: UpstreamPause (oriolecrank-policy) keeps the latest end that an incarnation has asked of this entry. The upstream is left out of every choice until then: first attempts, retries, prefills, resumed streams, and releases of prompts; a request whose prefill took time is checked once more before it is sent. The pause counts in every answer with status 503, also one that does not say 'not run' or has the id of another request. If all upstreams that could serve a request pause, it is refused at once with the time at which the first one ends; callers come back in order, at twice the rate at which they came. After a pause one request is sent first and two more for each answer, for 2 s. A pause lasts an hour at most.

Entries do not tell each other of pauses: the upstream has told one of them, and an upstream that sheds a share of its requests would be lost to all entries after each single refusal. Each entry finds out by one request.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -28,9 +28,9 @@
 use crate::running_attempt::{RunningAttempt, current_time};
 use crate::stream_resumption::cannot_resume;
 
-/// Number of connection failures after which no further attempt is made. As long as no message has
-/// reached an upstream, another attempt does not use the retry budget.
-const MAX_CONNECT_FAILURES: u32 = 3;
+/// Number of attempts that were not sent after which no further one is made. As long as no message
+/// has reached an upstream, another attempt does not use the retry budget.
+const MAX_UNSENT_ATTEMPTS: u32 = 3;
 
 /// Random delay, in milliseconds, added to the retry time of a refusal. The jitter keeps callers
 /// that were refused together from retrying together; it is long because bursts last for seconds
@@ -97,6 +97,8 @@
     /// No connection could be established, or it closed before the request was sent; nothing
     /// reached the upstream.
     NotConnected,
+    /// The upstream asked for a pause after it was chosen; nothing was sent.
+    Withheld,
     /// The upstream states that it did not run the request, or a prefill gave no usable result, so
     /// that the request itself was not sent.
     Refused,
@@ -109,6 +111,7 @@
     const fn outcome(&self) -> AttemptOutcome {
         match self {
             Self::NotConnected => AttemptOutcome::NotConnected,
+            Self::Withheld => AttemptOutcome::Withheld,
             Self::Refused => AttemptOutcome::Refused,
             Self::Lost => AttemptOutcome::Lost,
         }
@@ -126,8 +129,8 @@
     delivered_messages: u32,
     /// Attempts that reached the upstream that was to run the request; prefills do not count.
     serving_attempts: u32,
-    /// Attempts that ended with [`AttemptFailure::NotConnected`].
-    connect_failures: u32,
+    /// Attempts that ended with [`AttemptFailure::NotConnected`] or [`AttemptFailure::Withheld`].
+    unsent_attempts: u32,
     /// A prefill may have run; a second one would be an extra message and is not sent.
     may_have_prefilled: bool,
     /// Prompt that an engine has prefilled and keeps for the next attempt.
@@ -152,7 +155,7 @@
             tried: Vec::new(),
             delivered_messages: 0,
             serving_attempts: 0,
-            connect_failures: 0,
+            unsent_attempts: 0,
             may_have_prefilled: false,
             prompt: None,
             may_have_run: false,
@@ -182,7 +185,9 @@
             };
             metrics.count_attempt(failure.outcome());
             match failure {
-                AttemptFailure::NotConnected => self.connect_failures += 1,
+                AttemptFailure::NotConnected | AttemptFailure::Withheld => {
+                    self.unsent_attempts += 1;
+                }
                 AttemptFailure::Refused => {}
                 AttemptFailure::Lost => self.may_have_run = true,
             }
@@ -201,10 +206,15 @@
 
     /// Failure to report to the caller, derived from the attempts so far.
     pub(crate) fn call_failure(&self) -> CallFailure {
+        let now = current_time();
         if !self.may_have_run {
-            return refusal(Duration::ZERO);
+            let versions = self.allowed_versions();
+            let pause = self.shared.with_service(&self.request.service, |state| {
+                state.chooser.common_pause(versions, now)
+            });
+            return refusal(pause.map_or(Duration::ZERO, |pause| pause.return_time(now)));
         }
-        if current_time() >= self.request.deadline {
+        if now >= self.request.deadline {
             CallFailure::TimedOut
         } else {
             CallFailure::MayHaveRun
@@ -243,11 +253,16 @@
             entries: self.shared.entry_count(),
             allow_remote_prefill: !self.may_have_prefilled && resume_after.is_none(),
             priority: request.priority,
-            versions: match &self.version {
-                Some(version) => VersionFilter::Only(version),
-                None if request.route.resumable => VersionFilter::Admitted,
-                None => VersionFilter::Any,
-            },
+            versions: self.allowed_versions(),
+        }
+    }
+
+    /// Software versions that may serve the request.
+    fn allowed_versions(&self) -> VersionFilter<'_> {
+        match &self.version {
+            Some(version) => VersionFilter::Only(version),
+            None if self.request.route.resumable => VersionFilter::Admitted,
+            None => VersionFilter::Any,
         }
     }
 
@@ -293,7 +308,7 @@
     }
 
     /// Whether another attempt is allowed. It uses the reserved extra attempt or charges the retry
-    /// budget; an attempt after connection failures alone is free.
+    /// budget; an attempt after others that were not sent is free.
     fn may_retry(&mut self) -> bool {
         let route = &self.request.route;
         let now = current_time();
@@ -301,10 +316,10 @@
             return false;
         }
         if self.delivered_messages == 0 {
-            return self.connect_failures < MAX_CONNECT_FAILURES;
+            return self.unsent_attempts < MAX_UNSENT_ATTEMPTS;
         }
         if self.serving_attempts >= route.max_attempts
-            || self.connect_failures >= MAX_CONNECT_FAILURES
+            || self.unsent_attempts >= MAX_UNSENT_ATTEMPTS
         {
             return false;
         }
@@ -323,7 +338,7 @@
         let choice_request = self.choice_request(resume_after, now);
         let chosen = self.shared.with_service(&request.service, |state| {
             let chosen = state.chooser.choose(&choice_request, now, &mut rand::rng());
-            chosen.map_err(|reason| (reason, state.chooser.census()))
+            chosen.map_err(|reason| (reason, state.chooser.census(now)))
         });
         let plan = match chosen {
             Ok(plan) => plan,
@@ -337,6 +352,7 @@
                     known = census.known,
                     ready = census.ready,
                     serving = census.serving,
+                    paused = census.paused,
                     tried = self.tried.len(),
                     time_left_ms = choice_request.time_left.as_millis() as u64,
                     target_left_ms = choice_request.time_to_target.as_millis() as u64,
@@ -413,7 +429,9 @@
     fn no_upstream_failure(&self, reason: NoUpstream) -> CallFailure {
         match reason {
             _ if self.may_have_run => self.call_failure(),
-            NoUpstream::Full(wait) | NoUpstream::Limited(wait) => refusal(wait),
+            NoUpstream::Full(wait)
+            | NoUpstream::Limited(wait)
+            | NoUpstream::Paused { wait, .. } => refusal(wait),
             NoUpstream::NoVersion if self.version.is_some() => cannot_resume(),
             NoUpstream::None | NoUpstream::NoServingRole | NoUpstream::NoVersion => {
                 refusal(Duration::ZERO)
@@ -431,6 +449,10 @@
         if let Some(prefill_attempt) = prefill_attempt {
             self.run_prefill(prefill_attempt).await?;
         }
+        if attempt.is_paused(current_time()) {
+            // The prefill took time, in which another request was refused.
+            return Err(AttemptFailure::Withheld);
+        }
         let prompt = self.prompt.take();
         let stage = match &prompt {
             Some(prefilled) => AttemptStage::Decode(&prefilled.handle),
@@ -491,6 +513,7 @@
         self.prompt = Some(PrefilledPrompt {
             shared: Arc::clone(&self.shared),
             handle: PromptHandle { engine, handle },
+            upstream: attempt.chosen.announcement.clone(),
             transferred: false,
         });
         Ok(())
@@ -564,18 +587,11 @@
             .shared
             .dialect
             .decode_answer(response.status(), response.headers());
+        // An answer to another request also states the time for which the upstream wants none.
         if let Some(pause) = head.pause {
-            tracing::info!(
-                event = LogEvent::PauseStated.number(),
-                request = self.request.head.request_id,
-                upstream = %upstream.name,
-                pause_ms = pause.as_millis() as u64,
-                status = response.status().as_u16(),
-                not_run = head.not_run,
-                stage = ?stage,
-                resumed = resume_after.is_some(),
-                "an upstream asks for a pause"
-            );
+            let status = response.status();
+            self.shared
+                .record_pause(upstream, pause, status, current_time());
         }
         if head.request_id != self.request.head.request_id {
             // The answer to an earlier request on this connection; dropping it closes the
--- a/crates/oriolecrank-gateway/src/entry_metrics.rs
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -38,6 +38,8 @@
     Answered,
     /// No connection could be established, or it closed before the request was sent.
     NotConnected,
+    /// The upstream asked for a pause before the request was sent.
+    Withheld,
     /// The upstream states that it did not run the request, or a prefill gave no usable result.
     Refused,
     /// No usable answer arrived, and the request may have run.
@@ -66,6 +68,7 @@
     extra_attempts: Family<OutcomeLabel, Counter>,
     streams: Family<OutcomeLabel, Counter>,
     ejections: Counter,
+    pauses: Counter,
     first_answer: Family<KindLabel, Histogram>,
     document_version: Gauge,
     document_bytes: Counter,
@@ -83,6 +86,7 @@
             extra_attempts: Family::default(),
             streams: Family::default(),
             ejections: Counter::default(),
+            pauses: Counter::default(),
             first_answer: Family::new_with_constructor(|| {
                 Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKET_COUNT))
             }),
@@ -122,6 +126,8 @@
         }
         let help = "Upstreams that were ejected because of failed attempts";
         registry.register("ejections", help, self.ejections.clone());
+        let help = "Pauses that upstreams have asked this entry for";
+        registry.register("pauses", help, self.pauses.clone());
         let help = "Bytes of documents received from control instances";
         registry.register("document_bytes", help, self.document_bytes.clone());
         let help = "Time from sending an attempt to its first event or the head of its answer";
@@ -178,6 +184,7 @@
             NoUpstream::NoVersion => "no_version",
             NoUpstream::Full(_) => "full",
             NoUpstream::Limited(_) => "limited",
+            NoUpstream::Paused { .. } => "paused",
         };
         self.refusals.get_or_create(&OutcomeLabel { outcome }).inc();
     }
@@ -202,6 +209,7 @@
         let outcome = match outcome {
             AttemptOutcome::Answered => "answered",
             AttemptOutcome::NotConnected => "not_connected",
+            AttemptOutcome::Withheld => "withheld",
             AttemptOutcome::Refused => "refused",
             AttemptOutcome::Lost => "lost",
         };
@@ -231,6 +239,11 @@
         self.ejections.inc();
     }
 
+    /// Counts a pause that an upstream asks for.
+    pub(crate) fn count_pause(&self) {
+        self.pauses.inc();
+    }
+
     /// Records the time from sending an attempt to its first event or the head of its answer.
     pub(crate) fn observe_first_answer(&self, kind: CallKind, elapsed: Duration) {
         let kind = match kind {
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, RwLock};
 use std::time::Duration;
 
+use http::StatusCode;
 use indexmap::IndexMap;
 use oriolecrank_net::{ClusterSecret, HttpClient};
 use oriolecrank_routing::{
@@ -404,12 +405,31 @@
         }
     }
 
-    /// Records a message to an upstream that is not an attempt at a request.
-    pub(crate) fn record_extra_message(&self, address: SocketAddr, now: TimePoint) {
-        let mut tables = self.lock_tables();
-        for state in tables.services.values_mut() {
-            state.chooser.record_extra_message(address, now);
+    /// Records that an upstream asks for a pause in an answer with this status, and logs the begin of
+    /// a pause.
+    pub(crate) fn record_pause(
+        &self,
+        upstream: &UpstreamAnnouncement,
+        pause: Duration,
+        status: StatusCode,
+        now: TimePoint,
+    ) {
+        let begins = self.with_service(&upstream.service, |state| {
+            state.chooser.record_pause(upstream, pause, now)
+        });
+        if !begins {
+            return;
         }
+        self.metrics.count_pause();
+        tracing::info!(
+            event = LogEvent::PauseStated.number(),
+            upstream = %upstream.name,
+            started_ms = upstream.started_ms,
+            service = %upstream.service,
+            %status,
+            pause_ms = pause.as_millis() as u64,
+            "an upstream asks for a pause; it gets no requests until then"
+        );
     }
 
     /// Records that a request with a shared prompt part is sent to an upstream.
--- a/crates/oriolecrank-gateway/src/prefilled_prompt.rs
+++ b/crates/oriolecrank-gateway/src/prefilled_prompt.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use oriolecrank_routing::UpstreamAnnouncement;
+
 use crate::dialect::{CallerDialect, PromptHandle};
 use crate::entry_shared::EntryShared;
 use crate::running_attempt::current_time;
@@ -14,11 +16,14 @@
 const MAX_ANSWER_BYTES: usize = 4 * 1024;
 
 /// Asks the engine to release the prompt when this value is dropped, unless the serving engine
-/// has fetched it.
+/// has fetched it or the engine asks for a pause. The engine evicts the prompt after some seconds
+/// anyway.
 #[derive(Debug)]
 pub(crate) struct PrefilledPrompt<D: CallerDialect> {
     pub(crate) shared: Arc<EntryShared<D>>,
     pub(crate) handle: PromptHandle,
+    /// The engine that keeps the prompt.
+    pub(crate) upstream: UpstreamAnnouncement,
     /// The serving engine has fetched the prompt.
     pub(crate) transferred: bool,
 }
@@ -35,20 +40,34 @@
         if self.transferred {
             return;
         }
-        let request = self.shared.dialect.release_prompt(&self.handle);
-        let now = current_time();
-        self.shared.record_extra_message(self.handle.engine, now);
-        let (client, engine) = (self.shared.client.clone(), self.handle.engine);
+        let (shared, upstream) = (Arc::clone(&self.shared), self.upstream.clone());
+        let engine = self.handle.engine;
+        let may_send = shared.with_service(&upstream.service, |state| {
+            let now = current_time();
+            state.chooser.count_extra_message(&upstream, now)
+        });
+        if !may_send {
+            tracing::debug!(
+                %engine,
+                "a prefilled prompt is not released, because its engine asks for a pause"
+            );
+            return;
+        }
+        let request = shared.dialect.release_prompt(&self.handle);
         tokio::spawn(async move {
-            let error = match client.send(engine, request, RELEASE_TIMEOUT).await {
-                Ok(answer) => answer
-                    .collect(MAX_ANSWER_BYTES, RELEASE_TIMEOUT)
-                    .await
-                    .err(),
+            let error = match shared.client.send(engine, request, RELEASE_TIMEOUT).await {
+                Ok(answer) => {
+                    let status = answer.status();
+                    let head = shared.dialect.decode_answer(status, answer.headers());
+                    if let Some(pause) = head.pause {
+                        shared.record_pause(&upstream, pause, status, current_time());
+                    }
+                    let body = answer.collect(MAX_ANSWER_BYTES, RELEASE_TIMEOUT);
+                    body.await.err()
+                }
                 Err(error) => Some(error),
             };
             if let Some(error) = error {
-                // The engine evicts the prompt after some seconds anyway.
                 tracing::debug!(
                     %engine,
                     %error,
--- a/crates/oriolecrank-gateway/src/running_attempt.rs
+++ b/crates/oriolecrank-gateway/src/running_attempt.rs
@@ -105,6 +105,13 @@
         });
     }
 
+    /// Whether the upstream asks for a pause by now.
+    pub(crate) fn is_paused(&self, now: TimePoint) -> bool {
+        let chosen = &self.chosen;
+        self.shared
+            .with_service(&self.service, |state| state.chooser.is_paused(chosen, now))
+    }
+
     /// Records what the answer says about the upstream's limit, and logs a change.
     pub(crate) fn record_limit(&self, statement: LimitStatement, now: TimePoint) {
         let name = &self.chosen.announcement.name;
--- a/crates/oriolecrank-net/tests/retry_after.rs
+++ b/crates/oriolecrank-net/tests/retry_after.rs
@@ -20,34 +20,33 @@
     retry_after(&fields, SystemTime::UNIX_EPOCH + WALL_TIME)
 }
 
-fn seconds(seconds: f64) -> Result<Option<Duration>, InvalidRetryAfter> {
-    Ok(Some(Duration::from_secs_f64(seconds)))
+/// Asserts that fields state a number of seconds.
+fn assert_seconds(values: &[&str], date: Option<&str>, seconds: f64) {
+    let expected = Duration::from_secs_f64(seconds);
+    assert_eq!(decode(values, date), Ok(Some(expected)), "{values:?}");
 }
 
 /// Guards against times that are misread, among them fractions and dates.
 #[test]
 fn seconds_and_dates_are_decoded() {
     assert_eq!(decode(&[], None), Ok(None));
-    assert_eq!(decode(&["3"], None), seconds(3.0));
-    assert_eq!(decode(&[" 0.25 "], None), seconds(0.25));
-    assert_eq!(decode(&["0"], None), seconds(0.0));
-    assert_eq!(decode(&["7200"], None), seconds(7_200.0));
+    assert_seconds(&["3"], None, 3.0);
+    assert_seconds(&[" 0.25 "], None, 0.25);
+    assert_seconds(&["0"], None, 0.0);
+    assert_seconds(&["7200"], None, 7_200.0);
     let date = "Sun, 06 Nov 1994 08:49:40 GMT";
-    assert_eq!(decode(&[date], None), seconds(3.0));
-    assert_eq!(
-        decode(&[date], Some("Sun, 06 Nov 1994 08:49:30 GMT")),
-        seconds(10.0),
-        "the clock of the server counts"
-    );
+    assert_seconds(&[date], None, 3.0);
+    // The clock of the server counts.
+    assert_seconds(&[date], Some("Sun, 06 Nov 1994 08:49:30 GMT"), 10.0);
     let past = "Sun, 06 Nov 1994 08:49:00 GMT";
-    assert_eq!(decode(&[past], None), seconds(0.0));
+    assert_seconds(&[past], None, 0.0);
 }
 
 /// Guards against the use of a shorter time than the server asks for.
 #[test]
 fn the_longest_of_several_fields_counts() {
-    assert_eq!(decode(&["2", "5", "1"], None), seconds(5.0));
-    assert_eq!(decode(&["soon", "5", "-9"], None), seconds(5.0));
+    assert_seconds(&["2", "5", "1"], None, 5.0);
+    assert_seconds(&["soon", "5", "-9"], None, 5.0);
 }
 
 /// Guards against values that would stop requests for ever, or end the process.
--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -11,7 +11,8 @@
 //!   control leader splits the limits over the entries ([`limit_shares`]).
 //! - [`upstream_chooser`] picks one upstream of the entry's [`subset`], by distance, by cached
 //!   prefix ([`prefix_map`]) and by estimated load ([`load_estimate`]). [`outlier_ejection`]
-//!   reduces the weight of failing upstreams, [`suspect_placement`] isolates requests that may
+//!   reduces the weight of failing upstreams, [`upstream_pause`] keeps requests from those that ask
+//!   for a pause, [`suspect_placement`] isolates requests that may
 //!   crash an engine, and [`read_coalescing`] lets identical reads share one call.
 //! - At the agent, [`request_queue`] decides which request runs next, and [`answer_buffer`] retains
 //!   the answer until it is acknowledged.
@@ -45,6 +46,7 @@
 pub mod suspect_placement;
 mod upstream_choice;
 pub mod upstream_chooser;
+pub mod upstream_pause;
 pub mod upstream_state;
 mod work_class;
 
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -117,7 +117,7 @@
 enum UpstreamFilter {
     /// Those of `Any` that are neither ejected nor silent.
     Healthy,
-    /// All that are ready, untried and have a free connection.
+    /// All that are ready and untried, ask for no pause and have a free connection.
     Any,
 }
 
@@ -378,6 +378,9 @@
         if !ready || self.request.tried.contains(&announcement.name) {
             return false;
         }
+        if !upstream.pause.allows(self.now) {
+            return false;
+        }
         if !self.chooser.may_connect(upstream, self.request.entries) {
             return false;
         }
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -12,6 +12,7 @@
 
 use indexmap::IndexMap;
 use oriolecrank_policy::outlier_ejection::{EjectionSettings, OutlierEjection, UpstreamOutcome};
+use oriolecrank_policy::upstream_pause::UpstreamPause;
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::document::UpstreamId;
 use rand::Rng;
@@ -126,6 +127,13 @@
     Full(Duration),
     /// The limits that upstreams state leave no request for this one. Holds the time until they do.
     Limited(Duration),
+    /// All upstreams that could serve the request ask for a pause.
+    Paused {
+        /// Time after which the caller may come back.
+        wait: Duration,
+        /// Time since the upstream whose pause ends first has asked for it.
+        age: Duration,
+    },
 }
 
 /// Numbers of upstreams of a service, as an entry knows them.
@@ -137,6 +145,8 @@
     pub ready: usize,
     /// Those of `ready` whose role serves requests.
     pub serving: usize,
+    /// Those of `serving` that ask for a pause.
+    pub paused: usize,
 }
 
 /// Upstreams chosen for a request.
@@ -475,11 +485,15 @@
         let upstreams = self.upstreams.values_mut();
         let untried =
             upstreams.filter(|upstream| !request.tried.contains(&upstream.announcement().name));
-        let shares = untried.filter_map(|upstream| upstream.limit.share.as_mut());
-        let Some(first) = shares.min_by_key(|share| share.return_time(now)) else {
+        let shares = untried.filter_map(|upstream| {
+            let pause = upstream.pause.return_time(now);
+            upstream.limit.share.as_mut().map(|share| (share, pause))
+        });
+        let first = shares.min_by_key(|(share, pause)| share.return_time(now).max(*pause));
+        let Some((first, pause)) = first else {
             return Duration::ZERO;
         };
-        let wait = first.return_time(now);
+        let wait = first.return_time(now).max(pause);
         if wait < request.time_left {
             first.reserve_return(wait, now);
         }
@@ -542,7 +556,7 @@
                 (Some(prefill_upstream), serving_upstream)
             }
             (Some(direct), _) => (None, direct),
-            (None, None) => return Err(self.reason_without_candidate(request)),
+            (None, None) => return Err(self.reason_without_candidate(request, now)),
         };
         Ok(CandidatePlan {
             timing,
@@ -551,8 +565,8 @@
         })
     }
 
-    fn reason_without_candidate(&self, request: &ChoiceRequest<'_>) -> NoUpstream {
-        let census = self.census();
+    fn reason_without_candidate(&self, request: &ChoiceRequest<'_>, now: TimePoint) -> NoUpstream {
+        let census = self.census(now);
         if census.ready > 0 && census.serving == 0 {
             return NoUpstream::NoServingRole;
         }
@@ -563,11 +577,29 @@
         {
             return NoUpstream::NoVersion;
         }
-        NoUpstream::None
+        self.common_pause(request.versions, now)
+            .map_or(NoUpstream::None, |pause| NoUpstream::Paused {
+                wait: pause.return_time(now),
+                age: pause.age(now),
+            })
+    }
+
+    /// The pause that ends first, if all upstreams that serve requests at these versions ask for one.
+    pub fn common_pause(
+        &self,
+        versions: VersionFilter<'_>,
+        now: TimePoint,
+    ) -> Option<UpstreamPause> {
+        let upstreams = self.upstreams.values();
+        let serving = upstreams
+            .filter(|upstream| is_serving(upstream) && self.is_version_allowed(upstream, versions));
+        let first = serving.min_by_key(|upstream| upstream.pause.time_left(now))?;
+        let pause = first.pause;
+        pause.time_left(now).map(|_| pause)
     }
 
     /// Numbers of upstreams, to explain why none was chosen.
-    pub fn census(&self) -> UpstreamCensus {
+    pub fn census(&self, now: TimePoint) -> UpstreamCensus {
         let mut census = UpstreamCensus {
             known: self.upstreams.len(),
             ..UpstreamCensus::default()
@@ -575,7 +607,10 @@
         for upstream in self.upstreams.values() {
             let is_ready = upstream.announcement().state == UpstreamReadiness::Ready;
             census.ready += usize::from(is_ready);
-            census.serving += usize::from(is_serving(upstream));
+            let is_serving = is_serving(upstream);
+            census.serving += usize::from(is_serving);
+            let is_paused = upstream.pause.time_left(now).is_some();
+            census.paused += usize::from(is_serving && is_paused);
         }
         census
     }
@@ -612,6 +647,7 @@
         if let Some(share) = &mut upstream.limit.share {
             share.record_sent(now);
         }
+        upstream.pause.record_sent(now);
         ChosenUpstream {
             ticket: upstream.dispatch(
                 request.prompt,
@@ -634,7 +670,7 @@
         }
     }
 
-    /// Records the first answer of a request, `elapsed` after it was sent.
+    /// Records the first answer of a request, `elapsed` after it was sent, which asks for no pause.
     pub fn record_first_answer(
         &mut self,
         chosen: &mut ChosenUpstream,
@@ -642,6 +678,9 @@
         now: TimePoint,
     ) {
         if let Some(upstream) = self.upstreams.get_mut(&chosen.announcement.name) {
+            let sent_ms = now.as_millis().saturating_sub(elapsed.as_millis() as u64);
+            let sent_at = TimePoint::from_millis(sent_ms);
+            upstream.pause.record_answer(sent_at, now);
             let elapsed = elapsed.saturating_sub(chosen.round_trip);
             upstream.record_first_answer(&mut chosen.ticket, elapsed, now);
         }
@@ -677,6 +716,25 @@
         }
     }
 
+    /// Records that an upstream asks for a pause; returns whether this begins one. Has no effect if
+    /// another incarnation is known by now.
+    pub fn record_pause(
+        &mut self,
+        upstream: &UpstreamAnnouncement,
+        pause: Duration,
+        now: TimePoint,
+    ) -> bool {
+        let known = self.upstreams.get_mut(&upstream.name);
+        let known = known.filter(|known| known.started_ms() == upstream.started_ms);
+        known.is_some_and(|known| known.pause.record(pause, now))
+    }
+
+    /// Whether a chosen upstream asks for a pause by now.
+    pub fn is_paused(&self, chosen: &ChosenUpstream, now: TimePoint) -> bool {
+        let upstream = self.upstreams.get(&chosen.announcement.name);
+        upstream.is_some_and(|upstream| upstream.pause.time_left(now).is_some())
+    }
+
     /// Records what the answer of an upstream to a request sent at `sent_at` says about its limit;
     /// returns whether the limit has changed.
     pub fn record_limit<R: Rng>(
@@ -691,14 +749,20 @@
         upstream.is_some_and(|upstream| upstream.limit.record(statement, sent_at, now, random))
     }
 
-    /// Records a message to an upstream that was sent without a choice, such as the release of a
-    /// prefilled prompt. It counts against the limit like a request.
-    pub fn record_extra_message(&mut self, address: SocketAddr, now: TimePoint) {
-        let mut upstreams = self.upstreams.values_mut();
-        let upstream = upstreams.find(|upstream| upstream.announcement().address == address);
-        if let Some(share) = upstream.and_then(|upstream| upstream.limit.share.as_mut()) {
+    /// Counts a message to an upstream that is sent without a choice, such as the release of a
+    /// prefilled prompt, against the limit like a request. Returns whether it may be sent, which the
+    /// upstream's pause forbids.
+    pub fn count_extra_message(&mut self, upstream: &UpstreamAnnouncement, now: TimePoint) -> bool {
+        let Some(known) = self.upstreams.get_mut(&upstream.name) else {
+            return true;
+        };
+        if known.pause.time_left(now).is_some() {
+            return false;
+        }
+        if let Some(share) = known.limit.share.as_mut() {
             share.record_sent(now);
         }
+        true
     }
 
     /// Reports about upstreams that state limits or have done so lately, for the leader.
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use oriolecrank_policy::upstream_pause::UpstreamPause;
 use oriolecrank_schema::TimePoint;
 use serde::{Deserialize, Serialize};
 
@@ -210,6 +211,8 @@
     prefill_speed: f64,
     /// Limit that the upstream states in its answers.
     pub(crate) limit: UpstreamLimit,
+    /// Pause that this incarnation asks for.
+    pub(crate) pause: UpstreamPause,
     /// Weight set by outlier ejection, between 0 (ejected) and 1.
     pub(crate) weight: f64,
 }
@@ -240,6 +243,7 @@
             last_refusal: None,
             prefill_speed,
             limit: UpstreamLimit::default(),
+            pause: UpstreamPause::default(),
             weight: 1.0,
         }
     }
--- a/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
+++ b/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
@@ -419,7 +419,7 @@
     let mut prefill_only = engines(&[engine("u", 1, EngineRole::Prefill)]);
     let refused = choose(&mut prefill_only, &request(Some(&prompt), &[]));
     assert_eq!(refused, Err(NoUpstream::NoServingRole));
-    let census = prefill_only.census();
+    let census = prefill_only.census(at(10));
     assert_eq!((census.known, census.ready, census.serving), (1, 1, 0));
     let mut decoding = engines(&[engine("u", 1, EngineRole::Decode)]);
     let tried = [UpstreamName::from("u")];
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -17,4 +17,5 @@
 mod suspect_quarantine;
 mod sync_targets;
 mod upstream_directory;
+mod upstream_pauses;
 mod usage_window;
