Repeat no order to an engine that asks for a pause

An engine that answered an order with 503 and Retry-After got it again every 2 s: five orders in a pause of 10 s, where two requests of a machine are allowed. The answer's fields were not looked at.

The outcome of an order now has the pause, and the order is repeated after its end. The test gives 11 orders where 3 are expected if the pause is ignored. An order does not know of a pause that the engine has asked the entry on the same machine for, which is another process.

--- a/crates/oriolecrank-gateway/src/dialect.rs
+++ b/crates/oriolecrank-gateway/src/dialect.rs
@@ -203,8 +203,8 @@
     /// engines can refuse the orders of earlier ones.
     fn role_order(&self, order: &RoleOrder, fencing_number: u64) -> Request<Full<Bytes>>;
 
-    /// Decodes the status of an answer to an order.
-    fn decode_role_reply(&self, status: http::StatusCode) -> OrderOutcome;
+    /// Decodes the head of an answer to an order.
+    fn decode_role_reply(&self, status: http::StatusCode, fields: &HeaderMap) -> OrderOutcome;
 }
 
 /// Answer of the usage interface.
--- a/crates/oriolecrank-gateway/src/role_orders.rs
+++ b/crates/oriolecrank-gateway/src/role_orders.rs
@@ -86,10 +86,10 @@
         let (outcome, reason) = match answer.await {
             Ok(answer) => {
                 let status = answer.status();
+                let outcome = self.dialect.decode_role_reply(status, answer.headers());
                 if let Err(error) = answer.collect(MAX_ANSWER_BYTES, ORDER_TIMEOUT).await {
                     tracing::debug!(%error, "the body of the answer to an order could not be read");
                 }
-                let outcome = self.dialect.decode_role_reply(status);
                 (outcome, format!("status {status}"))
             }
             Err(error) => (OrderOutcome::Unanswered, error.to_string()),
--- a/crates/oriolecrank-routing/src/role_repair.rs
+++ b/crates/oriolecrank-routing/src/role_repair.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use oriolecrank_policy::upstream_pause::UpstreamPause;
 use oriolecrank_schema::TimePoint;
 
 use crate::names::{ServiceName, UpstreamName};
@@ -80,6 +81,8 @@
     Fenced,
     /// The engine did not take the order.
     Refused,
+    /// The engine did not take the order and asks for a pause of this length.
+    Paused(Duration),
     /// There was no answer; the order may be carried out later.
     Unanswered,
 }
@@ -90,6 +93,8 @@
     started_ms: u64,
     /// Before this time the engine gets no other order.
     next_at: TimePoint,
+    /// Pause that the engine asks of this control instance.
+    pause: UpstreamPause,
 }
 
 /// Decides which engines are ordered to decode. Orders to prefill are never given, so that an order
@@ -148,7 +153,7 @@
         });
         let due = ordered.filter(|engine| {
             let order = self.orders.get(&engine.name);
-            order.is_none_or(|order| now >= order.next_at)
+            order.is_none_or(|order| now >= order.next_at && order.pause.allows(now))
         });
         due.map(RoleOrder::from).collect()
     }
@@ -160,15 +165,22 @@
 
     /// Records what became of an order.
     pub fn record_outcome(&mut self, order: &RoleOrder, outcome: OrderOutcome, now: TimePoint) {
-        let pause = match outcome {
+        let delay = match outcome {
             OrderOutcome::Accepted => self.settings.repeat_after,
-            OrderOutcome::Fenced | OrderOutcome::Refused | OrderOutcome::Unanswered => {
-                self.settings.retry_after
-            }
+            OrderOutcome::Fenced
+            | OrderOutcome::Refused
+            | OrderOutcome::Paused(_)
+            | OrderOutcome::Unanswered => self.settings.retry_after,
         };
+        let earlier = self.orders.get(&order.upstream);
+        let mut pause = earlier.map(|earlier| earlier.pause).unwrap_or_default();
+        if let OrderOutcome::Paused(length) = outcome {
+            pause.record(length, now);
+        }
         let record = OrderRecord {
             started_ms: order.started_ms,
-            next_at: now + pause,
+            next_at: now + delay,
+            pause,
         };
         self.orders.insert(order.upstream.clone(), record);
     }
--- a/crates/oriolecrank-routing/tests/routing/role_repair.rs
+++ b/crates/oriolecrank-routing/tests/routing/role_repair.rs
@@ -1,6 +1,8 @@
 //! Guards against services that stay refused because all of their engines only prefill, and against
 //! orders without need.
 
+use std::time::Duration;
+
 use oriolecrank_routing::{
     DirectorySettings, EngineRole, OrderOutcome, RoleRepair, RoleRepairSettings, ServiceName,
     UpstreamAnnouncement, UpstreamDirectory, UpstreamReadiness,
@@ -206,3 +208,14 @@
     let mut control = Control::start(&[silent]);
     assert!(control.order(ACCEPTED, at(5_000)).is_empty());
 }
+
+/// Guards against orders to an engine that asks for a pause, and against one that gets none after it.
+#[test]
+fn an_engine_that_asks_for_a_pause_gets_no_order_until_it_ends() {
+    let left = engine("left", 1, EngineRole::Prefill);
+    let mut control = Control::start(std::slice::from_ref(&left));
+    let pause = Duration::from_secs(10);
+    let given = control.run(&[left], OrderOutcome::Paused(pause), 26_000);
+    let times: Vec<u64> = given.into_iter().map(|(now, _)| now).collect();
+    assert_eq!(times, [5_000, 15_000, 25_000]);
+}
