Reproduce requests in a pause on the agent path

An agent passes 503 with Retry-After of its upstream on and goes on sending it requests; an entry has no means to leave an upstream out for a time.

--- a/crates/oriolecrank-agent/tests/agent/main.rs
+++ b/crates/oriolecrank-agent/tests/agent/main.rs
@@ -11,4 +11,5 @@
 mod messages;
 mod order_gate;
 mod orders;
+mod pauses;
 mod support;
--- a/crates/oriolecrank-entry/tests/entry/main.rs
+++ b/crates/oriolecrank-entry/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod components;
 mod harness;
 mod limits;
+mod pauses;
 mod state;
 mod streams;
 mod suspects;
