Leave upstreams of agents out that ask for a pause

What callers saw: an upstream behind an agent that answered 503 with Retry-After went on getting all requests, and a call was answered 503 although another upstream had room.

Cause: the same as on the direct path; the agent passed the answer on without looking at its fields, and an entry could not leave an upstream out for a time.

Change: the agent keeps the same UpstreamPause. In a pause it starts nothing, gives the waiting requests back as not run (upstream_paused, with the time left) and refuses new ones; a claimed call is refused as claim_refused, so that another agent may run it. A crash of the upstream ends the pause. Entries leave the upstream out of the choice until then; a retry after such a refusal is not charged, as it has not reached the upstream. If all upstreams of a service pause, a call is refused at once with the time of the first one. Suggested times to callers are rounded up, not down. The protocol is unchanged: the time is in retry_after_ms, which was empty so far.

--- a/crates/oriolecrank-agent/src/agent_core.rs
+++ b/crates/oriolecrank-agent/src/agent_core.rs
@@ -10,10 +10,12 @@
 use oriolecrank_net::BootClock;
 use oriolecrank_policy::request_queue::QueueSettings;
 use oriolecrank_policy::{AttemptId, BlockCount};
+use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::control::{Command, RunningRequest, StoredAnswer};
 use oriolecrank_schema::data_path::{RunRequest, RunVerdict, TokenUsage, UpstreamLoad};
 use oriolecrank_schema::document::UpstreamId;
 use oriolecrank_schema::event::LogEvent;
+use oriolecrank_schema::failure_code::UPSTREAM_PAUSED;
 use tokio::sync::{Notify, OnceCell};
 
 use crate::agent_metrics::AgentMetrics;
@@ -125,8 +127,10 @@
     /// Admits a request and starts every waiting request that the upstream has room for.
     pub fn admit(self: &Arc<Self>, request: RunRequest, body: Bytes) -> AdmissionResult {
         let result = self.table().admit(request, body, BootClock.now());
-        if let AdmissionResult::Refused { code, .. } = &result {
-            self.metrics.count_refusal(code);
+        match &result {
+            AdmissionResult::Refused { code, .. } => self.metrics.count_refusal(code),
+            AdmissionResult::Paused { .. } => self.metrics.count_refusal(UPSTREAM_PAUSED),
+            AdmissionResult::Answer(_) | AdmissionResult::OutcomeUnknown => {}
         }
         self.start_waiting();
         result
@@ -193,7 +197,9 @@
             resume_tokens: request.resume_tokens,
             first_byte_timeout: Duration::from_millis(request.deadline_ms),
         };
+        let sent_at = BootClock.now();
         let mut upstream_answer = self.upstream.call(&call, body).await?;
+        self.record_pause(upstream_answer.pause(), upstream_answer.status(), sent_at);
         let head = AnswerHead {
             status: upstream_answer.status(),
             headers: upstream_answer.headers(),
@@ -213,6 +219,27 @@
         Ok(())
     }
 
+    /// Records what an answer to a call that was sent at `sent_at` says about a pause.
+    fn record_pause(&self, pause: Option<Duration>, status: u16, sent_at: TimePoint) {
+        let now = BootClock.now();
+        let mut table = self.table();
+        let Some(pause) = pause else {
+            table.record_answer(sent_at, now);
+            return;
+        };
+        let begins = table.begin_pause(pause, now);
+        drop(table);
+        if begins {
+            tracing::info!(
+                event = LogEvent::PauseStated.number(),
+                upstream = %self.upstream_id,
+                status,
+                pause_ms = pause.as_millis() as u64,
+                "the upstream asks for a pause; it gets no requests until then"
+            );
+        }
+    }
+
     /// Stores the answer of a claimed call with the control group before its end is sent to the
     /// entry, so that a repeated call through another entry finds it. A body above
     /// [`MAX_STORED_ANSWER_BYTES`] is not stored; the claim is then completed without an answer.
@@ -289,6 +316,7 @@
         let Some(record) = self.table().crash_detector.detect_crash(group_id) else {
             return DisconnectCause::ConnectionLoss;
         };
+        self.table().end_pause();
         self.metrics.count_crash();
         let event = LogEvent::UpstreamCrashed.number();
         tracing::error!(
--- a/crates/oriolecrank-agent/src/request_table.rs
+++ b/crates/oriolecrank-agent/src/request_table.rs
@@ -1,20 +1,23 @@
 //! Queued and running requests of an agent.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use indexmap::IndexMap;
 use oriolecrank_policy::request_queue::{
     CancelledRequest, QueueRefusal, QueueSettings, QueuedRequest, RequestQueue,
 };
+use oriolecrank_policy::upstream_pause::UpstreamPause;
 use oriolecrank_policy::{AttemptId, BlockCount, TokenCount};
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::control::UpstreamPhase;
-use oriolecrank_schema::data_path::{RunRequest, TokenUsage, UpstreamLoad};
+use oriolecrank_schema::data_path::{RunEvent, RunRequest, TokenUsage, UpstreamLoad};
+use oriolecrank_schema::failure_code::{CLAIM_REFUSED, UPSTREAM_PAUSED};
 
 use crate::claim_register::{ClaimAdmission, ClaimRegister};
 use crate::crash_detector::{CrashDetector, RunningCall};
-use crate::failure_events::not_run;
+use crate::failure_events::{not_run, paused};
 use crate::running_answer::{AnswerOrigin, RunningAnswer};
 
 /// A request that waits in the queue.
@@ -51,6 +54,13 @@
         /// Human-readable reason.
         message: String,
     },
+    /// The request was not queued, because the upstream asks for a pause.
+    Paused {
+        /// Stable error code.
+        code: &'static str,
+        /// Time until the pause ends.
+        time_left: Duration,
+    },
     /// The claim or its answer is no longer stored; the claimed call may have run.
     OutcomeUnknown,
 }
@@ -75,6 +85,8 @@
     /// Claims refused since the last call of [`RequestTable::take_released_claims`].
     released_claims: Vec<ReleasedClaim>,
     phase: UpstreamPhase,
+    /// Pause that the upstream asks for; ends with its incarnation.
+    pause: UpstreamPause,
     /// Prompt tokens of all finished calls since the agent started.
     prefill_tokens: TokenCount,
     /// Output tokens of all finished calls since the agent started.
@@ -92,6 +104,7 @@
             crash_detector: CrashDetector::default(),
             released_claims: Vec::new(),
             phase: UpstreamPhase::Ready,
+            pause: UpstreamPause::default(),
             prefill_tokens: TokenCount::default(),
             decode_tokens: TokenCount::default(),
         }
@@ -110,6 +123,10 @@
         {
             return result;
         }
+        if let Some(time_left) = self.pause.time_left(now) {
+            let code = self.refusal_code(claim_id, UPSTREAM_PAUSED);
+            return AdmissionResult::Paused { code, time_left };
+        }
         let queued = QueuedRequest::from_message(&request, now);
         match self.queue.offer(queued, now) {
             Ok(offered) => {
@@ -145,7 +162,7 @@
                 })
             }
             ClaimAdmission::Refused => Some(AdmissionResult::Refused {
-                code: "claim_refused",
+                code: CLAIM_REFUSED,
                 message: "the agent has already refused this claim".to_owned(),
             }),
             ClaimAdmission::Evicted => Some(AdmissionResult::OutcomeUnknown),
@@ -166,7 +183,7 @@
         };
         self.release_claim(claim_id);
         AdmissionResult::Refused {
-            code: "claim_refused",
+            code: CLAIM_REFUSED,
             message,
         }
     }
@@ -179,19 +196,59 @@
     }
 
     /// Removes a waiting request and fails its attempt as not run.
-    fn fail_waiting(&mut self, id: &AttemptId, code: &str, message: &str, now: TimePoint) {
+    fn fail_waiting(&mut self, id: &AttemptId, code: &'static str, message: &str, now: TimePoint) {
+        self.end_waiting(id, code, |code| not_run(code, message), now);
+    }
+
+    /// Removes a waiting request, which has not run. Its attempt fails with the event for `code`, or
+    /// for the code of a refused claim.
+    fn end_waiting(
+        &mut self,
+        id: &AttemptId,
+        code: &'static str,
+        event: impl FnOnce(&str) -> RunEvent,
+        now: TimePoint,
+    ) {
         self.waiting.swap_remove(id);
         let Some(answer) = self.answers.get(id).cloned() else {
             return;
         };
-        let code = match answer.claim_id() {
-            Some(claim_id) => {
-                self.release_claim(claim_id);
-                "claim_refused"
-            }
-            None => code,
+        let code = self.refusal_code(answer.claim_id(), code);
+        answer.fail(event(code), now);
+    }
+
+    /// Code with which a request is refused that has not run. A claimed call is refused for good and
+    /// has a code of its own.
+    fn refusal_code(&mut self, claim_id: Option<u64>, code: &'static str) -> &'static str {
+        let Some(claim_id) = claim_id else {
+            return code;
         };
-        answer.fail(not_run(code, message), now);
+        self.release_claim(claim_id);
+        CLAIM_REFUSED
+    }
+
+    /// Records that the upstream asks for a pause, and gives the waiting requests back, so that their
+    /// entries send them to other upstreams. Returns whether this begins a pause.
+    pub fn begin_pause(&mut self, length: Duration, now: TimePoint) -> bool {
+        let begins = self.pause.record(length, now);
+        let Some(time_left) = self.pause.time_left(now) else {
+            return false;
+        };
+        for waiting in self.queue.take_waiting() {
+            let event = |code: &str| paused(code, time_left);
+            self.end_waiting(&waiting.id, UPSTREAM_PAUSED, event, now);
+        }
+        begins
+    }
+
+    /// Ends a pause, because the upstream has crashed: its next incarnation has asked for none.
+    pub fn end_pause(&mut self) {
+        self.pause = UpstreamPause::default();
+    }
+
+    /// Records an answer that asks for no pause to a call that was sent at `sent_at`.
+    pub fn record_answer(&mut self, sent_at: TimePoint, now: TimePoint) {
+        self.pause.record_answer(sent_at, now);
     }
 
     /// Fails expired requests and returns the next one for which the upstream has room. The caller
@@ -206,6 +263,9 @@
             );
         }
         loop {
+            if !self.pause.allows(now) {
+                return None;
+            }
             let id = self.queue.start_next(now)?.request.id;
             let waiting = self.waiting.swap_remove(&id);
             let answer = self.answers.get(&id).cloned();
@@ -218,6 +278,7 @@
                 fingerprint: request.fingerprint.clone(),
             };
             self.crash_detector.record_start(id.clone(), call, now);
+            self.pause.record_sent(now);
             return Some(StartedCall {
                 id,
                 request,
--- a/crates/oriolecrank-agent/src/run_server.rs
+++ b/crates/oriolecrank-agent/src/run_server.rs
@@ -19,7 +19,7 @@
 
 use crate::agent_core::AgentCore;
 use crate::answer_stream::{AnswerStream, encode_event};
-use crate::failure_events::{may_have_run, not_run};
+use crate::failure_events::{may_have_run, not_run, paused};
 use crate::order_runner::OrderRunner;
 use crate::request_table::AdmissionResult;
 use crate::running_answer::RunningAnswer;
@@ -73,6 +73,9 @@
             AdmissionResult::Refused { code, message } => {
                 single_event(&id, not_run(code, &message))
             }
+            AdmissionResult::Paused { code, time_left } => {
+                single_event(&id, paused(code, time_left))
+            }
             AdmissionResult::OutcomeUnknown => {
                 let message =
                     "the agent no longer has the result of the claimed call, which may have run";
--- a/crates/oriolecrank-agent/src/upstream_client.rs
+++ b/crates/oriolecrank-agent/src/upstream_client.rs
@@ -1,15 +1,16 @@
 //! Interface to the upstream and its implementation over HTTP.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request};
+use http::{HeaderName, HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use oriolecrank_net::{ClientResponse, HttpClient, SendError};
+use oriolecrank_net::{ClientResponse, HttpClient, SendError, retry_after};
 use oriolecrank_schema::control::{EngineOrder, OrderResult};
 use oriolecrank_schema::data_path::{HeaderField, RunVerdict};
 use oriolecrank_schema::document::PriorityClass;
+use oriolecrank_schema::event::LogEvent;
 use snafu::Snafu;
 use tokio::time::timeout;
 
@@ -107,6 +108,9 @@
     /// Header fields of the answer.
     fn headers(&self) -> Vec<HeaderField>;
 
+    /// Time for which the upstream wants no further requests; `None` if it asks for no pause.
+    fn pause(&self) -> Option<Duration>;
+
     /// Waits for the next bytes of the body; `None` at its end.
     fn next(&mut self) -> impl Future<Output = Result<Option<Bytes>, CallError>> + Send;
 }
@@ -236,6 +240,20 @@
         fields.collect()
     }
 
+    fn pause(&self) -> Option<Duration> {
+        if self.response.status() != StatusCode::SERVICE_UNAVAILABLE {
+            return None;
+        }
+        retry_after(self.response.headers(), SystemTime::now()).unwrap_or_else(|error| {
+            tracing::warn!(
+                event = LogEvent::FieldIgnored.number(),
+                %error,
+                "the upstream is unavailable for a time that cannot be decoded; requests go on"
+            );
+            None
+        })
+    }
+
     async fn next(&mut self) -> Result<Option<Bytes>, CallError> {
         loop {
             let Ok(frame) = timeout(self.idle_timeout, self.response.body_mut().frame()).await
--- a/crates/oriolecrank-agent/tests/agent/pauses.rs
+++ b/crates/oriolecrank-agent/tests/agent/pauses.rs
@@ -8,7 +8,8 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use oriolecrank_net::{AnswerBody, BodyAborted, HttpHandler, read_body, text_answer};
-use oriolecrank_schema::data_path::{RunEvent, RunRequest, RunVerdict};
+use oriolecrank_schema::control::Command;
+use oriolecrank_schema::data_path::{ClaimTicket, RunEvent, RunRequest, RunVerdict};
 use tokio::time::{Instant, sleep};
 
 use crate::support::{ReceivedAnswer, TestAgent, eventually, failure_code, read_answer};
@@ -93,8 +94,8 @@
     read_answer(&mut reader, 0).await
 }
 
-/// Checks that a request was refused without running, and until when.
-fn assert_paused(answer: &ReceivedAnswer) {
+/// Checks that a request was refused without running, with which code, and until when.
+fn assert_refused(answer: &ReceivedAnswer, expected_code: &str) {
     let RunEvent::Failed {
         code,
         verdict,
@@ -106,12 +107,16 @@
     };
     assert_eq!(
         (code.as_str(), *verdict),
-        ("upstream_paused", RunVerdict::NotRun)
+        (expected_code, RunVerdict::NotRun)
     );
     let wait = retry_after_ms.expect("a time to come back");
     assert!((1..=PAUSE_SECONDS * 1_000).contains(&wait), "{wait} ms");
 }
 
+fn assert_paused(answer: &ReceivedAnswer) {
+    assert_refused(answer, "upstream_paused");
+}
+
 /// Guards against requests that an agent sends to an upstream that rests, and against a pause that
 /// does not end.
 #[tokio::test(flavor = "multi_thread")]
@@ -168,3 +173,35 @@
     let answer = run(&agent, "later", 4).await;
     assert_eq!(answer.body, b"served");
 }
+
+/// Guards against a claimed call that stays with an agent whose upstream rests, so that no other may
+/// run it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_claimed_call_is_given_back_during_a_pause() {
+    let upstream = PausingUpstream::new(UpstreamMode::Refuses(Duration::ZERO));
+    let agent = TestAgent::start(upstream.clone()).await;
+    run(&agent, "first", 4).await;
+    let claim = ClaimTicket {
+        claim_id: 9,
+        incarnation: agent.incarnation,
+        upstream: "upstream-1".to_owned().into(),
+    };
+    let claimed = RunRequest {
+        claim: Some(claim),
+        ..request(&agent, "claimed", 4)
+    };
+    let mut reader = agent.run(&claimed, b"{}").await;
+    assert_refused(&read_answer(&mut reader, 0).await, "claim_refused");
+    let is_release =
+        |command: &Command| matches!(command, Command::ReleaseClaim { claim_id: 9, .. });
+    let released = || {
+        agent
+            .control
+            .commands()
+            .iter()
+            .any(is_release)
+            .then_some(())
+    };
+    eventually(released).await;
+    assert_eq!(upstream.arrivals(), 1, "only the first request was sent");
+}
--- a/crates/oriolecrank-entry/src/admission.rs
+++ b/crates/oriolecrank-entry/src/admission.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use http::StatusCode;
 use oriolecrank_net::BootClock;
 use oriolecrank_policy::TokenCount;
 use oriolecrank_policy::admission::{
@@ -14,11 +15,12 @@
 use oriolecrank_policy::rate_limiter::{LimitDemand, LimiterSettings, RateLimiter};
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::control::PingAnswer;
+use oriolecrank_schema::failure_code::UPSTREAM_PAUSED;
 use oriolecrank_state::CheckedDocument;
 
 use crate::call_plan::CallPlan;
 use crate::call_runner::choice_request;
-use crate::caller_answer::CallerError;
+use crate::caller_answer::{CallerError, whole_seconds};
 use crate::demand_meter::{DemandSample, call_shape};
 use crate::entry_context::EntryContext;
 
@@ -81,6 +83,10 @@
         plan: &CallPlan,
     ) -> Result<AdmissionPermit, CallerError> {
         let now = BootClock.now();
+        if let Some(pause) = context.pool.common_pause(plan.service(), now) {
+            count_demand(context, plan, true);
+            return Err(paused_error(pause.return_time(now)));
+        }
         let choice = choice_request(plan, &[]);
         let expected = context.pool.expected_time(plan.service(), &choice, now);
         let request = AdmissionRequest {
@@ -130,12 +136,18 @@
 fn caller_error(refusal: AdmissionRefusal) -> CallerError {
     let error = CallerError::not_run(refusal.status(), refusal.code(), refusal.to_string());
     match refusal.retry_after() {
-        // The retry-after header is in whole seconds.
-        Some(delay) => error.with_retry_after(delay.as_millis().div_ceil(1_000).max(1) as u64),
+        Some(delay) => error.with_retry_after(whole_seconds(delay)),
         None => error,
     }
 }
 
+/// Refusal of a call because all upstreams of its service ask for a pause.
+fn paused_error(wait: Duration) -> CallerError {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let message = "all upstreams of the service ask for a pause; retry later";
+    CallerError::not_run(status, UPSTREAM_PAUSED, message).with_retry_after(whole_seconds(wait))
+}
+
 /// Tokens that all attempts of a call have used; they correct the charge to the limits.
 #[derive(Debug, Default)]
 pub struct ServedTokens {
--- a/crates/oriolecrank-entry/src/attempt_stream.rs
+++ b/crates/oriolecrank-entry/src/attempt_stream.rs
@@ -15,6 +15,7 @@
     TokenUsage, UpstreamLoad,
 };
 use oriolecrank_schema::event::LogEvent;
+use oriolecrank_schema::failure_code::CLAIM_REFUSED;
 use tokio::time::sleep;
 
 /// Longest time without a frame before a connection to an agent counts as lost. Agents send a
@@ -394,9 +395,6 @@
     }
 }
 
-/// Error code with which an agent refuses a claim that it has never run and never will run.
-pub const CLAIM_REFUSED: &str = "claim_refused";
-
 impl Drop for AttemptStream {
     fn drop(&mut self) {
         let unfinished = !self.assembly.is_finished();
--- a/crates/oriolecrank-entry/src/call_runner.rs
+++ b/crates/oriolecrank-entry/src/call_runner.rs
@@ -250,16 +250,29 @@
         // Without another upstream, those at which the call has failed are tried again.
         self.failed.clear();
         let chosen = choose(&self.context, &self.plan, &excluded);
-        chosen.ok_or_else(|| match &self.budgeted_failure {
+        chosen.ok_or_else(|| self.no_upstream_error())
+    }
+
+    /// Error of a call for which no upstream is available. If all of them ask for a pause, it states
+    /// when the first one ends.
+    fn no_upstream_error(&self) -> AttemptError {
+        let now = BootClock.now();
+        let pause = self.context.pool.common_pause(self.plan.service(), now);
+        let retry_after = pause.map(|pause| pause.return_time(now));
+        match &self.budgeted_failure {
             Some(error) => AttemptError {
                 code: NO_UPSTREAM.to_owned(),
+                retry_after: retry_after.or(error.retry_after),
                 ..error.clone()
             },
             None => {
                 let message = "no upstream of the service is available";
-                AttemptError::new(RunVerdict::NotRun, NO_UPSTREAM, message)
+                AttemptError {
+                    retry_after,
+                    ..AttemptError::new(RunVerdict::NotRun, NO_UPSTREAM, message)
+                }
             }
-        })
+        }
     }
 
     /// Delay after which a hedge is started if the attempt has not begun to answer; `None` if the
--- a/crates/oriolecrank-entry/src/caller_answer.rs
+++ b/crates/oriolecrank-entry/src/caller_answer.rs
@@ -1,5 +1,7 @@
 //! HTTP answers to callers, including errors.
 
+use std::time::Duration;
+
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderName, HeaderValue, Response, StatusCode};
 use oriolecrank_net::AnswerBody;
@@ -97,7 +99,7 @@
             (_, RunVerdict::NotRun) => StatusCode::SERVICE_UNAVAILABLE,
             (_, RunVerdict::MayHaveRun) => StatusCode::BAD_GATEWAY,
         };
-        let suggested = error.retry_after.map(|delay| delay.as_secs().max(1));
+        let suggested = error.retry_after.map(whole_seconds);
         let not_run = error.verdict == RunVerdict::NotRun;
         Self {
             status,
@@ -109,6 +111,11 @@
     }
 }
 
+/// Value for the retry-after header, which is in whole seconds.
+pub fn whole_seconds(delay: Duration) -> u64 {
+    delay.as_millis().div_ceil(1_000).max(1) as u64
+}
+
 /// Creates an answer with a JSON body.
 pub fn json_answer(status: StatusCode, body: String) -> Response<AnswerBody> {
     let mut response = Response::new(AnswerBody::full(body));
--- a/crates/oriolecrank-entry/src/claim_runner.rs
+++ b/crates/oriolecrank-entry/src/claim_runner.rs
@@ -16,14 +16,15 @@
 use oriolecrank_schema::data_path::{ClaimTicket, RunVerdict};
 use oriolecrank_schema::document::UpstreamId;
 use oriolecrank_schema::event::LogEvent;
+use oriolecrank_schema::failure_code::CLAIM_REFUSED;
 use rand::Rng as _;
 use tokio::time::sleep;
 
 use crate::answer_delivery::{CollectedAnswer, WholeAnswer, collect, stream_rest};
-use crate::attempt_stream::{AttemptError, CLAIM_REFUSED};
+use crate::attempt_stream::AttemptError;
 use crate::call_plan::CallPlan;
 use crate::call_runner::{CallRunner, choose};
-use crate::caller_answer::CallerError;
+use crate::caller_answer::{CallerError, whole_seconds};
 use crate::entry_context::EntryContext;
 use crate::entry_metrics::RequestOutcome;
 use crate::request_tracker::RequestTracker;
@@ -143,6 +144,18 @@
         collect(&mut runner, attempt).await
     }
 
+    /// Error of a call for which no upstream is available; states when the first one ends its pause,
+    /// if all of them ask for one.
+    fn no_upstream(&self) -> CallerError {
+        let now = BootClock.now();
+        let pause = self.context.pool.common_pause(self.plan.service(), now);
+        let wait = pause.map(|pause| pause.return_time(now));
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        let message = "no upstream of the service is available; retry later";
+        CallerError::not_run(status, "no_upstream", message)
+            .with_retry_after(whole_seconds(wait.unwrap_or_default()))
+    }
+
     /// Opens the claim and acts on its outcome.
     async fn run_round(&mut self) -> Result<ClaimRound, CallerError> {
         let dispatch = choose(&self.context, &self.plan, &self.excluded);
@@ -150,7 +163,7 @@
             Some(dispatch) => dispatch,
             None => {
                 self.excluded.clear();
-                choose(&self.context, &self.plan, &[]).ok_or_else(no_upstream)?
+                choose(&self.context, &self.plan, &[]).ok_or_else(|| self.no_upstream())?
             }
         };
         match self.open(&dispatch).await? {
@@ -311,12 +324,6 @@
     Ok(WholeAnswer { head, body })
 }
 
-fn no_upstream() -> CallerError {
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    let message = "no upstream of the service is available; retry later";
-    CallerError::not_run(status, "no_upstream", message).with_retry_after(1)
-}
-
 fn claim_unavailable() -> CallerError {
     let status = StatusCode::SERVICE_UNAVAILABLE;
     let message =
--- a/crates/oriolecrank-entry/src/retry_gate.rs
+++ b/crates/oriolecrank-entry/src/retry_gate.rs
@@ -8,20 +8,23 @@
 };
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::document::{OrganisationId, UpstreamId};
+use oriolecrank_schema::failure_code::UPSTREAM_PAUSED;
 
 use crate::attempt_stream::{AttemptError, CallSafety};
 use crate::call_plan::CallPlan;
 
 /// Codes with which an agent refuses a request because of a planned change, such as the removal
-/// of its upstream. Retries after these codes do not depend on the budget.
-const PLANNED_CODES: [&str; 4] = [
+/// of its upstream, or because the upstream asks for a pause. Such a request has not reached the
+/// upstream, so its retry does not depend on the budget.
+const PLANNED_CODES: [&str; 5] = [
     "upstream_leaving",
     "upstream_changing",
     "agent_restarted",
     "agent_superseded",
+    UPSTREAM_PAUSED,
 ];
 
-/// Whether an attempt failed because of a planned change.
+/// Whether an attempt failed because of a planned change or a pause.
 pub fn is_planned(error: &AttemptError) -> bool {
     PLANNED_CODES.contains(&&*error.code)
 }
--- a/crates/oriolecrank-entry/src/running_attempt.rs
+++ b/crates/oriolecrank-entry/src/running_attempt.rs
@@ -9,6 +9,7 @@
 use oriolecrank_policy::answer_assembly::AnswerHead;
 use oriolecrank_schema::data_path::{ClaimTicket, RunVerdict};
 use oriolecrank_schema::document::{PriorityClass, UpstreamId};
+use oriolecrank_schema::failure_code::{CLAIM_REFUSED, UPSTREAM_PAUSED};
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt_stream::{AttemptError, AttemptEvent, AttemptStream};
@@ -133,6 +134,9 @@
             };
             let head = head.expect("assembly passes a body on only after the head");
             starting.record_status(head.status);
+            if let Some(dispatch) = &starting.dispatch {
+                dispatch.record_answer(now);
+            }
             if let Some(dispatch) = &starting.dispatch
                 && plan.template.class == PriorityClass::Urgent
             {
@@ -258,6 +262,12 @@
     let Some(dispatch) = dispatch else {
         return;
     };
+    let codes = [UPSTREAM_PAUSED, CLAIM_REFUSED];
+    if codes.contains(&&*error.code)
+        && let Some(length) = error.retry_after
+    {
+        dispatch.record_pause(length);
+    }
     let fault = error.verdict == RunVerdict::MayHaveRun || FAULT_CODES.contains(&&*error.code);
     // A request can exceed its deadline without a fault of the upstream, which must not be
     // ejected for that.
--- a/crates/oriolecrank-entry/src/upstream_pool.rs
+++ b/crates/oriolecrank-entry/src/upstream_pool.rs
@@ -15,6 +15,7 @@
 use oriolecrank_policy::upstream_chooser::{
     ChoiceRequest, ChooserSettings, NoUpstream, UpstreamChoice, UpstreamChooser,
 };
+use oriolecrank_policy::upstream_pause::UpstreamPause;
 use oriolecrank_policy::upstream_state::UpstreamState;
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::data_path::UpstreamLoad;
@@ -41,6 +42,8 @@
     chooser: UpstreamChooser,
     ejection: OutlierEjection,
     hedges: HedgePolicy,
+    /// Pauses that upstreams have asked for, each with the incarnation of the agent that told it.
+    pauses: IndexMap<UpstreamId, (u64, UpstreamPause)>,
 }
 
 /// Lock order: a pool is locked after `UpstreamPool::services` and never across an await.
@@ -102,6 +105,7 @@
             chooser,
             ejection: OutlierEjection::new(EjectionSettings::default()),
             hedges: HedgePolicy::new(HedgeSettings::default()),
+            pauses: IndexMap::new(),
         }))
     }
 
@@ -172,11 +176,26 @@
     ) -> Option<ExpectedTime> {
         let pool = self.pool(service)?;
         let pool = lock(&pool);
+        let excluded = pool.excluded(request, now);
+        let request = ChoiceRequest {
+            excluded: &excluded,
+            ..*request
+        };
         Some(ExpectedTime {
-            until_start: pool.chooser.expected_delay(request, now)?,
-            service: pool.chooser.expected_service(request),
+            until_start: pool.chooser.expected_delay(&request, now)?,
+            service: pool.chooser.expected_service(&request),
         })
     }
+
+    /// The pause that ends first, if all upstreams of a service ask for one.
+    pub fn common_pause(&self, service: &ServiceId, now: TimePoint) -> Option<UpstreamPause> {
+        let pool = self.pool(service)?;
+        let pool = lock(&pool);
+        let members = pool.chooser.members();
+        let pauses = members.map(|state| pool.pause_of(&state.upstream));
+        let first = pauses.min_by_key(|pause| pause.time_left(now))?;
+        first.time_left(now).map(|_| first)
+    }
 }
 
 /// Expected waiting and service time of a request.
@@ -193,6 +212,36 @@
         self.chooser.update(upstreams);
         let members = self.chooser.members().map(|state| &state.upstream);
         self.ejection.set_upstreams(members);
+        self.pauses.retain(|upstream, (incarnation, _)| {
+            let mut members = upstreams.iter();
+            members.any(|state| state.upstream == *upstream && state.incarnation == *incarnation)
+        });
+    }
+
+    fn pause_of(&self, upstream: &UpstreamId) -> UpstreamPause {
+        let known = self.pauses.get(upstream);
+        known.map(|(_, pause)| *pause).unwrap_or_default()
+    }
+
+    /// Upstreams that must not be chosen for a request: those that it excludes, and those that ask
+    /// for a pause.
+    fn excluded(&self, request: &ChoiceRequest<'_>, now: TimePoint) -> Vec<UpstreamId> {
+        let paused = self
+            .pauses
+            .iter()
+            .filter(|(_, (_, pause))| !pause.allows(now));
+        let paused = paused.map(|(upstream, _)| upstream);
+        request.excluded.iter().chain(paused).cloned().collect()
+    }
+
+    fn record_pause(&mut self, choice: &UpstreamChoice, length: Duration, now: TimePoint) -> bool {
+        let known = self.pauses.get(&choice.upstream);
+        let known = known.filter(|(incarnation, _)| *incarnation == choice.incarnation);
+        let mut pause = known.map(|(_, pause)| *pause).unwrap_or_default();
+        let begins = pause.record(length, now);
+        let told = (choice.incarnation, pause);
+        self.pauses.insert(choice.upstream.clone(), told);
+        begins
     }
 
     fn choose(
@@ -200,7 +249,16 @@
         request: &ChoiceRequest<'_>,
         now: TimePoint,
     ) -> Result<UpstreamChoice, NoUpstream> {
-        self.chooser.choose(request, now, &mut rand::rng())
+        let excluded = self.excluded(request, now);
+        let request = ChoiceRequest {
+            excluded: &excluded,
+            ..*request
+        };
+        let choice = self.chooser.choose(&request, now, &mut rand::rng())?;
+        if let Some((_, pause)) = self.pauses.get_mut(&choice.upstream) {
+            pause.record_sent(now);
+        }
+        Ok(choice)
     }
 
     fn finish(&mut self, choice: &UpstreamChoice, outcome: DispatchOutcome, now: TimePoint) {
@@ -263,6 +321,28 @@
             .record_load(&self.choice.upstream, report);
     }
 
+    /// Records that the agent has refused the request, because its upstream asks for a pause of
+    /// `length`.
+    pub fn record_pause(&self, length: Duration) {
+        let begins = lock(&self.pool).record_pause(&self.choice, length, BootClock.now());
+        if begins {
+            tracing::info!(
+                event = LogEvent::PauseStated.number(),
+                upstream = self.choice.upstream.as_str(),
+                pause_ms = length.as_millis() as u64,
+                "an upstream asks for a pause; it gets no requests until then"
+            );
+        }
+    }
+
+    /// Records the first part of an answer to the request, which was sent at `sent_at`.
+    pub fn record_answer(&self, sent_at: TimePoint) {
+        let mut pool = lock(&self.pool);
+        if let Some((_, pause)) = pool.pauses.get_mut(&self.choice.upstream) {
+            pause.record_answer(sent_at, BootClock.now());
+        }
+    }
+
     /// Records the time from sending an urgent call to the first byte of its answer.
     pub fn record_first_byte(&self, time: Duration) {
         lock(&self.pool).hedges.record(time);
--- a/crates/oriolecrank-policy/src/request_queue.rs
+++ b/crates/oriolecrank-policy/src/request_queue.rs
@@ -279,6 +279,11 @@
     /// Starts to refuse new requests. Removes and returns the waiting ones, which have not run.
     pub fn begin_drain(&mut self) -> Vec<QueuedRequest> {
         self.draining = true;
+        self.take_waiting()
+    }
+
+    /// Removes and returns the waiting requests, which have not run.
+    pub fn take_waiting(&mut self) -> Vec<QueuedRequest> {
         let numbers: Vec<_> = self.waiting.keys().copied().collect();
         let removed = numbers
             .into_iter()
--- a/crates/oriolecrank-schema/src/lib.rs
+++ b/crates/oriolecrank-schema/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod codec;
 pub mod digest;
 pub mod event;
+pub mod failure_code;
 #[rustfmt::skip]
 #[expect(
     clippy::all,
