Reproduce retries beyond the grant of entries that are out of step

An entry divides the fixed part of the grant by the number of entries that a control instance has told it last. A control instance that is cut off, or has just started, tells fewer; an entry that restarts has forgotten what it has used.

--- a/crates/oriolecrank-routing/tests/routing/shared_retry_budget.rs
+++ b/crates/oriolecrank-routing/tests/routing/shared_retry_budget.rs
@@ -57,3 +57,56 @@
     while budget.spend(&grant, 1, at(0)) {}
     assert!(budget.spend(&grant, 1, at(20_000)));
 }
+
+/// Number of entries of the site in the tests of entries that are out of step.
+const ENTRIES: u32 = 8;
+
+/// Lets each entry retry as often as its budget allows; `counts` are the numbers of entries that each
+/// of them was told. Returns the number of retries.
+fn retry_all(budgets: &mut [SharedRetryBudget], counts: &[u32], millis: u64) -> usize {
+    let entries = budgets.iter_mut().zip(counts);
+    let retries = entries.map(|(budget, count)| {
+        let attempts = 0..100;
+        attempts
+            .filter(|_| budget.spend(&grant(), *count, at(millis)))
+            .count()
+    });
+    retries.sum()
+}
+
+fn new_budgets() -> Vec<SharedRetryBudget> {
+    let budgets = 0..ENTRIES;
+    budgets.map(|_| SharedRetryBudget::new(&grant())).collect()
+}
+
+fn assert_granted(retries: usize) {
+    assert!(
+        retries as f64 <= grant().fixed,
+        "{retries} retries, {} are granted",
+        grant().fixed
+    );
+}
+
+/// Guards against entries that are cut off from each other, or are told a number by a control instance
+/// that has just started, and take a larger part each.
+#[test]
+fn entries_that_lose_sight_of_each_other_stay_within_the_grant() {
+    for told in [[3, 3, 3, 5, 5, 5, 5, 5], [1; 8], [1, 2, 3, 4, 5, 6, 7, 8]] {
+        let mut budgets = new_budgets();
+        let before = retry_all(&mut budgets, &[ENTRIES; 8], 20_000);
+        assert_granted(before);
+        let cut_off = retry_all(&mut budgets, &told, 40_000);
+        assert_granted(cut_off);
+    }
+}
+
+/// Guards against entries that have restarted and use the grant of a window a second time.
+#[test]
+fn entries_that_restart_within_a_window_stay_within_the_grant() {
+    let mut budgets = new_budgets();
+    let before = retry_all(&mut budgets, &[ENTRIES; 8], 20_000);
+    let mut restarted = new_budgets();
+    let after = retry_all(&mut restarted, &[ENTRIES; 8], 25_000);
+    assert!(after > 0, "a restarted entry may retry");
+    assert_granted(before + after);
+}
