Divide the retry grant by the largest recent number of entries

Cause: an entry used the number that a control instance had told it last.

Change: for retries, the largest number of the last one to two minutes counts (EntryCounter). Connections and limits are still divided by the latest number, where too small a part would leave upstreams idle. RecentMaximum, which CallerTimeoutRange had for itself, is shared by both.

Result: entries_that_lose_sight_of_each_other_stay_within_the_grant failed before and passes.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -299,9 +299,11 @@
     }
 
     fn spend_retry_budget(&self) -> bool {
-        let (grant, entries) = (&self.shared.options.retry_grant, self.shared.entry_count());
+        let now = current_time();
+        let grant = &self.shared.options.retry_grant;
+        let entries = self.shared.largest_entry_count(now);
         let granted = self.shared.with_service(&self.request.service, |state| {
-            state.budget.spend(grant, entries, current_time())
+            state.budget.spend(grant, entries, now)
         });
         self.shared.metrics.count_extra_attempt(granted);
         granted
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -1,7 +1,6 @@
 //! State of an entry that its request path, its sync tasks and its listeners share.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, RwLock};
 use std::time::Duration;
 
@@ -9,9 +8,9 @@
 use indexmap::IndexMap;
 use oriolecrank_net::{ClusterSecret, HttpClient};
 use oriolecrank_routing::{
-    AdmittedOrigins, CallerTimeoutRange, ChooserSettings, DirectChooser, EntryRun, KnownGroup,
-    LimitReport, OrganisationName, PartId, PlacedParts, PlacementLog, RetryGrant, RouteTable,
-    ServiceName, SharedRetryBudget, StoredDocument, StreamKey, StreamLog, StreamOrigin,
+    AdmittedOrigins, CallerTimeoutRange, ChooserSettings, DirectChooser, EntryCounter, EntryRun,
+    KnownGroup, LimitReport, OrganisationName, PartId, PlacedParts, PlacementLog, RetryGrant,
+    RouteTable, ServiceName, SharedRetryBudget, StoredDocument, StreamKey, StreamLog, StreamOrigin,
     SuspectVerdicts, SuspectWatch, UpstreamAnnouncement, UpstreamDirectory, UpstreamName,
     UsageCounter, WindowNumber,
 };
@@ -118,9 +117,8 @@
     pub(crate) crash_probe: CrashProbe,
     /// Range of the timeouts that callers state, by name of the route.
     caller_timeouts: Mutex<IndexMap<String, CallerTimeoutRange>>,
-    /// Number of entries among which the fixed part of the retry grant is divided; 0 before the
-    /// first sync.
-    entry_count: AtomicU32,
+    /// Number of entries of the site.
+    entry_counter: Mutex<EntryCounter>,
     /// When the process received the signal to stop; unset before.
     stop_requested_at: OnceLock<TimePoint>,
 }
@@ -149,7 +147,7 @@
             control_group: RwLock::default(),
             crash_probe: CrashProbe::default(),
             caller_timeouts: Mutex::default(),
-            entry_count: AtomicU32::new(0),
+            entry_counter: Mutex::new(EntryCounter::new(now)),
             stop_requested_at: OnceLock::new(),
         }
     }
@@ -528,15 +526,25 @@
             .expect("no holder of the usage lock panics")
     }
 
-    /// Number of entries that share the retry grant, as a control instance last reported; 0 before
-    /// the first sync.
+    /// Number of entries, as a control instance last reported; 0 before the first sync.
     pub(crate) fn entry_count(&self) -> u32 {
-        self.entry_count.load(Ordering::Relaxed)
+        self.lock_entry_counter().latest()
     }
 
-    /// Sets the number of entries that a control instance has reported.
-    pub(crate) fn set_entry_count(&self, entry_count: u32) {
-        self.entry_count.store(entry_count, Ordering::Relaxed);
+    /// Largest number of entries that control instances have reported lately.
+    pub(crate) fn largest_entry_count(&self, now: TimePoint) -> u32 {
+        self.lock_entry_counter().largest(now)
+    }
+
+    /// Records the number of entries that a control instance has reported.
+    pub(crate) fn record_entry_count(&self, entry_count: u32, now: TimePoint) {
+        self.lock_entry_counter().record(entry_count, now);
+    }
+
+    fn lock_entry_counter(&self) -> MutexGuard<'_, EntryCounter> {
+        self.entry_counter
+            .lock()
+            .expect("no holder of the entry counter lock panics")
     }
 
     /// Whether the process has received the signal to stop.
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -255,7 +255,7 @@
         if let Some(verdicts) = answer.suspect_verdicts {
             shared.set_suspect_verdicts(verdicts, answer.control_run, now);
         }
-        shared.set_entry_count(answer.entries);
+        shared.record_entry_count(answer.entries, now);
         let upstreams = shared.upstream_count();
         shared
             .metrics
--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod rate_limiter;
 pub mod read_coalescing;
 pub mod recent_count;
+pub mod recent_maximum;
 pub mod request_queue;
 pub mod retry_budget;
 pub mod subset;
--- a/crates/oriolecrank-routing/src/caller_timeout_range.rs
+++ b/crates/oriolecrank-routing/src/caller_timeout_range.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use oriolecrank_policy::recent_maximum::RecentMaximum;
 use oriolecrank_schema::TimePoint;
 
 /// Shortest timeout of a first attempt, relative to the longest timeout on the route: first
@@ -18,21 +19,15 @@
 /// Timeouts that the callers of one route state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerTimeoutRange {
-    /// Longest timeout stated since `observed_since`.
-    longest: Duration,
-    /// Longest timeout stated in the observation time before.
-    earlier: Duration,
-    observed_since: TimePoint,
+    longest: RecentMaximum<Duration>,
 }
 
 impl CallerTimeoutRange {
     /// Creates a range from the timeout of the first caller.
-    pub const fn new(caller_timeout: Duration, now: TimePoint) -> Self {
-        Self {
-            longest: caller_timeout,
-            earlier: Duration::ZERO,
-            observed_since: now,
-        }
+    pub fn new(caller_timeout: Duration, now: TimePoint) -> Self {
+        let mut longest = RecentMaximum::new(OBSERVATION_TIME, now);
+        longest.record(caller_timeout, now);
+        Self { longest }
     }
 
     /// Estimated time since the first attempt of a caller that now states `caller_timeout`; zero if
@@ -43,28 +38,12 @@
         caller_timeout: Duration,
         now: TimePoint,
     ) -> Duration {
-        self.forget_earlier(now);
-        self.longest = self.longest.max(caller_timeout);
-        let longest = self.longest.max(self.earlier);
+        self.longest.record(caller_timeout, now);
+        let longest = self.longest.get(now);
         if caller_timeout >= longest.mul_f64(MIN_FIRST_ATTEMPT_SHARE) {
             return Duration::ZERO;
         }
         let first_timeout = longest.mul_f64(f64::midpoint(1.0, MIN_FIRST_ATTEMPT_SHARE));
         first_timeout.saturating_sub(caller_timeout)
     }
-
-    fn forget_earlier(&mut self, now: TimePoint) {
-        let observed = now.since(self.observed_since);
-        if observed < OBSERVATION_TIME {
-            return;
-        }
-        let is_recent = observed < OBSERVATION_TIME * 2;
-        self.earlier = if is_recent {
-            self.longest
-        } else {
-            Duration::ZERO
-        };
-        self.longest = Duration::ZERO;
-        self.observed_since = now;
-    }
 }
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -29,6 +29,7 @@
 mod direct_chooser;
 mod direct_upstream;
 mod document_fetch;
+mod entry_counter;
 mod limit_report;
 mod limit_share;
 mod load_table;
@@ -66,6 +67,7 @@
 };
 pub use direct_upstream::{CallTiming, DirectUpstream, DispatchTicket, UpstreamLoad};
 pub use document_fetch::{DocumentFetch, PlannedFetch};
+pub use entry_counter::EntryCounter;
 pub use limit_report::{LimitReport, LimitTable};
 pub use load_table::{LoadTable, UpstreamLoads};
 pub use member_repair::{JoiningMember, MemberHealth, RepairPlanner, RepairSettings, next_members};
--- a/crates/oriolecrank-routing/tests/routing/shared_retry_budget.rs
+++ b/crates/oriolecrank-routing/tests/routing/shared_retry_budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use oriolecrank_routing::{RetryGrant, SharedRetryBudget};
+use oriolecrank_routing::{EntryCounter, RetryGrant, SharedRetryBudget};
 
 use crate::fixtures::at;
 
@@ -61,22 +61,42 @@
 /// Number of entries of the site in the tests of entries that are out of step.
 const ENTRIES: u32 = 8;
 
-/// Lets each entry retry as often as its budget allows; `counts` are the numbers of entries that each
-/// of them was told. Returns the number of retries.
-fn retry_all(budgets: &mut [SharedRetryBudget], counts: &[u32], millis: u64) -> usize {
-    let entries = budgets.iter_mut().zip(counts);
-    let retries = entries.map(|(budget, count)| {
+/// An entry with its budget.
+struct BudgetedEntry {
+    budget: SharedRetryBudget,
+    counter: EntryCounter,
+}
+
+impl BudgetedEntry {
+    fn start(millis: u64) -> Self {
+        Self {
+            budget: SharedRetryBudget::new(&grant()),
+            counter: EntryCounter::new(at(millis)),
+        }
+    }
+
+    fn start_all(millis: u64) -> Vec<Self> {
+        (0..ENTRIES).map(|_| Self::start(millis)).collect()
+    }
+
+    /// Retries as often as the budget allows, after a control instance has told a number of entries.
+    fn retry(&mut self, told: u32, millis: u64) -> usize {
+        self.counter.record(told, at(millis));
+        let entries = self.counter.largest(at(millis));
         let attempts = 0..100;
         attempts
-            .filter(|_| budget.spend(&grant(), *count, at(millis)))
+            .filter(|_| self.budget.spend(&grant(), entries, at(millis)))
             .count()
-    });
-    retries.sum()
+    }
 }
 
-fn new_budgets() -> Vec<SharedRetryBudget> {
-    let budgets = 0..ENTRIES;
-    budgets.map(|_| SharedRetryBudget::new(&grant())).collect()
+/// Lets each entry retry as often as its budget allows; `told` are the numbers of entries that each
+/// of them is told. Returns the number of retries.
+fn retry_all(entries: &mut [BudgetedEntry], told: &[u32], millis: u64) -> usize {
+    let entries = entries.iter_mut().zip(told);
+    entries
+        .map(|(entry, told)| entry.retry(*told, millis))
+        .sum()
 }
 
 fn assert_granted(retries: usize) {
@@ -92,10 +112,10 @@
 #[test]
 fn entries_that_lose_sight_of_each_other_stay_within_the_grant() {
     for told in [[3, 3, 3, 5, 5, 5, 5, 5], [1; 8], [1, 2, 3, 4, 5, 6, 7, 8]] {
-        let mut budgets = new_budgets();
-        let before = retry_all(&mut budgets, &[ENTRIES; 8], 20_000);
+        let mut entries = BudgetedEntry::start_all(0);
+        let before = retry_all(&mut entries, &[ENTRIES; 8], 20_000);
         assert_granted(before);
-        let cut_off = retry_all(&mut budgets, &told, 40_000);
+        let cut_off = retry_all(&mut entries, &told, 40_000);
         assert_granted(cut_off);
     }
 }
@@ -103,10 +123,19 @@
 /// Guards against entries that have restarted and use the grant of a window a second time.
 #[test]
 fn entries_that_restart_within_a_window_stay_within_the_grant() {
-    let mut budgets = new_budgets();
-    let before = retry_all(&mut budgets, &[ENTRIES; 8], 20_000);
-    let mut restarted = new_budgets();
+    let mut entries = BudgetedEntry::start_all(0);
+    let before = retry_all(&mut entries, &[ENTRIES; 8], 20_000);
+    let mut restarted = BudgetedEntry::start_all(25_000);
     let after = retry_all(&mut restarted, &[ENTRIES; 8], 25_000);
     assert!(after > 0, "a restarted entry may retry");
     assert_granted(before + after);
 }
+
+/// Guards against a site that has shrunk and never gets the whole grant again.
+#[test]
+fn a_smaller_number_of_entries_counts_after_some_minutes() {
+    let mut entry = BudgetedEntry::start(0);
+    entry.retry(ENTRIES, 20_000);
+    let spent = entry.retry(1, 180_000);
+    assert!(spent >= 30, "{spent}");
+}
