Test answers that are cut at each place

A report from other operators: a server that stopped in the middle of its answer's head was passed on as a 200 with an empty or short body. Not so here: a cut in the status line, a field, before or in the empty line, after an interim answer, in the size of a chunk, in a chunk, before or in the last chunk and in a trailer gives 502 with an empty body for plain answers (idempotent and not), an incomplete stream, or a prefill that is not used, on new and on kept connections; on the agent path a failed attempt that may have run. No change of the code.

--- a/crates/oriolecrank-agent/tests/agent/main.rs
+++ b/crates/oriolecrank-agent/tests/agent/main.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod crash_detector;
 mod crashes;
+mod cut_answers;
 mod endless_answers;
 mod messages;
 mod order_gate;
