Refuse announcements with names of over 256 bytes

Cause: the list of upstreams is sent as a whole to an entry that starts, and had no bound. 24 heartbeats with names of 900 KB exceed the largest answer of 16 MiB, and the entry could never follow a control instance.

Change: UpstreamAnnouncement::check, at the control instance that receives the heartbeat (400) and at those to which it is passed on.

Result: long_heartbeats_do_not_keep_entries_from_following_the_others failed before and passes. The number of upstreams is still not bounded; they are forgotten after a minute without a heartbeat.

--- a/crates/oriolecrank-gateway/src/site_gossip.rs
+++ b/crates/oriolecrank-gateway/src/site_gossip.rs
@@ -108,6 +108,15 @@
 pub(crate) fn apply_batch(tables: &crate::site_tables::SiteTables, batch: GossipBatch) {
     let now = BootClock.now();
     for aged in batch.upstreams {
+        if let Err(error) = aged.announcement.check() {
+            tracing::warn!(
+                event = LogEvent::CallRefused.number(),
+                address = %aged.announcement.address,
+                %error,
+                "an announcement that another control instance has accepted was refused"
+            );
+            continue;
+        }
         let received_at = oriolecrank_schema::TimePoint::from_millis(
             now.as_millis().saturating_sub(aged.age.as_millis() as u64),
         );
--- a/crates/oriolecrank-gateway/src/site_server.rs
+++ b/crates/oriolecrank-gateway/src/site_server.rs
@@ -100,6 +100,15 @@
     }
 
     async fn announce(&self, announcement: UpstreamAnnouncement) -> SiteReply {
+        if let Err(error) = announcement.check() {
+            tracing::warn!(
+                event = LogEvent::CallRefused.number(),
+                address = %announcement.address,
+                %error,
+                "an announcement was refused"
+            );
+            return SiteReply::Invalid(error.to_string());
+        }
         let is_leaving = announcement.state != UpstreamReadiness::Ready;
         let effect = self
             .tables
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -23,6 +23,7 @@
 //!   of its membership.
 
 mod acting_term;
+mod announcement_check;
 mod caller_timeout_range;
 mod choice_search;
 mod crash_suspect;
@@ -59,6 +60,7 @@
 mod usage_window;
 
 pub use acting_term::ActingTerm;
+pub use announcement_check::AnnouncementError;
 pub use caller_timeout_range::CallerTimeoutRange;
 pub use crash_suspect::CrashSuspect;
 pub use direct_chooser::{
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the routing decisions of a gateway.
 
+mod announcement_check;
 mod caller_timeout_range;
 mod direct_chooser;
 mod document_fetch;
