Refuse announcements with a start or number that none can exceed

Cause: announcements are ordered by the start time and number that they state. One with the largest start time or number, under the name or at the address of a real server, makes all heartbeats of that server outdated for a minute, and again with each repetition.

--- a/crates/oriolecrank-gateway/src/control_site.rs
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -165,6 +165,7 @@
         publisher: publisher.clone(),
         tables: Arc::clone(&tables),
         gossip: SiteGossip::start(options.cluster.clone(), publisher.clone()),
+        clock: Arc::clone(&clock),
     };
     let removed = Arc::new(Notify::new());
     let repair = GroupRepair {
@@ -204,9 +205,8 @@
         };
         tokio::spawn(reporter.run());
     }
-    let event = LogEvent::ProcessStarted.number();
     tracing::info!(
-        event,
+        event = LogEvent::ProcessStarted.number(),
         operators = %options.operator_listen,
         internal = %options.internal_listen,
         "control started"
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -127,7 +127,7 @@
         if batch.cluster != self.cluster {
             return empty_answer(StatusCode::CONFLICT);
         }
-        apply_batch(&self.tables, batch);
+        apply_batch(&self.tables, batch, &self.clock);
         empty_answer(StatusCode::NO_CONTENT)
     }
 
--- a/crates/oriolecrank-gateway/src/site_gossip.rs
+++ b/crates/oriolecrank-gateway/src/site_gossip.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use crate::site_clock::SiteClock;
 use crate::site_messages::{AgedAnnouncement, GOSSIP_PATH, GossipBatch};
 use crate::site_publisher::SitePublisher;
 
@@ -105,10 +106,15 @@
 }
 
 /// Applies the announcements that another control instance has sent.
-pub(crate) fn apply_batch(tables: &crate::site_tables::SiteTables, batch: GossipBatch) {
+pub(crate) fn apply_batch(
+    tables: &crate::site_tables::SiteTables,
+    batch: GossipBatch,
+    clock: &SiteClock,
+) {
     let now = BootClock.now();
+    let unix_ms = clock.unix_ms(now);
     for aged in batch.upstreams {
-        if let Err(error) = aged.announcement.check() {
+        if let Err(error) = aged.announcement.check(unix_ms) {
             tracing::warn!(
                 event = LogEvent::CallRefused.number(),
                 address = %aged.announcement.address,
--- a/crates/oriolecrank-gateway/src/site_server.rs
+++ b/crates/oriolecrank-gateway/src/site_server.rs
@@ -14,6 +14,7 @@
 };
 
 use crate::dialect::{SiteCall, SiteDialect, SiteReply};
+use crate::site_clock::SiteClock;
 use crate::site_gossip::SiteGossip;
 use crate::site_publisher::SitePublisher;
 use crate::site_tables::SiteTables;
@@ -29,6 +30,7 @@
     pub(crate) publisher: SitePublisher,
     pub(crate) tables: Arc<SiteTables>,
     pub(crate) gossip: SiteGossip,
+    pub(crate) clock: Arc<SiteClock>,
 }
 
 impl<D: SiteDialect> SiteServer<D> {
@@ -100,7 +102,8 @@
     }
 
     async fn announce(&self, announcement: UpstreamAnnouncement) -> SiteReply {
-        if let Err(error) = announcement.check() {
+        let unix_ms = self.clock.unix_ms(BootClock.now());
+        if let Err(error) = announcement.check(unix_ms) {
             tracing::warn!(
                 event = LogEvent::CallRefused.number(),
                 address = %announcement.address,
--- a/crates/oriolecrank-routing/src/announcement_check.rs
+++ b/crates/oriolecrank-routing/src/announcement_check.rs
@@ -8,6 +8,15 @@
 /// are passed on in lists, which must fit into a message with those of all other upstreams.
 const MAX_NAME_BYTES: usize = 256;
 
+/// Longest time by which the start of an upstream may lie ahead of the clock of the receiver, in
+/// milliseconds. Clocks are wrong by seconds; a start time that lies further ahead would make all
+/// announcements of the real upstream look outdated.
+const MAX_START_LEAD_MS: u64 = 24 * 3_600 * 1_000;
+
+/// Largest number of an announcement: integers up to here are exact in every JSON parser. A larger one
+/// would leave the upstream no number for its next announcement.
+const MAX_SEQUENCE: u64 = 1 << 53;
+
 /// Why an announcement is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum AnnouncementError {
@@ -17,15 +26,28 @@
         /// Length of the name, in bytes.
         length: usize,
     },
+    /// The start time lies far ahead.
+    #[snafu(display("the start time {started_ms} lies over a day ahead of the time here"))]
+    FutureStart {
+        /// Start time, in milliseconds of Unix time.
+        started_ms: u64,
+    },
+    /// The number of the announcement is too large.
+    #[snafu(display("the number {sequence} is too large; at most {MAX_SEQUENCE} is allowed"))]
+    LargeSequence {
+        /// Number of the announcement.
+        sequence: u64,
+    },
 }
 
 impl UpstreamAnnouncement {
-    /// Checks an announcement that an upstream, or another writer, has sent.
+    /// Checks an announcement that an upstream, or another writer, has sent; `unix_ms` is the present
+    /// Unix time, in milliseconds.
     ///
     /// # Errors
     ///
     /// Returns the first [`AnnouncementError`] that is found.
-    pub fn check(&self) -> Result<(), AnnouncementError> {
+    pub fn check(&self, unix_ms: u64) -> Result<(), AnnouncementError> {
         let names = [
             self.name.as_str(),
             self.service.as_str(),
@@ -36,6 +58,11 @@
             let length = name.len();
             ensure!(length <= MAX_NAME_BYTES, LongNameSnafu { length });
         }
+        let started_ms = self.started_ms;
+        let latest_ms = unix_ms.saturating_add(MAX_START_LEAD_MS);
+        ensure!(started_ms <= latest_ms, FutureStartSnafu { started_ms });
+        let sequence = self.sequence;
+        ensure!(sequence <= MAX_SEQUENCE, LargeSequenceSnafu { sequence });
         Ok(())
     }
 }
