Go on with streams only at upstreams that were heard lately

What callers saw: a stream that an entry out of step took up again could hold events of two versions.

Cause: an entry knows versions from announcements, and an engine that restarts under its name with another version accepts what is addressed to that name. An entry that is cut off kept the version it had heard last for as long as it was cut off.

Change: an announcement tells the version for 4 s, and not after the machine has refused a connection since. A stream that has begun at an upstream whose version is not certain counts as one of no version, in the entry's own records too, so that nothing goes on with it.

A restart within 4 s of the last announcement, without a refused connection, is still not noticed before the next heartbeat.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -362,8 +362,7 @@
             self.last_number = batch.last_number;
         }
         if !std::mem::replace(&mut self.any_event_sent, true) {
-            let upstream = &attempt.chosen.announcement;
-            self.runner.record_stream_begin(upstream);
+            self.runner.record_stream_begin(&attempt.chosen);
         }
         let sent = self.sender.send(Ok(batch.bytes)).await;
         sent.is_err().then_some(RelayEnd::CallerLeft)
--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -9,9 +9,9 @@
 use oriolecrank_net::{ClientResponse, SendError};
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
 use oriolecrank_routing::{
-    CallKind, CallTiming, ChoiceRequest, CrashSuspect, NoUpstream, OrganisationName, PromptShape,
-    RequestFingerprint, RouteSpec, ServiceName, SoftwareVersion, StreamKey, StreamOrigin,
-    UpstreamAnnouncement, UpstreamName, VersionFilter,
+    CallKind, CallTiming, ChoiceRequest, ChosenUpstream, CrashSuspect, NoUpstream,
+    OrganisationName, PromptShape, RequestFingerprint, RouteSpec, ServiceName, SoftwareVersion,
+    StreamKey, StreamOrigin, UpstreamName, VersionFilter,
 };
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::data_path::RunVerdict;
@@ -280,15 +280,18 @@
     }
 
     /// Records that the first event of a stream is about to reach the caller. From now on, only
-    /// upstreams of the same software version may go on with it; none if the upstream states none.
-    pub(crate) fn record_stream_begin(&mut self, upstream: &UpstreamAnnouncement) {
+    /// upstreams of the same software version may go on with it; none if that version is not certain.
+    pub(crate) fn record_stream_begin(&mut self, chosen: &ChosenUpstream) {
         if self.request.head.resume_after.is_some() || !self.request.route.resumable {
             return;
         }
-        self.version.clone_from(&upstream.version);
+        self.version.clone_from(&chosen.confirmed_version);
         if let Some(request_id) = &self.request.head.request_id {
             let key = StreamKey::from(request_id.as_str());
-            let origin = StreamOrigin::from(upstream);
+            let origin = StreamOrigin {
+                service: chosen.announcement.service.clone(),
+                version: chosen.confirmed_version.clone(),
+            };
             self.shared.record_stream(key, origin, current_time());
         }
     }
@@ -637,6 +640,9 @@
             %error,
             "an attempt got no answer"
         );
+        if error.is_refused_connection() {
+            attempt.record_refused_connection(current_time());
+        }
         let timed_out = matches!(error, SendError::AnswerTimeout { .. });
         if !(timed_out && attempt.has_upstream_answered()) {
             attempt.record_outcome(UpstreamOutcome::Failed, current_time());
--- a/crates/oriolecrank-gateway/src/crash_probe.rs
+++ b/crates/oriolecrank-gateway/src/crash_probe.rs
@@ -74,8 +74,11 @@
     /// Reports a crash if the upstream refuses a connection or is succeeded by a new incarnation.
     async fn test_upstream(self: Arc<Self>, crash: CrashId, upstream: UpstreamAnnouncement) {
         sleep(GATHER_TIME).await;
-        let has_crashed =
-            refuses_connections(upstream.address).await || self.has_restarted(&upstream).await;
+        let refuses = refuses_connections(upstream.address).await;
+        if refuses {
+            self.record_refused_connection(&upstream, BootClock.now());
+        }
+        let has_crashed = refuses || self.has_restarted(&upstream).await;
         let suspects = self.crash_probe.lock().shift_remove(&crash);
         let suspects = suspects.filter(|_| has_crashed).unwrap_or_default();
         if suspects.is_empty() {
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -432,6 +432,18 @@
         );
     }
 
+    /// Records that the machine of an upstream refuses connections, as after a crash.
+    pub(crate) fn record_refused_connection(
+        &self,
+        upstream: &UpstreamAnnouncement,
+        now: TimePoint,
+    ) {
+        let name = upstream.name.as_str();
+        self.with_service(&upstream.service, |state| {
+            state.chooser.record_refused_connection(name, now);
+        });
+    }
+
     /// Records that a request with a shared prompt part is sent to an upstream.
     pub(crate) fn record_placement(&self, part: PartId, upstream: &UpstreamName, now: TimePoint) {
         let source = self.options.run.run;
--- a/crates/oriolecrank-gateway/src/running_attempt.rs
+++ b/crates/oriolecrank-gateway/src/running_attempt.rs
@@ -112,6 +112,12 @@
             .with_service(&self.service, |state| state.chooser.is_paused(chosen, now))
     }
 
+    /// Records that the machine of the upstream refuses connections, as after a crash.
+    pub(crate) fn record_refused_connection(&self, now: TimePoint) {
+        let upstream = &self.chosen.announcement;
+        self.shared.record_refused_connection(upstream, now);
+    }
+
     /// Records what the answer says about the upstream's limit, and logs a change.
     pub(crate) fn record_limit(&self, statement: LimitStatement, now: TimePoint) {
         let name = &self.chosen.announcement.name;
--- a/crates/oriolecrank-net/src/http_client.rs
+++ b/crates/oriolecrank-net/src/http_client.rs
@@ -96,6 +96,12 @@
 }
 
 impl SendError {
+    /// Whether the other machine refused the connection, because no process listens there.
+    pub fn is_refused_connection(&self) -> bool {
+        let refused = std::io::ErrorKind::ConnectionRefused;
+        matches!(self, Self::Connect { source, .. } if source.kind() == refused)
+    }
+
     /// Whether the server may have run the request: `NotRun` only if it was certainly never sent.
     pub const fn verdict(&self) -> RunVerdict {
         match self {
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -165,7 +165,10 @@
                 return None;
             }
             let versions = self.request.versions;
-            if !self.chooser.is_version_allowed(upstream, versions) {
+            if !self
+                .chooser
+                .is_version_allowed(upstream, versions, self.now)
+            {
                 return None;
             }
             let slots = self.slots(upstream);
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -109,7 +109,7 @@
     Any,
     /// Those that are admitted for streams, if a control instance has told them.
     Admitted,
-    /// The version that began the stream.
+    /// The version that began the stream, at upstreams that have been heard lately.
     Only(&'a SoftwareVersion),
 }
 
@@ -165,6 +165,8 @@
 pub struct ChosenUpstream {
     /// Latest announcement of the upstream.
     pub announcement: UpstreamAnnouncement,
+    /// Version of its software at the choice; `None` if it is unknown or not known for certain.
+    pub confirmed_version: Option<SoftwareVersion>,
     /// Identifies the request in [`DirectChooser::finish`], which removes its load.
     pub ticket: DispatchTicket,
     /// Expected time to the first answer, including the round trip.
@@ -311,12 +313,13 @@
         &self,
         upstream: &DirectUpstream,
         versions: VersionFilter<'_>,
+        now: TimePoint,
     ) -> bool {
         let version = &upstream.announcement().version;
         match (versions, &self.admitted) {
             (VersionFilter::Any, _) | (VersionFilter::Admitted, None) => true,
             (VersionFilter::Admitted, Some(admitted)) => admitted.contains(version),
-            (VersionFilter::Only(only), _) => version.as_ref() == Some(only),
+            (VersionFilter::Only(only), _) => upstream.confirmed_version(now) == Some(only),
         }
     }
 
@@ -573,7 +576,7 @@
         let upstreams = self.upstreams.values();
         let mut serving = upstreams.filter(|upstream| is_serving(upstream));
         if census.serving > 0
-            && !serving.any(|upstream| self.is_version_allowed(upstream, request.versions))
+            && !serving.any(|upstream| self.is_version_allowed(upstream, request.versions, now))
         {
             return NoUpstream::NoVersion;
         }
@@ -591,8 +594,9 @@
         now: TimePoint,
     ) -> Option<UpstreamPause> {
         let upstreams = self.upstreams.values();
-        let serving = upstreams
-            .filter(|upstream| is_serving(upstream) && self.is_version_allowed(upstream, versions));
+        let serving = upstreams.filter(|upstream| {
+            is_serving(upstream) && self.is_version_allowed(upstream, versions, now)
+        });
         let first = serving.min_by_key(|upstream| upstream.pause.time_left(now))?;
         let pause = first.pause;
         pause.time_left(now).map(|_| pause)
@@ -659,6 +663,7 @@
             round_trip: Duration::from_secs_f64(round_trip_ms / 1_000.0),
             fetch_from,
             announcement: upstream.announcement().clone(),
+            confirmed_version: upstream.confirmed_version(now).cloned(),
             expected_first_answer: candidate.expected(),
         }
     }
@@ -709,6 +714,14 @@
         TimePoint::from_millis(started_ms).max(sent)
     }
 
+    /// Records that the machine of an upstream refuses connections, as after a crash. Until it is heard
+    /// again, it may have restarted with another version of its software.
+    pub fn record_refused_connection(&mut self, name: &str, now: TimePoint) {
+        if let Some(upstream) = self.upstreams.get_mut(name) {
+            upstream.record_refused_connection(now);
+        }
+    }
+
     /// Records that the upstream has refused a request without running it.
     pub fn record_refusal(&mut self, name: &str, now: TimePoint) {
         if let Some(upstream) = self.upstreams.get_mut(name) {
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -10,6 +10,7 @@
 
 use crate::direct_chooser::ESTIMATE_LIFETIME;
 use crate::limit_report::LimitReport;
+use crate::names::SoftwareVersion;
 use crate::part_cache::PartCache;
 use crate::prompt_shape::PromptShape;
 use crate::upstream_directory::UpstreamAnnouncement;
@@ -167,6 +168,10 @@
 /// queue, which holds a few times the requests that the upstream runs at once.
 const REFUSAL_WAIT_MS: f64 = 250.0;
 
+/// Time for which an announcement tells the version of an upstream. Announcements reach an entry every
+/// 2.4 s, and an upstream that restarts is away for about as long.
+const VERSION_LIFETIME: Duration = Duration::from_secs(4);
+
 /// Time for which a request occupies its batch slot at an engine that has finished none, in
 /// milliseconds: that of the shortest requests of the deployments.
 const INITIAL_SLOT_TIME_MS: f64 = 60.0;
@@ -207,6 +212,8 @@
     last_answer: Option<TimePoint>,
     /// Time of the last answer that refused a request without running it.
     last_refusal: Option<TimePoint>,
+    /// When its machine last refused a connection.
+    refused_at: Option<TimePoint>,
     /// Mean prefill speed, in tokens per millisecond; at least 1 once observed.
     prefill_speed: f64,
     /// Limit that the upstream states in its answers.
@@ -241,6 +248,7 @@
             estimated_at: received_at,
             last_answer: None,
             last_refusal: None,
+            refused_at: None,
             prefill_speed,
             limit: UpstreamLimit::default(),
             pause: UpstreamPause::default(),
@@ -286,6 +294,20 @@
         self.received_at
     }
 
+    /// Version of its software; `None` if it states none, or has not been heard lately enough to be sure
+    /// that it has not restarted with another version under its name.
+    pub fn confirmed_version(&self, now: TimePoint) -> Option<&SoftwareVersion> {
+        let is_recent = now.since(self.received_at) <= VERSION_LIFETIME;
+        let is_running = self.refused_at.is_none_or(|at| at < self.received_at);
+        let version = self.announcement.version.as_ref();
+        version.filter(|_| is_recent && is_running)
+    }
+
+    /// Records that the machine of the upstream refuses connections, as after a crash.
+    pub(crate) const fn record_refused_connection(&mut self, now: TimePoint) {
+        self.refused_at = Some(now);
+    }
+
     /// Whether the upstream is still slow after its start.
     pub fn is_warming_up(&self, now: TimePoint) -> bool {
         now < self.warmup_end
--- a/crates/oriolecrank-routing/tests/routing/stream_origins.rs
+++ b/crates/oriolecrank-routing/tests/routing/stream_origins.rs
@@ -308,3 +308,29 @@
     let refused = chooser.choose(&tried, at(10), &mut random);
     assert_eq!(refused, Err(NoUpstream::None));
 }
+
+/// Guards against a stream that goes on at an upstream that has restarted under its name with another
+/// version, which this entry has not heard of: it hears nothing, or it was refused a connection.
+#[test]
+fn only_upstreams_that_were_heard_lately_go_on_with_a_stream() {
+    let first = version("v1");
+    let only = request(VersionFilter::Only(&first), &[]);
+    let any = request(VersionFilter::Any, &[]);
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let known = upstream("u", 1, "v1");
+    let mut chooser = chooser(std::slice::from_ref(&known));
+    assert!(chooser.choose(&only, at(3_900), &mut random).is_ok());
+    let silent = chooser.choose(&only, at(4_100), &mut random);
+    assert_eq!(silent, Err(NoUpstream::NoVersion));
+    let begun = chooser.choose(&any, at(4_100), &mut random).expect("any");
+    assert_eq!(begun.serving_upstream.confirmed_version, None);
+    chooser.apply_announcement(&known, at(5_000));
+    let begun = chooser.choose(&any, at(5_100), &mut random).expect("any");
+    let confirmed = begun.serving_upstream.confirmed_version;
+    assert_eq!(confirmed.as_ref(), Some(&first));
+    chooser.record_refused_connection("u", at(5_200));
+    let refused = chooser.choose(&only, at(5_300), &mut random);
+    assert_eq!(refused, Err(NoUpstream::NoVersion));
+    chooser.apply_announcement(&known, at(5_400));
+    assert!(chooser.choose(&only, at(5_500), &mut random).is_ok());
+}
