Decode pauses in one function and play 400 entries

No decision changes.

A model of 400 entries and 2,000 requests a second shows what an upstream in a pause of 3 s costs if entries do not tell each other: one refused request each.

--- a/crates/oriolecrank-agent/src/upstream_client.rs
+++ b/crates/oriolecrank-agent/src/upstream_client.rs
@@ -4,13 +4,12 @@
 use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request, StatusCode};
+use http::{HeaderName, HeaderValue, Request};
 use http_body_util::{BodyExt, Full};
-use oriolecrank_net::{ClientResponse, HttpClient, SendError, retry_after};
+use oriolecrank_net::{ClientResponse, HttpClient, SendError, requested_pause};
 use oriolecrank_schema::control::{EngineOrder, OrderResult};
 use oriolecrank_schema::data_path::{HeaderField, RunVerdict};
 use oriolecrank_schema::document::PriorityClass;
-use oriolecrank_schema::event::LogEvent;
 use snafu::Snafu;
 use tokio::time::timeout;
 
@@ -241,17 +240,8 @@
     }
 
     fn pause(&self) -> Option<Duration> {
-        if self.response.status() != StatusCode::SERVICE_UNAVAILABLE {
-            return None;
-        }
-        retry_after(self.response.headers(), SystemTime::now()).unwrap_or_else(|error| {
-            tracing::warn!(
-                event = LogEvent::FieldIgnored.number(),
-                %error,
-                "the upstream is unavailable for a time that cannot be decoded; requests go on"
-            );
-            None
-        })
+        let response = &self.response;
+        requested_pause(response.status(), response.headers(), SystemTime::now())
     }
 
     async fn next(&mut self) -> Result<Option<Bytes>, CallError> {
--- a/crates/oriolecrank-net/src/lib.rs
+++ b/crates/oriolecrank-net/src/lib.rs
@@ -3,7 +3,7 @@
 //! - [`serve`] runs an [`HttpHandler`] on a listener; [`AnswerBody`] is the body of its responses.
 //! - [`HttpClient`] sends requests over pooled connections; its [`SendError`] states whether a
 //!   failed request may have run.
-//! - [`retry_after()`] decodes when a server wants requests again.
+//! - [`requested_pause`] decodes for how long a server wants no requests.
 //! - [`frame`] defines the framing of streamed responses. [`FrameReader`] reads the frames and
 //!   fails when the stream is idle for too long.
 //! - [`ControlClient`] finds the leader of the control group, the control instances that replicate
@@ -44,6 +44,6 @@
 pub use log_budget::{BudgetSettings, LogBudget};
 pub use operator_listener::{MetricsListener, OperatorListener, ReadyFlag};
 pub use process_main::{ProcessArguments, run_process};
-pub use retry_after::{InvalidRetryAfter, retry_after};
+pub use retry_after::{InvalidRetryAfter, requested_pause, retry_after};
 pub use settings_watch::watch_settings;
 pub use socket_options::set_tcp_options;
--- a/crates/oriolecrank-net/src/retry_after.rs
+++ b/crates/oriolecrank-net/src/retry_after.rs
@@ -2,10 +2,33 @@
 
 use std::time::{Duration, SystemTime};
 
-use http::HeaderMap;
 use http::header::{DATE, HeaderName, RETRY_AFTER};
+use http::{HeaderMap, StatusCode};
+use oriolecrank_schema::event::LogEvent;
 use snafu::Snafu;
 
+/// Time for which a server wants no requests; `None` if it asks for no pause, or for one that cannot
+/// be decoded, which is logged. Only answers with status 503 ask for a pause: others state when this
+/// caller or this request may come again. `wall_time` is the present time.
+pub fn requested_pause(
+    status: StatusCode,
+    fields: &HeaderMap,
+    wall_time: SystemTime,
+) -> Option<Duration> {
+    if status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    retry_after(fields, wall_time).unwrap_or_else(|error| {
+        tracing::warn!(
+            event = LogEvent::FieldIgnored.number(),
+            value = ?fields.get(RETRY_AFTER),
+            %error,
+            "a server is unavailable for a time that cannot be decoded; requests go on"
+        );
+        None
+    })
+}
+
 /// None of the `Retry-After` fields of an answer is a number of seconds that is not negative, or a
 /// date.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
--- a/crates/oriolecrank-routing/tests/routing/upstream_pauses.rs
+++ b/crates/oriolecrank-routing/tests/routing/upstream_pauses.rs
@@ -1,15 +1,16 @@
 //! Guards against requests to upstreams that ask for a pause, and against upstreams that get none
 //! although their pause has ended.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use oriolecrank_routing::{
-    CallPlan, ChoiceRequest, ChooserSettings, DirectChooser, DomainName, EngineRole, EngineSpec,
-    LimitStatement, NoUpstream, PromptShape, RequestRate, SoftwareVersion, UpstreamAnnouncement,
-    UpstreamName, VersionFilter,
+    CallPlan, ChoiceRequest, ChooserSettings, ChosenUpstream, DirectChooser, DomainName,
+    EngineRole, EngineSpec, LimitStatement, NoUpstream, PromptShape, RequestRate, SoftwareVersion,
+    UpstreamAnnouncement, UpstreamName, VersionFilter,
 };
 use oriolecrank_schema::TimePoint;
-use rand::SeedableRng as _;
+use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
 use crate::fixtures::{announcement, at, engine, prompt};
@@ -250,3 +251,67 @@
     assert!(wait > Duration::from_secs(1), "{wait:?}");
     assert!(wait < PAUSE * 100, "{wait:?}");
 }
+
+/// Entries of the largest site.
+const ENTRIES: usize = 400;
+
+/// Requests that all entries send in a second.
+const REQUESTS_PER_SECOND: u64 = 2_000;
+
+/// Time from sending a request to its answer, in milliseconds.
+const ANSWER_MS: u64 = 30;
+
+/// Guards against entries that ask an overloaded upstream again and again, or all in the same instant
+/// after its pause. Each entry finds out by one request that the upstream wants a pause.
+#[test]
+fn all_entries_together_ask_an_overloaded_upstream_once_each() {
+    let upstream = plain("u", 1);
+    let mut entries: Vec<_> = (0..ENTRIES)
+        .map(|_| chooser(std::slice::from_ref(&upstream)))
+        .collect();
+    let mut random = ChaCha8Rng::seed_from_u64(7);
+    let (pause_begin, pause_end) = (1_000, 4_000);
+    let mut refused = 0;
+    let mut arrivals_after = Vec::new();
+    // Answers on their way: time, entry, and the upstream with its ticket.
+    let mut answers: VecDeque<(u64, usize, ChosenUpstream)> = VecDeque::new();
+    for millis in 0..8_000 {
+        while answers.front().is_some_and(|(due, ..)| *due <= millis) {
+            let (_, index, mut chosen) = answers.pop_front().expect("an answer");
+            let elapsed = Duration::from_millis(ANSWER_MS);
+            entries[index].record_first_answer(&mut chosen, elapsed, at(millis));
+            entries[index].finish("u", &chosen.ticket, None, at(millis));
+        }
+        for _ in 0..REQUESTS_PER_SECOND / 1_000 {
+            let index = random.random_range(0..ENTRIES);
+            let Ok(plan) = choose(&mut entries[index], &request(None), at(millis)) else {
+                continue;
+            };
+            if (pause_begin..pause_end).contains(&millis) {
+                refused += 1;
+                let left = Duration::from_millis(pause_end - millis);
+                entries[index].record_pause(&upstream, left, at(millis));
+                let ticket = &plan.serving_upstream.ticket;
+                entries[index].finish("u", ticket, None, at(millis));
+            } else {
+                if millis >= pause_end {
+                    arrivals_after.push(millis);
+                }
+                answers.push_back((millis + ANSWER_MS, index, plan.serving_upstream));
+            }
+        }
+    }
+    assert!(refused <= ENTRIES, "{refused} requests were refused");
+    let busiest = arrivals_after.iter().enumerate().map(|(index, start)| {
+        let later = arrivals_after[index..].iter();
+        later.take_while(|millis| **millis < start + 100).count()
+    });
+    let busiest = busiest.max().unwrap_or(0);
+    let usual = REQUESTS_PER_SECOND as usize / 10;
+    assert!(
+        busiest <= usual,
+        "{busiest} requests in 100 ms, {usual} are usual"
+    );
+    let last = arrivals_after.iter().filter(|millis| **millis >= 7_000);
+    assert!(last.count() >= usual * 9, "the upstream is used again");
+}
