Send no new requests to an upstream that states that it leaves

What callers saw: requests to a server that had said in its answers that it leaves, until a heartbeat told the same; an entry that is cut off from the control instances went on for good.

Cause: the field was not decoded, like Retry-After before.

Running streams go on. A restart under the same name is another incarnation.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -97,7 +97,7 @@
     /// No connection could be established, or it closed before the request was sent; nothing
     /// reached the upstream.
     NotConnected,
-    /// The upstream asked for a pause after it was chosen; nothing was sent.
+    /// The upstream asked for a pause, or for no more requests, after it was chosen; nothing was sent.
     Withheld,
     /// The upstream states that it did not run the request, or a prefill gave no usable result, so
     /// that the request itself was not sent.
@@ -454,8 +454,8 @@
         if let Some(prefill_attempt) = prefill_attempt {
             self.run_prefill(prefill_attempt).await?;
         }
-        if attempt.is_paused(current_time()) {
-            // The prefill took time, in which another request was refused.
+        if attempt.must_be_withheld(current_time()) {
+            // The prefill took time, in which another answer asked for a pause or for no more requests.
             return Err(AttemptFailure::Withheld);
         }
         let prompt = self.prompt.take();
@@ -592,12 +592,9 @@
             .shared
             .dialect
             .decode_answer(response.status(), response.headers());
-        // An answer to another request also states the time for which the upstream wants none.
-        if let Some(pause) = head.pause {
-            let status = response.status();
-            self.shared
-                .record_pause(upstream, pause, status, current_time());
-        }
+        // An answer to another request also states what its upstream wants.
+        self.shared
+            .record_statements(upstream, &head, response.status(), current_time());
         if head.request_id != self.request.head.request_id {
             // The answer to an earlier request on this connection; dropping it closes the
             // connection. If it is a refusal, it says nothing about this request.
--- a/crates/oriolecrank-gateway/src/dialect.rs
+++ b/crates/oriolecrank-gateway/src/dialect.rs
@@ -94,6 +94,8 @@
     pub limit: LimitStatement,
     /// Time for which the upstream wants no requests of this entry; `None` if it asks for no pause.
     pub pause: Option<Duration>,
+    /// The upstream states that it leaves: it finishes what runs and wants no new requests.
+    pub leaving: bool,
 }
 
 /// Why a request ends without an upstream's answer.
--- a/crates/oriolecrank-gateway/src/entry_metrics.rs
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -38,7 +38,7 @@
     Answered,
     /// No connection could be established, or it closed before the request was sent.
     NotConnected,
-    /// The upstream asked for a pause before the request was sent.
+    /// The upstream asked for a pause or stated that it leaves before the request was sent.
     Withheld,
     /// The upstream states that it did not run the request, or a prefill gave no usable result.
     Refused,
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -19,7 +19,7 @@
 use tokio::sync::Notify;
 
 use crate::crash_probe::CrashProbe;
-use crate::dialect::CallerDialect;
+use crate::dialect::{AnswerHead, CallerDialect};
 use crate::entry_metrics::EntryMetrics;
 use crate::plain_body::AnswerMemory;
 use crate::site_clock::SiteClock;
@@ -405,9 +405,41 @@
         }
     }
 
+    /// Records what the head of an answer says about the requests that its upstream wants.
+    pub(crate) fn record_statements(
+        &self,
+        upstream: &UpstreamAnnouncement,
+        head: &AnswerHead,
+        status: StatusCode,
+        now: TimePoint,
+    ) {
+        if let Some(pause) = head.pause {
+            self.record_pause(upstream, pause, status, now);
+        }
+        if head.leaving {
+            self.record_leaving(upstream);
+        }
+    }
+
+    /// Records that an upstream states that it leaves, and logs the first time.
+    fn record_leaving(&self, upstream: &UpstreamAnnouncement) {
+        let is_new = self.with_service(&upstream.service, |state| {
+            state.chooser.record_leaving(upstream)
+        });
+        if is_new {
+            tracing::info!(
+                event = LogEvent::LeavingStated.number(),
+                upstream = %upstream.name,
+                started_ms = upstream.started_ms,
+                service = %upstream.service,
+                "an upstream states that it leaves; it gets no new requests"
+            );
+        }
+    }
+
     /// Records that an upstream asks for a pause in an answer with this status, and logs the begin of
     /// a pause.
-    pub(crate) fn record_pause(
+    fn record_pause(
         &self,
         upstream: &UpstreamAnnouncement,
         pause: Duration,
--- a/crates/oriolecrank-gateway/src/prefilled_prompt.rs
+++ b/crates/oriolecrank-gateway/src/prefilled_prompt.rs
@@ -59,9 +59,7 @@
                 Ok(answer) => {
                     let status = answer.status();
                     let head = shared.dialect.decode_answer(status, answer.headers());
-                    if let Some(pause) = head.pause {
-                        shared.record_pause(&upstream, pause, status, current_time());
-                    }
+                    shared.record_statements(&upstream, &head, status, current_time());
                     let body = answer.collect(MAX_ANSWER_BYTES, RELEASE_TIMEOUT);
                     body.await.err()
                 }
--- a/crates/oriolecrank-gateway/src/running_attempt.rs
+++ b/crates/oriolecrank-gateway/src/running_attempt.rs
@@ -105,11 +105,12 @@
         });
     }
 
-    /// Whether the upstream asks for a pause by now.
-    pub(crate) fn is_paused(&self, now: TimePoint) -> bool {
+    /// Whether the upstream wants no more requests by now.
+    pub(crate) fn must_be_withheld(&self, now: TimePoint) -> bool {
         let chosen = &self.chosen;
-        self.shared
-            .with_service(&self.service, |state| state.chooser.is_paused(chosen, now))
+        self.shared.with_service(&self.service, |state| {
+            state.chooser.must_withhold(chosen, now)
+        })
     }
 
     /// Records that the machine of the upstream refuses connections, as after a crash.
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -9,7 +9,7 @@
 use crate::direct_chooser::{ChoiceRequest, DirectChooser, DomainDistance};
 use crate::direct_upstream::{CacheConfidence, CallTiming, DirectUpstream};
 use crate::prompt_shape::{PartId, PromptShape};
-use crate::upstream_directory::{EngineRole, UpstreamReadiness};
+use crate::upstream_directory::EngineRole;
 
 /// Overhead of a remote prefill in addition to the copy time, in milliseconds: a second message and
 /// a batch slot at the prefill engine.
@@ -377,8 +377,7 @@
 
     fn is_usable(&self, upstream: &DirectUpstream, filter: UpstreamFilter) -> bool {
         let announcement = upstream.announcement();
-        let ready = announcement.state == UpstreamReadiness::Ready;
-        if !ready || self.request.tried.contains(&announcement.name) {
+        if !upstream.is_ready() || self.request.tried.contains(&announcement.name) {
             return false;
         }
         if !upstream.pause.allows(self.now) {
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -141,7 +141,7 @@
 pub struct UpstreamCensus {
     /// Upstreams that have not left, with those that are silent or ejected.
     pub known: usize,
-    /// Those of `known` that state that they are ready.
+    /// Those of `known` that state that they are ready, and not that they leave.
     pub ready: usize,
     /// Those of `ready` whose role serves requests.
     pub serving: usize,
@@ -609,8 +609,7 @@
             ..UpstreamCensus::default()
         };
         for upstream in self.upstreams.values() {
-            let is_ready = upstream.announcement().state == UpstreamReadiness::Ready;
-            census.ready += usize::from(is_ready);
+            census.ready += usize::from(upstream.is_ready());
             let is_serving = is_serving(upstream);
             census.serving += usize::from(is_serving);
             let is_paused = upstream.pause.time_left(now).is_some();
@@ -742,10 +741,19 @@
         known.is_some_and(|known| known.pause.record(pause, now))
     }
 
-    /// Whether a chosen upstream asks for a pause by now.
-    pub fn is_paused(&self, chosen: &ChosenUpstream, now: TimePoint) -> bool {
+    /// Records that an upstream has stated that it leaves; returns whether this is new. Has no effect
+    /// if another incarnation is known by now.
+    pub fn record_leaving(&mut self, upstream: &UpstreamAnnouncement) -> bool {
+        let known = self.upstreams.get_mut(&upstream.name);
+        let known = known.filter(|known| known.started_ms() == upstream.started_ms);
+        known.is_some_and(|known| !std::mem::replace(&mut known.leaving, true))
+    }
+
+    /// Whether a chosen upstream wants no more requests by now, because it leaves or asks for a pause.
+    pub fn must_withhold(&self, chosen: &ChosenUpstream, now: TimePoint) -> bool {
         let upstream = self.upstreams.get(&chosen.announcement.name);
-        upstream.is_some_and(|upstream| upstream.pause.time_left(now).is_some())
+        upstream
+            .is_some_and(|upstream| !upstream.is_ready() || upstream.pause.time_left(now).is_some())
     }
 
     /// Records what the answer of an upstream to a request sent at `sent_at` says about its limit;
@@ -897,8 +905,7 @@
 
 /// Whether an upstream is ready and has the role that serves requests.
 fn is_serving(upstream: &DirectUpstream) -> bool {
-    upstream.announcement().state == UpstreamReadiness::Ready
-        && serves_role(upstream, EngineRole::Decode)
+    upstream.is_ready() && serves_role(upstream, EngineRole::Decode)
 }
 
 fn upstream_id(name: &UpstreamName) -> UpstreamId {
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -13,7 +13,7 @@
 use crate::names::SoftwareVersion;
 use crate::part_cache::PartCache;
 use crate::prompt_shape::PromptShape;
-use crate::upstream_directory::UpstreamAnnouncement;
+use crate::upstream_directory::{UpstreamAnnouncement, UpstreamReadiness};
 use crate::upstream_limit::UpstreamLimit;
 
 /// Load of requests on an upstream, from one entry or summed over several.
@@ -220,6 +220,8 @@
     pub(crate) limit: UpstreamLimit,
     /// Pause that this incarnation asks for.
     pub(crate) pause: UpstreamPause,
+    /// This incarnation has stated in an answer that it leaves, which is final.
+    pub(crate) leaving: bool,
     /// Weight set by outlier ejection, between 0 (ejected) and 1.
     pub(crate) weight: f64,
 }
@@ -252,6 +254,7 @@
             prefill_speed,
             limit: UpstreamLimit::default(),
             pause: UpstreamPause::default(),
+            leaving: false,
             weight: 1.0,
         }
     }
@@ -289,6 +292,11 @@
         self.announcement.started_ms
     }
 
+    /// Whether it takes new requests, as far as it has stated. A pause does not count.
+    pub fn is_ready(&self) -> bool {
+        self.announcement.state == UpstreamReadiness::Ready && !self.leaving
+    }
+
     /// Time at which the latest announcement was received.
     pub const fn received_at(&self) -> TimePoint {
         self.received_at
--- a/crates/oriolecrank-routing/tests/routing/upstream_pauses.rs
+++ b/crates/oriolecrank-routing/tests/routing/upstream_pauses.rs
@@ -177,12 +177,12 @@
     let resting = plain("u", 1);
     let mut chooser = chooser(std::slice::from_ref(&resting));
     let plan = choose(&mut chooser, &request(None), at(100)).expect("an upstream");
-    assert!(!chooser.is_paused(&plan.serving_upstream, at(100)));
+    assert!(!chooser.must_withhold(&plan.serving_upstream, at(100)));
     assert!(chooser.count_extra_message(&resting, at(100)));
     chooser.record_pause(&resting, PAUSE, at(200));
-    assert!(chooser.is_paused(&plan.serving_upstream, at(300)));
+    assert!(chooser.must_withhold(&plan.serving_upstream, at(300)));
     assert!(!chooser.count_extra_message(&resting, at(300)));
-    assert!(!chooser.is_paused(&plan.serving_upstream, at(3_200)));
+    assert!(!chooser.must_withhold(&plan.serving_upstream, at(3_200)));
     assert!(chooser.count_extra_message(&resting, at(3_200)));
 }
 
@@ -315,3 +315,34 @@
     let last = arrivals_after.iter().filter(|millis| **millis >= 7_000);
     assert!(last.count() >= usual * 9, "the upstream is used again");
 }
+
+/// Guards against new requests to an upstream that leaves, against one that restarts and gets none, and
+/// against a statement that an earlier incarnation has made.
+#[test]
+fn an_upstream_that_leaves_is_not_chosen_until_it_restarts() {
+    let first = plain("u", 1);
+    let mut chooser = chooser(std::slice::from_ref(&first));
+    let plan = choose(&mut chooser, &request(None), at(100)).expect("an upstream");
+    assert!(chooser.record_leaving(&first), "it leaves");
+    assert!(!chooser.record_leaving(&first), "it is known to leave");
+    assert!(chooser.must_withhold(&plan.serving_upstream, at(100)));
+    assert_eq!(
+        choose(&mut chooser, &request(None), at(100)),
+        Err(NoUpstream::None)
+    );
+    let census = chooser.census(at(100));
+    assert_eq!((census.known, census.ready, census.serving), (1, 0, 0));
+    let repeated = UpstreamAnnouncement {
+        sequence: 2,
+        ..first.clone()
+    };
+    chooser.apply_announcement(&repeated, at(200));
+    assert!(choose(&mut chooser, &request(None), at(200)).is_err());
+    let second = UpstreamAnnouncement {
+        started_ms: 2,
+        ..first.clone()
+    };
+    chooser.apply_announcement(&second, at(300));
+    assert!(!chooser.record_leaving(&first), "the first one is gone");
+    assert!(choose(&mut chooser, &request(None), at(300)).is_ok());
+}
