Tell the other entries that an upstream leaves

An upstream that states it to one entry went on getting requests of the others until each of them was told, or its heartbeat said so. Entries now name such upstreams in their syncs, and control instances mark the incarnation as draining, which all entries are told at once and which is final. In the directory, a state that is later than the known one counts also in an older announcement, of which nothing else is taken over.

A new list in the sync, empty unless an upstream leaves; control instances of an earlier version ignore it.

--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -9,10 +9,10 @@
 use oriolecrank_net::{ClusterSecret, HttpClient};
 use oriolecrank_routing::{
     AdmittedOrigins, CallerTimeoutRange, ChooserSettings, DirectChooser, EntryCounter, EntryRun,
-    KnownGroup, LimitReport, OrganisationName, PartId, PlacedParts, PlacementLog, RetryGrant,
-    RouteTable, ServiceName, SharedRetryBudget, StoredDocument, StreamKey, StreamLog, StreamOrigin,
-    SuspectVerdicts, SuspectWatch, UpstreamAnnouncement, UpstreamDirectory, UpstreamName,
-    UsageCounter, WindowNumber,
+    KnownGroup, LeavingUpstream, LimitReport, OrganisationName, PartId, PlacedParts, PlacementLog,
+    RetryGrant, RouteTable, ServiceName, SharedRetryBudget, StoredDocument, StreamKey, StreamLog,
+    StreamOrigin, SuspectVerdicts, SuspectWatch, UpstreamAnnouncement, UpstreamDirectory,
+    UpstreamName, UsageCounter, WindowNumber,
 };
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
@@ -375,6 +375,15 @@
         }
     }
 
+    /// Upstreams that have stated to this entry that they leave, and that are announced as ready.
+    pub(crate) fn leaving_upstreams(&self) -> Vec<LeavingUpstream> {
+        let tables = self.lock_tables();
+        let services = tables.services.values();
+        services
+            .flat_map(|state| state.chooser.leaving_upstreams())
+            .collect()
+    }
+
     /// Limits that upstreams state, and the requests that this entry wants to send to them.
     pub(crate) fn limit_reports(&self, now: TimePoint) -> Vec<LimitReport> {
         let mut tables = self.lock_tables();
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -216,6 +216,7 @@
             usage: self.cursor.unacknowledged(counts),
             loads: shared.local_loads(now),
             limits: shared.limit_reports(now),
+            leaving: shared.leaving_upstreams(),
             placed,
             placement_sequence: self.placement_sequence,
             origin_revision: shared.lock_streams().revision(),
--- a/crates/oriolecrank-gateway/src/site_messages.rs
+++ b/crates/oriolecrank-gateway/src/site_messages.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use oriolecrank_routing::{
-    AdmittedOrigins, CrashSuspect, EntryRun, HeldRefusal, LimitReport, PlacedParts, RecordedStream,
-    StoredDocument, StreamKey, StreamOrigin, SuspectReport, SuspectVerdicts, UpstreamAnnouncement,
-    UpstreamLoad, UpstreamName, WindowCounts,
+    AdmittedOrigins, CrashSuspect, EntryRun, HeldRefusal, LeavingUpstream, LimitReport,
+    PlacedParts, RecordedStream, StoredDocument, StreamKey, StreamOrigin, SuspectReport,
+    SuspectVerdicts, UpstreamAnnouncement, UpstreamLoad, UpstreamName, WindowCounts,
 };
 use serde::{Deserialize, Serialize};
 
@@ -75,6 +75,10 @@
     /// ones.
     #[serde(default)]
     pub(crate) origin_revision: Option<u64>,
+    /// Upstreams that have stated to the entry that they leave, and that the entry does not know as
+    /// draining from a control instance yet.
+    #[serde(default)]
+    pub(crate) leaving: Vec<LeavingUpstream>,
     /// The entry is stopping; the answer is sent immediately.
     #[serde(default)]
     pub(crate) stopping: bool,
--- a/crates/oriolecrank-gateway/src/site_tables.rs
+++ b/crates/oriolecrank-gateway/src/site_tables.rs
@@ -83,6 +83,10 @@
     pub(crate) fn record_sync(&self, request: &mut SyncRequest, now: TimePoint) {
         let mut tables = self.lock();
         tables.record_sync(request, now);
+        for leaving in &request.leaving {
+            tables.directory.mark_draining(leaving);
+        }
+        self.publish_revision(&tables);
         let mut changed = false;
         for report in std::mem::take(&mut request.suspect_reports) {
             changed |= tables.quarantine.record(&report, now);
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -26,7 +26,7 @@
 use crate::request_rate::LimitStatement;
 use crate::route_document::EngineSpec;
 use crate::upstream_directory::{
-    EngineRole, SILENT_AFTER, UpstreamAnnouncement, UpstreamReadiness,
+    EngineRole, LeavingUpstream, SILENT_AFTER, UpstreamAnnouncement, UpstreamReadiness,
 };
 
 /// Settings of a [`DirectChooser`].
@@ -749,6 +749,18 @@
         known.is_some_and(|known| !std::mem::replace(&mut known.leaving, true))
     }
 
+    /// Upstreams that have stated to this entry that they leave, and that are announced as ready.
+    pub fn leaving_upstreams(&self) -> impl Iterator<Item = LeavingUpstream> {
+        let upstreams = self.upstreams.values();
+        let leaving = upstreams.filter(|upstream| {
+            upstream.leaving && upstream.announcement().state == UpstreamReadiness::Ready
+        });
+        leaving.map(|upstream| LeavingUpstream {
+            upstream: upstream.announcement().name.clone(),
+            started_ms: upstream.started_ms(),
+        })
+    }
+
     /// Whether a chosen upstream wants no more requests by now, because it leaves or asks for a pause.
     pub fn must_withhold(&self, chosen: &ChosenUpstream, now: TimePoint) -> bool {
         let upstream = self.upstreams.get(&chosen.announcement.name);
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -102,8 +102,8 @@
 pub use sync_cursor::SyncCursor;
 pub use sync_targets::{KnownGroup, MAX_SYNC_TARGETS, sync_targets};
 pub use upstream_directory::{
-    DirectorySettings, EngineRole, MergeEffect, UpstreamAnnouncement, UpstreamDirectory,
-    UpstreamReadiness, UpstreamRecord,
+    DirectorySettings, EngineRole, LeavingUpstream, MergeEffect, UpstreamAnnouncement,
+    UpstreamDirectory, UpstreamReadiness, UpstreamRecord,
 };
 pub use usage_schedule::{ScheduleSettings, UsageSchedule};
 pub use usage_window::{
--- a/crates/oriolecrank-routing/src/upstream_directory.rs
+++ b/crates/oriolecrank-routing/src/upstream_directory.rs
@@ -84,6 +84,15 @@
     }
 }
 
+/// An upstream that has stated to an entry that it leaves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingUpstream {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Start of the incarnation that leaves, in milliseconds of Unix time.
+    pub started_ms: u64,
+}
+
 /// An upstream as a directory knows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamRecord {
@@ -183,16 +192,21 @@
         if let Some(known) = known {
             let previous = &known.announcement;
             let same_incarnation = previous.started_ms == announcement.started_ms;
-            // A departure has no sequence number of its own, and is final for the incarnation.
-            let departure = same_incarnation && announcement.state == UpstreamReadiness::Left;
+            // A departure, and what an entry was told, have no sequence number of their own. Draining
+            // and departure are final for the incarnation.
             let newer = announcement.order() > previous.order();
-            let departs = departure && previous.state != UpstreamReadiness::Left;
+            let departs = same_incarnation && announcement.state > previous.state;
             if !(newer || departs) {
                 return MergeEffect::Stale;
             }
+            if !newer {
+                // Only the state of an older announcement counts.
+                let state = announcement.state;
+                announcement = previous.clone();
+                announcement.state = state;
+            }
             if same_incarnation {
                 announcement.state = announcement.state.max(previous.state);
-                announcement.sequence = announcement.sequence.max(previous.sequence);
             }
         }
         let changed =
@@ -267,6 +281,23 @@
         Some(departure)
     }
 
+    /// Marks an upstream as draining that has stated to an entry that it leaves. Has no effect on
+    /// another incarnation.
+    pub fn mark_draining(&mut self, leaving: &LeavingUpstream) {
+        let Some(record) = self.records.get(&leaving.upstream) else {
+            return;
+        };
+        let known = &record.announcement;
+        if known.started_ms != leaving.started_ms || known.state != UpstreamReadiness::Ready {
+            return;
+        }
+        let draining = UpstreamAnnouncement {
+            state: UpstreamReadiness::Draining,
+            ..known.clone()
+        };
+        self.merge(draining, record.received_at);
+    }
+
     /// Number of records, including upstreams that have left recently.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/crates/oriolecrank-routing/tests/routing/upstream_directory.rs
+++ b/crates/oriolecrank-routing/tests/routing/upstream_directory.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use oriolecrank_routing::{
-    DirectorySettings, MergeEffect, ServiceName, UpstreamAnnouncement, UpstreamDirectory,
-    UpstreamReadiness,
+    DirectorySettings, LeavingUpstream, MergeEffect, ServiceName, UpstreamAnnouncement,
+    UpstreamDirectory, UpstreamReadiness,
 };
 use proptest::prelude::*;
 
@@ -191,3 +191,30 @@
         ..announcement("v", 6, 1)
     }));
 }
+
+/// Guards against an upstream that has told one entry that it leaves and goes on getting requests of
+/// the others, and against another incarnation that is taken for leaving.
+#[test]
+fn what_an_entry_was_told_of_leaving_is_passed_on() {
+    let mut directory = UpstreamDirectory::new(DirectorySettings::default());
+    directory.merge(announcement("u", 5, 3), at(0));
+    let told = |started_ms| LeavingUpstream {
+        upstream: "u".into(),
+        started_ms,
+    };
+    let state = |directory: &UpstreamDirectory| {
+        let record = directory.get("u").expect("a record");
+        (record.announcement.state, record.received_at)
+    };
+    directory.mark_draining(&told(4));
+    assert_eq!(state(&directory), (UpstreamReadiness::Ready, at(0)));
+    let before = directory.changed_revision();
+    directory.mark_draining(&told(5));
+    assert_eq!(state(&directory), (UpstreamReadiness::Draining, at(0)));
+    assert!(directory.changed_revision() > before, "entries are told");
+    // Its own heartbeats may not say so yet.
+    directory.merge(announcement("u", 5, 4), at(1_000));
+    assert_eq!(state(&directory), (UpstreamReadiness::Draining, at(1_000)));
+    directory.merge(announcement("u", 6, 1), at(2_000));
+    assert_eq!(state(&directory), (UpstreamReadiness::Ready, at(2_000)));
+}
