Choose engines by their own reading speed, and by the harm to their streams

Cause: the choice assumed 200 prompt tokens a ms and counted each answer with 5%, per engine. An entry of a service with engines of 50 tokens a ms (25 beside streams) needs about a minute to notice, so it sent whole prompts to engines that write, where each one stalls all streams. A shared part that no entry had sent yet counted as 90% cached. Prompts that their callers would have abandoned waited for an engine until their deadline. Change: one reading speed per service and role as a ratio of sums, with a slow factor per engine (reading_speed.rs); the weight 2 of reading beside streams gives way to the time for which it stalls them, beyond 0.6 of the pause target; new parts count as unread, known ones are looked for for a minute; a prefill engine is chosen with the copy to the nearest engine that serves; the time left is that of the caller's patience.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -70,6 +70,8 @@
     pub(crate) deadline: TimePoint,
     /// Time by which the caller expects the answer, or the first event of a stream.
     pub(crate) target_time: TimePoint,
+    /// Time at which the caller gives up if no event of a stream has arrived; at most `deadline`.
+    pub(crate) patience_end: TimePoint,
 }
 
 impl CallerRequest {
@@ -248,8 +250,9 @@
         ChoiceRequest {
             prompt: request.head.prompt.as_ref(),
             tried: &self.tried,
-            time_left: request.deadline.since(now),
+            time_left: self.time_to_first_event(now),
             time_to_target: self.time_to_target(now),
+            pause_target: request.route.pause_target,
             entries: self.shared.entry_count(),
             allow_remote_prefill: !self.may_have_prefilled && resume_after.is_none(),
             priority: request.priority,
@@ -257,6 +260,18 @@
         }
     }
 
+    /// Time left until the caller gives up if nothing arrives. A caller that has events of the stream
+    /// gives up later than one that has none; its deadline is what counts then.
+    fn time_to_first_event(&self, now: TimePoint) -> Duration {
+        let request = &self.request;
+        let end = if self.version.is_some() {
+            request.deadline
+        } else {
+            request.patience_end
+        };
+        end.since(now)
+    }
+
     /// Software versions that may serve the request.
     fn allowed_versions(&self) -> VersionFilter<'_> {
         match &self.version {
--- a/crates/oriolecrank-gateway/src/caller_server.rs
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -96,6 +96,7 @@
             prompt: head.prompt.as_ref(),
             body: &body,
         });
+        let timeout = caller_timeout.min(route.timeout);
         Ok(CallerRequest {
             fingerprint,
             method: parts.method,
@@ -106,8 +107,9 @@
             resume_version: None,
             priority: priority.unwrap_or(route.priority),
             organisation,
-            deadline: arrived_at + caller_timeout.min(route.timeout),
+            deadline: arrived_at + timeout,
             target_time,
+            patience_end: arrived_at + timeout.min(route.patience),
             route,
             head,
         })
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -8,6 +8,7 @@
 
 use crate::direct_chooser::{ChoiceRequest, DirectChooser, DomainDistance};
 use crate::direct_upstream::{CacheConfidence, CallTiming, DirectUpstream};
+use crate::names::{DomainName, UpstreamName};
 use crate::prompt_shape::{PartId, PromptShape};
 use crate::upstream_directory::EngineRole;
 
@@ -25,9 +26,12 @@
 /// request.
 const CACHE_AFFINITY_BONUS_MS: f64 = 4.0;
 
-/// Weight of a prefill on an engine that also decodes: each prefill chunk lengthens the decoding
-/// steps of all its requests, so their batch slots come free later.
-const MIXED_PREFILL_WEIGHT: f64 = 2.0;
+/// Share of the pause target up to which the prompts that an engine reads do not make its streams
+/// late. Estimates of the time to read differ from the actual time by up to a third.
+const SAFE_PAUSE_SHARE: f64 = 0.6;
+
+/// Cost of a stream that becomes late by a pause, as a multiple of its pause target.
+const LATE_STREAM_COST: f64 = 2.0;
 
 /// Cost of sending a request to another region in addition to the round trip, in milliseconds:
 /// traffic between regions is billed by volume, and the shared prompt parts are cached in the local
@@ -72,6 +76,9 @@
     /// Time for which the request makes others wait, less the cache affinity bonus, in
     /// milliseconds; may be negative.
     occupied_ms: f64,
+    /// Time to copy the prompt to the nearest failure domain with an engine that can serve the request,
+    /// in milliseconds. It counts in the choice of a prefill engine only: the chosen pair has its own.
+    handover_ms: f64,
     /// Tokens to prefill at this upstream.
     prefill_tokens: u64,
     /// Index of the engine from which the prompt prefix is fetched.
@@ -92,22 +99,21 @@
     }
 }
 
-/// Engine that probably caches the shared part of a prompt.
+/// Engine where the shared part of a prompt is kept.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct PartLocation {
     index: usize,
-    /// Whether an entry has sent the part there; otherwise the engine was chosen by hashing.
-    recorded: bool,
+    /// Confidence that the engine caches the part by now; `None` for a part that is new to this entry,
+    /// for which the engine is chosen by hashing.
+    confidence: CacheConfidence,
 }
 
 impl PartLocation {
     /// Confidence that the engine at `index` caches the shared part.
     fn confidence(location: Option<Self>, index: usize) -> CacheConfidence {
         match location {
-            Some(location) if location.index != index => CacheConfidence::None,
-            Some(location) if location.recorded => CacheConfidence::Known,
-            Some(_) => CacheConfidence::Probable,
-            None => CacheConfidence::None,
+            Some(location) if location.index == index => location.confidence,
+            Some(_) | None => CacheConfidence::None,
         }
     }
 }
@@ -178,6 +184,7 @@
                 return Some(WorkEstimate {
                     answer_ms,
                     occupied_ms: 0.0,
+                    handover_ms: 0.0,
                     prefill_tokens: 0,
                     fetch_from: None,
                 });
@@ -199,6 +206,7 @@
                     + copy_ms
                     + decode_start_ms,
                 occupied_ms: prefill_cost_ms / OCCUPANCY_WEIGHT + copy_ms - bonus_ms,
+                handover_ms: 0.0,
                 prefill_tokens: 0,
                 fetch_from: None,
             })
@@ -214,10 +222,21 @@
             .filter(|_| self.request.allow_remote_prefill)?;
         let location = self.shared_part_location();
         let holder = self.prefix_holder(location);
+        let serving_domains = self.serving_domains();
         let prefill_upstream = self.best_candidate(random, |index, upstream| {
-            let is_prefill = serves_role(upstream, EngineRole::Prefill);
-            is_prefill
-                .then(|| self.best_prefill_estimate(index, upstream, prompt, location, holder))
+            if !serves_role(upstream, EngineRole::Prefill) {
+                return None;
+            }
+            let estimate = self.best_prefill_estimate(index, upstream, prompt, location, holder);
+            let from = &upstream.announcement().domain;
+            let copies = serving_domains
+                .iter()
+                .map(|to| self.chooser.domain_copy_ms(from, to, prompt.input_tokens));
+            let copy_ms = copies.fold(f64::INFINITY, f64::min);
+            Some(WorkEstimate {
+                handover_ms: if copy_ms.is_finite() { copy_ms } else { 0.0 },
+                ..estimate
+            })
         })?;
         let serving_upstream = self.serving_upstream(Some(&prefill_upstream), random)?;
         Some((prefill_upstream, serving_upstream))
@@ -270,19 +289,55 @@
     ) -> WorkEstimate {
         let (slots, timing) = (self.slots(upstream), self.timing);
         let also_decodes = serves_role(upstream, EngineRole::Decode);
-        let slowdown = if also_decodes {
-            MIXED_PREFILL_WEIGHT
+        let (reading, now) = (&self.chooser.reading, self.now);
+        let prefill_ms = upstream.prefill_ms(prefill_tokens, reading, now);
+        let harm_ms = if also_decodes {
+            self.stream_harm_ms(upstream, prefill_ms)
         } else {
-            1.0
+            0.0
         };
         WorkEstimate {
-            answer_ms: upstream.first_answer_ms(prefill_tokens, slots, timing, self.now),
-            occupied_ms: upstream.prefill_ms(prefill_tokens) * slowdown,
+            answer_ms: upstream.first_answer_ms(prefill_tokens, slots, timing, reading, now),
+            occupied_ms: prefill_ms + harm_ms / OCCUPANCY_WEIGHT,
+            handover_ms: 0.0,
             prefill_tokens,
             fetch_from,
         }
     }
 
+    /// Failure domains with engines that can serve the request.
+    fn serving_domains(&self) -> Vec<&DomainName> {
+        let mut domains: Vec<&DomainName> = Vec::new();
+        for upstream in self.chooser.upstreams.values() {
+            let domain = &upstream.announcement().domain;
+            let versions = self.request.versions;
+            if serves_role(upstream, EngineRole::Decode)
+                && !domains.contains(&domain)
+                && self.is_usable(upstream, UpstreamFilter::Healthy)
+                && self
+                    .chooser
+                    .is_version_allowed(upstream, versions, self.now)
+            {
+                domains.push(domain);
+            }
+        }
+        domains
+    }
+
+    /// Cost to the streams of an engine if it also reads a prompt for `prefill_ms`, in milliseconds.
+    ///
+    /// An engine reads between its decoding steps, so that a stream may pause for as long as all
+    /// prompts take that wait there. Less than the pause target does no harm; beyond, the streams that
+    /// run there, and the next one, are late.
+    fn stream_harm_ms(&self, upstream: &DirectUpstream, prefill_ms: f64) -> f64 {
+        let target_ms = self.request.pause_target.as_secs_f64() * 1_000.0;
+        let safe_ms = target_ms * SAFE_PAUSE_SHARE;
+        let queued_ms = upstream.queued_reading_ms(&self.chooser.reading, self.now);
+        let excess = (queued_ms + prefill_ms - safe_ms) / (target_ms - safe_ms).max(1.0);
+        let streams = upstream.running() + 1;
+        excess.clamp(0.0, 1.0) * f64::from(streams) * target_ms * LATE_STREAM_COST
+    }
+
     /// Engine with the longest cached prefix of the prompt, as far as this entry knows. Engines of
     /// other regions count only if a placement there is recorded.
     fn prefix_holder(&self, location: Option<PartLocation>) -> Option<PrefixHolder> {
@@ -352,7 +407,8 @@
             let cost_ms = expected_ms
                 + estimate.occupied_ms * factor * OCCUPANCY_WEIGHT
                 + self.cross_region_ms(upstream);
-            let jittered_ms = cost_ms * (1.0 + COST_JITTER * random.random::<f64>());
+            let pair_ms = cost_ms + estimate.handover_ms * (1.0 + OCCUPANCY_WEIGHT);
+            let jittered_ms = pair_ms * (1.0 + COST_JITTER * random.random::<f64>());
             if jittered_ms < best_ms {
                 best_ms = jittered_ms;
                 best = Some(Candidate {
@@ -390,28 +446,38 @@
         filter == UpstreamFilter::Any || (upstream.weight > 0.0 && !silent)
     }
 
-    /// Engine that probably caches the shared part of the prompt. Prefill engines fetch the part
-    /// from there.
+    /// Engine where the shared part of the prompt is kept. Prefill engines fetch the part from there.
     fn shared_part_location(&self) -> Option<PartLocation> {
         let part = self.request.prompt.and_then(PromptShape::shared_part)?;
-        self.recorded_location(part)
+        let placements = &self.chooser.placements;
+        let recent = placements.find(part, self.now);
+        let earlier = placements.find_earlier(part);
+        self.recorded_location(recent, CacheConfidence::Known)
+            .or_else(|| self.recorded_location(earlier, CacheConfidence::Probable))
             .or_else(|| self.hashed_location(part))
     }
 
-    /// Engine to which any entry has recently sent the part.
-    fn recorded_location(&self, part: PartId) -> Option<PartLocation> {
-        let name = self.chooser.placements.find(part, self.now)?;
-        let (index, _, upstream) = self.chooser.upstreams.get_full(name)?;
+    /// Location at an engine to which any entry has sent the part, if that engine can be used.
+    fn recorded_location(
+        &self,
+        name: Option<&UpstreamName>,
+        confidence: CacheConfidence,
+    ) -> Option<PartLocation> {
+        let (index, _, upstream) = self.chooser.upstreams.get_full(name?)?;
         let usable = self.is_usable(upstream, UpstreamFilter::Healthy);
-        usable.then_some(PartLocation {
-            index,
-            recorded: true,
-        })
+        usable.then_some(PartLocation { index, confidence })
     }
 
     /// Engine of the local region chosen by rendezvous hashing, which gives all entries of a region
-    /// the same result without coordination.
+    /// the same result without coordination. A part that was placed before is probably cached there by
+    /// now, as the entries choose this engine while the earlier one cannot be used. A new part is not
+    /// cached anywhere.
     fn hashed_location(&self, part: PartId) -> Option<PartLocation> {
+        let confidence = if self.chooser.placements.find_earlier(part).is_some() {
+            CacheConfidence::Probable
+        } else {
+            CacheConfidence::None
+        };
         let mut location = None;
         let mut best = None;
         for (index, upstream) in self.chooser.upstreams.values().enumerate() {
@@ -426,10 +492,7 @@
             let hash = xxh3_64_with_seed(name.as_bytes(), part.0);
             if best.is_none_or(|best| hash > best) {
                 best = Some(hash);
-                location = Some(PartLocation {
-                    index,
-                    recorded: false,
-                });
+                location = Some(PartLocation { index, confidence });
             }
         }
         location
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -23,6 +23,7 @@
 use crate::names::{DomainName, SoftwareVersion, UpstreamName};
 use crate::part_placement::{PartPlacements, PlacedParts};
 use crate::prompt_shape::PromptShape;
+use crate::reading_speed::ServiceReading;
 use crate::request_rate::LimitStatement;
 use crate::route_document::EngineSpec;
 use crate::upstream_directory::{
@@ -40,8 +41,8 @@
     pub domain_round_trip: Duration,
     /// Round trip to another region; the deployments have 20 ms one way.
     pub region_round_trip: Duration,
-    /// Prefill speed assumed for an engine that has not answered yet, in tokens per millisecond.
-    /// Low, so that a new engine is not flooded.
+    /// Speed at which an engine without streams is assumed to read prompts before an engine of its
+    /// service has answered, in tokens per millisecond.
     pub initial_prefill_speed: f64,
     /// Service time assumed for plain requests before the first one is answered.
     pub initial_service_time: Duration,
@@ -62,7 +63,7 @@
             regions: IndexMap::new(),
             domain_round_trip: Duration::from_millis(3),
             region_round_trip: Duration::from_millis(42),
-            initial_prefill_speed: 200.0,
+            initial_prefill_speed: 400.0,
             initial_service_time: Duration::from_millis(30),
             silent_after: SILENT_AFTER,
             queue_per_slot: 3.0,
@@ -91,6 +92,8 @@
     pub time_left: Duration,
     /// Time left until the answer misses its target; zero once it has.
     pub time_to_target: Duration,
+    /// Longest pause between two events of a stream of this kind that is on time.
+    pub pause_target: Duration,
     /// Number of entries that share the connections of an upstream.
     pub entries: u32,
     /// Whether another engine than the serving one may prefill the prompt.
@@ -215,6 +218,8 @@
     pub(crate) placements: PartPlacements,
     /// Mean service time of a plain request.
     service_time: ServiceTime,
+    /// Reading speeds of the service's engines.
+    pub(crate) reading: ServiceReading,
 }
 
 /// Mean service time of the plain requests of a service.
@@ -279,6 +284,7 @@
             remote_loads_at: TimePoint::default(),
             placements: PartPlacements::default(),
             service_time: ServiceTime::new(settings.initial_service_time),
+            reading: ServiceReading::new(settings.initial_prefill_speed),
             settings,
         }
     }
@@ -339,16 +345,11 @@
         if announcement.state == UpstreamReadiness::Left {
             self.upstreams.shift_remove(&announcement.name);
         } else {
-            let initial_prefill_speed = self.settings.initial_prefill_speed;
             let known = self.upstreams.get_mut(&announcement.name);
             match known.filter(|known| known.started_ms() == announcement.started_ms) {
                 Some(known) => known.apply_announcement(announcement, received_at),
                 None => {
-                    let upstream = DirectUpstream::new(
-                        announcement.clone(),
-                        received_at,
-                        initial_prefill_speed,
-                    );
+                    let upstream = DirectUpstream::new(announcement.clone(), received_at);
                     self.upstreams.insert(announcement.name.clone(), upstream);
                 }
             }
@@ -657,6 +658,7 @@
                 cache_tokens,
                 candidate.prefill_tokens,
                 timing,
+                &self.reading,
                 now,
             ),
             round_trip: Duration::from_secs_f64(round_trip_ms / 1_000.0),
@@ -686,7 +688,7 @@
             let sent_at = TimePoint::from_millis(sent_ms);
             upstream.pause.record_answer(sent_at, now);
             let elapsed = elapsed.saturating_sub(chosen.round_trip);
-            upstream.record_first_answer(&mut chosen.ticket, elapsed, now);
+            upstream.record_first_answer(&mut chosen.ticket, elapsed, &mut self.reading, now);
         }
     }
 
@@ -894,10 +896,15 @@
     /// Time to copy the cached tokens of a prompt from one engine to another, in milliseconds;
     /// infinite if the service states no copy rate.
     pub(crate) fn copy_ms(&self, from: &DirectUpstream, to: &DirectUpstream, tokens: u64) -> f64 {
+        let (from, to) = (&from.announcement().domain, &to.announcement().domain);
+        self.domain_copy_ms(from, to, tokens)
+    }
+
+    /// Like [`copy_ms`](Self::copy_ms), between engines of two failure domains.
+    pub(crate) fn domain_copy_ms(&self, from: &DomainName, to: &DomainName, tokens: u64) -> f64 {
         let Some(engine) = self.engine.filter(|engine| engine.copy_rate > 0) else {
             return f64::INFINITY;
         };
-        let (from, to) = (&from.announcement().domain, &to.announcement().domain);
         let factor = match self.distance(from, to) {
             DomainDistance::Same => 1.0,
             DomainDistance::SameRegion => 2.0,
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -13,6 +13,7 @@
 use crate::names::SoftwareVersion;
 use crate::part_cache::PartCache;
 use crate::prompt_shape::PromptShape;
+use crate::reading_speed::{EngineFactor, ServiceReading};
 use crate::upstream_directory::{UpstreamAnnouncement, UpstreamReadiness};
 use crate::upstream_limit::UpstreamLimit;
 
@@ -133,14 +134,10 @@
 /// Shortest prefill, in tokens, that is used to observe the prefill speed.
 const MIN_SPEED_SAMPLE_TOKENS: u64 = 1_000;
 
-/// Time over which an observed wait decays to 0, in milliseconds; about the time in which a queue
-/// of a few hundred milliseconds drains.
+/// Shortest time over which an observed wait decays to 0, in milliseconds. A longer wait decays over
+/// its own length, in which an engine drains such a queue if nothing is added.
 const WAIT_DECAY_MS: f64 = 300.0;
 
-/// Weight of a new observation in the mean prefill speed. Low, because single observations also
-/// include waits that are not due to prefill.
-const PREFILL_SPEED_WEIGHT: f64 = 0.05;
-
 /// Confidence that requests of other entries have put the shared parts of a prompt into the cache
 /// of an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -206,7 +203,7 @@
     recent_wait_ms: f64,
     /// Time of the observation in `recent_wait_ms`.
     wait_observed: TimePoint,
-    /// Time of the last answer to a request on time, which `base_ms` and `prefill_speed` follow.
+    /// Time of the last answer to a request on time, which `base_ms` and `reading_factor` follow.
     estimated_at: TimePoint,
     /// Time of the last answer of any kind, including refusals.
     last_answer: Option<TimePoint>,
@@ -214,8 +211,8 @@
     last_refusal: Option<TimePoint>,
     /// When its machine last refused a connection.
     refused_at: Option<TimePoint>,
-    /// Mean prefill speed, in tokens per millisecond; at least 1 once observed.
-    prefill_speed: f64,
+    /// Reading speed relative to the other engines of its service and role.
+    reading_factor: EngineFactor,
     /// Limit that the upstream states in its answers.
     pub(crate) limit: UpstreamLimit,
     /// Pause that this incarnation asks for.
@@ -227,12 +224,8 @@
 }
 
 impl DirectUpstream {
-    /// Creates an upstream without load; `prefill_speed` is in tokens per millisecond.
-    pub fn new(
-        announcement: UpstreamAnnouncement,
-        received_at: TimePoint,
-        prefill_speed: f64,
-    ) -> Self {
+    /// Creates an upstream without load.
+    pub fn new(announcement: UpstreamAnnouncement, received_at: TimePoint) -> Self {
         Self {
             warmup_end: received_at + announcement.warmup_remaining,
             announcement,
@@ -251,7 +244,7 @@
             last_answer: None,
             last_refusal: None,
             refused_at: None,
-            prefill_speed,
+            reading_factor: EngineFactor::new(received_at),
             limit: UpstreamLimit::default(),
             pause: UpstreamPause::default(),
             leaving: false,
@@ -344,6 +337,17 @@
             .count() as u32
     }
 
+    /// Requests of all entries that run or wait at the upstream, as far as this entry knows.
+    pub(crate) const fn running(&self) -> u32 {
+        self.local_load.combined_with(self.remote_load).running
+    }
+
+    /// Time to read all prompts that wait at the engine, in milliseconds.
+    pub(crate) fn queued_reading_ms(&self, reading: &ServiceReading, now: TimePoint) -> f64 {
+        let load = self.local_load.combined_with(self.remote_load);
+        self.prefill_ms(load.tokens_ahead(CallTiming::Late), reading, now)
+    }
+
     /// Whether a batch slot is free, as far as this entry knows.
     pub fn has_free_slot(&self, slots: u32) -> bool {
         self.local_load.combined_with(self.remote_load).running < slots
@@ -383,9 +387,15 @@
         }
     }
 
+    /// Speed at which the engine reads prompts, in tokens per millisecond.
+    pub fn reading_speed(&self, reading: &ServiceReading, now: TimePoint) -> f64 {
+        let factor = self.reading_factor.at(now, ESTIMATE_LIFETIME);
+        reading.speed(self.announcement.role) * factor
+    }
+
     /// Time to prefill `tokens`, in milliseconds.
-    pub fn prefill_ms(&self, tokens: u64) -> f64 {
-        tokens as f64 / self.prefill_speed
+    pub fn prefill_ms(&self, tokens: u64, reading: &ServiceReading, now: TimePoint) -> f64 {
+        tokens as f64 / self.reading_speed(reading, now)
     }
 
     /// Expected time to the first answer of a request with `tokens` to prefill here, in
@@ -395,19 +405,21 @@
         tokens: u64,
         slots: u32,
         timing: CallTiming,
+        reading: &ServiceReading,
         now: TimePoint,
     ) -> f64 {
         let load = self.local_load.combined_with(self.remote_load);
-        let queued_ms = load.tokens_ahead(timing) as f64 / self.prefill_speed;
+        let queued_ms = self.prefill_ms(load.tokens_ahead(timing), reading, now);
         let wait_ms = queued_ms.max(self.observed_wait_ms(now));
         let slot_wait_ms = self.slot_wait_ms(slots, now);
-        self.base_ms + wait_ms.max(slot_wait_ms) + self.prefill_ms(tokens)
+        self.base_ms + wait_ms.max(slot_wait_ms) + self.prefill_ms(tokens, reading, now)
     }
 
     /// Wait recently observed for requests on time, in milliseconds. It includes the effect of what
     /// other entries have sent since their last report, which the token counts miss.
     fn observed_wait_ms(&self, now: TimePoint) -> f64 {
-        let recent = self.recent_wait_ms * decay_factor(now.since(self.wait_observed));
+        let decay_ms = self.recent_wait_ms.max(WAIT_DECAY_MS);
+        let recent = self.recent_wait_ms * decay_factor(now.since(self.wait_observed), decay_ms);
         recent.max(self.stalled_wait_ms(now))
     }
 
@@ -415,7 +427,7 @@
     /// milliseconds.
     fn stalled_wait_ms(&self, now: TimePoint) -> f64 {
         let refusal_ms = self.last_refusal.map_or(0.0, |last_refusal| {
-            REFUSAL_WAIT_MS * decay_factor(now.since(last_refusal))
+            REFUSAL_WAIT_MS * decay_factor(now.since(last_refusal), WAIT_DECAY_MS)
         });
         let waits = self.waiting.iter().map(|request| {
             let waited_ms = now.since(request.sent).as_secs_f64() * 1_000.0;
@@ -449,6 +461,7 @@
         cache_tokens: u64,
         prefill_tokens: u64,
         timing: CallTiming,
+        reading: &ServiceReading,
         now: TimePoint,
     ) -> DispatchTicket {
         let mut ticket = DispatchTicket {
@@ -471,7 +484,7 @@
             self.waiting.push_back(WaitingRequest {
                 number: ticket.number,
                 sent: now,
-                prefill_ms: ticket.prefill_tokens as f64 / self.prefill_speed,
+                prefill_ms: self.prefill_ms(ticket.prefill_tokens, reading, now),
             });
         }
         self.local_load = self.local_load.combined_with(ticket.load());
@@ -489,12 +502,13 @@
         }
     }
 
-    /// Records the first answer of a request; `elapsed` is the time since it was sent, less the
-    /// round trip.
+    /// Records the first answer of a request, and improves the estimates of this engine and of its
+    /// service; `elapsed` is the time since it was sent, less the round trip.
     pub fn record_first_answer(
         &mut self,
         ticket: &mut DispatchTicket,
         elapsed: Duration,
+        reading: &mut ServiceReading,
         now: TimePoint,
     ) {
         self.last_answer = Some(now);
@@ -506,16 +520,13 @@
         let answer_ms = elapsed.as_secs_f64() * 1_000.0;
         if ticket.timing == CallTiming::Late {
             if now.since(self.estimated_at) > ESTIMATE_LIFETIME {
-                self.improve_estimates(ticket, answer_ms);
+                self.improve_estimates(ticket, answer_ms, reading, now);
             }
             return;
         }
         self.estimated_at = now;
-        // The time of a short prefill depends little on the prefill speed.
-        if ticket.prefill_tokens >= MIN_SPEED_SAMPLE_TOKENS {
-            self.prefill_speed = self.speed_after(ticket, answer_ms).max(1.0);
-        }
-        let overhead_ms = answer_ms - ticket.prefill_tokens as f64 / self.prefill_speed;
+        self.record_reading(ticket, answer_ms, reading, now);
+        let overhead_ms = answer_ms - self.prefill_ms(ticket.prefill_tokens, reading, now);
         if overhead_ms < self.base_ms {
             self.base_ms = overhead_ms.max(0.0);
         } else {
@@ -530,20 +541,47 @@
     /// Improves the estimates by the answer to a late request. Late requests also wait for others, so
     /// their answers show only that the upstream is faster than estimated. Without them, an upstream
     /// that is taken for too slow to meet any target would get late requests only, for good.
-    fn improve_estimates(&mut self, ticket: &DispatchTicket, answer_ms: f64) {
-        if ticket.prefill_tokens >= MIN_SPEED_SAMPLE_TOKENS {
-            let speed = self.speed_after(ticket, answer_ms);
-            self.prefill_speed = self.prefill_speed.max(speed);
+    fn improve_estimates(
+        &mut self,
+        ticket: &DispatchTicket,
+        answer_ms: f64,
+        reading: &mut ServiceReading,
+        now: TimePoint,
+    ) {
+        if self.observed_speed(ticket, answer_ms) > self.reading_speed(reading, now) {
+            self.record_reading(ticket, answer_ms, reading, now);
         }
-        let overhead_ms = answer_ms - ticket.prefill_tokens as f64 / self.prefill_speed;
+        let overhead_ms = answer_ms - self.prefill_ms(ticket.prefill_tokens, reading, now);
         self.base_ms = self.base_ms.min(overhead_ms.max(0.0));
     }
 
-    /// Mean prefill speed with one more answer, in tokens per millisecond.
-    fn speed_after(&self, ticket: &DispatchTicket, answer_ms: f64) -> f64 {
+    /// Corrects the reading speed by an answer. The time of a short prefill depends little on it.
+    fn record_reading(
+        &mut self,
+        ticket: &DispatchTicket,
+        answer_ms: f64,
+        reading: &mut ServiceReading,
+        now: TimePoint,
+    ) {
+        if ticket.prefill_tokens < MIN_SPEED_SAMPLE_TOKENS {
+            return;
+        }
+        let role = self.announcement.role;
         let tokens = (ticket.prefill_tokens + ticket.ahead_tokens) as f64;
-        let prefill_ms = (answer_ms - self.base_ms).max(1.0);
-        self.prefill_speed + (tokens / prefill_ms - self.prefill_speed) * PREFILL_SPEED_WEIGHT
+        reading.record(role, tokens, self.reading_time_ms(answer_ms));
+        let relative_speed = self.observed_speed(ticket, answer_ms) / reading.speed(role);
+        self.reading_factor.record(relative_speed, now);
+    }
+
+    /// Speed at which the engine has read a prompt and those before it, in tokens per millisecond.
+    fn observed_speed(&self, ticket: &DispatchTicket, answer_ms: f64) -> f64 {
+        let tokens = (ticket.prefill_tokens + ticket.ahead_tokens) as f64;
+        tokens / self.reading_time_ms(answer_ms)
+    }
+
+    /// Part of the time to a first answer that the engine has spent reading, in milliseconds.
+    fn reading_time_ms(&self, answer_ms: f64) -> f64 {
+        (answer_ms - self.base_ms).max(1.0)
     }
 
     /// Records that the upstream has refused a request without running it.
@@ -582,8 +620,8 @@
     }
 }
 
-/// Share of an observation that still counts at `age`: falls linearly from 1 to 0.
-fn decay_factor(age: Duration) -> f64 {
+/// Share of an observation that still counts at `age`: falls linearly from 1 to 0 within `decay_ms`.
+fn decay_factor(age: Duration, decay_ms: f64) -> f64 {
     let age_ms = age.as_secs_f64() * 1_000.0;
-    (1.0 - age_ms / WAIT_DECAY_MS).max(0.0)
+    (1.0 - age_ms / decay_ms).max(0.0)
 }
--- a/crates/oriolecrank-routing/src/part_placement.rs
+++ b/crates/oriolecrank-routing/src/part_placement.rs
@@ -18,6 +18,10 @@
 /// least recently used parts; at peak load of the deployments their cache turns over in 4 to 10 s.
 const CACHE_RETENTION: Duration = Duration::from_secs(8);
 
+/// Time for which an entry remembers where a part was. An engine with much memory and little traffic
+/// still caches the part then; in any case the part exists somewhere.
+const PLACEMENT_MEMORY: Duration = Duration::from_mins(1);
+
 /// Prompt parts that were sent to one engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlacedParts {
@@ -118,15 +122,22 @@
         self.placements.insert(part, placement);
     }
 
-    /// Engine that probably caches a part; `None` if no placement is known or it has expired.
+    /// Engine that caches a part; `None` if no placement is known or it is too old to rely on.
     pub fn find(&self, part: PartId, now: TimePoint) -> Option<&UpstreamName> {
         let placement = self.placements.get(&part)?;
         (now.since(placement.recorded_at) <= CACHE_RETENTION).then_some(&placement.upstream)
     }
 
-    /// Removes parts that are probably no longer cached.
+    /// Engine that has cached a part within the last minute and may still do so; `None` if the part is
+    /// new to this entry.
+    pub fn find_earlier(&self, part: PartId) -> Option<&UpstreamName> {
+        let placement = self.placements.get(&part)?;
+        Some(&placement.upstream)
+    }
+
+    /// Removes parts that have not been used for a minute.
     pub fn prune(&mut self, now: TimePoint) {
         self.placements
-            .retain(|_, placement| now.since(placement.recorded_at) <= CACHE_RETENTION);
+            .retain(|_, placement| now.since(placement.recorded_at) <= PLACEMENT_MEMORY);
     }
 }
--- a/crates/oriolecrank-routing/src/route_document.rs
+++ b/crates/oriolecrank-routing/src/route_document.rs
@@ -43,6 +43,11 @@
     pub timeout: Duration,
     /// Time within which callers expect the answer, or the first event of a stream.
     pub answer_target: Duration,
+    /// Longest pause between two events of a stream that is still on time; `timeout` if the route
+    /// states none.
+    pub pause_target: Duration,
+    /// Time without an event after which callers abandon a stream; `timeout` for other kinds.
+    pub patience: Duration,
     /// Priority of the requests; 0 is the most urgent.
     pub priority: u8,
     /// Services that take the requests; at least one has a weight above 0.
--- a/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
+++ b/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
@@ -46,6 +46,7 @@
         tried,
         time_left: Duration::from_secs(2),
         time_to_target: Duration::from_millis(250),
+        pause_target: Duration::from_millis(250),
         entries: 2,
         allow_remote_prefill: true,
         priority: 0,
@@ -274,10 +275,6 @@
 /// from the mean over all requests.
 #[test]
 fn slots_of_long_running_requests_do_not_come_free() {
-    let mut chooser = engines(&[
-        engine("chat", 1, EngineRole::Decode),
-        engine("short", 2, EngineRole::Decode),
-    ]);
     let chat_load = UpstreamLoad {
         running: 16,
         long_running: 14,
@@ -287,11 +284,17 @@
         long_running: 0,
         ..chat_load
     };
-    chooser.set_remote_load("chat", chat_load);
-    chooser.set_remote_load("short", short_load);
     let prompt = prompt(1, 2);
-    for _ in 0..2 {
-        let plan = choose(&mut chooser, &request(Some(&prompt), &[])).unwrap();
+    for seed in 0..8 {
+        let mut chooser = engines(&[
+            engine("chat", 1, EngineRole::Decode),
+            engine("short", 2, EngineRole::Decode),
+        ]);
+        chooser.set_remote_load("chat", chat_load);
+        chooser.set_remote_load("short", short_load);
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let plan = chooser.choose(&request(Some(&prompt), &[]), at(10), &mut random);
+        let plan = plan.unwrap();
         assert_eq!(plan.serving_upstream.announcement.name.as_str(), "short");
     }
 }
@@ -337,6 +340,11 @@
         ..UpstreamLoad::default()
     };
     chooser.set_remote_load("decode", load);
+    let placed = PlacedParts {
+        upstream: UpstreamName::from("decode"),
+        parts: vec![PartId(1)],
+    };
+    chooser.apply_placements(&placed, at(0));
     let prompt = prompt(1, 2);
     let plan = choose(&mut chooser, &request(Some(&prompt), &[])).unwrap();
     let holder = plan.serving_upstream.announcement.address;
--- a/crates/oriolecrank-routing/tests/routing/fixtures.rs
+++ b/crates/oriolecrank-routing/tests/routing/fixtures.rs
@@ -63,6 +63,8 @@
         kind: CallKind::Idempotent,
         timeout: Duration::from_secs(2),
         answer_target: Duration::from_millis(250),
+        pause_target: Duration::from_millis(250),
+        patience: Duration::from_secs(2),
         priority: 0,
         shares: vec![ServiceShare {
             service: ServiceName::from("assistant"),
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -4,6 +4,7 @@
 mod caller_timeout_range;
 mod direct_chooser;
 mod document_fetch;
+mod engine_kinds;
 mod fixtures;
 mod load_table;
 mod member_repair;
--- a/crates/oriolecrank-routing/tests/routing/request_limits.rs
+++ b/crates/oriolecrank-routing/tests/routing/request_limits.rs
@@ -28,6 +28,7 @@
         tried: &[],
         time_left: Duration::from_secs(2),
         time_to_target: Duration::from_millis(250),
+        pause_target: Duration::from_millis(250),
         entries,
         allow_remote_prefill: false,
         priority,
--- a/crates/oriolecrank-routing/tests/routing/stream_origins.rs
+++ b/crates/oriolecrank-routing/tests/routing/stream_origins.rs
@@ -251,6 +251,7 @@
         tried,
         time_left: Duration::from_secs(2),
         time_to_target: Duration::from_millis(250),
+        pause_target: Duration::from_millis(250),
         entries: 1,
         allow_remote_prefill: false,
         priority: 0,
--- a/crates/oriolecrank-routing/tests/routing/upstream_pauses.rs
+++ b/crates/oriolecrank-routing/tests/routing/upstream_pauses.rs
@@ -46,6 +46,7 @@
         tried: &[],
         time_left: Duration::from_secs(2),
         time_to_target: Duration::from_millis(250),
+        pause_target: Duration::from_millis(250),
         entries: 2,
         allow_remote_prefill: true,
         priority: 0,
