Go on in the same process after a removal and while the disk cannot be written

Cause: a control instance that the group had removed, or whose data folder could not be read or written, ended its process and relied on the platform to start it again (event 104). Change: run_control_site runs sessions (control_session.rs). A removed instance begins a new session under a new identity (event 406); one that cannot use its folder, also at its start, says so in its log (event 420) and its metrics (storage_failed), takes no part, and tries again every 1.5 s. A corrupt folder, or one of another instance, still ends the process.

--- a/crates/oriolecrank-gateway/src/control_metrics.rs
+++ b/crates/oriolecrank-gateway/src/control_metrics.rs
@@ -31,6 +31,7 @@
     upstreams: Gauge,
     entries: Gauge,
     unreported_windows: Gauge,
+    storage_failed: Gauge,
     windows_reported: Counter,
     reports_refused: Counter,
     orders_accepted: Counter,
@@ -70,6 +71,11 @@
                 "Closed usage windows that were not accepted yet",
                 &self.unreported_windows,
             ),
+            (
+                "storage_failed",
+                "1 while the data folder cannot be used and this instance takes no part",
+                &self.storage_failed,
+            ),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
@@ -101,6 +107,14 @@
             .set(values.unreported_windows.cast_signed() as i64);
     }
 
+    /// Sets whether the data folder cannot be used. Without a replica, this instance leads nothing.
+    pub(crate) fn set_storage_failed(&self, failed: bool) {
+        self.storage_failed.set(i64::from(failed));
+        if failed {
+            self.leader.set(0);
+        }
+    }
+
     /// Counts the report of a usage window; `accepted` is false if it was refused or got no answer.
     pub(crate) fn count_report(&self, accepted: bool) {
         if accepted {
--- a/crates/oriolecrank-gateway/src/lib.rs
+++ b/crates/oriolecrank-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod caller_server;
 mod control_link;
 mod control_metrics;
+mod control_session;
 mod control_site;
 mod crash_probe;
 mod dialect;
--- a/crates/oriolecrank-gateway/src/site_gossip.rs
+++ b/crates/oriolecrank-gateway/src/site_gossip.rs
@@ -35,15 +35,20 @@
 }
 
 impl SiteGossip {
-    /// Starts the task that sends batches and returns a handle to its queue.
-    pub(crate) fn start(cluster: String, publisher: SitePublisher) -> Self {
+    /// Starts the task that sends batches, which runs as long as `tasks` lives, and returns a handle to
+    /// its queue.
+    pub(crate) fn start(
+        cluster: String,
+        publisher: SitePublisher,
+        tasks: &mut JoinSet<()>,
+    ) -> Self {
         let (queue, receiver) = mpsc::channel(QUEUE_CAPACITY);
         let gossip = Self {
             cluster,
             publisher,
             queue,
         };
-        tokio::spawn(gossip.clone().run(receiver));
+        tasks.spawn(gossip.clone().run(receiver));
         gossip
     }
 
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -86,6 +86,7 @@
     MembershipAwaited = 403, "This control instance waits until an operator adds it; its identity is in the line.";
     MembershipChanged = 404, "The membership of the control group has changed.";
     MembershipWaits = 405, "A due change of the control group was not committed; it is tried again, and the reason is in the line.";
+    InstanceRestarted = 406, "This control instance begins again in the same process, because the group had removed it; it joins under a new identity.";
     DocumentAccepted = 410, "A document was committed.";
     UpstreamSuspected = 411, "An upstream has missed lease renewals; it gets new requests only when no other upstream is available.";
     UpstreamsRemoved = 412, "Upstreams whose leases had expired were removed.";
@@ -93,7 +94,7 @@
     DocumentNotCommitted = 414, "A document or another command was not confirmed as committed, or a committed document cannot be decoded.";
     CallRefused = 415, "An invalid call of an operator or upstream was refused; the reason is in the line.";
     ReadNotConfirmed = 416, "No quorum confirmed a read of the document; the caller was told to retry.";
-    StorageFailed = 420, "The data folder cannot be written; the process stops.";
+    StorageFailed = 420, "The data folder cannot be read or written; the instance takes no part until it can, or its process stops.";
     OrderSettled = 430, "An order to an agent was settled; the result and the rule are in the line.";
     OrderUnanswered = 431, "An order to an agent has an unknown outcome; it is sent again with the same fencing number.";
     RoleOrdered = 432, "No engine of a service serves requests, so a prefill engine was ordered to decode; the outcome is in the line.";
