Refuse requests that a stopping entry cannot end

Cause: an entry took requests for 2.9 s after the signal to stop, whatever their deadline. Change: from the signal on, a request whose deadline lies behind the entry's end is refused at once, as not run, with a time to come back, and its connection closes; others are taken as before.

--- a/crates/oriolecrank-gateway/src/caller_server.rs
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -97,6 +97,16 @@
             body: &body,
         });
         let timeout = caller_timeout.min(route.timeout);
+        let deadline = arrived_at + timeout;
+        if !self.shared.can_finish_by(deadline) {
+            tracing::info!(
+                event = LogEvent::RequestRefused.number(),
+                request = head.request_id,
+                time_left_ms = timeout.as_millis() as u64,
+                "the entry is stopping and ends before the deadline of a request"
+            );
+            return Err(refusal(std::time::Duration::ZERO));
+        }
         Ok(CallerRequest {
             fingerprint,
             method: parts.method,
@@ -107,7 +117,7 @@
             resume_version: None,
             priority: priority.unwrap_or(route.priority),
             organisation,
-            deadline: arrived_at + timeout,
+            deadline,
             target_time,
             patience_end: arrived_at + timeout.min(route.patience),
             route,
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -31,6 +31,14 @@
 /// the signal. The limit is a little shorter, because of the network delay to the entry.
 const ACCEPT_REQUESTS_AFTER_STOP: Duration = Duration::from_millis(2_900);
 
+/// Fraction of the shutdown limit that is used, so that the process exits before it is killed.
+const SHUTDOWN_LIMIT_FRACTION: f64 = 0.94;
+
+/// Time from the signal to stop to the end of the entry, in which running requests may finish.
+pub(crate) fn running_time(shutdown_limit: Duration) -> Duration {
+    shutdown_limit.mul_f64(SHUTDOWN_LIMIT_FRACTION)
+}
+
 /// Settings of an entry.
 #[derive(Debug, Clone)]
 pub struct EntrySiteOptions {
@@ -614,6 +622,15 @@
             .is_none_or(|requested_at| now.since(*requested_at) < ACCEPT_REQUESTS_AFTER_STOP)
     }
 
+    /// Whether a request with this deadline can end before the entry does. Without a signal to stop, all
+    /// can.
+    pub(crate) fn can_finish_by(&self, deadline: TimePoint) -> bool {
+        let stop_requested_at = self.stop_requested_at.get();
+        stop_requested_at.is_none_or(|requested_at| {
+            deadline <= *requested_at + running_time(self.options.shutdown_limit)
+        })
+    }
+
     /// Records the signal to stop; only the first call has an effect.
     pub(crate) fn mark_stopping(&self, now: TimePoint) {
         self.stop_requested_at.get_or_init(|| now);
--- a/crates/oriolecrank-gateway/src/entry_site.rs
+++ b/crates/oriolecrank-gateway/src/entry_site.rs
@@ -22,7 +22,7 @@
 use crate::control_link::ControlLink;
 use crate::dialect::CallerDialect;
 use crate::document_fetcher::{DocumentFetcher, DocumentOffers};
-use crate::entry_shared::{EntryShared, EntrySiteOptions};
+use crate::entry_shared::{EntryShared, EntrySiteOptions, running_time};
 use crate::entry_sync::EntrySync;
 use crate::stream_upload::StreamUpload;
 
@@ -31,9 +31,6 @@
 /// then.
 const ACCEPT_CONNECTIONS_AFTER_STOP: Duration = Duration::from_millis(3_500);
 
-/// Fraction of the shutdown limit that is used, so that the process exits before it is killed.
-const SHUTDOWN_LIMIT_FRACTION: f64 = 0.94;
-
 /// Idle timeout of callers' connections. Callers reuse connections that were idle for up to four
 /// fifths of the idle timeout in the document, which is 15 s; the entry must not close one earlier.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -127,9 +124,7 @@
     shared.mark_stopping(BootClock.now());
     sleep(ACCEPT_CONNECTIONS_AFTER_STOP).await;
     server_trigger.trigger();
-    let time_left = shutdown_limit
-        .mul_f64(SHUTDOWN_LIMIT_FRACTION)
-        .saturating_sub(ACCEPT_CONNECTIONS_AFTER_STOP);
+    let time_left = running_time(shutdown_limit).saturating_sub(ACCEPT_CONNECTIONS_AFTER_STOP);
     if timeout(time_left, serving).await.is_err() {
         tracing::warn!(
             event = LogEvent::ShutdownForced.number(),
