Copy times within a failure domain need no look-up of regions

Cause: the choice of a prefill engine looked up the regions of each pair of failure domains, some 200 times a choice on the large site. Change: a failure domain with engines that serve needs no look-up; the result is the same.

--- a/crates/oriolecrank-gateway/src/control_site.rs
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use oriolecrank_control::ReplicaError;
 use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel};
 use oriolecrank_net::{ClusterSecret, MetricsListener, serve};
 use oriolecrank_routing::RepairSettings;
@@ -20,8 +21,6 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use oriolecrank_control::ReplicaError;
-
 use crate::control_metrics::ControlMetrics;
 use crate::control_session::{ControlSession, SessionEnd};
 use crate::dialect::{OrderDialect, SiteDialect, UsageDialect};
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -229,12 +229,8 @@
             }
             let estimate = self.best_prefill_estimate(index, upstream, prompt, location, holder);
             let from = &upstream.announcement().domain;
-            let copies = serving_domains
-                .iter()
-                .map(|to| self.chooser.domain_copy_ms(from, to, prompt.input_tokens));
-            let copy_ms = copies.fold(f64::INFINITY, f64::min);
             Some(WorkEstimate {
-                handover_ms: if copy_ms.is_finite() { copy_ms } else { 0.0 },
+                handover_ms: self.handover_ms(from, &serving_domains, prompt.input_tokens),
                 ..estimate
             })
         })?;
@@ -305,6 +301,23 @@
         }
     }
 
+    /// Time to copy a prompt to the nearest of the failure domains, in milliseconds; 0 if it cannot be
+    /// copied, which the choice of the serving upstream finds out.
+    fn handover_ms(&self, from: &DomainName, domains: &[&DomainName], tokens: u64) -> f64 {
+        let copy_ms = |to| self.chooser.domain_copy_ms(from, to, tokens);
+        let nearest_ms = if domains.contains(&from) {
+            copy_ms(from)
+        } else {
+            let copies = domains.iter().map(|to| copy_ms(to));
+            copies.fold(f64::INFINITY, f64::min)
+        };
+        if nearest_ms.is_finite() {
+            nearest_ms
+        } else {
+            0.0
+        }
+    }
+
     /// Failure domains with engines that can serve the request.
     fn serving_domains(&self) -> Vec<&DomainName> {
         let mut domains: Vec<&DomainName> = Vec::new();
