--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -27,7 +27,7 @@
 const CACHE_AFFINITY_BONUS_MS: f64 = 4.0;
 
 /// Share of the pause target up to which the prompts that an engine reads do not make its streams
-/// late. Estimates of the time to read differ from the actual time by up to a third.
+/// late. The rest is a margin for prompts of other entries that are not reported yet.
 const SAFE_PAUSE_SHARE: f64 = 0.6;
 
 /// Cost of a stream that becomes late by a pause, as a multiple of its pause target.
