--- a/review/standin.rs
+++ b/review/standin.rs
@@ -60,7 +60,9 @@
 impl Record {
     fn open(path: &Path) -> Self {
         let file = OpenOptions::new().create(true).append(true).open(path);
-        Self(Arc::new(Mutex::new(file.expect("the record can be written"))))
+        Self(Arc::new(Mutex::new(
+            file.expect("the record can be written"),
+        )))
     }
 
     fn line(&self, text: &str) {
@@ -236,7 +238,8 @@
     /// Makes the machine silent for `time`, and then ends the process.
     fn go_dark(&self, id: &str, time: Duration) {
         if !self.dark.swap(true, Ordering::Relaxed) {
-            self.record.line(&format!("server {} crashes request={id}", self.id));
+            self.record
+                .line(&format!("server {} crashes request={id}", self.id));
             sleep(time);
             exit(3);
         }
@@ -451,14 +454,20 @@
     }
 
     fn controls(&self) -> Vec<SocketAddr> {
-        (1..=MACHINES).map(|machine| self.address(machine, 8407)).collect()
+        (1..=MACHINES)
+            .map(|machine| self.address(machine, 8407))
+            .collect()
     }
 
     /// Settings as the platform fills them into `deploy/node.toml`, with the bounds of the users'
     /// sheet of a small deployment.
     fn settings(&self, machine: usize, role: &str) -> PathBuf {
         let zone = ZONES[machine - 1];
-        let seeds: Vec<String> = self.controls().iter().map(|seed| format!("\"{seed}\"")).collect();
+        let seeds: Vec<String> = self
+            .controls()
+            .iter()
+            .map(|seed| format!("\"{seed}\""))
+            .collect();
         let regions: Vec<String> = ZONES
             .iter()
             .map(|zone| format!("\"{zone}\" = \"{}\"", zone.trim_end_matches("-a")))
@@ -495,7 +504,8 @@
             .spawn();
         let child = child.expect("the program was built");
         let name = format!("{role}-{machine}");
-        self.record.line(&format!("started {name} pid={}", child.id()));
+        self.record
+            .line(&format!("started {name} pid={}", child.id()));
         self.children.lock().expect("no panic").insert(name, child);
     }
 
@@ -520,7 +530,10 @@
                     .spawn();
                 let child = child.expect("a server starts");
                 record.line(&format!("started {name} pid={} id={id}", child.id()));
-                children.lock().expect("no panic").insert(name.clone(), child);
+                children
+                    .lock()
+                    .expect("no panic")
+                    .insert(name.clone(), child);
                 loop {
                     sleep(millis(50));
                     let mut children = children.lock().expect("no panic");
@@ -567,7 +580,8 @@
         while Instant::now() < deadline {
             for address in self.controls() {
                 let status = call_json(address, "POST /config/replace", config);
-                self.record.line(&format!("operator {address} answers {status}"));
+                self.record
+                    .line(&format!("operator {address} answers {status}"));
                 if status == 200 {
                     return true;
                 }
@@ -621,7 +635,8 @@
     let id = new_id();
     let chat = path.starts_with("/chat/");
     let limit = if chat { 15_000 } else { 2_000 };
-    site.record.line(&format!("client sends request={id} path={path} to={entry}"));
+    site.record
+        .line(&format!("client sends request={id} path={path} to={entry}"));
     let fields = [
         ("X-Oriolecrank-Request-Id", id.clone()),
         ("X-Oriolecrank-Model", "m".to_owned()),
@@ -636,7 +651,13 @@
         complete: false,
     };
     // Clients abandon a stream after a gap of two seconds.
-    let answer = call(entry, &format!("POST {path}"), &fields, "ask", millis(2_000));
+    let answer = call(
+        entry,
+        &format!("POST {path}"),
+        &fields,
+        "ask",
+        millis(2_000),
+    );
     let mut retry_after = String::new();
     if let Some((head, mut reader)) = answer {
         outcome.status = head.word(1).parse().unwrap_or(0);
@@ -664,7 +685,11 @@
 /// A chat request crashes each server that runs it, some time after its first event, and comes again.
 fn crashing_stream(site: &Arc<Site>, trouble: bool) {
     let crash_ms = std::env::var("CRASH_AFTER_MS").unwrap_or_else(|_| "700".to_owned());
-    let crash = if trouble { format!("ends:{crash_ms}") } else { "never".to_owned() };
+    let crash = if trouble {
+        format!("ends:{crash_ms}")
+    } else {
+        "never".to_owned()
+    };
     site.start_platform();
     for machine in 1..=MACHINES {
         site.start_role("control", machine);
@@ -680,7 +705,11 @@
     for machine in 1..=MACHINES {
         let outcome = stream_request(site, site.entry(machine), "/check/warm-2", "aa:100,bb1:120");
         if !outcome.complete {
-            finish(site, 2, "a sound request was not served before the disruption");
+            finish(
+                site,
+                2,
+                "a sound request was not served before the disruption",
+            );
         }
     }
     let (sound, cut) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
@@ -693,7 +722,12 @@
                 }
                 let path = format!("/check/n{number}t{turn}-12");
                 let parts = format!("aa:100,c{number}{turn:04}:120");
-                let outcome = stream_request(&site, site.entry((number + turn) % MACHINES + 1), &path, &parts);
+                let outcome = stream_request(
+                    &site,
+                    site.entry((number + turn) % MACHINES + 1),
+                    &path,
+                    &parts,
+                );
                 sound.fetch_add(1, Ordering::Relaxed);
                 if outcome.status == 200 && !outcome.complete {
                     cut.fetch_add(1, Ordering::Relaxed);
@@ -709,11 +743,21 @@
         }
         let (site, machine) = (Arc::clone(site), turn % MACHINES + 1);
         spawn(move || {
-            stream_request(&site, site.entry(machine), "/chat/poison-60", "aa:100,dead1:120");
+            stream_request(
+                &site,
+                site.entry(machine),
+                "/chat/poison-60",
+                "aa:100,dead1:120",
+            );
         });
         sleep(Duration::from_secs(3));
     }
-    judge_crashes(site, trouble, sound.load(Ordering::Relaxed), cut.load(Ordering::Relaxed));
+    judge_crashes(
+        site,
+        trouble,
+        sound.load(Ordering::Relaxed),
+        cut.load(Ordering::Relaxed),
+    );
 }
 
 /// Ends a case with a crashing request: at most three arrivals are allowed later than `contactMs`
@@ -721,8 +765,12 @@
 fn judge_crashes(site: &Site, trouble: bool, sound: usize, lost: usize) -> ! {
     let text = std::fs::read_to_string(&site.record_path).expect("the record");
     let times = |what: &str, also: &str| -> Vec<u64> {
-        let lines = text.lines().filter(|line| line.contains(what) && line.contains(also));
-        lines.filter_map(|line| line.split(' ').next()?.parse().ok()).collect()
+        let lines = text
+            .lines()
+            .filter(|line| line.contains(what) && line.contains(also));
+        lines
+            .filter_map(|line| line.split(' ').next()?.parse().ok())
+            .collect()
     };
     let crashes = times(" crashes ", "server");
     let runs = times(" runs ", "marked=true");
@@ -735,7 +783,10 @@
         let code = if trouble { 2 } else { 0 };
         finish(site, code, &format!("{summary}; fewer than three crashes"));
     };
-    let late = runs.iter().filter(|time| **time > third + CONTACT_MS).count();
+    let late = runs
+        .iter()
+        .filter(|time| **time > third + CONTACT_MS)
+        .count();
     let reason = format!(
         "{summary}; it reached servers {late} times later than contactMs after its third crash \
          (3 are allowed)"
@@ -746,15 +797,23 @@
 /// Sends one attempt at a ledger entry; returns the status, 0 without an answer in time.
 fn ledger_request(site: &Site, entry: SocketAddr, path: &str) -> u16 {
     let id = new_id();
-    site.record.line(&format!("client sends request={id} path={path} to={entry}"));
+    site.record
+        .line(&format!("client sends request={id} path={path} to={entry}"));
     let fields = [
         ("X-Oriolecrank-Request-Id", id.clone()),
         ("X-Oriolecrank-Deadline-Ms", "2500".to_owned()),
         ("X-Api-Key", KEY.to_owned()),
     ];
-    let answer = call(entry, &format!("POST {path}"), &fields, "weight=412", millis(2_500));
+    let answer = call(
+        entry,
+        &format!("POST {path}"),
+        &fields,
+        "weight=412",
+        millis(2_500),
+    );
     let status = answer.map_or(0, |(head, _)| head.word(1).parse().unwrap_or(0));
-    site.record.line(&format!("client got request={id} status={status}"));
+    site.record
+        .line(&format!("client got request={id} status={status}"));
     status
 }
 
@@ -775,7 +834,11 @@
     sleep(Duration::from_secs(6));
     for machine in 1..=MACHINES {
         if ledger_request(site, site.entry(machine), "/log/warm") != 200 {
-            finish(site, 2, "a sound request was not served before the disruption");
+            finish(
+                site,
+                2,
+                "a sound request was not served before the disruption",
+            );
         }
     }
     let (sound, lost) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
@@ -787,7 +850,8 @@
                     return;
                 }
                 let path = format!("/log/n{number}t{turn}");
-                let status = ledger_request(&site, site.entry((number + turn) % MACHINES + 1), &path);
+                let status =
+                    ledger_request(&site, site.entry((number + turn) % MACHINES + 1), &path);
                 sound.fetch_add(1, Ordering::Relaxed);
                 if status == 502 || status == 504 || status == 0 {
                     lost.fetch_add(1, Ordering::Relaxed);
@@ -801,7 +865,12 @@
         spawn(move || ledger_request(&site, site.entry(machine), "/log/poison"));
         sleep(Duration::from_secs(3));
     }
-    judge_crashes(site, trouble, sound.load(Ordering::Relaxed), lost.load(Ordering::Relaxed));
+    judge_crashes(
+        site,
+        trouble,
+        sound.load(Ordering::Relaxed),
+        lost.load(Ordering::Relaxed),
+    );
 }
 
 fn main() {
