Refuse requests that crash upstreams late, silently or seldom

A stream that broke later than 500 ms after its first bytes was not reported as a crash, and neither was an attempt that ended without an answer or a broken connection. Broken streams are now reported whenever they break. An attempt that ends in silence is reported once its upstream has a new incarnation, unless the upstream has answered another request since. Crashes count for ten minutes for a whole request, so that one that comes less than once in 30 s is refused too; upstreams that fall silent together count once.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -8,7 +8,6 @@
 use http_body_util::BodyExt as _;
 use oriolecrank_net::{AnswerBody, BodyAborted, BodySender};
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
-use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
 use tokio::time::timeout;
 
@@ -38,6 +37,7 @@
             match memory.read(&mut response, time_left).await {
                 Ok(body) => {
                     response.recycle_with_idle_limit(limit);
+                    attempt.expect_nothing();
                     let now = current_time();
                     // A failing server may answer before it begins to run the request.
                     if explicit_end && !status.is_server_error() {
@@ -59,6 +59,9 @@
                         %error,
                         "an answer was interrupted; the request may be retried"
                     );
+                    if !matches!(error, PlainBodyError::Late) {
+                        attempt.expect_nothing();
+                    }
                     if matches!(error, PlainBodyError::Interrupted { .. }) {
                         self.record_broken_attempt(&attempt);
                     }
@@ -142,6 +145,9 @@
                     %error,
                     "an error answer of an upstream was interrupted"
                 );
+                if !matches!(error, PlainBodyError::Late) {
+                    attempt.expect_nothing();
+                }
                 if matches!(error, PlainBodyError::Interrupted { .. }) {
                     self.record_broken_attempt(&attempt);
                 }
@@ -150,6 +156,7 @@
             }
         };
         response.recycle_with_idle_limit(limit);
+        attempt.expect_nothing();
         let mut answer = Response::new(AnswerBody::full(body));
         *answer.status_mut() = status;
         *answer.headers_mut() = fields;
@@ -267,7 +274,6 @@
             mut response,
         } = started;
         let mut last_data_at = current_time();
-        let mut first_data_at: Option<TimePoint> = None;
         loop {
             let time_left = self.runner.request.deadline.since(current_time());
             let wait = self.silence_timeout().min(time_left);
@@ -299,17 +305,20 @@
                         self.runner.record_complete_answer();
                     }
                     attempt.record_start(now);
+                    attempt.expect_nothing();
                     attempt.record_outcome(UpstreamOutcome::Answered, now);
                     response.recycle_with_idle_limit(idle_limit(&head));
                     return RelayEnd::Complete;
                 }
                 Ok(None) => {
-                    self.record_broken_relay(&attempt, first_data_at, now);
+                    attempt.expect_nothing();
+                    self.runner.record_broken_attempt(&attempt);
                     attempt.record_outcome(UpstreamOutcome::Failed, now);
                     return RelayEnd::Broken("the stream ended within an event".to_owned());
                 }
                 Ok(Some(Err(error))) => {
-                    self.record_broken_relay(&attempt, first_data_at, now);
+                    attempt.expect_nothing();
+                    self.runner.record_broken_attempt(&attempt);
                     attempt.record_outcome(UpstreamOutcome::Failed, now);
                     return RelayEnd::Broken(error.to_string());
                 }
@@ -319,7 +328,7 @@
                 continue;
             }
             last_data_at = now;
-            first_data_at.get_or_insert(now);
+            attempt.expect_data(now);
             attempt.record_start(now);
             if let Some(end) = self.forward_events(&data, &attempt).await {
                 return end;
@@ -327,19 +336,6 @@
         }
     }
 
-    /// Records a stream that broke off, unless its upstream had been sending it for so long that its
-    /// prompt cannot be what the upstream crashed on.
-    fn record_broken_relay(
-        &self,
-        attempt: &RunningAttempt<D>,
-        first_data_at: Option<TimePoint>,
-        now: TimePoint,
-    ) {
-        if first_data_at.is_none_or(|first| now.since(first) <= ANSWER_START_TIME) {
-            self.runner.record_broken_attempt(attempt);
-        }
-    }
-
     /// Sends the complete events to the caller and holds back the rest; returns the end of the
     /// relay if there is one.
     async fn forward_events(
@@ -380,9 +376,6 @@
     }
 }
 
-/// Time from the first bytes of a stream in which a crash of its upstream may be due to its prompt.
-const ANSWER_START_TIME: Duration = Duration::from_millis(500);
-
 /// Whether the end of an answer's body shows in the body, and not only by the end of its connection.
 fn has_explicit_end(fields: &HeaderMap) -> bool {
     fields.contains_key(CONTENT_LENGTH) || fields.contains_key(TRANSFER_ENCODING)
--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -389,6 +389,7 @@
                 request.route.kind,
                 chosen,
                 organisation,
+                request.suspects(),
                 now,
             )
         };
@@ -479,7 +480,7 @@
             None => AttemptStage::Whole,
         };
         attempt.mark_sent(current_time());
-        let sent = self.send(&attempt, stage, resume_after).await;
+        let sent = self.send(&mut attempt, stage, resume_after).await;
         if matches!(sent, Err(AttemptFailure::Lost)) {
             attempt.record_lost();
         }
@@ -505,7 +506,7 @@
 
     /// Runs the prefill on one engine; the serving engine fetches the result from it.
     async fn run_prefill(&mut self, mut attempt: RunningAttempt<D>) -> Result<(), AttemptFailure> {
-        let sent = self.send(&attempt, AttemptStage::Prefill, None).await;
+        let sent = self.send(&mut attempt, AttemptStage::Prefill, None).await;
         if !matches!(sent, Err(AttemptFailure::NotConnected)) {
             self.may_have_prefilled = true;
         }
@@ -523,6 +524,7 @@
         let body =
             response.collect_with_idle_limit(MAX_SHORT_BODY_BYTES, time_left, idle_limit(&head));
         let body = body.await.ok().filter(|_| success);
+        attempt.expect_nothing();
         let handle = body.and_then(|body| self.shared.dialect.decode_prompt_handle(&body));
         let Some(handle) = handle else {
             attempt.record_outcome(UpstreamOutcome::Failed, current_time());
@@ -551,7 +553,7 @@
     /// run the request.
     async fn send(
         &mut self,
-        attempt: &RunningAttempt<D>,
+        attempt: &mut RunningAttempt<D>,
         stage: AttemptStage<'_>,
         resume_after: Option<u64>,
     ) -> Result<(AnswerHead, ClientResponse), AttemptFailure> {
@@ -578,6 +580,8 @@
         self.tried.push(upstream.name.clone());
         let attempt_timeout = self.attempt_timeout(attempt.chosen.expected_first_answer);
         let client = self.shared.client.clone();
+        let upstream = upstream.clone();
+        attempt.expect_data(current_time());
         let sending = client.send(upstream.address, message, time_left);
         tokio::pin!(sending);
         let sent = match timeout(attempt_timeout, &mut sending).await {
@@ -603,13 +607,14 @@
             Ok(response) => response,
             Err(error) => return Err(self.record_send_failure(attempt, &error)),
         };
+        attempt.expect_data(current_time());
         let head = self
             .shared
             .dialect
             .decode_answer(response.status(), response.headers());
         // An answer to another request also states what its upstream wants.
         self.shared
-            .record_statements(upstream, &head, response.status(), current_time());
+            .record_statements(&upstream, &head, response.status(), current_time());
         if head.request_id != self.request.head.request_id {
             // The answer to an earlier request on this connection; dropping it closes the
             // connection. If it is a refusal, it says nothing about this request.
@@ -620,6 +625,7 @@
                 answered = head.request_id,
                 "an answer carries the id of another request; the connection is closed"
             );
+            attempt.expect_nothing();
             return Err(AttemptFailure::Lost);
         }
         attempt.record_limit(head.limit, current_time());
@@ -630,6 +636,7 @@
                 %status,
                 "the upstream refused the request without running it"
             );
+            attempt.expect_nothing();
             attempt.record_refusal(current_time());
             drain_refusal(response, &head).await;
             return Err(AttemptFailure::Refused);
@@ -641,7 +648,7 @@
     /// the attempt timed out while the upstream was answering other requests.
     fn record_send_failure(
         &self,
-        attempt: &RunningAttempt<D>,
+        attempt: &mut RunningAttempt<D>,
         error: &SendError,
     ) -> AttemptFailure {
         tracing::info!(
@@ -659,6 +666,9 @@
         if !(timed_out && attempt.has_upstream_answered()) {
             attempt.record_outcome(UpstreamOutcome::Failed, current_time());
         }
+        if !timed_out {
+            attempt.expect_nothing();
+        }
         if error.verdict() == RunVerdict::NotRun {
             return AttemptFailure::NotConnected;
         }
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -18,7 +18,7 @@
 use oriolecrank_schema::event::LogEvent;
 use tokio::sync::Notify;
 
-use crate::crash_probe::CrashProbe;
+use crate::crash::{CrashProbe, SilenceProbe};
 use crate::dialect::{AnswerHead, CallerDialect};
 use crate::entry_metrics::EntryMetrics;
 use crate::plain_body::AnswerMemory;
@@ -123,6 +123,8 @@
     control_group: RwLock<KnownGroup>,
     /// Broken attempts at upstreams that may have crashed.
     pub(crate) crash_probe: CrashProbe,
+    /// Attempts at upstreams that fell silent.
+    pub(crate) silence_probe: SilenceProbe,
     /// Range of the timeouts that callers state, by name of the route.
     caller_timeouts: Mutex<IndexMap<String, CallerTimeoutRange>>,
     /// Number of entries of the site.
@@ -155,6 +157,7 @@
             stream_begun: Notify::new(),
             control_group: RwLock::default(),
             crash_probe: CrashProbe::default(),
+            silence_probe: SilenceProbe::default(),
             caller_timeouts: Mutex::default(),
             entry_counter: Mutex::new(EntryCounter::new(now)),
             started_at: now,
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -155,6 +155,7 @@
                     log.newest_sequence(),
                 )
             };
+            self.shared.report_silent_crashes(BootClock.now());
             let newest_report = self.shared.lock_suspect_watch().newest_sequence();
             let request = self.request(&counts, placed);
             let requested_at = BootClock.now();
--- a/crates/oriolecrank-gateway/src/lib.rs
+++ b/crates/oriolecrank-gateway/src/lib.rs
@@ -16,7 +16,7 @@
 mod control_metrics;
 mod control_session;
 mod control_site;
-mod crash_probe;
+mod crash;
 mod dialect;
 mod document_fetcher;
 mod document_transfer;
--- a/crates/oriolecrank-gateway/src/running_attempt.rs
+++ b/crates/oriolecrank-gateway/src/running_attempt.rs
@@ -6,7 +6,7 @@
 use oriolecrank_net::BootClock;
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
 use oriolecrank_routing::{
-    CallKind, ChosenUpstream, LimitStatement, OrganisationName, ServiceName,
+    CallKind, ChosenUpstream, CrashSuspect, LimitStatement, OrganisationName, ServiceName,
 };
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
@@ -22,6 +22,11 @@
     pub(crate) chosen: ChosenUpstream,
     organisation: Option<OrganisationName>,
     sent_at: TimePoint,
+    /// What may be the cause if the upstream crashes while it runs the request.
+    suspects: Vec<CrashSuspect>,
+    /// Time of the last sign of the upstream on this attempt, or of sending; `None` while nothing is
+    /// awaited from it.
+    awaiting_since: Option<TimePoint>,
     /// The upstream has started to run the request, or is assumed to have run it.
     started: bool,
     /// Time from sending the request to its complete answer; `None` until then and for streams.
@@ -35,6 +40,7 @@
         kind: CallKind,
         chosen: ChosenUpstream,
         organisation: Option<OrganisationName>,
+        suspects: Vec<CrashSuspect>,
         sent_at: TimePoint,
     ) -> Self {
         Self {
@@ -44,6 +50,8 @@
             chosen,
             organisation,
             sent_at,
+            suspects,
+            awaiting_since: None,
             started: false,
             service_time: None,
         }
@@ -58,6 +66,16 @@
             .with_service(&self.service, |state| state.chooser.mark_sent(chosen, now));
     }
 
+    /// Records that the upstream is expected to send something from now on.
+    pub(crate) const fn expect_data(&mut self, now: TimePoint) {
+        self.awaiting_since = Some(now);
+    }
+
+    /// Records that nothing more is expected from the upstream, or that its connection broke.
+    pub(crate) const fn expect_nothing(&mut self) {
+        self.awaiting_since = None;
+    }
+
     /// Records the first event or the head of the answer, which show that the upstream runs the
     /// request, and counts the request as usage. Later calls have no effect.
     pub(crate) fn record_start(&mut self, now: TimePoint) {
@@ -173,6 +191,11 @@
 
 impl<D> Drop for RunningAttempt<D> {
     fn drop(&mut self) {
+        if let Some(since) = self.awaiting_since {
+            let upstream = &self.chosen.announcement;
+            self.shared
+                .record_silent_attempt(upstream, &self.suspects, since, current_time());
+        }
         let name = self.chosen.announcement.name.as_str();
         let (ticket, service_time) = (&self.chosen.ticket, self.service_time);
         self.shared.with_service(&self.service, |state| {
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -47,6 +47,7 @@
 mod route_document;
 mod route_table;
 mod shared_retry_budget;
+mod silent_attempts;
 mod site_state;
 mod stream_log;
 mod stream_origin;
@@ -91,6 +92,7 @@
 };
 pub use route_table::{CallerOrganisation, RouteTable};
 pub use shared_retry_budget::{RetryGrant, SharedRetryBudget};
+pub use silent_attempts::{SilentAttempts, SilentCrash, UpstreamSigns};
 pub use site_state::{ClosedWindow, SiteCommand, SiteOutcome, SiteState, StoredDocument};
 pub use stream_log::{STREAM_LIFETIME, StreamLog};
 pub use stream_origin::{
--- a/crates/oriolecrank-routing/src/suspect_quarantine.rs
+++ b/crates/oriolecrank-routing/src/suspect_quarantine.rs
@@ -8,6 +8,8 @@
 //! the crashes of engines in that time. A whole request comes again too seldom for that, and
 //! refusing it by mistake concerns no other request.
 //!
+//! Upstreams that fall silent at the same time count as one crash, because they may have lost their power.
+//!
 //! A refused suspect is tried again with single requests at growing intervals, and is accepted after
 //! the first complete answer.
 
@@ -31,8 +33,14 @@
     /// Least share of the crashes of engines between the first and the last one of a prompt part that
     /// the part must explain. A rare part runs during some of many crashes by chance.
     pub least_crash_share: f64,
-    /// Time for which a crash counts.
+    /// Time for which a crash counts for a prompt part.
     pub crash_retention: Duration,
+    /// Time for which a crash counts for a whole request, which may come again seldom.
+    pub request_retention: Duration,
+    /// Time in which upstreams that fall silent one after the other count as one crash. A failure
+    /// domain that loses its power takes many upstreams with it, on which the attempts at one request
+    /// may have been made.
+    pub silent_spread: Duration,
     /// Time before a crash in which a complete answer clears a suspect of that crash. The time for
     /// which a suspect goes on to crash upstreams after it has been sound is longer by as much.
     pub proven_window: Duration,
@@ -53,6 +61,8 @@
             // Two parts that crash upstreams at the same time are still recognised.
             least_crash_share: 0.5,
             crash_retention: Duration::from_mins(1),
+            request_retention: Duration::from_mins(10),
+            silent_spread: Duration::from_millis(500),
             proven_window: PROVEN_WINDOW,
             first_trial_after: Duration::from_secs(5),
             trial_backoff: 4,
@@ -81,6 +91,9 @@
     crashes: IndexMap<CrashId, CrashRecord>,
     /// Last complete answer with suspects that ran during a retained crash.
     completed_at: IndexMap<CrashSuspect, TimePoint>,
+    /// Requests that one more crash makes refused, with the time of the last one. Their answers are
+    /// reported for as long as the crashes count.
+    repeated: IndexMap<CrashSuspect, TimePoint>,
     refusals: IndexMap<CrashSuspect, RefusalRecord>,
 }
 
@@ -89,6 +102,8 @@
     seen_at: TimePoint,
     /// Suspects that ran, and whether an entry had received an answer with them shortly before.
     running: IndexMap<CrashSuspect, bool>,
+    /// All reports say that the upstream fell silent.
+    silent: bool,
 }
 
 impl CrashRecord {
@@ -126,14 +141,20 @@
         let seen_at = TimePoint::from_millis(now.as_millis().saturating_sub(age_ms));
         self.drop_expired(now);
         match &report.event {
-            SuspectEvent::Crash { crash, running } => {
+            SuspectEvent::Crash {
+                crash,
+                running,
+                silent,
+            } => {
                 let record = self
                     .crashes
                     .entry(crash.clone())
                     .or_insert_with(|| CrashRecord {
                         seen_at,
                         running: IndexMap::new(),
+                        silent: *silent,
                     });
+                record.silent &= silent;
                 record.seen_at = record.seen_at.min(seen_at);
                 for running in running.iter().take(MAX_RUNNING) {
                     *record.running.entry(running.suspect).or_default() |= running.proven;
@@ -186,6 +207,9 @@
         }
         let completed_at = self.completed_at.entry(suspect).or_insert(at);
         *completed_at = at.max(*completed_at);
+        if self.repeated.get(&suspect).is_some_and(|seen| *seen < at) {
+            self.repeated.shift_remove(&suspect);
+        }
         let is_cleared = |refusal: &RefusalRecord| refusal.crashed_at < at;
         if self.refusals.get(&suspect).is_some_and(is_cleared) {
             self.refusals.shift_remove(&suspect);
@@ -205,15 +229,20 @@
         for RunningSuspect { suspect, .. } in reported.iter().take(MAX_RUNNING) {
             let suspect = *suspect;
             let crashes = self.crashes.values();
-            let blamed = crashes.filter(|crash| self.is_blamed(suspect, crash));
-            let mut crash_times: Vec<TimePoint> = blamed.map(|crash| crash.seen_at).collect();
-            crash_times.sort_unstable();
-            let Some(crashed_at) = crash_times.last().copied() else {
+            let blamed = crashes.filter(|crash| {
+                let counts = !is_part(suspect) || self.is_recent(crash, now);
+                counts && self.is_blamed(suspect, crash)
+            });
+            let mut blamed: Vec<&CrashRecord> = blamed.collect();
+            blamed.sort_unstable_by_key(|crash| crash.seen_at);
+            let Some(crashed_at) = blamed.last().map(|crash| crash.seen_at) else {
                 continue;
             };
+            let crash_times: Vec<TimePoint> = blamed.iter().map(|crash| crash.seen_at).collect();
+            let count = self.separate_crashes(&blamed);
             if let Some(refusal) = self.refusals.get_mut(&suspect) {
                 refusal.crashed_at = refusal.crashed_at.max(crashed_at);
-            } else if crash_times.len() >= self.settings.refuse_after_crashes
+            } else if count >= self.settings.refuse_after_crashes
                 && (!is_part(suspect) || self.explains(&crash_times))
             {
                 let trial_interval = self.settings.first_trial_after;
@@ -223,13 +252,38 @@
                     trial_interval,
                 };
                 self.refusals.insert(suspect, refusal);
+                self.repeated.shift_remove(&suspect);
                 changed = true;
+            } else if !is_part(suspect) && count + 1 >= self.settings.refuse_after_crashes {
+                self.repeated.insert(suspect, crashed_at);
             }
         }
         self.drop_surplus();
         changed
     }
 
+    /// Whether a crash counts for prompt parts.
+    fn is_recent(&self, crash: &CrashRecord, now: TimePoint) -> bool {
+        now.since(crash.seen_at) <= self.settings.crash_retention
+    }
+
+    /// Number of crashes, in order of time, where upstreams that fell silent together count once.
+    fn separate_crashes(&self, crashes: &[&CrashRecord]) -> usize {
+        let mut silent_from: Option<TimePoint> = None;
+        let separate = crashes.iter().filter(|crash| {
+            let spread = self.settings.silent_spread;
+            let joins = |from: TimePoint| crash.seen_at.since(from) <= spread;
+            if crash.silent && silent_from.is_some_and(joins) {
+                return false;
+            }
+            if crash.silent {
+                silent_from = Some(crash.seen_at);
+            }
+            true
+        });
+        separate.count()
+    }
+
     /// Whether a prompt part that is blamed for crashes at these times, in order, explains enough of
     /// all crashes of engines in the same time.
     fn explains(&self, crash_times: &[TimePoint]) -> bool {
@@ -250,9 +304,11 @@
             && answered_at.is_none_or(|at| *at + window < crash.seen_at)
     }
 
-    /// Suspects that crashes are blamed on, newest first.
-    fn blamed_suspects(&self) -> impl Iterator<Item = CrashSuspect> {
-        self.crashes.values().rev().flat_map(|crash| {
+    /// Suspects that recent crashes are blamed on, newest first.
+    fn blamed_suspects(&self, now: TimePoint) -> impl Iterator<Item = CrashSuspect> {
+        let crashes = self.crashes.values().rev();
+        let recent = crashes.filter(move |crash| self.is_recent(crash, now));
+        recent.flat_map(|crash| {
             let suspects = crash.running.keys().copied();
             suspects.filter(|suspect| self.is_blamed(*suspect, crash))
         })
@@ -274,9 +330,11 @@
                 trials.push(*suspect);
             }
         }
-        let parts = self.blamed_suspects().filter(|suspect| is_part(*suspect));
-        let requests = self.blamed_suspects().filter(|suspect| !is_part(*suspect));
-        let suspected: IndexSet<CrashSuspect> = parts.chain(requests).take(MAX_SUSPECTED).collect();
+        let blamed = || self.blamed_suspects(now);
+        let parts = blamed().filter(|suspect| is_part(*suspect));
+        let requests = blamed().filter(|suspect| !is_part(*suspect));
+        let suspects = parts.chain(self.repeated.keys().copied()).chain(requests);
+        let suspected: IndexSet<CrashSuspect> = suspects.take(MAX_SUSPECTED).collect();
         let refused = self.refusals.iter().map(|(suspect, refusal)| HeldRefusal {
             suspect: *suspect,
             crash_age: now.since(refusal.crashed_at),
@@ -292,9 +350,11 @@
 
     fn drop_expired(&mut self, now: TimePoint) {
         let retained = self.crashes.len() + self.refusals.len();
-        let retention = self.settings.crash_retention;
+        let retention = self.settings.request_retention;
         self.crashes
             .retain(|_, crash| now.since(crash.seen_at) <= retention);
+        self.repeated
+            .retain(|_, crashed_at| now.since(*crashed_at) <= retention);
         let unused = self.settings.max_trial_interval * 2;
         self.refusals
             .retain(|_, refusal| now.since(refusal.next_trial_at) <= unused);
--- a/crates/oriolecrank-routing/src/suspect_report.rs
+++ b/crates/oriolecrank-routing/src/suspect_report.rs
@@ -38,6 +38,9 @@
         crash: CrashId,
         /// Suspects of the requests that the entry had sent to the upstream.
         running: Vec<RunningSuspect>,
+        /// The upstream fell silent and broke no connection.
+        #[serde(default)]
+        silent: bool,
     },
     /// Answers to requests with these suspects arrived completely.
     Completed {
--- a/crates/oriolecrank-routing/src/suspect_watch.rs
+++ b/crates/oriolecrank-routing/src/suspect_watch.rs
@@ -7,6 +7,7 @@
 use oriolecrank_schema::TimePoint;
 
 use crate::crash_suspect::CrashSuspect;
+use crate::silent_attempts::SilentCrash;
 use crate::suspect_report::{
     CrashId, HeldRefusal, PROVEN_WINDOW, RunningSuspect, SuspectEvent, SuspectReport,
     SuspectVerdicts,
@@ -67,6 +68,22 @@
         crash: CrashId,
         suspects: impl IntoIterator<Item = CrashSuspect>,
         now: TimePoint,
+    ) {
+        self.add_crash(crash, suspects, now, false);
+    }
+
+    /// Records that an upstream fell silent while it ran requests of this entry with these suspects,
+    /// and has started again.
+    pub fn record_silent_crash(&mut self, crash: SilentCrash) {
+        self.add_crash(crash.crash, crash.suspects, crash.silent_since, true);
+    }
+
+    fn add_crash(
+        &mut self,
+        crash: CrashId,
+        suspects: impl IntoIterator<Item = CrashSuspect>,
+        now: TimePoint,
+        silent: bool,
     ) {
         let is_recent = |at: &TimePoint| now.since(*at) <= PROVEN_WINDOW;
         let suspects: IndexSet<CrashSuspect> = suspects.into_iter().collect();
@@ -75,7 +92,12 @@
             proven: self.answered_at.get(&suspect).is_some_and(is_recent),
         });
         let running = running.collect();
-        self.add_report(SuspectEvent::Crash { crash, running }, now);
+        let event = SuspectEvent::Crash {
+            crash,
+            running,
+            silent,
+        };
+        self.add_report(event, now);
     }
 
     /// Records a complete answer with these suspects. It is reported if one of them is suspected.
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -14,6 +14,7 @@
 mod role_repair;
 mod route_document;
 mod shared_retry_budget;
+mod silent_attempts;
 mod site_state;
 mod stream_origins;
 mod suspect_quarantine;
--- a/crates/oriolecrank-routing/tests/routing/suspect_quarantine.rs
+++ b/crates/oriolecrank-routing/tests/routing/suspect_quarantine.rs
@@ -48,11 +48,21 @@
                 started_ms: number,
             },
             running: running.collect(),
+            silent: false,
         },
         age: Duration::ZERO,
     }
 }
 
+/// A crash that showed by silence.
+fn silent_crash(number: u64, suspect: CrashSuspect) -> SuspectReport {
+    let mut report = crash(number, &[(suspect, false)]);
+    if let SuspectEvent::Crash { silent, .. } = &mut report.event {
+        *silent = true;
+    }
+    report
+}
+
 fn completed(part: CrashSuspect) -> SuspectReport {
     SuspectReport {
         event: SuspectEvent::Completed {
@@ -415,3 +425,49 @@
         [CRASHING]
     );
 }
+
+/// Guards against a request that makes upstreams silent and is not refused, and against sound requests
+/// that are refused because their attempts were at upstreams that lost their power together.
+#[test]
+fn upstreams_that_fall_silent_together_count_as_one_crash() {
+    let (sound, dark) = (request("sound"), request("dark"));
+    let mut quarantine = SuspectQuarantine::default();
+    for number in 0..6 {
+        quarantine.record(&silent_crash(number, sound), at(10_000 + number * 80));
+        let later = at(10_000 + number * 3_000);
+        quarantine.record(&silent_crash(100 + number, dark), later);
+    }
+    assert_eq!(refused(&mut quarantine, at(26_000)), [dark]);
+}
+
+/// Guards against a request that crashes an upstream each time but comes less than once in 30 s, so
+/// that three crashes are never known at the same time.
+#[test]
+fn a_request_that_comes_seldom_is_refused_after_three_crashes() {
+    let seldom = request("seldom");
+    let mut quarantine = SuspectQuarantine::default();
+    for number in 0..3 {
+        let now = at(10_000 + number * 100_000);
+        quarantine.record(&crash(number, &[(seldom, false)]), now);
+        assert_eq!(
+            refused(&mut quarantine, now).len(),
+            usize::from(number == 2)
+        );
+    }
+}
+
+/// Guards against a sound request that is refused because it ran during three crashes within ten
+/// minutes, although it was answered long after the second one.
+#[test]
+fn a_late_answer_clears_a_request_that_ran_during_two_crashes() {
+    let sound = request("sound");
+    let mut quarantine = SuspectQuarantine::default();
+    quarantine.record(&crash(1, &[(sound, false)]), at(10_000));
+    quarantine.record(&crash(2, &[(sound, false)]), at(50_000));
+    let suspected = quarantine.verdicts(&[], at(200_000)).suspected;
+    assert_eq!(suspected, [sound]);
+    quarantine.record(&completed(sound), at(200_000));
+    assert!(quarantine.verdicts(&[], at(200_000)).suspected.is_empty());
+    quarantine.record(&crash(3, &[(sound, false)]), at(300_000));
+    assert!(refused(&mut quarantine, at(300_000)).is_empty());
+}
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -76,7 +76,7 @@
     UpstreamAnnounced = 300, "An upstream was announced to the control group.";
     AnnounceFailed = 301, "An announcement could not be delivered; it is repeated.";
     AgentSuperseded = 302, "A newer agent for the same upstream exists; this one refuses orders and requests.";
-    UpstreamCrashed = 303, "The connection to the upstream broke while requests were running; these requests fail.";
+    UpstreamCrashed = 303, "An upstream crashed while requests were running: its connections broke, or it fell silent and started again.";
     ReportFailed = 304, "A report or announcement could not be delivered; it is sent again or dropped, as the line says.";
     OrderRefused = 305, "An order was refused; the reason is in the line.";
     OrderFinished = 306, "An order was carried out; the result is in the line.";
