Treat an answer with an invalid status as broken

hyper accepts three-digit statuses up to 999, and 101 without a request for it. Such an answer now fails its attempt, which may have run; the caller gets the failure of the entry or of the agent, or the answer of another upstream.

--- a/crates/oriolecrank-net/src/http_client.rs
+++ b/crates/oriolecrank-net/src/http_client.rs
@@ -79,6 +79,15 @@
         /// Cause.
         source: hyper::Error,
     },
+    /// The status is none that HTTP has, or announces another protocol; nothing else in the response
+    /// can be trusted.
+    #[snafu(display("the answer of {address} has the invalid status {status}"))]
+    InvalidStatus {
+        /// Target address.
+        address: SocketAddr,
+        /// The status.
+        status: StatusCode,
+    },
     /// The response headers, or the rest of the body, did not arrive within the time limit.
     #[snafu(display("the answer of {address} did not arrive within {} ms", time_limit.as_millis()))]
     AnswerTimeout {
@@ -95,6 +104,10 @@
     },
 }
 
+/// Statuses of final answers. The HTTP library also accepts 101, which no request asks for, and 600
+/// to 999.
+const VALID_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
+
 impl SendError {
     /// Whether the other machine refused the connection, because no process listens there.
     pub fn is_refused_connection(&self) -> bool {
@@ -108,9 +121,10 @@
             Self::Connect { .. } | Self::ConnectTimeout { .. } | Self::Unsent { .. } => {
                 RunVerdict::NotRun
             }
-            Self::Broken { .. } | Self::AnswerTimeout { .. } | Self::BadBody { .. } => {
-                RunVerdict::MayHaveRun
-            }
+            Self::Broken { .. }
+            | Self::InvalidStatus { .. }
+            | Self::AnswerTimeout { .. }
+            | Self::BadBody { .. } => RunVerdict::MayHaveRun,
         }
     }
 }
@@ -179,6 +193,10 @@
                 return Err(error.into_error()).context(BrokenSnafu { address });
             }
         };
+        let status = response.status();
+        if !VALID_STATUSES.contains(&status.as_u16()) {
+            return InvalidStatusSnafu { address, status }.fail();
+        }
         Ok(ClientResponse {
             address,
             response,
