Leave the failure domain and the region when it pays, and pace what leaves

Cause: a request that left the region cost 120 ms whatever its size, one that left the failure domain nothing, and all entries that saw the same shortage sent to the same idle engines for a second. Change: the transfer costs by its bytes (settings table [spill]); SpillPacer gives each entry its part of the room that other regions have. Distances move out of direct_chooser.rs.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -255,6 +255,7 @@
             pause_target: request.route.pause_target,
             entries: self.shared.entry_count(),
             allow_remote_prefill: !self.may_have_prefilled && resume_after.is_none(),
+            body_bytes: request.body.len() as u64,
             priority: request.priority,
             versions: self.allowed_versions(),
         }
@@ -381,6 +382,7 @@
                 return Err(self.no_upstream_failure(reason));
             }
         };
+        self.shared.metrics.count_choice(&plan, request.body.len());
         let new_attempt = |chosen, organisation| {
             let shared = Arc::clone(&self.shared);
             RunningAttempt::new(
--- a/crates/oriolecrank-gateway/src/entry_metrics.rs
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use oriolecrank_routing::{CallKind, CrashSuspect, NoUpstream};
+use oriolecrank_policy::upstream_state::UpstreamDistance;
+use oriolecrank_routing::{CallKind, CallPlan, CrashSuspect, NoUpstream};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -31,6 +32,23 @@
     kind: &'static str,
 }
 
+/// Label with the distance of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DistanceLabel {
+    distance: &'static str,
+}
+
+impl From<UpstreamDistance> for DistanceLabel {
+    fn from(distance: UpstreamDistance) -> Self {
+        let distance = match distance {
+            UpstreamDistance::SameDomain => "same_domain",
+            UpstreamDistance::SameRegion => "same_region",
+            UpstreamDistance::OtherRegion => "other_region",
+        };
+        Self { distance }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AttemptOutcome {
@@ -66,6 +84,9 @@
     refusals: Family<OutcomeLabel, Counter>,
     attempts: Family<OutcomeLabel, Counter>,
     extra_attempts: Family<OutcomeLabel, Counter>,
+    distances: Family<DistanceLabel, Counter>,
+    sent_bytes: Family<DistanceLabel, Counter>,
+    kept_in_region: Counter,
     streams: Family<OutcomeLabel, Counter>,
     ejections: Counter,
     pauses: Counter,
@@ -84,6 +105,9 @@
             refusals: Family::default(),
             attempts: Family::default(),
             extra_attempts: Family::default(),
+            distances: Family::default(),
+            sent_bytes: Family::default(),
+            kept_in_region: Counter::default(),
             streams: Family::default(),
             ejections: Counter::default(),
             pauses: Counter::default(),
@@ -124,6 +148,12 @@
         for (name, help, family) in families {
             registry.register(name, help, family.clone());
         }
+        let help = "Requests by the distance of the upstream that was chosen to serve them";
+        registry.register("choices", help, self.distances.clone());
+        let help = "Bytes of request bodies by the distance of the upstream that was chosen";
+        registry.register("chosen_body_bytes", help, self.sent_bytes.clone());
+        let help = "Requests kept in the region because this entry has used its part of the room elsewhere";
+        registry.register("kept_in_region", help, self.kept_in_region.clone());
         let help = "Upstreams that were ejected because of failed attempts";
         registry.register("ejections", help, self.ejections.clone());
         let help = "Pauses that upstreams have asked this entry for";
@@ -234,6 +264,18 @@
         self.streams.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts the choice of an upstream for a request with a body of `body_bytes`.
+    pub(crate) fn count_choice(&self, plan: &CallPlan, body_bytes: usize) {
+        let label = DistanceLabel::from(plan.serving_upstream.distance);
+        self.sent_bytes
+            .get_or_create(&label)
+            .inc_by(body_bytes as u64);
+        self.distances.get_or_create(&label).inc();
+        if plan.kept_in_region {
+            self.kept_in_region.inc();
+        }
+    }
+
     /// Counts an ejected upstream.
     pub(crate) fn count_ejection(&self) {
         self.ejections.inc();
--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod answer_buffer;
 mod caller_key;
 mod counts;
+pub mod domain_spill;
 pub mod freshness;
 mod grant_history;
 pub mod header_cleaning;
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use oriolecrank_policy::upstream_state::UpstreamDistance;
 use oriolecrank_schema::TimePoint;
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::direct_chooser::{ChoiceRequest, DirectChooser, DomainDistance};
+use crate::direct_chooser::{ChoiceRequest, DirectChooser};
 use crate::direct_upstream::{CacheConfidence, CallTiming, DirectUpstream};
 use crate::names::{DomainName, UpstreamName};
 use crate::prompt_shape::{PartId, PromptShape};
@@ -33,11 +34,6 @@
 /// Cost of a stream that becomes late by a pause, as a multiple of its pause target.
 const LATE_STREAM_COST: f64 = 2.0;
 
-/// Cost of sending a request to another region in addition to the round trip, in milliseconds:
-/// traffic between regions is billed by volume, and the shared prompt parts are cached in the local
-/// region.
-const CROSS_REGION_COST_MS: f64 = 120.0;
-
 /// Smallest cached prefix, in tokens, that is worth fetching from another engine.
 const MIN_FETCH_TOKENS: u64 = 512;
 
@@ -60,7 +56,7 @@
     /// Expected time to the first answer including the round trip, in milliseconds.
     pub(crate) expected_ms: f64,
     /// Expected time to the first answer, plus the weighted delay of other requests, plus the cost
-    /// of crossing regions, in milliseconds.
+    /// of the transfer, in milliseconds.
     pub(crate) cost_ms: f64,
     /// Tokens to prefill at this upstream.
     pub(crate) prefill_tokens: u64,
@@ -136,6 +132,15 @@
     Ignored,
 }
 
+/// Regions that a search considers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RegionReach {
+    /// All.
+    All,
+    /// That of this entry.
+    Own,
+}
+
 impl WorkEstimate {
     /// Time to the first answer plus the weighted delay of other requests, in milliseconds.
     fn cost_ms(&self) -> f64 {
@@ -149,6 +154,7 @@
     pub(crate) request: &'a ChoiceRequest<'a>,
     pub(crate) timing: CallTiming,
     pub(crate) limits: LimitUse,
+    pub(crate) reach: RegionReach,
     pub(crate) now: TimePoint,
 }
 
@@ -358,7 +364,7 @@
         let upstreams = self.chooser.upstreams.values().enumerate();
         let reachable = upstreams.filter(|(index, upstream)| {
             let recorded = PartLocation::confidence(location, *index) == CacheConfidence::Known;
-            let other_region = self.chooser.distance_to(upstream) == DomainDistance::OtherRegion;
+            let other_region = self.chooser.distance_to(upstream) == UpstreamDistance::OtherRegion;
             self.is_usable(upstream, UpstreamFilter::Healthy) && (recorded || !other_region)
         });
         let holders = reachable.map(|(index, upstream)| PrefixHolder {
@@ -419,7 +425,7 @@
             let expected_ms = self.chooser.round_trip_ms(upstream) + estimate.answer_ms * factor;
             let cost_ms = expected_ms
                 + estimate.occupied_ms * factor * OCCUPANCY_WEIGHT
-                + self.cross_region_ms(upstream);
+                + self.chooser.transfer_ms(upstream, self.request);
             let pair_ms = cost_ms + estimate.handover_ms * (1.0 + OCCUPANCY_WEIGHT);
             let jittered_ms = pair_ms * (1.0 + COST_JITTER * random.random::<f64>());
             if jittered_ms < best_ms {
@@ -436,14 +442,6 @@
         best
     }
 
-    /// Cost of sending the request to another region, in milliseconds, without the round trip.
-    fn cross_region_ms(&self, upstream: &DirectUpstream) -> f64 {
-        match self.chooser.distance_to(upstream) {
-            DomainDistance::OtherRegion => CROSS_REGION_COST_MS,
-            DomainDistance::Same | DomainDistance::SameRegion => 0.0,
-        }
-    }
-
     fn is_usable(&self, upstream: &DirectUpstream, filter: UpstreamFilter) -> bool {
         let announcement = upstream.announcement();
         if !upstream.is_ready() || self.request.tried.contains(&announcement.name) {
@@ -455,6 +453,9 @@
         if !self.chooser.may_connect(upstream, self.request.entries) {
             return false;
         }
+        if self.reach == RegionReach::Own && self.chooser.is_in_other_region(upstream) {
+            return false;
+        }
         let silent = self.now.since(upstream.received_at()) > self.chooser.settings.silent_after;
         filter == UpstreamFilter::Any || (upstream.weight > 0.0 && !silent)
     }
@@ -497,7 +498,7 @@
             if !serves_role(upstream, EngineRole::Decode) {
                 continue;
             }
-            let other_region = self.chooser.distance_to(upstream) == DomainDistance::OtherRegion;
+            let other_region = self.chooser.distance_to(upstream) == UpstreamDistance::OtherRegion;
             if other_region || !self.is_usable(upstream, UpstreamFilter::Healthy) {
                 continue;
             }
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -11,13 +11,15 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use oriolecrank_policy::domain_spill::{SpillPacer, SpillSettings};
 use oriolecrank_policy::outlier_ejection::{EjectionSettings, OutlierEjection, UpstreamOutcome};
 use oriolecrank_policy::upstream_pause::UpstreamPause;
+use oriolecrank_policy::upstream_state::UpstreamDistance;
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::document::UpstreamId;
 use rand::Rng;
 
-use crate::choice_search::{Candidate, ChoiceSearch, LimitUse, serves_role};
+use crate::choice_search::{Candidate, ChoiceSearch, LimitUse, RegionReach, serves_role};
 use crate::direct_upstream::{CallTiming, DirectUpstream, DispatchTicket, UpstreamLoad};
 use crate::limit_report::{LimitReport, REPORT_LIFETIME};
 use crate::names::{DomainName, SoftwareVersion, UpstreamName};
@@ -52,6 +54,8 @@
     /// Requests that may wait at an upstream without a model engine, per slot. Has no effect:
     /// nothing reads it.
     pub queue_per_slot: f64,
+    /// When requests leave the failure domain and the region.
+    pub spill: SpillSettings,
     /// Ejection of failing upstreams.
     pub ejection: EjectionSettings,
 }
@@ -67,6 +71,7 @@
             initial_service_time: Duration::from_millis(30),
             silent_after: SILENT_AFTER,
             queue_per_slot: 3.0,
+            spill: SpillSettings::default(),
             ejection: EjectionSettings {
                 // A crashed upstream fails all its requests, so three failures in a row are
                 // conclusive.
@@ -98,6 +103,8 @@
     pub entries: u32,
     /// Whether another engine than the serving one may prefill the prompt.
     pub allow_remote_prefill: bool,
+    /// Size of the request body, in bytes.
+    pub body_bytes: u64,
     /// Priority of the request; 0 is the most urgent.
     pub priority: u8,
     /// Software versions that may serve the request.
@@ -157,6 +164,9 @@
 pub struct CallPlan {
     /// Whether the answer is expected within its target.
     pub timing: CallTiming,
+    /// Whether another region would have cost less, but this entry has used its part of the room
+    /// there.
+    pub kept_in_region: bool,
     /// Engine that prefills the prompt, if that costs less than a prefill at `serving_upstream`.
     pub prefill_upstream: Option<ChosenUpstream>,
     /// Upstream that serves the request.
@@ -174,6 +184,8 @@
     pub ticket: DispatchTicket,
     /// Expected time to the first answer, including the round trip.
     pub expected_first_answer: Duration,
+    /// Distance of the upstream from this entry.
+    pub distance: UpstreamDistance,
     /// Round trip to the upstream.
     pub round_trip: Duration,
     /// Address of an engine with a longer cached prefix of the prompt; the upstream fetches the
@@ -183,10 +195,11 @@
 
 /// Candidates for a request, before it is counted as sent.
 #[derive(Debug)]
-struct CandidatePlan {
-    timing: CallTiming,
-    prefill_upstream: Option<Candidate>,
-    serving_upstream: Candidate,
+pub(crate) struct CandidatePlan {
+    pub(crate) timing: CallTiming,
+    pub(crate) kept_in_region: bool,
+    pub(crate) prefill_upstream: Option<Candidate>,
+    pub(crate) serving_upstream: Candidate,
 }
 
 impl CandidatePlan {
@@ -213,7 +226,9 @@
     ejection: OutlierEjection,
     /// When the loads of other entries were reported last. They count for [`REPORT_LIFETIME`], because
     /// an entry that no control instance answers would count them for good.
-    remote_loads_at: TimePoint,
+    pub(crate) remote_loads_at: TimePoint,
+    /// Work that this entry has lately sent to other regions.
+    pub(crate) spill: SpillPacer,
     /// Recent placements of shared prompt parts by all entries.
     pub(crate) placements: PartPlacements,
     /// Mean service time of a plain request.
@@ -264,7 +279,7 @@
 /// A request counts as on time if its answer is expected within this share of the time to its
 /// target. Entries learn of each other's requests after half a second, so actual waits exceed the
 /// estimate.
-const ON_TIME_TARGET_SHARE: f64 = 0.65;
+pub(crate) const ON_TIME_TARGET_SHARE: f64 = 0.65;
 
 /// Time without an answer after which an estimate that keeps requests away is given up.
 pub(crate) const ESTIMATE_LIFETIME: Duration = Duration::from_secs(5);
@@ -282,6 +297,7 @@
             admitted: None,
             ejection: OutlierEjection::new(settings.ejection.clone()),
             remote_loads_at: TimePoint::default(),
+            spill: SpillPacer::default(),
             placements: PartPlacements::default(),
             service_time: ServiceTime::new(settings.initial_service_time),
             reading: ServiceReading::new(settings.initial_prefill_speed),
@@ -427,6 +443,7 @@
             self.clear_remote_loads(now);
         }
         self.refill_limit_shares(request.entries, now);
+        self.spill.refresh(&self.settings.spill, now, random);
         let wanted = self.find_plan(request, LimitUse::Ignored, now, random)?;
         let plan = if self.is_within_limits(&wanted, request.priority, now) {
             wanted
@@ -435,11 +452,13 @@
             let plan = self.find_plan(request, LimitUse::Kept, now, random);
             plan.map_err(|_| NoUpstream::Limited(self.reserve_return(request, now)))?
         };
+        self.record_spill(&plan, now);
         let timing = plan.timing;
         let prefill_upstream = plan.prefill_upstream;
         self.record_placement(request, plan.serving_upstream.index, now);
         Ok(CallPlan {
             timing,
+            kept_in_region: plan.kept_in_region,
             prefill_upstream: prefill_upstream
                 .map(|prefill_upstream| self.dispatch_to(&prefill_upstream, request, timing, now)),
             serving_upstream: self.dispatch_to(&plan.serving_upstream, request, timing, now),
@@ -513,7 +532,7 @@
         now: TimePoint,
         random: &mut R,
     ) -> Result<CandidatePlan, NoUpstream> {
-        let on_time = self.search(request, CallTiming::OnTime, limits, now, random)?;
+        let on_time = self.paced_search(request, CallTiming::OnTime, limits, now, random)?;
         let limit = request.time_to_target.mul_f64(ON_TIME_TARGET_SHARE);
         let timing = if on_time.serving_upstream.expected() <= limit {
             CallTiming::OnTime
@@ -523,7 +542,7 @@
         let plan = match timing {
             CallTiming::OnTime => on_time,
             CallTiming::Late => self
-                .search(request, timing, limits, now, random)
+                .paced_search(request, timing, limits, now, random)
                 .map_err(|_| NoUpstream::Full(Duration::ZERO))?,
         };
         let expected = plan.serving_upstream.expected();
@@ -533,11 +552,12 @@
         Ok(plan)
     }
 
-    fn search<R: Rng>(
+    pub(crate) fn search<R: Rng>(
         &self,
         request: &ChoiceRequest<'_>,
         timing: CallTiming,
         limits: LimitUse,
+        reach: RegionReach,
         now: TimePoint,
         random: &mut R,
     ) -> Result<CandidatePlan, NoUpstream> {
@@ -546,6 +566,7 @@
             request,
             timing,
             limits,
+            reach,
             now,
         };
         let direct = search.serving_upstream(None, random);
@@ -564,6 +585,7 @@
         };
         Ok(CandidatePlan {
             timing,
+            kept_in_region: false,
             prefill_upstream,
             serving_upstream,
         })
@@ -639,10 +661,11 @@
             let (_, holder) = self.upstreams.get_index(index)?;
             Some(holder.announcement().address)
         });
-        let round_trip_ms = self
+        let (_, upstream) = self
             .upstreams
             .get_index(candidate.index)
-            .map_or(0.0, |(_, upstream)| self.round_trip_ms(upstream));
+            .expect("the index was found in the table");
+        let (distance, round_trip_ms) = (self.distance_to(upstream), self.round_trip_ms(upstream));
         let cache_tokens = self.engine.map_or(0, |engine| engine.cache_tokens);
         let (_, upstream) = self
             .upstreams
@@ -661,6 +684,7 @@
                 &self.reading,
                 now,
             ),
+            distance,
             round_trip: Duration::from_secs_f64(round_trip_ms / 1_000.0),
             fetch_from,
             announcement: upstream.announcement().clone(),
@@ -866,60 +890,6 @@
     pub(crate) fn mean_service_ms(&self, now: TimePoint) -> f64 {
         self.service_time.mean_ms(now)
     }
-
-    fn distance(&self, from: &DomainName, to: &DomainName) -> DomainDistance {
-        if from == to {
-            return DomainDistance::Same;
-        }
-        let regions = &self.settings.regions;
-        match (regions.get(from), regions.get(to)) {
-            (Some(from), Some(to)) if from == to => DomainDistance::SameRegion,
-            _ => DomainDistance::OtherRegion,
-        }
-    }
-
-    /// Distance of an upstream from this entry.
-    pub(crate) fn distance_to(&self, upstream: &DirectUpstream) -> DomainDistance {
-        self.distance(&self.settings.domain, &upstream.announcement().domain)
-    }
-
-    /// Round trip to an upstream, in milliseconds.
-    pub(crate) fn round_trip_ms(&self, upstream: &DirectUpstream) -> f64 {
-        let round_trip = match self.distance_to(upstream) {
-            DomainDistance::Same => Duration::ZERO,
-            DomainDistance::SameRegion => self.settings.domain_round_trip,
-            DomainDistance::OtherRegion => self.settings.region_round_trip,
-        };
-        round_trip.as_secs_f64() * 1_000.0
-    }
-
-    /// Time to copy the cached tokens of a prompt from one engine to another, in milliseconds;
-    /// infinite if the service states no copy rate.
-    pub(crate) fn copy_ms(&self, from: &DirectUpstream, to: &DirectUpstream, tokens: u64) -> f64 {
-        let (from, to) = (&from.announcement().domain, &to.announcement().domain);
-        self.domain_copy_ms(from, to, tokens)
-    }
-
-    /// Like [`copy_ms`](Self::copy_ms), between engines of two failure domains.
-    pub(crate) fn domain_copy_ms(&self, from: &DomainName, to: &DomainName, tokens: u64) -> f64 {
-        let Some(engine) = self.engine.filter(|engine| engine.copy_rate > 0) else {
-            return f64::INFINITY;
-        };
-        let factor = match self.distance(from, to) {
-            DomainDistance::Same => 1.0,
-            DomainDistance::SameRegion => 2.0,
-            DomainDistance::OtherRegion => 10.0,
-        };
-        (tokens * engine.token_bytes) as f64 / engine.copy_rate as f64 * factor
-    }
-}
-
-/// Network distance between two failure domains.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum DomainDistance {
-    Same,
-    SameRegion,
-    OtherRegion,
 }
 
 /// Whether an upstream is ready and has the role that serves requests.
--- a/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
+++ b/crates/oriolecrank-routing/tests/routing/direct_chooser.rs
@@ -49,6 +49,7 @@
         pause_target: Duration::from_millis(250),
         entries: 2,
         allow_remote_prefill: true,
+        body_bytes: 0,
         priority: 0,
         versions: VersionFilter::Any,
     }
--- a/crates/oriolecrank-routing/tests/routing/engine_kinds.rs
+++ b/crates/oriolecrank-routing/tests/routing/engine_kinds.rs
@@ -58,6 +58,7 @@
         pause_target: Duration::from_millis(200),
         entries: 2,
         allow_remote_prefill: true,
+        body_bytes: 0,
         priority: 0,
         versions: VersionFilter::Any,
     }
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -9,6 +9,7 @@
 mod load_table;
 mod member_repair;
 mod part_placement;
+mod region_spill;
 mod request_fingerprint;
 mod request_limits;
 mod role_repair;
--- a/crates/oriolecrank-routing/tests/routing/request_limits.rs
+++ b/crates/oriolecrank-routing/tests/routing/request_limits.rs
@@ -31,6 +31,7 @@
         pause_target: Duration::from_millis(250),
         entries,
         allow_remote_prefill: false,
+        body_bytes: 0,
         priority,
         versions: VersionFilter::Any,
     }
--- a/crates/oriolecrank-routing/tests/routing/stream_origins.rs
+++ b/crates/oriolecrank-routing/tests/routing/stream_origins.rs
@@ -254,6 +254,7 @@
         pause_target: Duration::from_millis(250),
         entries: 1,
         allow_remote_prefill: false,
+        body_bytes: 0,
         priority: 0,
         versions,
     }
--- a/crates/oriolecrank-routing/tests/routing/upstream_pauses.rs
+++ b/crates/oriolecrank-routing/tests/routing/upstream_pauses.rs
@@ -49,6 +49,7 @@
         pause_target: Duration::from_millis(250),
         entries: 2,
         allow_remote_prefill: true,
+        body_bytes: 0,
         priority: 0,
         versions: VersionFilter::Any,
     }
