--- a/crates/oriolecrank-gateway/src/entry_site.rs
+++ b/crates/oriolecrank-gateway/src/entry_site.rs
@@ -109,6 +109,7 @@
     if let Some(address) = shared.options.metrics_listen {
         let mut registry = Registry::with_prefix("oriolecrank_gateway_entry");
         shared.metrics.register(&mut registry);
+        registry.register_collector(Box::new(shared.client_budget.clone()));
         let listener = listen(address).await?;
         let metrics = Arc::new(MetricsListener::new(registry));
         tokio::spawn(serve_with(
--- a/crates/oriolecrank-net/src/intake/mod.rs
+++ b/crates/oriolecrank-net/src/intake/mod.rs
@@ -6,6 +6,7 @@
 //! listener.
 
 mod body_reader;
+mod budget_metric;
 mod byte_budget;
 mod connection_limits;
 mod head_stream;
--- /dev/null
+++ b/crates/oriolecrank-net/tests/intake.rs
@@ -0,0 +1,128 @@
+//! Guards against clients that make a process hold more than its budget, and against budgets that
+//! shut out ordinary clients.
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::Frame;
+use http_body_util::Full;
+use oriolecrank_net::intake::{
+    BodyError, BodyLimits, ByteBudget, IntakeSettings, read_body_within,
+};
+use tokio::sync::mpsc;
+
+const MIB: usize = 1024 * 1024;
+
+/// Body of which the test sends the frames.
+struct SentBody(mpsc::Receiver<Bytes>);
+
+impl http_body::Body for SentBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let received = self.0.poll_recv(context);
+        received.map(|data| data.map(|data| Ok(Frame::data(data))))
+    }
+}
+
+fn sent_body() -> (mpsc::Sender<Bytes>, SentBody) {
+    let (sender, receiver) = mpsc::channel(16);
+    (sender, SentBody(receiver))
+}
+
+/// Guards against frames that keep the read buffers of their connections, and against shares of the
+/// budget that are lost.
+#[tokio::test]
+async fn a_body_counts_until_its_last_copy_is_dropped() {
+    let budget = ByteBudget::new(MIB);
+    let (sender, body) = sent_body();
+    let sending = tokio::spawn(async move {
+        for _ in 0..10_000 {
+            // A frame that is a small part of a large buffer.
+            let buffer = Bytes::from(vec![b'x'; 8_192]);
+            sender.send(buffer.slice(..1)).await.unwrap();
+        }
+    });
+    let limits = BodyLimits::of_bytes(MIB);
+    let body = read_body_within(body, limits, &budget).await.unwrap();
+    sending.await.unwrap();
+    assert_eq!(body.len(), 10_000);
+    assert!((10_000..20_000).contains(&budget.used()));
+    let copy = body.clone();
+    drop(body);
+    assert!(budget.used() >= 10_000, "a copy still holds the bytes");
+    drop(copy);
+    assert_eq!(budget.used(), 0);
+}
+
+/// Guards against announced bodies that are read although they exceed the limit or have no room, and
+/// against large bodies that shut out small ones.
+#[tokio::test]
+async fn announced_bodies_are_refused_before_they_are_read() {
+    let budget = ByteBudget::new(2 * MIB);
+    let announced = |size: usize| Full::new(Bytes::from(vec![0; size]));
+    let limits = BodyLimits::of_bytes(MIB);
+    let refused = read_body_within(announced(MIB + 1), limits, &budget).await;
+    assert_eq!(refused.unwrap_err(), BodyError::TooLarge);
+    let held = read_body_within(announced(MIB), limits, &budget).await;
+    let refused = read_body_within(announced(MIB), limits, &budget).await;
+    assert!(matches!(refused.unwrap_err(), BodyError::Full { .. }));
+    let small = read_body_within(announced(64 * 1024), limits, &budget).await;
+    assert_eq!(small.unwrap().len(), 64 * 1024);
+    drop(held);
+    let next = read_body_within(announced(MIB), limits, &budget).await;
+    assert_eq!(next.unwrap().len(), MIB, "dropped bodies make room");
+}
+
+/// Guards against full budgets that refuse heartbeats and ordinary calls.
+#[tokio::test]
+async fn a_full_budget_takes_calls_of_some_kilobytes() {
+    let budget = ByteBudget::new(MIB);
+    let mut lease = budget.lease();
+    lease.resize(128 * 1024).unwrap();
+    let mut crowd: Vec<_> = (0..8).map(|_| budget.lease()).collect();
+    let taken = crowd.iter_mut().map(|lease| lease.resize(128 * 1024));
+    assert!(taken.last().unwrap().is_err(), "the budget is full");
+    let body = Full::new(Bytes::from(vec![0; 4_096]));
+    let call = read_body_within(body, BodyLimits::of_bytes(MIB), &budget).await;
+    assert_eq!(call.unwrap().len(), 4_096);
+}
+
+/// Guards against bodies that stay open without an end: one that stalls, and one that trickles.
+#[tokio::test(start_paused = true)]
+async fn bodies_that_stall_or_trickle_are_given_up() {
+    let budget = ByteBudget::new(MIB);
+    let (_sender, stalled) = sent_body();
+    let read = read_body_within(stalled, BodyLimits::of_bytes(MIB), &budget).await;
+    assert_eq!(read.unwrap_err(), BodyError::TooSlow);
+    let (sender, trickle) = sent_body();
+    tokio::spawn(async move {
+        while sender.send(Bytes::from_static(b"x")).await.is_ok() {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+    });
+    let read = read_body_within(trickle, BodyLimits::of_bytes(MIB), &budget).await;
+    assert_eq!(read.unwrap_err(), BodyError::TooSlow);
+    assert_eq!(budget.used(), 0);
+}
+
+/// Guards against a pace that cuts off a sound client: 4 MiB over a link of 10 Mbit/s that 40 clients
+/// share, in pieces with pauses of two seconds.
+#[tokio::test(start_paused = true)]
+async fn a_slow_sound_body_is_read_to_its_end() {
+    let budget = IntakeSettings::default().client_budget();
+    let (sender, body) = sent_body();
+    tokio::spawn(async move {
+        for _ in 0..64 {
+            sender.send(Bytes::from(vec![0; 65_536])).await.unwrap();
+            tokio::time::sleep(Duration::from_secs(2)).await;
+        }
+    });
+    let read = read_body_within(body, BodyLimits::of_bytes(4 * MIB), &budget).await;
+    assert_eq!(read.unwrap().len(), 4 * MIB);
+}
