Divide overloaded engines among organisations

Nothing said who gets an engine while callers want more than the engines can read. Entries now meter the work of each organisation and route, report it to the leader while a service is overloaded, and admit only a share of the work of those who exceed their part. Refused callers of engines are told times to come back that follow one after the other.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -24,6 +24,7 @@
 };
 use crate::entry_metrics::AttemptOutcome;
 use crate::entry_shared::EntryShared;
+use crate::fair_share::OrganisationOutcome;
 use crate::prefilled_prompt::PrefilledPrompt;
 use crate::running_attempt::{RunningAttempt, current_time};
 use crate::stream_resumption::cannot_resume;
@@ -64,6 +65,8 @@
     pub(crate) organisation: Option<OrganisationName>,
     /// Recognises the request when it comes again under another id.
     pub(crate) fingerprint: RequestFingerprint,
+    /// Whether the caller was probably refused before and comes back.
+    pub(crate) returning: bool,
     /// Priority of the organisation, or else of the route; 0 is the most urgent.
     pub(crate) priority: u8,
     /// Arrival plus the caller's timeout or the route's, whichever is shorter.
@@ -143,6 +146,12 @@
     priority: u8,
     /// The retry budget was already charged for the next attempt.
     extra_attempt_reserved: bool,
+    /// The fair share has admitted the request; further attempts do not ask again.
+    admitted: bool,
+    /// The outcome of the request is counted; a resumed stream counts once.
+    counted: bool,
+    /// How the metrics count the request if it is refused.
+    refused_as: OrganisationOutcome,
     /// Software version that began the stream; no other may go on with it. `None` before the first
     /// event.
     version: Option<SoftwareVersion>,
@@ -163,6 +172,9 @@
             may_have_run: false,
             priority: 0,
             extra_attempt_reserved: false,
+            admitted: false,
+            counted: false,
+            refused_as: OrganisationOutcome::OtherRefusal,
         }
     }
 
@@ -171,6 +183,18 @@
     pub(crate) async fn start(
         &mut self,
         resume_after: Option<u64>,
+    ) -> Result<StartedAnswer<D>, CallFailure> {
+        let started = self.run_attempts(resume_after).await;
+        let is_first = !std::mem::replace(&mut self.counted, true);
+        if is_first && self.shared.options.fair_share.is_some() {
+            self.count_outcome(started.as_ref().err().copied());
+        }
+        started
+    }
+
+    async fn run_attempts(
+        &mut self,
+        resume_after: Option<u64>,
     ) -> Result<StartedAnswer<D>, CallFailure> {
         loop {
             let (prefill_attempt, attempt) = self.choose(resume_after)?;
@@ -352,12 +376,16 @@
         &mut self,
         resume_after: Option<u64>,
     ) -> Result<(Option<RunningAttempt<D>>, RunningAttempt<D>), CallFailure> {
-        let request = &self.request;
         let now = current_time();
         self.check_suspects(now)?;
+        self.check_fair_share(resume_after, now)?;
+        let request = &self.request;
         let choice_request = self.choice_request(resume_after, now);
         let chosen = self.shared.with_service(&request.service, |state| {
             let chosen = state.chooser.choose(&choice_request, now, &mut rand::rng());
+            if let Some((plan, gate)) = chosen.as_ref().ok().zip(state.gate.as_mut()) {
+                gate.record_chosen(choice_request.prompt, plan.prefill_tokens());
+            }
             chosen.map_err(|reason| (reason, state.chooser.census(now)))
         });
         let plan = match chosen {
@@ -408,6 +436,45 @@
         ))
     }
 
+    /// Fails if the engines are overloaded and the organisation exceeds its share of them. A request
+    /// is asked about once: a resumed stream, and one that is tried again, has its place already.
+    fn check_fair_share(
+        &mut self,
+        resume_after: Option<u64>,
+        now: TimePoint,
+    ) -> Result<(), CallFailure> {
+        if self.admitted || resume_after.is_some() || self.version.is_some() {
+            return Ok(());
+        }
+        let request = &self.request;
+        let entries = self.shared.entry_count();
+        let asked = self.shared.with_service(&request.service, |state| {
+            let gate = state.gate.as_mut();
+            gate.map_or(Ok(()), |gate| {
+                gate.ask(request, &state.chooser, entries, now)
+            })
+        });
+        let Err(refusal) = asked else {
+            self.admitted = true;
+            return Ok(());
+        };
+        self.refused_as = OrganisationOutcome::OverShare;
+        self.shared.metrics.count_over_share();
+        tracing::info!(
+            event = LogEvent::RequestRefused.number(),
+            request = request.head.request_id,
+            service = %request.service,
+            organisation = request.organisation.as_ref().map(OrganisationName::as_str),
+            route = request.route.name,
+            admitted_fraction = refusal.fraction,
+            return_ms = refusal.return_after.as_millis() as u64,
+            "the organisation exceeds its share of overloaded engines"
+        );
+        Err(CallFailure::NotRun {
+            retry_after: refusal.return_after,
+        })
+    }
+
     /// Fails if the request or a part of its prompt is refused because it crashes upstreams.
     fn check_suspects(&self, now: TimePoint) -> Result<(), CallFailure> {
         let suspects = self.request.suspects();
@@ -446,12 +513,14 @@
             .record_completed(&self.request.suspects(), current_time());
     }
 
-    fn no_upstream_failure(&self, reason: NoUpstream) -> CallFailure {
+    fn no_upstream_failure(&mut self, reason: NoUpstream) -> CallFailure {
+        if matches!(reason, NoUpstream::Full(_)) {
+            self.refused_as = OrganisationOutcome::Full;
+        }
         match reason {
             _ if self.may_have_run => self.call_failure(),
-            NoUpstream::Full(wait)
-            | NoUpstream::Limited(wait)
-            | NoUpstream::Paused { wait, .. } => refusal(wait),
+            NoUpstream::Full(wait) => self.full_refusal(wait),
+            NoUpstream::Limited(wait) | NoUpstream::Paused { wait, .. } => refusal(wait),
             NoUpstream::NoVersion if self.version.is_some() => cannot_resume(),
             NoUpstream::None | NoUpstream::NoServingRole | NoUpstream::NoVersion => {
                 refusal(Duration::ZERO)
@@ -459,6 +528,38 @@
         }
     }
 
+    /// Refusal because no upstream can answer before the deadline. `wait` is how much too late the
+    /// first one would be. With fair shares, the refused callers of engines come back one after the
+    /// other.
+    fn full_refusal(&self, wait: Duration) -> CallFailure {
+        let request = &self.request;
+        let now = current_time();
+        let entries = self.shared.entry_count();
+        let return_after = self.shared.with_service(&request.service, |state| {
+            let gate = state.gate.as_mut();
+            gate.and_then(|gate| gate.return_after(request, &state.chooser, entries, now))
+        });
+        return_after.map_or_else(
+            || refusal(wait),
+            |return_after| CallFailure::NotRun {
+                retry_after: return_after.max(wait),
+            },
+        )
+    }
+
+    /// Counts how the first answer of the request has come, or why none has.
+    fn count_outcome(&self, failure: Option<CallFailure>) {
+        let request = &self.request;
+        let outcome = match failure {
+            None if current_time() <= request.target_time => OrganisationOutcome::OnTime,
+            None => OrganisationOutcome::Late,
+            Some(CallFailure::NotRun { .. }) => self.refused_as,
+            Some(_) => OrganisationOutcome::Failed,
+        };
+        let metrics = &self.shared.metrics.organisations;
+        metrics.count(request.organisation.as_ref(), &request.route.name, outcome);
+    }
+
     /// Makes one attempt: the prefill on another engine, if any, and then the request itself.
     async fn run_attempt(
         &mut self,
--- a/crates/oriolecrank-gateway/src/caller_server.rs
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::header::CONNECTION;
 use http::request::Parts as RequestParts;
@@ -20,6 +21,10 @@
 use crate::entry_shared::EntryShared;
 use crate::running_attempt::current_time;
 
+/// Time since the first attempt from which on a caller counts as one that comes back. Timeouts that
+/// callers state for first attempts vary less.
+const MIN_RETURN_AGE: Duration = Duration::from_millis(200);
+
 /// HTTP handler of the callers' address.
 #[derive(Debug)]
 pub(crate) struct CallerServer<D> {
@@ -115,6 +120,7 @@
             body,
             service,
             resume_version: None,
+            returning: time_since_first >= MIN_RETURN_AGE,
             priority: priority.unwrap_or(route.priority),
             organisation,
             deadline,
--- a/crates/oriolecrank-gateway/src/control_session.rs
+++ b/crates/oriolecrank-gateway/src/control_session.rs
@@ -106,7 +106,8 @@
                 secret: options.secret.clone(),
             },
         };
-        let tables = Arc::new(SiteTables::new(rand::rng().random()));
+        let fair_share = options.fair_share.unwrap_or_default();
+        let tables = Arc::new(SiteTables::new(rand::rng().random(), fair_share));
         let removed = Arc::new(Notify::new());
         let clock = Arc::new(SiteClock::start(BootClock.now()));
         // Aborted when the session ends.
--- a/crates/oriolecrank-gateway/src/control_site.rs
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -12,6 +12,7 @@
 use oriolecrank_control::ReplicaError;
 use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel};
 use oriolecrank_net::{ClusterSecret, MetricsListener, serve};
+use oriolecrank_policy::fair_share::FairShareSettings;
 use oriolecrank_routing::RepairSettings;
 use oriolecrank_schema::event::LogEvent;
 use prometheus_client::registry::Registry;
@@ -56,6 +57,9 @@
     pub repair: RepairSettings,
     /// When engines are ordered to change their roles.
     pub orders: RoleOrderSettings,
+    /// How the engines of overloaded services are divided, if entries ask for it; `None` for the
+    /// defaults.
+    pub fair_share: Option<FairShareSettings>,
     /// Settings of usage reports; `None` if this site reports no usage.
     pub usage: Option<UsageReportSettings>,
 }
--- a/crates/oriolecrank-gateway/src/entry_metrics.rs
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::dialect::CallFailure;
+use crate::fair_share::OrganisationMetrics;
 
 /// Upper bound of the first bucket of durations, in seconds.
 const FIRST_BUCKET_SECONDS: f64 = 0.002;
@@ -75,6 +76,8 @@
     upstreams: Gauge,
     entries: Gauge,
     last_sync: Gauge,
+    /// Requests of each organisation.
+    pub(crate) organisations: OrganisationMetrics,
 }
 
 impl Default for EntryMetrics {
@@ -95,6 +98,7 @@
             upstreams: Gauge::default(),
             entries: Gauge::default(),
             last_sync: Gauge::default(),
+            organisations: OrganisationMetrics::default(),
         }
     }
 }
@@ -102,6 +106,7 @@
 impl EntryMetrics {
     /// Registers all metrics under the names that operators use.
     pub(crate) fn register(&self, registry: &mut Registry) {
+        self.organisations.register(registry);
         let families = [
             (
                 "requests",
@@ -189,6 +194,12 @@
         self.refusals.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a request that was refused because its flow exceeds its share.
+    pub(crate) fn count_over_share(&self) {
+        let outcome = "over_share";
+        self.refusals.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts a request that resumes a stream of which nothing tells where it began.
     pub(crate) fn count_unresumable(&self) {
         let outcome = "unresumable";
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 use indexmap::IndexMap;
 use oriolecrank_net::{ClusterSecret, HttpClient};
+use oriolecrank_policy::fair_share::FairShareSettings;
 use oriolecrank_routing::{
     AdmittedOrigins, CallerTimeoutRange, ChooserSettings, DirectChooser, EntryCounter, EntryRun,
     KnownGroup, LeavingUpstream, LimitReport, OrganisationName, PartId, PlacedParts, PlacementLog,
@@ -21,6 +22,7 @@
 use crate::crash_probe::CrashProbe;
 use crate::dialect::{AnswerHead, CallerDialect};
 use crate::entry_metrics::EntryMetrics;
+use crate::fair_share::{ServiceDemand, ServiceGate, ServiceShares};
 use crate::plain_body::AnswerMemory;
 use crate::site_clock::SiteClock;
 use crate::site_messages::{AgedAnnouncement, NamedLoad};
@@ -56,6 +58,8 @@
     pub chooser: ChooserSettings,
     /// Extra attempts that each service allows to all entries together.
     pub retry_grant: RetryGrant,
+    /// Fair shares of overloaded engines; `None` if requests are not divided by organisation.
+    pub fair_share: Option<FairShareSettings>,
     /// Length of a usage window.
     pub usage_window: Duration,
     /// Time between the signal to stop and the moment at which the process is killed.
@@ -67,6 +71,8 @@
 pub(crate) struct ServiceState {
     pub(crate) chooser: DirectChooser,
     pub(crate) budget: SharedRetryBudget,
+    /// Fair shares; `None` if the settings ask for none.
+    pub(crate) gate: Option<ServiceGate>,
 }
 
 /// Upstreams of all services.
@@ -383,6 +389,28 @@
         }
     }
 
+    /// Demand of this entry for the engines of services that are overloaded.
+    pub(crate) fn work_demand(&self, now: TimePoint) -> Vec<ServiceDemand> {
+        let mut tables = self.lock_tables();
+        let states = tables.services.values_mut();
+        let demands = states.filter_map(|state| {
+            let gate = state.gate.as_mut()?;
+            gate.demand(&state.chooser, now)
+        });
+        demands.collect()
+    }
+
+    /// Applies the leader's shares of overloaded services.
+    pub(crate) fn set_work_shares(&self, shares: Vec<ServiceShares>, now: TimePoint) {
+        let mut tables = self.lock_tables();
+        for shares in shares {
+            let state = tables.services.get_mut(&shares.service);
+            if let Some(gate) = state.and_then(|state| state.gate.as_mut()) {
+                gate.set_shares(shares, now);
+            }
+        }
+    }
+
     /// Upstreams that have stated to this entry that they leave, and that are announced as ready.
     pub(crate) fn leaving_upstreams(&self) -> Vec<LeavingUpstream> {
         let tables = self.lock_tables();
@@ -657,6 +685,9 @@
             ServiceState {
                 chooser,
                 budget: SharedRetryBudget::new(&options.retry_grant, self.started_at),
+                gate: options
+                    .fair_share
+                    .map(|settings| ServiceGate::new(service, settings)),
             }
         })
     }
--- a/crates/oriolecrank-gateway/src/entry_sync.rs
+++ b/crates/oriolecrank-gateway/src/entry_sync.rs
@@ -216,6 +216,7 @@
             usage: self.cursor.unacknowledged(counts),
             loads: shared.local_loads(now),
             limits: shared.limit_reports(now),
+            work_demand: shared.work_demand(now),
             leaving: shared.leaving_upstreams(),
             placed,
             placement_sequence: self.placement_sequence,
@@ -251,6 +252,7 @@
         shared.apply_announcements(answer.upstreams, now);
         shared.set_remote_loads(&answer.other_loads, now);
         shared.apply_limit_reports(&answer.limits, now);
+        shared.set_work_shares(answer.work_shares, now);
         shared.apply_placements(&answer.placed, now);
         self.placement_sequence = answer.placement_sequence;
         if let Some(verdicts) = answer.suspect_verdicts {
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -232,8 +232,11 @@
                 .since(seen.placement_sequence, Some(request.run.run))
         });
         let limits = is_leader.then(|| tables.limits.reports_for(&request.run, now));
+        let wants_shares = is_leader && !request.work_demand.is_empty();
+        let work_shares = wants_shares.then(|| tables.work.shares(now));
         SyncAnswer {
             limits: limits.unwrap_or_default(),
+            work_shares: work_shares.unwrap_or_default(),
             placed: placed.unwrap_or_default(),
             placement_sequence: tables.placements.newest_sequence(),
             document,
--- a/crates/oriolecrank-gateway/src/lib.rs
+++ b/crates/oriolecrank-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod entry_site;
 mod entry_sync;
 mod event_stream;
+mod fair_share;
 mod group_repair;
 mod internal_server;
 mod plain_body;
@@ -51,5 +52,6 @@
 pub use entry_shared::EntrySiteOptions;
 pub use entry_site::{EntrySiteError, run_entry_site};
 pub use event_stream::{EventBatch, EventTooLong, NumberedEventSplitter};
+pub use oriolecrank_policy::fair_share::{FairShareSettings, SettingFault};
 pub use role_orders::RoleOrderSettings;
 pub use usage_reporter::UsageReportSettings;
--- a/crates/oriolecrank-gateway/src/site_messages.rs
+++ b/crates/oriolecrank-gateway/src/site_messages.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::document_transfer::TransferredDocument;
+use crate::fair_share::{ServiceDemand, ServiceShares};
 
 /// Path of [`SyncRequest`].
 pub(crate) const SYNC_PATH: &str = "/v1/site/sync";
@@ -53,6 +54,9 @@
     /// Limits that upstreams state, with the demand of this entry.
     #[serde(default)]
     pub(crate) limits: Vec<LimitReport>,
+    /// Demand for the engines of services that are overloaded.
+    #[serde(default)]
+    pub(crate) work_demand: Vec<ServiceDemand>,
     /// Placements of shared prompt parts by this entry since its last answered message.
     #[serde(default)]
     pub(crate) placed: Vec<PlacedParts>,
@@ -112,6 +116,10 @@
     /// because only it receives the reports of all entries.
     #[serde(default)]
     pub(crate) limits: Vec<LimitReport>,
+    /// Shares of the engines of overloaded services, for an entry that has reported a demand. Only the
+    /// leader sends them, because only it receives the reports of all entries.
+    #[serde(default)]
+    pub(crate) work_shares: Vec<ServiceShares>,
     /// Placements of shared prompt parts by other entries. Only the leader sends them, because only
     /// it receives those of all entries.
     #[serde(default)]
--- a/crates/oriolecrank-gateway/src/site_tables.rs
+++ b/crates/oriolecrank-gateway/src/site_tables.rs
@@ -1,6 +1,7 @@
 //! Volatile state of a control instance, which is not part of the replicated log.
 
 use oriolecrank_control::JoinTable;
+use oriolecrank_policy::fair_share::FairShareSettings;
 use oriolecrank_routing::{
     EntryRun, LimitTable, LoadTable, MergeEffect, PlacementLog, RecordedStream, SuspectQuarantine,
     UpstreamAnnouncement, UpstreamDirectory, UpstreamName, UsageCollector,
@@ -9,6 +10,7 @@
 use std::sync::{Mutex, MutexGuard};
 use tokio::sync::{Notify, watch};
 
+use crate::fair_share::WorkTable;
 use crate::site_messages::{AgedAnnouncement, NamedLoad, SyncRequest};
 
 /// Volatile tables of a control instance; rebuilt from messages after a restart.
@@ -41,6 +43,8 @@
     pub(crate) loads: LoadTable,
     /// Limits that upstreams state, as entries report them.
     pub(crate) limits: LimitTable,
+    /// Demands of entries for the engines of overloaded services.
+    pub(crate) work: WorkTable,
     /// Engines to which entries have sent requests with shared prompt parts.
     pub(crate) placements: PlacementLog,
     /// Suspects that crash upstreams.
@@ -51,10 +55,14 @@
 
 impl SiteTables {
     /// Empty tables.
-    pub(crate) fn new(run: u64) -> Self {
+    pub(crate) fn new(run: u64, fair_share: FairShareSettings) -> Self {
+        let content = TableContent {
+            work: WorkTable::new(fair_share),
+            ..TableContent::default()
+        };
         Self {
             run,
-            inner: Mutex::default(),
+            inner: Mutex::new(content),
             changed_revision: watch::Sender::new(0),
             refusal_changes: watch::Sender::new(0),
             origin_work: Notify::new(),
@@ -156,6 +164,8 @@
         }
         let limits = std::mem::take(&mut request.limits);
         self.limits.set_reports(&request.run, limits, now);
+        let work_demand = request.work_demand.clone();
+        self.work.record(&request.run, work_demand, now);
         let loads = std::mem::take(&mut request.loads).into_iter();
         if request.stopping {
             self.loads.remove_entry(&request.run);
--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -8,7 +8,8 @@
 //! - At the entry, [`header_cleaning`] rejects unsafe request heads and extracts the API key,
 //!   [`freshness`] decides whether the key table is recent enough to trust, and [`admission`]
 //!   rejects requests that exceed a limit ([`rate_limiter`]) or cannot meet their deadline. The
-//!   control leader splits the limits over the entries ([`limit_shares`]).
+//!   control leader splits the limits over the entries ([`limit_shares`]). While engines are
+//!   overloaded, [`fair_share`] divides them among organisations.
 //! - [`upstream_chooser`] picks one upstream of the entry's [`subset`], by distance, by cached
 //!   prefix ([`prefix_map`]) and by estimated load ([`load_estimate`]). [`outlier_ejection`]
 //!   reduces the weight of failing upstreams, [`upstream_pause`] keeps requests from those that ask
@@ -24,6 +25,7 @@
 pub mod answer_buffer;
 mod caller_key;
 mod counts;
+pub mod fair_share;
 pub mod freshness;
 mod grant_history;
 pub mod header_cleaning;
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -163,6 +163,15 @@
     pub serving_upstream: ChosenUpstream,
 }
 
+impl CallPlan {
+    /// Tokens of the prompt that the engines have to read.
+    pub fn prefill_tokens(&self) -> u64 {
+        let prefill = self.prefill_upstream.as_ref();
+        let prefill_tokens = prefill.map_or(0, |chosen| chosen.ticket.prefill_tokens);
+        prefill_tokens + self.serving_upstream.ticket.prefill_tokens
+    }
+}
+
 /// A chosen upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ChosenUpstream {
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -337,9 +337,14 @@
             .count() as u32
     }
 
+    /// Load of all entries on the upstream, as far as this entry knows.
+    pub(crate) const fn total_load(&self) -> UpstreamLoad {
+        self.local_load.combined_with(self.remote_load)
+    }
+
     /// Requests of all entries that run or wait at the upstream, as far as this entry knows.
     pub(crate) const fn running(&self) -> u32 {
-        self.local_load.combined_with(self.remote_load).running
+        self.total_load().running
     }
 
     /// Time to read all prompts that wait at the engine, in milliseconds.
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -46,6 +46,7 @@
 mod role_repair;
 mod route_document;
 mod route_table;
+mod service_backlog;
 mod shared_retry_budget;
 mod site_state;
 mod stream_log;
