Refuse requests that engines cannot answer in time while overloaded

Late requests wait longer at overloaded engines than estimated, because later requests on time overtake them.

--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -24,7 +24,7 @@
 };
 use crate::entry_metrics::AttemptOutcome;
 use crate::entry_shared::EntryShared;
-use crate::fair_share::OrganisationOutcome;
+use crate::fair_share::{CallAdmission, OrganisationOutcome};
 use crate::prefilled_prompt::PrefilledPrompt;
 use crate::running_attempt::{RunningAttempt, current_time};
 use crate::stream_resumption::cannot_resume;
@@ -146,12 +146,8 @@
     priority: u8,
     /// The retry budget was already charged for the next attempt.
     extra_attempt_reserved: bool,
-    /// The fair share has admitted the request; further attempts do not ask again.
-    admitted: bool,
-    /// The outcome of the request is counted; a resumed stream counts once.
-    counted: bool,
-    /// How the metrics count the request if it is refused.
-    refused_as: OrganisationOutcome,
+    /// Decision of the fair share.
+    admission: CallAdmission,
     /// Software version that began the stream; no other may go on with it. `None` before the first
     /// event.
     version: Option<SoftwareVersion>,
@@ -172,9 +168,7 @@
             may_have_run: false,
             priority: 0,
             extra_attempt_reserved: false,
-            admitted: false,
-            counted: false,
-            refused_as: OrganisationOutcome::OtherRefusal,
+            admission: CallAdmission::default(),
         }
     }
 
@@ -185,7 +179,7 @@
         resume_after: Option<u64>,
     ) -> Result<StartedAnswer<D>, CallFailure> {
         let started = self.run_attempts(resume_after).await;
-        let is_first = !std::mem::replace(&mut self.counted, true);
+        let is_first = !std::mem::replace(&mut self.admission.counted, true);
         if is_first && self.shared.options.fair_share.is_some() {
             self.count_outcome(started.as_ref().err().copied());
         }
@@ -380,8 +374,12 @@
         self.check_suspects(now)?;
         self.check_fair_share(resume_after, now)?;
         let request = &self.request;
-        let choice_request = self.choice_request(resume_after, now);
+        let mut choice_request = self.choice_request(resume_after, now);
+        let is_resumed = resume_after.is_some() || self.version.is_some();
         let chosen = self.shared.with_service(&request.service, |state| {
+            if let Some(gate) = state.gate.as_ref().filter(|_| !is_resumed) {
+                choice_request.time_left = gate.usable_time(choice_request.time_left, now);
+            }
             let chosen = state.chooser.choose(&choice_request, now, &mut rand::rng());
             if let Some((plan, gate)) = chosen.as_ref().ok().zip(state.gate.as_mut()) {
                 gate.record_chosen(choice_request.prompt, plan.prefill_tokens());
@@ -443,7 +441,7 @@
         resume_after: Option<u64>,
         now: TimePoint,
     ) -> Result<(), CallFailure> {
-        if self.admitted || resume_after.is_some() || self.version.is_some() {
+        if self.admission.admitted || resume_after.is_some() || self.version.is_some() {
             return Ok(());
         }
         let request = &self.request;
@@ -455,10 +453,10 @@
             })
         });
         let Err(refusal) = asked else {
-            self.admitted = true;
+            self.admission.admitted = true;
             return Ok(());
         };
-        self.refused_as = OrganisationOutcome::OverShare;
+        self.admission.refused_as = OrganisationOutcome::OverShare;
         self.shared.metrics.count_over_share();
         tracing::info!(
             event = LogEvent::RequestRefused.number(),
@@ -515,7 +513,7 @@
 
     fn no_upstream_failure(&mut self, reason: NoUpstream) -> CallFailure {
         if matches!(reason, NoUpstream::Full(_)) {
-            self.refused_as = OrganisationOutcome::Full;
+            self.admission.refused_as = OrganisationOutcome::Full;
         }
         match reason {
             _ if self.may_have_run => self.call_failure(),
@@ -553,7 +551,7 @@
         let outcome = match failure {
             None if current_time() <= request.target_time => OrganisationOutcome::OnTime,
             None => OrganisationOutcome::Late,
-            Some(CallFailure::NotRun { .. }) => self.refused_as,
+            Some(CallFailure::NotRun { .. }) => self.admission.refused_as,
             Some(_) => OrganisationOutcome::Failed,
         };
         let metrics = &self.shared.metrics.organisations;
