--- a/crates/oriolecrank-gateway/src/caller_server.rs
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -69,7 +69,10 @@
         if !self.shared.accepts_requests(arrived_at) {
             return Err(refusal(std::time::Duration::ZERO));
         }
-        let Some(table) = self.shared.route_table() else {
+        let waiting = self
+            .shared
+            .await_route_table(head.caller_timeout, arrived_at);
+        let Some(table) = waiting.await else {
             return Err(refusal(std::time::Duration::ZERO));
         };
         let route = table.find(&head.host, parts.uri.path());
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -60,6 +60,8 @@
     pub retry_grant: RetryGrant,
     /// Fair shares of overloaded engines; `None` if requests are not divided by organisation.
     pub fair_share: Option<FairShareSettings>,
+    /// Time from the start in which requests wait for the first document; zero if they do not.
+    pub start_wait: Duration,
     /// Length of a usage window.
     pub usage_window: Duration,
     /// Time between the signal to stop and the moment at which the process is killed.
@@ -133,7 +135,9 @@
     caller_timeouts: Mutex<IndexMap<String, CallerTimeoutRange>>,
     /// Number of entries of the site.
     entry_counter: Mutex<EntryCounter>,
-    started_at: TimePoint,
+    pub(crate) started_at: TimePoint,
+    /// Notified when a document is in force.
+    pub(crate) document_arrived: Notify,
     /// When the process received the signal to stop; unset before.
     stop_requested_at: OnceLock<TimePoint>,
 }
@@ -164,6 +168,7 @@
             caller_timeouts: Mutex::default(),
             entry_counter: Mutex::new(EntryCounter::new(now)),
             started_at: now,
+            document_arrived: Notify::new(),
             stop_requested_at: OnceLock::new(),
         }
     }
@@ -207,6 +212,8 @@
             state.chooser.set_engine(service.engine);
             state.chooser.set_max_connections(service.max_connections);
         }
+        drop(tables);
+        self.document_arrived.notify_waiters();
         true
     }
 
--- a/crates/oriolecrank-gateway/src/fair_share/mod.rs
+++ b/crates/oriolecrank-gateway/src/fair_share/mod.rs
@@ -5,6 +5,7 @@
 mod organisation_metrics;
 mod service_gate;
 mod share_messages;
+mod start_wait;
 mod work_table;
 
 pub(crate) use call_admission::CallAdmission;
--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -31,6 +31,7 @@
 mod direct_upstream;
 mod document_fetch;
 mod entry_counter;
+mod entry_start;
 mod limit_report;
 mod limit_share;
 mod load_table;
@@ -72,6 +73,7 @@
 pub use direct_upstream::{CallTiming, DirectUpstream, DispatchTicket, UpstreamLoad};
 pub use document_fetch::{DocumentFetch, PlannedFetch};
 pub use entry_counter::EntryCounter;
+pub use entry_start::EntryStart;
 pub use limit_report::{LimitReport, LimitTable};
 pub use load_table::{LoadTable, UpstreamLoads};
 pub use member_repair::{JoiningMember, MemberHealth, RepairPlanner, RepairSettings, next_members};
