--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -5,6 +5,7 @@
 mod direct_chooser;
 mod document_fetch;
 mod engine_kinds;
+mod entry_start;
 mod fixtures;
 mod load_table;
 mod member_repair;
