--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -273,6 +273,7 @@
             pause_target: request.route.pause_target,
             entries: self.shared.entry_count(),
             allow_remote_prefill: !self.may_have_prefilled && resume_after.is_none(),
+            body_bytes: request.body.len() as u64,
             priority: request.priority,
             versions: self.allowed_versions(),
         }
@@ -407,6 +408,7 @@
                 return Err(self.no_upstream_failure(reason));
             }
         };
+        self.shared.metrics.count_choice(&plan, request.body.len());
         let new_attempt = |chosen, organisation| {
             let shared = Arc::clone(&self.shared);
             RunningAttempt::new(
@@ -415,6 +417,7 @@
                 request.route.kind,
                 chosen,
                 organisation,
+                request.suspects(),
                 now,
             )
         };
@@ -578,7 +581,7 @@
             None => AttemptStage::Whole,
         };
         attempt.mark_sent(current_time());
-        let sent = self.send(&attempt, stage, resume_after).await;
+        let sent = self.send(&mut attempt, stage, resume_after).await;
         if matches!(sent, Err(AttemptFailure::Lost)) {
             attempt.record_lost();
         }
@@ -604,7 +607,7 @@
 
     /// Runs the prefill on one engine; the serving engine fetches the result from it.
     async fn run_prefill(&mut self, mut attempt: RunningAttempt<D>) -> Result<(), AttemptFailure> {
-        let sent = self.send(&attempt, AttemptStage::Prefill, None).await;
+        let sent = self.send(&mut attempt, AttemptStage::Prefill, None).await;
         if !matches!(sent, Err(AttemptFailure::NotConnected)) {
             self.may_have_prefilled = true;
         }
@@ -622,6 +625,7 @@
         let body =
             response.collect_with_idle_limit(MAX_SHORT_BODY_BYTES, time_left, idle_limit(&head));
         let body = body.await.ok().filter(|_| success);
+        attempt.expect_nothing();
         let handle = body.and_then(|body| self.shared.dialect.decode_prompt_handle(&body));
         let Some(handle) = handle else {
             attempt.record_outcome(UpstreamOutcome::Failed, current_time());
@@ -650,7 +654,7 @@
     /// run the request.
     async fn send(
         &mut self,
-        attempt: &RunningAttempt<D>,
+        attempt: &mut RunningAttempt<D>,
         stage: AttemptStage<'_>,
         resume_after: Option<u64>,
     ) -> Result<(AnswerHead, ClientResponse), AttemptFailure> {
@@ -677,6 +681,8 @@
         self.tried.push(upstream.name.clone());
         let attempt_timeout = self.attempt_timeout(attempt.chosen.expected_first_answer);
         let client = self.shared.client.clone();
+        let upstream = upstream.clone();
+        attempt.expect_data(current_time());
         let sending = client.send(upstream.address, message, time_left);
         tokio::pin!(sending);
         let sent = match timeout(attempt_timeout, &mut sending).await {
@@ -702,13 +708,14 @@
             Ok(response) => response,
             Err(error) => return Err(self.record_send_failure(attempt, &error)),
         };
+        attempt.expect_data(current_time());
         let head = self
             .shared
             .dialect
             .decode_answer(response.status(), response.headers());
         // An answer to another request also states what its upstream wants.
         self.shared
-            .record_statements(upstream, &head, response.status(), current_time());
+            .record_statements(&upstream, &head, response.status(), current_time());
         if head.request_id != self.request.head.request_id {
             // The answer to an earlier request on this connection; dropping it closes the
             // connection. If it is a refusal, it says nothing about this request.
@@ -719,6 +726,7 @@
                 answered = head.request_id,
                 "an answer carries the id of another request; the connection is closed"
             );
+            attempt.expect_nothing();
             return Err(AttemptFailure::Lost);
         }
         attempt.record_limit(head.limit, current_time());
@@ -729,6 +737,7 @@
                 %status,
                 "the upstream refused the request without running it"
             );
+            attempt.expect_nothing();
             attempt.record_refusal(current_time());
             drain_refusal(response, &head).await;
             return Err(AttemptFailure::Refused);
@@ -740,7 +749,7 @@
     /// the attempt timed out while the upstream was answering other requests.
     fn record_send_failure(
         &self,
-        attempt: &RunningAttempt<D>,
+        attempt: &mut RunningAttempt<D>,
         error: &SendError,
     ) -> AttemptFailure {
         tracing::info!(
@@ -758,6 +767,9 @@
         if !(timed_out && attempt.has_upstream_answered()) {
             attempt.record_outcome(UpstreamOutcome::Failed, current_time());
         }
+        if !timed_out {
+            attempt.expect_nothing();
+        }
         if error.verdict() == RunVerdict::NotRun {
             return AttemptFailure::NotConnected;
         }
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -6,6 +6,7 @@
 
 use http::StatusCode;
 use indexmap::IndexMap;
+use oriolecrank_net::intake::{ByteBudget, IntakeSettings};
 use oriolecrank_net::{ClusterSecret, HttpClient};
 use oriolecrank_policy::fair_share::FairShareSettings;
 use oriolecrank_routing::{
@@ -19,11 +20,10 @@
 use oriolecrank_schema::event::LogEvent;
 use tokio::sync::Notify;
 
-use crate::crash_probe::CrashProbe;
+use crate::crash::{CrashProbe, SilenceProbe};
 use crate::dialect::{AnswerHead, CallerDialect};
 use crate::entry_metrics::EntryMetrics;
 use crate::fair_share::{ServiceDemand, ServiceGate, ServiceShares};
-use crate::plain_body::AnswerMemory;
 use crate::site_clock::SiteClock;
 use crate::site_messages::{AgedAnnouncement, NamedLoad};
 
@@ -66,6 +66,8 @@
     pub usage_window: Duration,
     /// Time between the signal to stop and the moment at which the process is killed.
     pub shutdown_limit: Duration,
+    /// Resources of the process, which bound what its clients can make it hold.
+    pub intake: IntakeSettings,
 }
 
 /// Upstreams and retry budget of one service.
@@ -113,8 +115,8 @@
     pub(crate) client: HttpClient,
     pub(crate) clock: SiteClock,
     pub(crate) metrics: EntryMetrics,
-    /// Memory for answers that are held until they are complete.
-    pub(crate) answer_memory: AnswerMemory,
+    /// Memory for the bodies of requests, and for answers that are held until they are complete.
+    pub(crate) client_budget: ByteBudget,
     /// Route table of the document in force; its version never decreases.
     route_table: RwLock<Option<Arc<RouteTable>>>,
     tables: Mutex<UpstreamTables>,
@@ -131,6 +133,8 @@
     control_group: RwLock<KnownGroup>,
     /// Broken attempts at upstreams that may have crashed.
     pub(crate) crash_probe: CrashProbe,
+    /// Attempts at upstreams that fell silent.
+    pub(crate) silence_probe: SilenceProbe,
     /// Range of the timeouts that callers state, by name of the route.
     caller_timeouts: Mutex<IndexMap<String, CallerTimeoutRange>>,
     /// Number of entries of the site.
@@ -150,12 +154,12 @@
         now: TimePoint,
     ) -> Self {
         Self {
+            client_budget: options.intake.client_budget(),
             options,
             dialect,
             client,
             clock: SiteClock::start(now),
             metrics: EntryMetrics::default(),
-            answer_memory: AnswerMemory::default(),
             route_table: RwLock::default(),
             tables: Mutex::default(),
             usage: Mutex::default(),
@@ -165,6 +169,7 @@
             stream_begun: Notify::new(),
             control_group: RwLock::default(),
             crash_probe: CrashProbe::default(),
+            silence_probe: SilenceProbe::default(),
             caller_timeouts: Mutex::default(),
             entry_counter: Mutex::new(EntryCounter::new(now)),
             started_at: now,
--- a/crates/oriolecrank-net/src/http_client.rs
+++ b/crates/oriolecrank-net/src/http_client.rs
@@ -6,8 +6,8 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
@@ -79,6 +79,15 @@
         /// Cause.
         source: hyper::Error,
     },
+    /// The status is none that HTTP has, or announces another protocol; nothing else in the response
+    /// can be trusted.
+    #[snafu(display("the answer of {address} has the invalid status {status}"))]
+    InvalidStatus {
+        /// Target address.
+        address: SocketAddr,
+        /// The status.
+        status: StatusCode,
+    },
     /// The response headers, or the rest of the body, did not arrive within the time limit.
     #[snafu(display("the answer of {address} did not arrive within {} ms", time_limit.as_millis()))]
     AnswerTimeout {
@@ -95,6 +104,10 @@
     },
 }
 
+/// Statuses of final answers. The HTTP library also accepts 101, which no request asks for, and 600
+/// to 999.
+const VALID_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
+
 impl SendError {
     /// Whether the other machine refused the connection, because no process listens there.
     pub fn is_refused_connection(&self) -> bool {
@@ -108,9 +121,10 @@
             Self::Connect { .. } | Self::ConnectTimeout { .. } | Self::Unsent { .. } => {
                 RunVerdict::NotRun
             }
-            Self::Broken { .. } | Self::AnswerTimeout { .. } | Self::BadBody { .. } => {
-                RunVerdict::MayHaveRun
-            }
+            Self::Broken { .. }
+            | Self::InvalidStatus { .. }
+            | Self::AnswerTimeout { .. }
+            | Self::BadBody { .. } => RunVerdict::MayHaveRun,
         }
     }
 }
@@ -179,6 +193,10 @@
                 return Err(error.into_error()).context(BrokenSnafu { address });
             }
         };
+        let status = response.status();
+        if !VALID_STATUSES.contains(&status.as_u16()) {
+            return InvalidStatusSnafu { address, status }.fail();
+        }
         Ok(ClientResponse {
             address,
             response,
@@ -282,18 +300,22 @@
         idle_limit: Duration,
     ) -> Result<Bytes, SendError> {
         let address = self.address;
-        let body = Limited::new(self.response.body_mut(), limit);
-        let Ok(collected) = timeout(time_limit, body.collect()).await else {
+        let body = self.response.body_mut();
+        let reading = async {
+            let mut bytes = BytesMut::new();
+            while let Some(frame) = body.frame().await {
+                append_frame(&mut bytes, frame, limit, address)?;
+            }
+            Ok(bytes.freeze())
+        };
+        let Ok(read) = timeout(time_limit, reading).await else {
             return AnswerTimeoutSnafu {
                 address,
                 time_limit,
             }
             .fail();
         };
-        let Ok(collected) = collected else {
-            return BadBodySnafu { address }.fail();
-        };
-        let bytes = collected.to_bytes();
+        let bytes = read?;
         self.recycle_with_idle_limit(idle_limit);
         Ok(bytes)
     }
@@ -321,14 +343,7 @@
                 let Some(frame) = frame else {
                     return Ok(bytes.freeze());
                 };
-                let Ok(frame) = frame else {
-                    return BadBodySnafu { address }.fail();
-                };
-                let data = frame.into_data().unwrap_or_default();
-                if bytes.len() + data.len() > limit {
-                    return BadBodySnafu { address }.fail();
-                }
-                bytes.extend_from_slice(&data);
+                append_frame(&mut bytes, frame, limit, address)?;
             }
         };
         let Ok(read) = timeout(time_limit, reading).await else {
@@ -364,3 +379,22 @@
         });
     }
 }
+
+/// Appends a frame to a body of at most `limit` bytes. The frame is copied, because it keeps the
+/// whole read buffer of the connection in memory.
+fn append_frame(
+    bytes: &mut BytesMut,
+    frame: hyper::Result<Frame<Bytes>>,
+    limit: usize,
+    address: SocketAddr,
+) -> Result<(), SendError> {
+    let Ok(frame) = frame else {
+        return BadBodySnafu { address }.fail();
+    };
+    let data = frame.into_data().unwrap_or_default();
+    if bytes.len() + data.len() > limit {
+        return BadBodySnafu { address }.fail();
+    }
+    bytes.extend_from_slice(&data);
+    Ok(())
+}
--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod answer_buffer;
 mod caller_key;
 mod counts;
+pub mod domain_spill;
 pub mod fair_share;
 pub mod freshness;
 mod grant_history;
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -45,6 +45,7 @@
     ConnectionFailed = 110, "A connection could not be accepted, or ended with an error.";
     PeerUnauthorised = 111, "A message without the cluster secret was refused.";
     PeerVersionRefused = 112, "A message with a malformed protocol version or a newer major one was refused.";
+    ConnectionRefused = 113, "A connection was closed because too many are open at the listener.";
     DocumentInForce = 200, "A revision of the document is in force at this entry.";
     SubscriptionLost = 201, "The subscription to a control instance ended; it is opened again, at another instance if there is one.";
     StateStale = 202, "The state is older than the freshness lease; calls that need a key are refused.";
@@ -77,7 +78,7 @@
     UpstreamAnnounced = 300, "An upstream was announced to the control group.";
     AnnounceFailed = 301, "An announcement could not be delivered; it is repeated.";
     AgentSuperseded = 302, "A newer agent for the same upstream exists; this one refuses orders and requests.";
-    UpstreamCrashed = 303, "The connection to the upstream broke while requests were running; these requests fail.";
+    UpstreamCrashed = 303, "An upstream crashed while requests were running: its connections broke, or it fell silent and started again.";
     ReportFailed = 304, "A report or announcement could not be delivered; it is sent again or dropped, as the line says.";
     OrderRefused = 305, "An order was refused; the reason is in the line.";
     OrderFinished = 306, "An order was carried out; the result is in the line.";
