--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -375,12 +375,8 @@
         self.check_suspects(now)?;
         self.check_fair_share(resume_after, now)?;
         let request = &self.request;
-        let mut choice_request = self.choice_request(resume_after, now);
-        let is_resumed = resume_after.is_some() || self.version.is_some();
+        let choice_request = self.choice_request(resume_after, now);
         let chosen = self.shared.with_service(&request.service, |state| {
-            if let Some(gate) = state.gate.as_ref().filter(|_| !is_resumed) {
-                choice_request.time_left = gate.usable_time(choice_request.time_left, now);
-            }
             let chosen = state.chooser.choose(&choice_request, now, &mut rand::rng());
             if let Some((plan, gate)) = chosen.as_ref().ok().zip(state.gate.as_mut()) {
                 gate.record_chosen(choice_request.prompt, plan.prefill_tokens());
--- a/crates/oriolecrank-gateway/src/fair_share/service_gate.rs
+++ b/crates/oriolecrank-gateway/src/fair_share/service_gate.rs
@@ -12,10 +12,6 @@
 use super::share_messages::{ServiceDemand, ServiceShares};
 use crate::call_runner::CallerRequest;
 
-/// Part of the time left in which an engine must be expected to answer while it is overloaded. Later
-/// requests that are still on time overtake late ones, so that these wait longer than estimated.
-const OVERLOAD_TIME_SHARE: f64 = 0.5;
-
 /// [`FairGate`] of a service whose upstreams are model engines.
 #[derive(Debug)]
 pub(crate) struct ServiceGate {
@@ -53,15 +49,6 @@
         answer
     }
 
-    /// Part of the time left of a first attempt in which an engine is expected to answer.
-    pub(crate) fn usable_time(&self, time_left: Duration, now: TimePoint) -> Duration {
-        if self.gate.is_overloaded(now) {
-            time_left.mul_f64(OVERLOAD_TIME_SHARE)
-        } else {
-            time_left
-        }
-    }
-
     /// Time after which a caller may come back to whom no engine can answer in time; `None` for a
     /// plain request.
     pub(crate) fn return_after(
--- a/crates/oriolecrank-policy/src/fair_share/engine_backlog.rs
+++ b/crates/oriolecrank-policy/src/fair_share/engine_backlog.rs
@@ -21,11 +21,12 @@
 /// short peak, and nobody else has to wait for a slot.
 const MIN_TAKEN_SLOTS: f64 = 0.5;
 
-/// Time in which a backlog above its limit is to be worked off, in milliseconds.
-const DRAIN_TIME_MS: f64 = 1_000.0;
+/// Time in which a backlog above its limit is to be worked off, in milliseconds. A second refused many
+/// requests that could still be answered late.
+const DRAIN_TIME_MS: f64 = 4_000.0;
 
 /// Smallest share of the capacity that is given out while a backlog is worked off.
-const MIN_DRAIN_SHARE: f64 = 0.25;
+const MIN_DRAIN_SHARE: f64 = 0.75;
 
 impl EngineBacklog {
     /// Mean time until the engines have read what they were sent, in milliseconds.
