--- a/crates/oriolecrank-gateway/src/caller_server.rs
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -21,6 +21,10 @@
 use crate::entry_shared::EntryShared;
 use crate::running_attempt::current_time;
 
+/// Time since the first attempt from which on a caller counts as one that comes back. Timeouts that
+/// callers state for first attempts vary less.
+const MIN_RETURN_AGE: Duration = Duration::from_millis(200);
+
 /// Time after which a client may return that found no room for a body. Stalled bodies are given up
 /// after a few seconds; ordinary ones end within one.
 pub(crate) const NO_ROOM_DELAY: Duration = Duration::from_secs(1);
@@ -69,7 +73,10 @@
         if !self.shared.accepts_requests(arrived_at) {
             return Err(refusal(Duration::ZERO));
         }
-        let Some(table) = self.shared.route_table() else {
+        let waiting = self
+            .shared
+            .await_route_table(head.caller_timeout, arrived_at);
+        let Some(table) = waiting.await else {
             return Err(refusal(Duration::ZERO));
         };
         let route = table.find(&head.host, parts.uri.path());
@@ -123,6 +130,7 @@
             body,
             service,
             resume_version: None,
+            returning: time_since_first >= MIN_RETURN_AGE,
             priority: priority.unwrap_or(route.priority),
             organisation,
             deadline,
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 use oriolecrank_net::intake::{ByteBudget, IntakeSettings};
 use oriolecrank_net::{ClusterSecret, HttpClient};
+use oriolecrank_policy::fair_share::FairShareSettings;
 use oriolecrank_routing::{
     AdmittedOrigins, CallerTimeoutRange, ChooserSettings, DirectChooser, EntryCounter, EntryRun,
     KnownGroup, LeavingUpstream, LimitReport, OrganisationName, PartId, PlacedParts, PlacementLog,
@@ -22,6 +23,7 @@
 use crate::crash::{CrashProbe, SilenceProbe};
 use crate::dialect::{AnswerHead, CallerDialect};
 use crate::entry_metrics::EntryMetrics;
+use crate::fair_share::{ServiceDemand, ServiceGate, ServiceShares};
 use crate::site_clock::SiteClock;
 use crate::site_messages::{AgedAnnouncement, NamedLoad};
 
@@ -56,6 +58,10 @@
     pub chooser: ChooserSettings,
     /// Extra attempts that each service allows to all entries together.
     pub retry_grant: RetryGrant,
+    /// Fair shares of overloaded engines; `None` if requests are not divided by organisation.
+    pub fair_share: Option<FairShareSettings>,
+    /// Time from the start in which requests wait for the first document; zero if they do not.
+    pub start_wait: Duration,
     /// Length of a usage window.
     pub usage_window: Duration,
     /// Time between the signal to stop and the moment at which the process is killed.
@@ -69,6 +75,8 @@
 pub(crate) struct ServiceState {
     pub(crate) chooser: DirectChooser,
     pub(crate) budget: SharedRetryBudget,
+    /// Fair shares; `None` if the settings ask for none.
+    pub(crate) gate: Option<ServiceGate>,
 }
 
 /// Upstreams of all services.
@@ -131,7 +139,9 @@
     caller_timeouts: Mutex<IndexMap<String, CallerTimeoutRange>>,
     /// Number of entries of the site.
     entry_counter: Mutex<EntryCounter>,
-    started_at: TimePoint,
+    pub(crate) started_at: TimePoint,
+    /// Notified when a document is in force.
+    pub(crate) document_arrived: Notify,
     /// When the process received the signal to stop; unset before.
     stop_requested_at: OnceLock<TimePoint>,
 }
@@ -163,6 +173,7 @@
             caller_timeouts: Mutex::default(),
             entry_counter: Mutex::new(EntryCounter::new(now)),
             started_at: now,
+            document_arrived: Notify::new(),
             stop_requested_at: OnceLock::new(),
         }
     }
@@ -206,6 +217,8 @@
             state.chooser.set_engine(service.engine);
             state.chooser.set_max_connections(service.max_connections);
         }
+        drop(tables);
+        self.document_arrived.notify_waiters();
         true
     }
 
@@ -388,6 +401,28 @@
         }
     }
 
+    /// Demand of this entry for the engines of services that are overloaded.
+    pub(crate) fn work_demand(&self, now: TimePoint) -> Vec<ServiceDemand> {
+        let mut tables = self.lock_tables();
+        let states = tables.services.values_mut();
+        let demands = states.filter_map(|state| {
+            let gate = state.gate.as_mut()?;
+            gate.demand(&state.chooser, now)
+        });
+        demands.collect()
+    }
+
+    /// Applies the leader's shares of overloaded services.
+    pub(crate) fn set_work_shares(&self, shares: Vec<ServiceShares>, now: TimePoint) {
+        let mut tables = self.lock_tables();
+        for shares in shares {
+            let state = tables.services.get_mut(&shares.service);
+            if let Some(gate) = state.and_then(|state| state.gate.as_mut()) {
+                gate.set_shares(shares, now);
+            }
+        }
+    }
+
     /// Upstreams that have stated to this entry that they leave, and that are announced as ready.
     pub(crate) fn leaving_upstreams(&self) -> Vec<LeavingUpstream> {
         let tables = self.lock_tables();
@@ -662,6 +697,9 @@
             ServiceState {
                 chooser,
                 budget: SharedRetryBudget::new(&options.retry_grant, self.started_at),
+                gate: options
+                    .fair_share
+                    .map(|settings| ServiceGate::new(service, settings)),
             }
         })
     }
