Copy the bodies of callers of agents into one buffer

Each frame kept the read buffer of its connection, 8 KiB and more for a chunk of one byte. The limits of size and time stay as they were; the bodies of all callers together are not limited there, as no setting states the memory.

--- a/crates/oriolecrank-entry/src/caller_body.rs
+++ b/crates/oriolecrank-entry/src/caller_body.rs
@@ -6,9 +6,8 @@
 use http::StatusCode;
 use http::header::CONTENT_LENGTH;
 use http::request::Parts;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use oriolecrank_net::intake::{BodyError, BodyLimits, BodyPace, ByteBudget, read_body_within};
 
 use crate::caller_answer::CallerError;
 
@@ -28,20 +27,31 @@
     if stated.is_some_and(|length| length > limit as u64) {
         return Err(too_large(limit));
     }
-    let Ok(collected) = timeout(BODY_TIMEOUT, Limited::new(body, limit).collect()).await else {
-        let status = StatusCode::REQUEST_TIMEOUT;
-        let message = "the request body was not received within the time limit";
-        return Err(CallerError::not_run(status, "body_timeout", message));
+    let limits = BodyLimits {
+        bytes: limit,
+        pace: BodyPace {
+            stall_limit: BODY_TIMEOUT,
+            grace: BODY_TIMEOUT,
+            ..BodyPace::default()
+        },
+        time_limit: Some(BODY_TIMEOUT),
     };
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(too_large(limit)),
-        Err(_) => {
+    // Only the size of each body is limited here, not that of all together.
+    let budget = ByteBudget::new(usize::MAX);
+    let read = read_body_within(body, limits, &budget).await;
+    read.map_err(|error| match error {
+        BodyError::TooLarge | BodyError::Full { .. } => too_large(limit),
+        BodyError::TooSlow => {
+            let status = StatusCode::REQUEST_TIMEOUT;
+            let message = "the request body was not received within the time limit";
+            CallerError::not_run(status, "body_timeout", message)
+        }
+        BodyError::Incomplete => {
             let status = StatusCode::BAD_REQUEST;
             let message = "the request body ended early or is malformed";
-            Err(CallerError::not_run(status, "body_incomplete", message))
+            CallerError::not_run(status, "body_incomplete", message)
         }
-    }
+    })
 }
 
 fn too_large(limit: usize) -> CallerError {
