--- a/crates/oriolecrank-routing/src/lib.rs
+++ b/crates/oriolecrank-routing/src/lib.rs
@@ -8,7 +8,8 @@
 //! - [`PlacementLog`], at the leader, and [`PartPlacements`], at an entry, record which engine
 //!   caches a shared prompt part.
 //! - [`SuspectQuarantine`], at the leader, decides which [`CrashSuspect`]s crash upstreams, from what
-//!   the [`SuspectWatch`] of each entry reports.
+//!   the [`SuspectWatch`] of each entry reports; [`SilentAttempts`] recognises crashes that break no
+//!   connection.
 //! - [`RequestFingerprint`] recognises a request that comes again under another id.
 //! - [`LoadTable`] sums the load that entries put on upstreams.
 //! - [`LimitTable`], at the leader, collects the limits of requests that upstreams state and the
