--- a/crates/oriolecrank-gateway/src/call_runner.rs
+++ b/crates/oriolecrank-gateway/src/call_runner.rs
@@ -25,6 +25,7 @@
 use crate::entry_metrics::AttemptOutcome;
 use crate::entry_shared::EntryShared;
 use crate::prefilled_prompt::PrefilledPrompt;
+use crate::quota::QuotaTicket;
 use crate::running_attempt::{RunningAttempt, current_time};
 use crate::stream_resumption::cannot_resume;
 
@@ -62,6 +63,8 @@
     /// Software version that began the stream, if the caller resumes one.
     pub(crate) resume_version: Option<SoftwareVersion>,
     pub(crate) organisation: Option<OrganisationName>,
+    /// Tokens of the organisation's quota; `None` without a quota.
+    pub(crate) quota_ticket: Option<QuotaTicket>,
     /// Recognises the request when it comes again under another id.
     pub(crate) fingerprint: RequestFingerprint,
     /// Priority of the organisation, or else of the route; 0 is the most urgent.
@@ -99,7 +102,8 @@
     /// No connection could be established, or it closed before the request was sent; nothing
     /// reached the upstream.
     NotConnected,
-    /// The upstream asked for a pause, or for no more requests, after it was chosen; nothing was sent.
+    /// The upstream asked for a pause, or for no more requests, after it was chosen, or the tokens
+    /// of the quota have lapsed; nothing was sent.
     Withheld,
     /// The upstream states that it did not run the request, or a prefill gave no usable result, so
     /// that the request itself was not sent.
@@ -466,6 +470,10 @@
         mut attempt: RunningAttempt<D>,
         resume_after: Option<u64>,
     ) -> Result<StartedAnswer<D>, AttemptFailure> {
+        let ticket = self.request.quota_ticket.as_ref();
+        if ticket.is_some_and(|ticket| !ticket.spend(current_time())) {
+            return Err(AttemptFailure::Withheld);
+        }
         if let Some(prefill_attempt) = prefill_attempt {
             self.run_prefill(prefill_attempt).await?;
         }
--- a/crates/oriolecrank-gateway/src/caller_server.rs
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -18,6 +18,7 @@
 use crate::control_link::ControlLink;
 use crate::dialect::{CallFailure, CallHead, CallerDialect};
 use crate::entry_shared::EntryShared;
+use crate::quota::QuotaTicket;
 use crate::running_attempt::current_time;
 
 /// HTTP handler of the callers' address.
@@ -70,6 +71,13 @@
         let route = table.find(&head.host, parts.uri.path());
         let route = Arc::clone(route.ok_or(CallFailure::UnknownRoute)?);
         let organisation = find_organisation(&table, &route, &head)?.cloned();
+        let quota_ticket = match &organisation {
+            Some(organisation) => {
+                self.charge_quota(organisation, &head, table.version())
+                    .await?
+            }
+            None => None,
+        };
         let Some(body) = read_body(body, table.limits().body_bytes).await else {
             return Err(CallFailure::TooLarge);
         };
@@ -117,6 +125,7 @@
             resume_version: None,
             priority: priority.unwrap_or(route.priority),
             organisation,
+            quota_ticket,
             deadline,
             target_time,
             patience_end: arrived_at + timeout.min(route.patience),
@@ -126,6 +135,27 @@
     }
 }
 
+impl<D> CallerServer<D> {
+    /// Charges the quota of an organisation; `None` if it has none.
+    async fn charge_quota(
+        &self,
+        organisation: &CallerOrganisation,
+        head: &CallHead,
+        version: u64,
+    ) -> Result<Option<QuotaTicket>, CallFailure> {
+        let Some(spec) = organisation.quota else {
+            return Ok(None);
+        };
+        let prompt = head.prompt.as_ref();
+        let stated = prompt.map(|prompt| (prompt.input_tokens, prompt.output_tokens));
+        let cost = spec.unit.cost(stated);
+        let entries = self.shared.entry_count();
+        let gate = &self.shared.quota;
+        let ticket = gate.charge(&organisation.name, spec, version, cost, entries);
+        ticket.await.map(Some)
+    }
+}
+
 /// Organisation of a request; `None` on a route that needs no key. Fails if the key is missing or
 /// unknown.
 fn find_organisation<'a>(
--- a/crates/oriolecrank-gateway/src/control_session.rs
+++ b/crates/oriolecrank-gateway/src/control_session.rs
@@ -30,6 +30,7 @@
 use crate::document_transfer::DocumentCache;
 use crate::group_repair::GroupRepair;
 use crate::internal_server::InternalServer;
+use crate::quota::QuotaGranter;
 use crate::role_orders::RoleOrders;
 use crate::site_clock::SiteClock;
 use crate::site_gossip::SiteGossip;
@@ -120,6 +121,7 @@
             tables: Arc::clone(&tables),
             clock: Arc::clone(&clock),
             documents: DocumentCache::default(),
+            quota: QuotaGranter::new(options.quota),
         };
         let site_server = SiteServer {
             dialect: Arc::clone(&self.dialect),
--- a/crates/oriolecrank-gateway/src/control_site.rs
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -12,6 +12,7 @@
 use oriolecrank_control::ReplicaError;
 use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel};
 use oriolecrank_net::{ClusterSecret, MetricsListener, serve};
+use oriolecrank_policy::quota::QuotaBounds;
 use oriolecrank_routing::RepairSettings;
 use oriolecrank_schema::event::LogEvent;
 use prometheus_client::registry::Registry;
@@ -56,6 +57,8 @@
     pub repair: RepairSettings,
     /// When engines are ordered to change their roles.
     pub orders: RoleOrderSettings,
+    /// What the deployment allows beyond the quotas of organisations.
+    pub quota: QuotaBounds,
     /// Settings of usage reports; `None` if this site reports no usage.
     pub usage: Option<UsageReportSettings>,
 }
--- a/crates/oriolecrank-gateway/src/dialect.rs
+++ b/crates/oriolecrank-gateway/src/dialect.rs
@@ -114,6 +114,11 @@
         /// Time after which the caller may retry.
         retry_after: Duration,
     },
+    /// The request exceeds the quota of its organisation. It has not run and will not.
+    OverQuota {
+        /// Time after which the caller may retry.
+        retry_after: Duration,
+    },
     /// The request resumes a stream that cannot go on where it began. It has not run and will not;
     /// the caller may begin the stream anew.
     CannotResume {
--- a/crates/oriolecrank-gateway/src/entry_metrics.rs
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -67,6 +67,7 @@
     attempts: Family<OutcomeLabel, Counter>,
     extra_attempts: Family<OutcomeLabel, Counter>,
     streams: Family<OutcomeLabel, Counter>,
+    quota_asks: Family<OutcomeLabel, Counter>,
     ejections: Counter,
     pauses: Counter,
     first_answer: Family<KindLabel, Histogram>,
@@ -85,6 +86,7 @@
             attempts: Family::default(),
             extra_attempts: Family::default(),
             streams: Family::default(),
+            quota_asks: Family::default(),
             ejections: Counter::default(),
             pauses: Counter::default(),
             first_answer: Family::new_with_constructor(|| {
@@ -120,6 +122,11 @@
                 &self.extra_attempts,
             ),
             ("streams", "Streams that had begun, by end", &self.streams),
+            (
+                "quota_asks",
+                "Asks of the leader for tokens of quotas, by outcome",
+                &self.quota_asks,
+            ),
         ];
         for (name, help, family) in families {
             registry.register(name, help, family.clone());
@@ -156,6 +163,14 @@
         }
     }
 
+    /// Counts an ask of the leader for tokens of quotas.
+    pub(crate) fn count_quota_ask(&self, answered: bool) {
+        let outcome = if answered { "answered" } else { "failed" };
+        self.quota_asks
+            .get_or_create(&OutcomeLabel { outcome })
+            .inc();
+    }
+
     /// Counts the bytes of a received document.
     pub(crate) fn count_document_bytes(&self, bytes: usize) {
         self.document_bytes.inc_by(bytes as u64);
@@ -170,6 +185,7 @@
             Some(CallFailure::UnknownRoute) => "unknown_route",
             Some(CallFailure::UnknownKey) => "unknown_key",
             Some(CallFailure::NotRun { .. } | CallFailure::CannotResume { .. }) => "not_run",
+            Some(CallFailure::OverQuota { .. }) => "over_quota",
             Some(CallFailure::MayHaveRun) => "may_have_run",
             Some(CallFailure::TimedOut) => "timed_out",
         };
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 use indexmap::IndexMap;
 use oriolecrank_net::{ClusterSecret, HttpClient};
+use oriolecrank_policy::quota::QuotaBounds;
 use oriolecrank_routing::{
     AdmittedOrigins, CallerTimeoutRange, ChooserSettings, DirectChooser, EntryCounter, EntryRun,
     KnownGroup, LeavingUpstream, LimitReport, OrganisationName, PartId, PlacedParts, PlacementLog,
@@ -22,6 +23,7 @@
 use crate::dialect::{AnswerHead, CallerDialect};
 use crate::entry_metrics::EntryMetrics;
 use crate::plain_body::AnswerMemory;
+use crate::quota::QuotaGate;
 use crate::site_clock::SiteClock;
 use crate::site_messages::{AgedAnnouncement, NamedLoad};
 
@@ -56,6 +58,8 @@
     pub chooser: ChooserSettings,
     /// Extra attempts that each service allows to all entries together.
     pub retry_grant: RetryGrant,
+    /// What the deployment allows beyond the quotas of organisations.
+    pub quota: QuotaBounds,
     /// Length of a usage window.
     pub usage_window: Duration,
     /// Time between the signal to stop and the moment at which the process is killed.
@@ -107,6 +111,8 @@
     pub(crate) metrics: EntryMetrics,
     /// Memory for answers that are held until they are complete.
     pub(crate) answer_memory: AnswerMemory,
+    /// Tokens of organisations' quotas.
+    pub(crate) quota: Arc<QuotaGate>,
     /// Route table of the document in force; its version never decreases.
     route_table: RwLock<Option<Arc<RouteTable>>>,
     tables: Mutex<UpstreamTables>,
@@ -140,6 +146,7 @@
         now: TimePoint,
     ) -> Self {
         Self {
+            quota: Arc::new(QuotaGate::new(options.quota)),
             options,
             dialect,
             client,
--- a/crates/oriolecrank-gateway/src/entry_site.rs
+++ b/crates/oriolecrank-gateway/src/entry_site.rs
@@ -24,6 +24,7 @@
 use crate::document_fetcher::{DocumentFetcher, DocumentOffers};
 use crate::entry_shared::{EntryShared, EntrySiteOptions, running_time};
 use crate::entry_sync::EntrySync;
+use crate::quota::QuotaLink;
 use crate::stream_upload::StreamUpload;
 
 /// Time for which a stopping entry still accepts connections. The load balancer probes readiness
@@ -86,6 +87,11 @@
         link: link.clone(),
     };
     tokio::spawn(upload.run());
+    let quota = QuotaLink {
+        shared: Arc::clone(&shared),
+        link: link.clone(),
+    };
+    tokio::spawn(quota.run());
     let sync = EntrySync {
         shared: Arc::clone(&shared),
         link: link.clone(),
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -21,6 +21,7 @@
 
 use crate::control_link::LinkError;
 use crate::document_transfer::DocumentCache;
+use crate::quota::{QUOTA_PATH, QuotaGranter, QuotaRequest};
 use crate::site_clock::SiteClock;
 use crate::site_gossip::apply_batch;
 use crate::site_messages::{
@@ -58,6 +59,7 @@
     pub(crate) tables: Arc<SiteTables>,
     pub(crate) clock: Arc<SiteClock>,
     pub(crate) documents: DocumentCache,
+    pub(crate) quota: QuotaGranter,
 }
 
 /// Newest state of this run of the control process that an entry has already received.
@@ -82,6 +84,10 @@
                 message_answer(&self.publisher.commit(request).await)
             }
             STREAMS_PATH => message_answer(&self.answer_streams(codec::decode(body)?)),
+            QUOTA_PATH => {
+                let request: QuotaRequest = codec::decode(body)?;
+                message_answer(&self.quota.answer(&request, &self.publisher.replica))
+            }
             ORIGIN_PATH => message_answer(&self.answer_origin(codec::decode(body)?).await),
             JOIN_PATH => self.answer_join(codec::decode(body)?).await,
             _ => empty_answer(StatusCode::NOT_FOUND),
--- a/crates/oriolecrank-gateway/src/lib.rs
+++ b/crates/oriolecrank-gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod internal_server;
 mod plain_body;
 mod prefilled_prompt;
+mod quota;
 mod role_orders;
 mod running_attempt;
 mod site_clock;
--- a/crates/oriolecrank-policy/src/lib.rs
+++ b/crates/oriolecrank-policy/src/lib.rs
@@ -8,7 +8,8 @@
 //! - At the entry, [`header_cleaning`] rejects unsafe request heads and extracts the API key,
 //!   [`freshness`] decides whether the key table is recent enough to trust, and [`admission`]
 //!   rejects requests that exceed a limit ([`rate_limiter`]) or cannot meet their deadline. The
-//!   control leader splits the limits over the entries ([`limit_shares`]).
+//!   control leader splits the limits over the entries ([`limit_shares`]), and grants them the tokens of
+//!   the organisations' quotas ([`quota`]).
 //! - [`upstream_chooser`] picks one upstream of the entry's [`subset`], by distance, by cached
 //!   prefix ([`prefix_map`]) and by estimated load ([`load_estimate`]). [`outlier_ejection`]
 //!   reduces the weight of failing upstreams, [`upstream_pause`] keeps requests from those that ask
@@ -37,6 +38,7 @@
 pub mod prefix_map;
 mod queue_lane;
 mod queued_request;
+pub mod quota;
 pub mod rate_limiter;
 pub mod read_coalescing;
 pub mod recent_count;
--- /dev/null
+++ b/crates/oriolecrank-policy/src/quota/quota_ledger.rs
@@ -0,0 +1,154 @@
+//! The leader's account of one organisation's tokens.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use oriolecrank_schema::TimePoint;
+
+use super::quota_spec::QuotaCapacity;
+
+/// What an entry holds and wants.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LedgerAsk {
+    /// Number of this ask; grows with each ask of a run of the entry.
+    pub sequence: u64,
+    /// Number of the last ask whose answer the entry has applied; 0 without one.
+    pub base: u64,
+    /// Tokens that the entry could still use when it sent the ask.
+    pub held: u64,
+    /// Tokens that it wants in addition.
+    pub wanted: u64,
+}
+
+/// Answer to a [`LedgerAsk`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LedgerAnswer {
+    /// The entry may use what it held for another lifetime; otherwise it drops it.
+    pub renewed: bool,
+    /// Tokens that the entry may use in addition, for a lifetime from the sending of its ask.
+    pub granted: u64,
+}
+
+/// Tokens that one entry may still use.
+#[derive(Debug, Clone, Copy)]
+struct EntryHolding {
+    /// First ask since which the holding has been valid without interruption.
+    first: u64,
+    /// Newest ask that was answered.
+    sequence: u64,
+    /// Upper bound of what the entry can use.
+    tokens: f64,
+    /// Not before the entry itself drops the tokens, because its lifetime begins with its ask.
+    valid_until: TimePoint,
+}
+
+/// Token bucket of one organisation whose tokens are granted to entries.
+///
+/// In any window of length `w`, the entries charge at most `rate * w + most` tokens:
+///
+/// - A token can be used if it is in `level`, or if an entry holds it. The sum is at most `most` at
+///   all times, because `level` is cut to `most` less all holdings. It grows by `rate` only; a grant
+///   moves tokens from `level` to a holding. What can be used at the begin of the window and what is
+///   added within it bound what is charged.
+/// - A holding here is at least what its entry can use: the entry states what it holds, only its
+///   newest ask counts, answers that it does not apply are lost, and it drops its tokens one lifetime
+///   after it has sent its last answered ask, hence before its holding lapses here. What has lapsed
+///   here is not renewed.
+/// - A new leader begins with an empty `level` after the lease of its predecessor, so it adds no
+///   tokens to those that entries hold. Until these have lapsed it counts `most_held`, which no
+///   leader exceeds, less what entries have stated.
+#[derive(Debug)]
+pub struct QuotaLedger {
+    capacity: QuotaCapacity,
+    lifetime: Duration,
+    /// Tokens that can be granted; below 0 after the quota was lowered.
+    level: f64,
+    refilled_at: TimePoint,
+    holdings: IndexMap<u64, EntryHolding>,
+    /// Tokens that entries may hold from the predecessor, and until when.
+    unknown: f64,
+    unknown_until: TimePoint,
+}
+
+impl QuotaLedger {
+    /// Empty ledger of a leader whose lease began at `led_since`.
+    pub fn new(capacity: QuotaCapacity, lifetime: Duration, led_since: TimePoint) -> Self {
+        Self {
+            capacity,
+            lifetime,
+            level: 0.0,
+            refilled_at: led_since,
+            holdings: IndexMap::new(),
+            unknown: capacity.most_held(),
+            unknown_until: led_since + lifetime,
+        }
+    }
+
+    /// Changes the bucket; a lower one takes effect at once for all further grants.
+    pub fn set_capacity(&mut self, capacity: QuotaCapacity, now: TimePoint) {
+        self.refill(now);
+        self.capacity = capacity;
+        self.refill(now);
+    }
+
+    /// Tokens that entries may hold.
+    fn held(&self) -> f64 {
+        let known: f64 = self.holdings.values().map(|holding| holding.tokens).sum();
+        known + self.unknown
+    }
+
+    fn refill(&mut self, now: TimePoint) {
+        self.holdings.retain(|_, holding| now < holding.valid_until);
+        if now >= self.unknown_until {
+            self.unknown = 0.0;
+        }
+        let elapsed = now.since(self.refilled_at).as_secs_f64();
+        self.refilled_at = self.refilled_at.max(now);
+        self.level += elapsed * self.capacity.rate;
+        self.level = self.level.min(self.capacity.most - self.held());
+    }
+
+    /// Answers an ask of the run `entry` of an entry; `None` if a newer one was answered before.
+    pub fn answer(&mut self, entry: u64, ask: LedgerAsk, now: TimePoint) -> Option<LedgerAnswer> {
+        self.refill(now);
+        let known = self.holdings.get(&entry).copied();
+        if known.is_some_and(|known| ask.sequence <= known.sequence) {
+            return None;
+        }
+        let counted = known.map_or(0.0, |known| known.tokens);
+        let stated = ask.held as f64;
+        // What the entry holds beyond what is counted for it can only be from the predecessor.
+        let from_predecessor = (stated - counted).max(0.0);
+        let is_unbroken = match known {
+            Some(known) => known.first <= ask.base,
+            None => now < self.unknown_until && ask.base > 0,
+        };
+        let renewed = is_unbroken && from_predecessor <= self.unknown;
+        let mut tokens = 0.0;
+        let mut first = ask.sequence;
+        if renewed {
+            first = known.map_or(ask.base, |known| known.first);
+            tokens = stated;
+            self.unknown -= from_predecessor;
+        }
+        self.holdings.insert(
+            entry,
+            EntryHolding {
+                first,
+                sequence: ask.sequence,
+                tokens,
+                valid_until: now + self.lifetime,
+            },
+        );
+        let room = (self.capacity.most_held() - self.held()).min(self.level);
+        let granted = (ask.wanted as f64).min(room).max(0.0).floor();
+        self.level -= granted;
+        if let Some(holding) = self.holdings.get_mut(&entry) {
+            holding.tokens += granted;
+        }
+        Some(LedgerAnswer {
+            renewed,
+            granted: granted as u64,
+        })
+    }
+}
--- a/crates/oriolecrank-routing/src/route_document.rs
+++ b/crates/oriolecrank-routing/src/route_document.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
+use oriolecrank_policy::quota::QuotaSpec;
 use snafu::{Snafu, ensure};
 
 use crate::names::{OrganisationName, ServiceName};
@@ -127,6 +128,8 @@
     pub keys: Vec<OrganisationKey>,
     /// Priority that replaces the priority of the route, if any.
     pub priority: Option<u8>,
+    /// Quota over all entries; `None` without a limit.
+    pub quota: Option<QuotaSpec>,
 }
 
 /// Limits on requests and connections of callers.
--- a/crates/oriolecrank-routing/src/route_table.rs
+++ b/crates/oriolecrank-routing/src/route_table.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use oriolecrank_policy::quota::QuotaSpec;
 
 use crate::names::{OrganisationName, ServiceName};
 use crate::route_document::{CallerLimits, RouteDocument, RouteSpec, ServiceSpec};
@@ -14,6 +15,8 @@
     pub name: OrganisationName,
     /// Priority that replaces the priority of the route, if any.
     pub priority: Option<u8>,
+    /// Quota over all entries; `None` without a limit.
+    pub quota: Option<QuotaSpec>,
 }
 
 /// Look-up tables built from one document.
@@ -49,6 +52,7 @@
             let owner = CallerOrganisation {
                 name: organisation.name,
                 priority: organisation.priority,
+                quota: organisation.quota,
             };
             for key in organisation.keys {
                 keys.insert(key.expose_secret().to_owned(), owner.clone());
--- a/crates/oriolecrank-routing/tests/routing/route_document.rs
+++ b/crates/oriolecrank-routing/tests/routing/route_document.rs
@@ -15,6 +15,7 @@
         name: OrganisationName::from(name),
         keys: vec![OrganisationKey::new(key.to_owned())],
         priority: None,
+        quota: None,
     }
 }
 
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -73,6 +73,7 @@
     StreamRefused = 227, "A caller resumes a stream that cannot go on, because the version that began it is unknown or has no upstream; the caller has to begin it anew.";
     PauseStated = 228, "An upstream asks for a pause: it wants no requests of this process for the stated time.";
     LeavingStated = 229, "An upstream states in an answer that it leaves; it gets no new requests.";
+    QuotaReached = 230, "Requests of an organisation are refused because they exceed its quota, for the first time in some seconds.";
     UpstreamAnnounced = 300, "An upstream was announced to the control group.";
     AnnounceFailed = 301, "An announcement could not be delivered; it is repeated.";
     AgentSuperseded = 302, "A newer agent for the same upstream exists; this one refuses orders and requests.";
