--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -168,6 +168,7 @@
         let mut changed_revision = self.tables.subscribe_revision();
         let mut version = self.publisher.site.subscribe_version();
         self.tables.record_sync(&mut request, BootClock.now());
+        self.quota.observe_term(&self.publisher.replica);
         let mut refusals = self.tables.subscribe_refusals();
         let mut origins = self.publisher.site.subscribe_origins();
         let is_current_run = request.control_run == self.tables.run;
--- a/crates/oriolecrank-gateway/src/quota/quota_granter.rs
+++ b/crates/oriolecrank-gateway/src/quota/quota_granter.rs
@@ -24,6 +24,17 @@
         }
     }
 
+    /// Records since when this instance has held the lease of the leader.
+    pub(crate) fn observe_term(&self, replica: &ReplicaHandle<SiteOutcome>) {
+        if let Some(authority) = replica.authority() {
+            let mut table = self
+                .table
+                .lock()
+                .expect("no holder of the quota lock panics");
+            table.observe_term(authority.term.0, BootClock.now());
+        }
+    }
+
     /// Answers the asks of an entry.
     pub(crate) fn answer(
         &self,
--- a/crates/oriolecrank-gateway/src/quota/quota_messages.rs
+++ b/crates/oriolecrank-gateway/src/quota/quota_messages.rs
@@ -30,6 +30,7 @@
     sequence: u64,
     base: u64,
     held: u64,
+    returned: u64,
     wanted: u64,
 }
 
@@ -48,6 +49,7 @@
             sequence: ask.sequence,
             base: ask.base,
             held: ask.held,
+            returned: ask.returned,
             wanted: ask.wanted,
         }
     }
@@ -70,6 +72,7 @@
                 sequence: wire.sequence,
                 base: wire.base,
                 held: wire.held,
+                returned: wire.returned,
                 wanted: wire.wanted,
             },
         }
--- a/crates/oriolecrank-policy/src/quota/quota_ledger.rs
+++ b/crates/oriolecrank-policy/src/quota/quota_ledger.rs
@@ -16,6 +16,8 @@
     pub base: u64,
     /// Tokens that the entry could still use when it sent the ask.
     pub held: u64,
+    /// Tokens that it has given up, beside those that it holds.
+    pub returned: u64,
     /// Tokens that it wants in addition.
     pub wanted: u64,
 }
@@ -48,7 +50,7 @@
 ///
 /// - A token can be used if it is in `level`, or if an entry holds it. The sum is at most `most` at
 ///   all times, because `level` is cut to `most` less all holdings. It grows by `rate` only; a grant
-///   moves tokens from `level` to a holding. What can be used at the begin of the window and what is
+///   moves tokens from `level` to a holding, a return moves them back. What can be used at the begin of the window and what is
 ///   added within it bound what is charged.
 /// - A holding here is at least what its entry can use: the entry states what it holds, only its
 ///   newest ask counts, answers that it does not apply are lost, and it drops its tokens one lifetime
@@ -84,6 +86,18 @@
         }
     }
 
+    /// Empty ledger whose tokens no entry holds yet.
+    pub fn without_predecessor(
+        capacity: QuotaCapacity,
+        lifetime: Duration,
+        now: TimePoint,
+    ) -> Self {
+        Self {
+            unknown: 0.0,
+            ..Self::new(capacity, lifetime, now)
+        }
+    }
+
     /// Changes the bucket; a lower one takes effect at once for all further grants.
     pub fn set_capacity(&mut self, capacity: QuotaCapacity, now: TimePoint) {
         self.refill(now);
@@ -130,6 +144,8 @@
             first = known.map_or(ask.base, |known| known.first);
             tokens = stated;
             self.unknown -= from_predecessor;
+            // Only what is counted can move back; tokens that were lost with an answer stay lost.
+            self.level += (ask.returned as f64).min((counted - stated).max(0.0));
         }
         self.holdings.insert(
             entry,
--- a/crates/oriolecrank-policy/src/quota/quota_share.rs
+++ b/crates/oriolecrank-policy/src/quota/quota_share.rs
@@ -12,7 +12,7 @@
 const HOLD_TIME: Duration = Duration::from_secs(1);
 
 /// Time constant with which demand and grants decay.
-const DEMAND_TIME: Duration = Duration::from_secs(2);
+const DEMAND_TIME: Duration = Duration::from_secs(1);
 
 /// Time after an answer that left requests without tokens, in which others are refused at once.
 const SHORT_TIME: Duration = Duration::from_millis(150);
@@ -208,10 +208,14 @@
         let target = self.target(entries, now);
         let has_tokens = self.held > 0 || self.pending > 0;
         let lapses_soon = has_tokens && now + self.lifetime / 2 >= self.valid_until;
-        let runs_low = self.held <= target / 2 && target > 0 && !self.is_short(now);
-        if self.waiting == 0 && !runs_low && !lapses_soon {
+        let runs_low = self.held < target / 4 * 3 && !self.is_short(now);
+        // Tokens that are not needed here any more return to the leader.
+        let is_excess = self.held > target.saturating_add(target / 2) && self.waiting == 0;
+        if self.waiting == 0 && !runs_low && !lapses_soon && !is_excess {
             return None;
         }
+        let returned = if is_excess { self.held - target } else { 0 };
+        self.held -= returned;
         self.sequence += 1;
         Some(ShareAsk {
             stated: self.stated,
@@ -219,6 +223,7 @@
                 sequence: self.sequence,
                 base: self.base,
                 held: self.held.saturating_add(self.pending),
+                returned,
                 wanted: target
                     .saturating_add(self.waiting)
                     .saturating_sub(self.held),
--- a/crates/oriolecrank-policy/src/quota/quota_spec.rs
+++ b/crates/oriolecrank-policy/src/quota/quota_spec.rs
@@ -14,7 +14,7 @@
 const MAX_TOKENS: f64 = 1e12;
 
 /// Fraction of the capacity that all entries together may hold.
-const HELD_FRACTION: f64 = 0.5;
+const HELD_FRACTION: f64 = 0.6;
 
 /// What a quota counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
--- a/crates/oriolecrank-policy/src/quota/quota_table.rs
+++ b/crates/oriolecrank-policy/src/quota/quota_table.rs
@@ -41,6 +41,16 @@
         }
     }
 
+    /// Records that this instance holds the lease of the leader in a term. The earlier a new leader
+    /// learns it, the earlier it can grant tokens.
+    pub fn observe_term(&mut self, term: u64, now: TimePoint) {
+        if term != self.term {
+            self.term = term;
+            self.led_since = now;
+            self.ledgers.clear();
+        }
+    }
+
     /// Answers an ask for an organisation, in a term in which this instance holds the lease of the
     /// leader. The quota of the newest document that any entry has stated counts. `None` if the ask
     /// is outdated.
@@ -53,11 +63,7 @@
         ask: LedgerAsk,
         now: TimePoint,
     ) -> Option<LedgerAnswer> {
-        if term != self.term {
-            self.term = term;
-            self.led_since = now;
-            self.ledgers.clear();
-        }
+        self.observe_term(term, now);
         if !self.ledgers.contains_key(organisation) {
             let capacity = QuotaCapacity::new(&stated.spec, &self.bounds);
             let ledger = QuotaLedger::new(capacity, self.lifetime, self.led_since);
@@ -67,7 +73,8 @@
         if stated.version > current.version {
             let capacity = QuotaCapacity::new(&stated.spec, &self.bounds);
             if stated.spec.unit != current.spec.unit {
-                *ledger = QuotaLedger::new(capacity, self.lifetime, now);
+                // No entry holds tokens of the new unit.
+                *ledger = QuotaLedger::without_predecessor(capacity, self.lifetime, now);
             } else if stated.spec != current.spec {
                 ledger.set_capacity(capacity, now);
             }
