--- a/crates/oriolecrank-gateway/src/quota/quota_gate.rs
+++ b/crates/oriolecrank-gateway/src/quota/quota_gate.rs
@@ -20,7 +20,7 @@
 
 /// Lifetime of tokens, from the sending of the ask that they answer. Longer than a change of the
 /// leader, so that entries go on meanwhile.
-pub(crate) const TOKEN_LIFETIME: Duration = Duration::from_secs(2);
+pub(crate) const TOKEN_LIFETIME: Duration = Duration::from_secs(3);
 
 /// Longest wait of a request for tokens: a round trip to a leader in another region and some delay.
 const TOKEN_WAIT: Duration = Duration::from_millis(120);
--- a/crates/oriolecrank-gateway/src/quota/quota_messages.rs
+++ b/crates/oriolecrank-gateway/src/quota/quota_messages.rs
@@ -32,6 +32,8 @@
     held: u64,
     returned: u64,
     wanted: u64,
+    held_rate: u64,
+    wanted_rate: u64,
 }
 
 impl OrganisationAsk {
@@ -51,6 +53,8 @@
             held: ask.held,
             returned: ask.returned,
             wanted: ask.wanted,
+            held_rate: ask.held_rate,
+            wanted_rate: ask.wanted_rate,
         }
     }
 }
@@ -74,6 +78,8 @@
                 held: wire.held,
                 returned: wire.returned,
                 wanted: wire.wanted,
+                held_rate: wire.held_rate,
+                wanted_rate: wire.wanted_rate,
             },
         }
     }
@@ -93,6 +99,7 @@
 pub(crate) struct TokenGrant {
     renewed: bool,
     granted: u64,
+    rate: u64,
 }
 
 impl From<LedgerAnswer> for TokenGrant {
@@ -100,6 +107,7 @@
         Self {
             renewed: answer.renewed,
             granted: answer.granted,
+            rate: answer.rate,
         }
     }
 }
@@ -109,6 +117,7 @@
         Self {
             renewed: wire.renewed,
             granted: wire.granted,
+            rate: wire.rate,
         }
     }
 }
--- a/crates/oriolecrank-policy/src/quota/mod.rs
+++ b/crates/oriolecrank-policy/src/quota/mod.rs
@@ -9,7 +9,7 @@
 mod quota_spec;
 mod quota_table;
 
-pub use quota_ledger::{LedgerAnswer, LedgerAsk, QuotaLedger};
+pub use quota_ledger::{LedgerAnswer, LedgerAsk, QuotaLedger, RATE_HOLD_TIME};
 pub use quota_share::{ChargeEpoch, QuotaShare, ShareAsk};
 pub use quota_spec::{QuotaBounds, QuotaCapacity, QuotaSpec, QuotaUnit, TokenRate};
 pub use quota_table::{QuotaTable, VersionedSpec};
--- a/crates/oriolecrank-policy/src/quota/quota_share.rs
+++ b/crates/oriolecrank-policy/src/quota/quota_share.rs
@@ -4,16 +4,25 @@
 
 use oriolecrank_schema::TimePoint;
 
-use super::quota_ledger::{LedgerAnswer, LedgerAsk};
+use super::quota_ledger::{LedgerAnswer, LedgerAsk, RATE_HOLD_TIME};
 use super::quota_spec::{QuotaBounds, QuotaCapacity, QuotaSpec};
 use super::quota_table::VersionedSpec;
 
 /// Time of its demand for which an entry holds tokens, so that it can go on without a leader.
-const HOLD_TIME: Duration = Duration::from_secs(1);
+const HOLD_TIME: Duration = Duration::from_millis(700);
+
+/// The same for the part of the demand that the entry's own rate covers.
+const RATED_HOLD_TIME: Duration = Duration::from_millis(300);
 
 /// Time constant with which demand and grants decay.
 const DEMAND_TIME: Duration = Duration::from_secs(1);
 
+/// Requests that a rate has to save up for; below, few requests would find its tokens.
+const RATED_REQUESTS: f64 = 2.0;
+
+/// Time constant of the demand for which an entry has a rate of its own.
+const STEADY_TIME: Duration = Duration::from_secs(4);
+
 /// Time after an answer that left requests without tokens, in which others are refused at once.
 const SHORT_TIME: Duration = Duration::from_millis(150);
 
@@ -35,22 +44,32 @@
 }
 
 /// Sum that decays exponentially, read as a rate.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 struct DecayingSum {
     value: f64,
     updated: TimePoint,
+    /// Time constant, in seconds.
+    seconds: f64,
 }
 
 impl DecayingSum {
+    fn new(time: Duration) -> Self {
+        Self {
+            value: 0.0,
+            updated: TimePoint::default(),
+            seconds: time.as_secs_f64(),
+        }
+    }
+
     fn add(&mut self, value: f64, now: TimePoint) {
         let age = now.since(self.updated).as_secs_f64();
-        self.value = self.value * (-age / DEMAND_TIME.as_secs_f64()).exp() + value;
+        self.value = self.value * (-age / self.seconds).exp() + value;
         self.updated = now;
     }
 
     fn per_second(&mut self, now: TimePoint) -> f64 {
         self.add(0.0, now);
-        self.value / DEMAND_TIME.as_secs_f64()
+        self.value / self.seconds
     }
 }
 
@@ -69,11 +88,18 @@
     pending: u64,
     /// Tokens that waiting requests lack.
     waiting: u64,
+    /// Tokens per second that the share adds by itself, up to [`RATE_HOLD_TIME`] of them.
+    rate: u64,
+    /// Thousandths of a token that were added and are not whole yet.
+    added_milli: u64,
+    added_until: TimePoint,
     valid_until: TimePoint,
     epoch: ChargeEpoch,
     sequence: u64,
     base: u64,
     demand: DecayingSum,
+    /// Demand over a longer time, for which the share wants a rate of its own.
+    steady_demand: DecayingSum,
     grants: DecayingSum,
     /// Tokens of the last request that states prompt tokens or of any other one.
     usual_cost: u64,
@@ -91,12 +117,16 @@
             held: 0,
             pending: 0,
             waiting: 0,
+            rate: 0,
+            added_milli: 0,
+            added_until: TimePoint::default(),
             valid_until: TimePoint::default(),
             epoch: ChargeEpoch::default(),
             sequence: 0,
             base: 0,
-            demand: DecayingSum::default(),
-            grants: DecayingSum::default(),
+            demand: DecayingSum::new(DEMAND_TIME),
+            steady_demand: DecayingSum::new(STEADY_TIME),
+            grants: DecayingSum::new(DEMAND_TIME),
             usual_cost: 0,
             short_until: TimePoint::default(),
             next_return: TimePoint::default(),
@@ -114,7 +144,8 @@
         self.capacity = QuotaCapacity::new(&spec, bounds);
         if !covers {
             self.drop_tokens();
-            self.demand = DecayingSum::default();
+            self.demand = DecayingSum::new(DEMAND_TIME);
+            self.steady_demand = DecayingSum::new(STEADY_TIME);
         }
     }
 
@@ -122,18 +153,37 @@
         self.epoch.0 += 1;
         self.held = 0;
         self.pending = 0;
+        self.rate = 0;
     }
 
+    /// Drops tokens whose lifetime has ended, and adds those of the share's own rate.
     fn lapse(&mut self, now: TimePoint) {
-        if now >= self.valid_until && (self.held > 0 || self.pending > 0) {
+        let has_tokens = self.held > 0 || self.pending > 0 || self.rate > 0;
+        if now >= self.valid_until && has_tokens {
             self.drop_tokens();
         }
+        let elapsed_ms = now.since(self.added_until).as_millis() as u64;
+        self.added_until = self.added_until.max(now);
+        let added = self.rate.saturating_mul(elapsed_ms);
+        self.added_milli = self.added_milli.saturating_add(added);
+        let room = self
+            .rate_hold()
+            .saturating_sub(self.held.saturating_add(self.pending));
+        self.held += (self.added_milli / 1_000).min(room);
+        self.added_milli %= 1_000;
+    }
+
+    /// Most tokens that the share saves up at its own rate.
+    const fn rate_hold(&self) -> u64 {
+        self.rate.saturating_mul(RATE_HOLD_TIME.as_secs())
     }
 
     /// Records a request that wants tokens.
     pub fn record_demand(&mut self, cost: u64, now: TimePoint) {
         // One absurd request must not set the demand for seconds.
-        self.demand.add((cost as f64).min(self.capacity.most), now);
+        let counted = (cost as f64).min(self.capacity.most);
+        self.demand.add(counted, now);
+        self.steady_demand.add(counted, now);
         self.usual_cost = cost.max(self.usual_cost / 2);
     }
 
@@ -198,23 +248,47 @@
             return 0;
         }
         let idle = self.capacity.most_held() / 2.0 / f64::from(entries.max(1));
-        let target = demand * HOLD_TIME.as_secs_f64() + (self.usual_cost as f64).min(idle);
+        // The share adds what its own rate covers.
+        let uncovered = (demand - self.rate as f64).max(0.0);
+        let held = uncovered * HOLD_TIME.as_secs_f64() + demand * RATED_HOLD_TIME.as_secs_f64();
+        let target = held + (self.usual_cost as f64).min(idle);
         target.min(self.capacity.most_held()) as u64
     }
 
+    /// Rate that the share wants for itself: that of its demand, if it is steady enough.
+    fn wanted_rate(&mut self, now: TimePoint) -> u64 {
+        // A rate that is given for a moment of demand is lost to other entries afterwards.
+        let steady = self.steady_demand.per_second(now);
+        let demand = self.demand.per_second(now).min(steady);
+        let saved = demand * RATE_HOLD_TIME.as_secs_f64();
+        if saved >= RATED_REQUESTS * self.usual_cost as f64 {
+            demand as u64
+        } else {
+            0
+        }
+    }
+
     /// Ask for the leader, if tokens are short, run low or are about to lapse.
     pub fn ask(&mut self, entries: u32, now: TimePoint) -> Option<ShareAsk> {
         self.lapse(now);
         let target = self.target(entries, now);
-        let has_tokens = self.held > 0 || self.pending > 0;
+        let has_tokens = self.held > 0 || self.pending > 0 || self.rate > 0;
         let lapses_soon = has_tokens && now + self.lifetime / 2 >= self.valid_until;
         let runs_low = self.held < target / 4 * 3 && !self.is_short(now);
         // Tokens that are not needed here any more return to the leader.
-        let is_excess = self.held > target.saturating_add(target / 2) && self.waiting == 0;
-        if self.waiting == 0 && !runs_low && !lapses_soon && !is_excess {
+        let is_excess =
+            self.held > (target + self.rate_hold()).saturating_add(target / 4) && self.waiting == 0;
+        let wanted_rate = self.wanted_rate(now);
+        let has_excess_rate = wanted_rate < self.rate / 2;
+        let may_rest = !runs_low && !lapses_soon && !is_excess && !has_excess_rate;
+        if self.waiting == 0 && may_rest {
             return None;
         }
-        let returned = if is_excess { self.held - target } else { 0 };
+        let returned = if is_excess {
+            self.held - target - self.rate_hold()
+        } else {
+            0
+        };
         self.held -= returned;
         self.sequence += 1;
         Some(ShareAsk {
@@ -224,6 +298,8 @@
                 base: self.base,
                 held: self.held.saturating_add(self.pending),
                 returned,
+                held_rate: self.rate,
+                wanted_rate,
                 wanted: target
                     .saturating_add(self.waiting)
                     .saturating_sub(self.held),
@@ -246,14 +322,15 @@
         if is_outdated || ask.ask.sequence != self.sequence || now >= lapses_at {
             return;
         }
-        if !answer.renewed && ask.ask.held > 0 {
+        if !answer.renewed {
             self.drop_tokens();
         }
+        self.rate = answer.rate;
         self.base = ask.ask.sequence;
         self.held = self.held.saturating_add(answer.granted);
         self.valid_until = lapses_at;
         self.grants.add(answer.granted as f64, now);
-        if answer.granted < ask.ask.wanted {
+        if self.held < self.waiting {
             self.short_until = now + SHORT_TIME;
         }
     }
--- a/crates/oriolecrank-policy/src/quota/quota_spec.rs
+++ b/crates/oriolecrank-policy/src/quota/quota_spec.rs
@@ -13,8 +13,11 @@
 /// Upper bound of rates and bursts; sums of all of them stay exact in a floating-point number.
 const MAX_TOKENS: f64 = 1e12;
 
+/// Fraction of the rate that entries may have as rates of their own.
+const RATE_FRACTION: f64 = 0.65;
+
 /// Fraction of the capacity that all entries together may hold.
-const HELD_FRACTION: f64 = 0.6;
+const HELD_FRACTION: f64 = 0.75;
 
 /// What a quota counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -134,6 +137,11 @@
         }
     }
 
+    /// Most that the rates of all entries add up to.
+    pub fn most_rate(&self) -> f64 {
+        self.rate * RATE_FRACTION
+    }
+
     /// Most tokens that all entries together hold.
     pub fn most_held(&self) -> f64 {
         self.most * HELD_FRACTION
