Grant what waiting requests lack before what entries would like to hold

An entry's part of all holdings of a small quota was less than one request of 9,000 tokens, so that no entry could admit one in a burst.

--- a/crates/oriolecrank-gateway/src/quota/quota_messages.rs
+++ b/crates/oriolecrank-gateway/src/quota/quota_messages.rs
@@ -32,6 +32,8 @@
     held: u64,
     returned: u64,
     wanted: u64,
+    needed: u64,
+    usual: u64,
     held_rate: u64,
     wanted_rate: u64,
 }
@@ -53,6 +55,8 @@
             held: ask.held,
             returned: ask.returned,
             wanted: ask.wanted,
+            needed: ask.needed,
+            usual: ask.usual,
             held_rate: ask.held_rate,
             wanted_rate: ask.wanted_rate,
         }
@@ -78,6 +82,8 @@
                 held: wire.held,
                 returned: wire.returned,
                 wanted: wire.wanted,
+                needed: wire.needed,
+                usual: wire.usual,
                 held_rate: wire.held_rate,
                 wanted_rate: wire.wanted_rate,
             },
--- a/crates/oriolecrank-policy/src/quota/quota_ledger.rs
+++ b/crates/oriolecrank-policy/src/quota/quota_ledger.rs
@@ -23,6 +23,10 @@
     pub returned: u64,
     /// Tokens that it wants in addition.
     pub wanted: u64,
+    /// Part of `wanted` that waiting requests lack.
+    pub needed: u64,
+    /// Tokens of a usual request.
+    pub usual: u64,
     /// Rate at which the entry adds tokens of its own, per second.
     pub held_rate: u64,
     /// Rate that it wants instead.
@@ -211,7 +215,7 @@
             holding.rate = holding.rate.max(rate);
         }
         self.cut_level();
-        let granted = self.next_grant(entry, ask.wanted as f64);
+        let granted = self.next_grant(entry, &ask);
         self.level -= granted;
         if let Some(holding) = self.holdings.get_mut(&entry) {
             holding.tokens += granted;
@@ -239,15 +243,25 @@
         rate.max(0.0).floor()
     }
 
-    /// Tokens for an entry: what it wants, at most its part of all holdings by what entries want to
-    /// hold, so that the first ones to ask do not take what the others need.
-    fn next_grant(&self, entry: u64, wanted: f64) -> f64 {
+    /// Tokens for an entry: what waiting requests lack, and what it wants beyond that as far as
+    /// others do not need it. Too few for a request are not granted, because they would be scattered
+    /// over entries that cannot use them.
+    fn next_grant(&self, entry: u64, ask: &LedgerAsk) -> f64 {
         let Some(own) = self.holdings.get(&entry) else {
             return 0.0;
         };
+        let room = (self.capacity.most_held() - self.held())
+            .min(self.level)
+            .max(0.0);
+        let needed = ask.needed as f64;
+        if needed > room {
+            let is_enough = room >= needed.min(ask.usual as f64);
+            return if is_enough { room.floor() } else { 0.0 };
+        }
         let targets: f64 = self.holdings.values().map(|other| other.target).sum();
         let part = self.capacity.most_held() * own.target / targets.max(1.0) - own.tokens;
-        let room = (self.capacity.most_held() - self.held()).min(self.level);
-        wanted.min(part).min(room).max(0.0).floor()
+        let spare = room - needed;
+        let more = (ask.wanted as f64 - needed).min(part - needed).min(spare);
+        (needed + more.max(0.0)).floor()
     }
 }
--- a/crates/oriolecrank-policy/src/quota/quota_share.rs
+++ b/crates/oriolecrank-policy/src/quota/quota_share.rs
@@ -298,6 +298,8 @@
                 base: self.base,
                 held: self.held.saturating_add(self.pending),
                 returned,
+                needed: self.waiting.saturating_sub(self.held),
+                usual: self.usual_cost,
                 held_rate: self.rate,
                 wanted_rate,
                 wanted: target
--- a/crates/oriolecrank-policy/tests/quota.rs
+++ b/crates/oriolecrank-policy/tests/quota.rs
@@ -24,7 +24,7 @@
 }
 
 fn tokens(rate: f64, burst: f64) -> QuotaSpec {
-    QuotaSpec::limited(rate, burst, QuotaUnit::Tokens { plain: 200 }).unwrap()
+    QuotaSpec::limited(rate, burst, QuotaUnit::Tokens { plain: 200 }).expect("a rate above 0")
 }
 
 fn allowed(spec: &QuotaSpec) -> f64 {
