--- a/crates/oriolecrank-gateway/src/control_site.rs
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -14,6 +14,7 @@
 use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel};
 use oriolecrank_net::{ClusterSecret, MetricsListener, ServerSettings, serve_with};
 use oriolecrank_policy::fair_share::FairShareSettings;
+use oriolecrank_policy::quota::QuotaBounds;
 use oriolecrank_routing::RepairSettings;
 use oriolecrank_schema::event::LogEvent;
 use prometheus_client::registry::Registry;
@@ -61,6 +62,8 @@
     /// How the engines of overloaded services are divided, if entries ask for it; `None` for the
     /// defaults.
     pub fair_share: Option<FairShareSettings>,
+    /// What the deployment allows beyond the quotas of organisations.
+    pub quota: QuotaBounds,
     /// Settings of usage reports; `None` if this site reports no usage.
     pub usage: Option<UsageReportSettings>,
     /// Resources of the process, which bound what its clients can make it hold.
--- a/crates/oriolecrank-gateway/src/entry_metrics.rs
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -89,6 +89,7 @@
     sent_bytes: Family<DistanceLabel, Counter>,
     kept_in_region: Counter,
     streams: Family<OutcomeLabel, Counter>,
+    quota_asks: Family<OutcomeLabel, Counter>,
     ejections: Counter,
     pauses: Counter,
     first_answer: Family<KindLabel, Histogram>,
@@ -112,6 +113,7 @@
             sent_bytes: Family::default(),
             kept_in_region: Counter::default(),
             streams: Family::default(),
+            quota_asks: Family::default(),
             ejections: Counter::default(),
             pauses: Counter::default(),
             first_answer: Family::new_with_constructor(|| {
@@ -149,6 +151,11 @@
                 &self.extra_attempts,
             ),
             ("streams", "Streams that had begun, by end", &self.streams),
+            (
+                "quota_asks",
+                "Asks of the leader for tokens of quotas, by outcome",
+                &self.quota_asks,
+            ),
         ];
         for (name, help, family) in families {
             registry.register(name, help, family.clone());
@@ -191,6 +198,14 @@
         }
     }
 
+    /// Counts an ask of the leader for tokens of quotas.
+    pub(crate) fn count_quota_ask(&self, answered: bool) {
+        let outcome = if answered { "answered" } else { "failed" };
+        self.quota_asks
+            .get_or_create(&OutcomeLabel { outcome })
+            .inc();
+    }
+
     /// Counts the bytes of a received document.
     pub(crate) fn count_document_bytes(&self, bytes: usize) {
         self.document_bytes.inc_by(bytes as u64);
@@ -206,6 +221,7 @@
             Some(CallFailure::UnknownRoute) => "unknown_route",
             Some(CallFailure::UnknownKey) => "unknown_key",
             Some(CallFailure::NotRun { .. } | CallFailure::CannotResume { .. }) => "not_run",
+            Some(CallFailure::OverQuota { .. }) => "over_quota",
             Some(CallFailure::MayHaveRun) => "may_have_run",
             Some(CallFailure::TimedOut) => "timed_out",
         };
--- a/crates/oriolecrank-gateway/src/entry_shared.rs
+++ b/crates/oriolecrank-gateway/src/entry_shared.rs
@@ -9,6 +9,7 @@
 use oriolecrank_net::intake::{ByteBudget, IntakeSettings};
 use oriolecrank_net::{ClusterSecret, HttpClient};
 use oriolecrank_policy::fair_share::FairShareSettings;
+use oriolecrank_policy::quota::QuotaBounds;
 use oriolecrank_routing::{
     AdmittedOrigins, CallerTimeoutRange, ChooserSettings, DirectChooser, EntryCounter, EntryRun,
     KnownGroup, LeavingUpstream, LimitReport, OrganisationName, PartId, PlacedParts, PlacementLog,
@@ -24,6 +25,7 @@
 use crate::dialect::{AnswerHead, CallerDialect};
 use crate::entry_metrics::EntryMetrics;
 use crate::fair_share::{ServiceDemand, ServiceGate, ServiceShares};
+use crate::quota::QuotaGate;
 use crate::site_clock::SiteClock;
 use crate::site_messages::{AgedAnnouncement, NamedLoad};
 
@@ -62,6 +64,8 @@
     pub fair_share: Option<FairShareSettings>,
     /// Time from the start in which requests wait for the first document; zero if they do not.
     pub start_wait: Duration,
+    /// What the deployment allows beyond the quotas of organisations.
+    pub quota: QuotaBounds,
     /// Length of a usage window.
     pub usage_window: Duration,
     /// Time between the signal to stop and the moment at which the process is killed.
@@ -117,6 +121,8 @@
     pub(crate) metrics: EntryMetrics,
     /// Memory for the bodies of requests, and for answers that are held until they are complete.
     pub(crate) client_budget: ByteBudget,
+    /// Tokens of organisations' quotas.
+    pub(crate) quota: Arc<QuotaGate>,
     /// Route table of the document in force; its version never decreases.
     route_table: RwLock<Option<Arc<RouteTable>>>,
     tables: Mutex<UpstreamTables>,
@@ -155,6 +161,7 @@
     ) -> Self {
         Self {
             client_budget: options.intake.client_budget(),
+            quota: Arc::new(QuotaGate::new(options.quota)),
             options,
             dialect,
             client,
