--- a/crates/oriolecrank-policy/src/fair_share/engine_backlog.rs
+++ b/crates/oriolecrank-policy/src/fair_share/engine_backlog.rs
@@ -21,7 +21,7 @@
 /// short peak, and nobody else has to wait for a slot.
 const MIN_TAKEN_SLOTS: f64 = 0.5;
 
-/// Time in which a backlog above its limit is to be worked off, in milliseconds. A second refused many
+/// Time in which a backlog above its limit is to be worked off, in milliseconds. Shorter times refuse
 /// requests that could still be answered late.
 const DRAIN_TIME_MS: f64 = 4_000.0;
 
