Observe the pauses in the streams of each engine

Engines of a service differ in speed and are several times slower at times. The choice knew how fast an engine reads, but not how long its streams pause, so that streams of many events went to engines where one slow time makes them late.

Entries record the time between the events of each stream, by engine, and how far single pauses exceed the mean, over all engines. Streams, and prompts that are read beside streams, pay for the share of streams that are expected to pause for longer than their route allows. The setting engines.observe_pauses switches it on; it is off by default. Event 238 and the metric entry_paused_streams show which engines pause.

--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -326,7 +326,7 @@
             last_data_at = now;
             attempt.expect_data(now);
             attempt.record_start(now);
-            if let Some(end) = self.forward_events(&data, &attempt).await {
+            if let Some(end) = self.forward_events(&data, &mut attempt, now).await {
                 return end;
             }
         }
@@ -337,7 +337,8 @@
     async fn forward_events(
         &mut self,
         data: &[u8],
-        attempt: &RunningAttempt<D>,
+        attempt: &mut RunningAttempt<D>,
+        now: TimePoint,
     ) -> Option<RelayEnd> {
         let batch = match self.splitter.push(data) {
             Ok(batch) => batch?,
@@ -356,7 +357,14 @@
         if !std::mem::replace(&mut self.any_event_sent, true) {
             self.runner.record_stream_begin(&attempt.chosen);
         }
+        let numbers = batch.first_number.zip(batch.last_number);
+        let events = numbers.map_or(1, |(first, last)| last.saturating_sub(first) + 1);
+        let pause_target = self.runner.request.route.pause_target;
+        attempt.record_events(u32::try_from(events).unwrap_or(1), pause_target, now);
         let sent = self.sender.send(Ok(batch.bytes)).await;
+        if current_time().since(now) >= CALLER_DELAY {
+            attempt.skip_pause();
+        }
         sent.is_err().then_some(RelayEnd::CallerLeft)
     }
 
@@ -372,6 +380,10 @@
     }
 }
 
+/// Time for which a caller that reads slowly delays an event, from which on the next pause is not
+/// counted as one of the upstream.
+const CALLER_DELAY: Duration = Duration::from_millis(5);
+
 /// Whether the end of an answer's body shows in the body, and not only by the end of its connection.
 fn has_explicit_end(fields: &HeaderMap) -> bool {
     fields.contains_key(CONTENT_LENGTH) || fields.contains_key(TRANSFER_ENCODING)
--- a/crates/oriolecrank-gateway/src/entry_metrics.rs
+++ b/crates/oriolecrank-gateway/src/entry_metrics.rs
@@ -91,6 +91,7 @@
     streams: Family<OutcomeLabel, Counter>,
     ejections: Counter,
     pauses: Counter,
+    paused_streams: Counter,
     first_answer: Family<KindLabel, Histogram>,
     document_version: Gauge,
     document_bytes: Counter,
@@ -114,6 +115,7 @@
             streams: Family::default(),
             ejections: Counter::default(),
             pauses: Counter::default(),
+            paused_streams: Counter::default(),
             first_answer: Family::new_with_constructor(|| {
                 Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKET_COUNT))
             }),
@@ -163,6 +165,8 @@
         registry.register("ejections", help, self.ejections.clone());
         let help = "Pauses that upstreams have asked this entry for";
         registry.register("pauses", help, self.pauses.clone());
+        let help = "Streams with a pause between two events above the limit of their route";
+        registry.register("paused_streams", help, self.paused_streams.clone());
         let help = "Bytes of documents received from control instances";
         registry.register("document_bytes", help, self.document_bytes.clone());
         let help = "Time from sending an attempt to its first event or the head of its answer";
@@ -298,6 +302,11 @@
         self.pauses.inc();
     }
 
+    /// Counts a stream with a pause above the limit of its route.
+    pub(crate) fn count_paused_stream(&self) {
+        self.paused_streams.inc();
+    }
+
     /// Records the time from sending an attempt to its first event or the head of its answer.
     pub(crate) fn observe_first_answer(&self, kind: CallKind, elapsed: Duration) {
         let kind = match kind {
--- a/crates/oriolecrank-gateway/src/running_attempt.rs
+++ b/crates/oriolecrank-gateway/src/running_attempt.rs
@@ -6,7 +6,8 @@
 use oriolecrank_net::BootClock;
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
 use oriolecrank_routing::{
-    CallKind, ChosenUpstream, CrashSuspect, LimitStatement, OrganisationName, ServiceName,
+    CallKind, ChosenUpstream, CrashSuspect, LimitStatement, OrganisationName, PauseCollector,
+    PauseSample, ServiceName,
 };
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
@@ -31,6 +32,10 @@
     started: bool,
     /// Time from sending the request to its complete answer; `None` until then and for streams.
     service_time: Option<Duration>,
+    /// Pauses of the answer's events that are not recorded yet.
+    pauses: PauseCollector,
+    /// A pause of this stream was longer than its target, which is logged once.
+    paused_late: bool,
 }
 
 impl<D> RunningAttempt<D> {
@@ -54,6 +59,8 @@
             awaiting_since: None,
             started: false,
             service_time: None,
+            pauses: PauseCollector::new(),
+            paused_late: false,
         }
     }
 
@@ -92,6 +99,47 @@
         self.count_usage(started_at);
     }
 
+    /// Records `events` of a stream that have arrived together.
+    pub(crate) fn record_events(&mut self, events: u32, target: Duration, now: TimePoint) {
+        let pause = self.pauses.record(events, now);
+        if let Some(pause) = pause.filter(|pause| *pause > target) {
+            self.record_late_pause(pause, now);
+        }
+        if let Some(sample) = self.pauses.take_full() {
+            self.record_pauses(sample, now);
+        }
+    }
+
+    /// Leaves out the pause before the next event, because the caller has delayed it.
+    pub(crate) const fn skip_pause(&mut self) {
+        self.pauses.skip_pause();
+    }
+
+    fn record_pauses(&self, sample: PauseSample, now: TimePoint) {
+        let upstream = &self.chosen.announcement;
+        self.shared.with_service(&self.service, |state| {
+            state.chooser.record_pauses(upstream, sample, now);
+        });
+    }
+
+    fn record_late_pause(&mut self, pause: Duration, now: TimePoint) {
+        if std::mem::replace(&mut self.paused_late, true) {
+            return;
+        }
+        self.shared.metrics.count_paused_stream();
+        let upstream = &self.chosen.announcement.name;
+        let status = self.shared.with_service(&self.service, |state| {
+            state.chooser.engine_status(upstream.as_str(), now)
+        });
+        tracing::info!(
+            event = LogEvent::StreamPaused.number(),
+            %upstream,
+            pause_ms = pause.as_millis() as u64,
+            ?status,
+            "a stream paused for longer than its route allows"
+        );
+    }
+
     /// Records that the answer was lost. A request that was sent has most probably run and counts
     /// as usage, except for one to a model engine.
     pub(crate) fn record_lost(&mut self) {
@@ -196,6 +244,9 @@
             self.shared
                 .record_silent_attempt(upstream, &self.suspects, since, current_time());
         }
+        if let Some(rest) = self.pauses.take_rest() {
+            self.record_pauses(rest, current_time());
+        }
         let name = self.chosen.announcement.name.as_str();
         let (ticket, service_time) = (&self.chosen.ticket, self.service_time);
         self.shared.with_service(&self.service, |state| {
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -9,6 +9,7 @@
 
 use crate::direct_chooser::{ChoiceRequest, DirectChooser};
 use crate::direct_upstream::{CacheConfidence, CallTiming, DirectUpstream};
+use crate::engine::stream_harm::StreamHarm;
 use crate::names::{DomainName, UpstreamName};
 use crate::prompt_shape::{PartId, PromptShape};
 use crate::upstream_directory::EngineRole;
@@ -27,12 +28,6 @@
 /// request.
 const CACHE_AFFINITY_BONUS_MS: f64 = 4.0;
 
-/// Share of the pause target up to which the prompts that an engine reads do not make its streams
-/// late. The rest is a margin for prompts of other entries that are not reported yet.
-const SAFE_PAUSE_SHARE: f64 = 0.6;
-
-/// Cost of a stream that becomes late by a pause, as a multiple of its pause target.
-const LATE_STREAM_COST: f64 = 2.0;
 
 /// Smallest cached prefix, in tokens, that is worth fetching from another engine.
 const MIN_FETCH_TOKENS: u64 = 512;
@@ -195,8 +190,15 @@
                     fetch_from: None,
                 });
             };
+            let own_harm_ms = self
+                .stream_harm()
+                .of_own_pauses_ms(upstream, prompt.output_tokens);
             let Some((prefill_upstream, source)) = prefill_upstream else {
-                return Some(self.best_prefill_estimate(index, upstream, prompt, location, holder));
+                let direct = self.best_prefill_estimate(index, upstream, prompt, location, holder);
+                return Some(WorkEstimate {
+                    occupied_ms: direct.occupied_ms + own_harm_ms / OCCUPANCY_WEIGHT,
+                    ..direct
+                });
             };
             let copy_ms = self.chooser.copy_ms(source, upstream, prompt.input_tokens);
             let decode_start_ms = upstream.decode_start_ms(slots, self.now);
@@ -211,7 +213,8 @@
                     + REMOTE_PREFILL_OVERHEAD_MS
                     + copy_ms
                     + decode_start_ms,
-                occupied_ms: prefill_cost_ms / OCCUPANCY_WEIGHT + copy_ms - bonus_ms,
+                occupied_ms: (prefill_cost_ms + own_harm_ms) / OCCUPANCY_WEIGHT + copy_ms
+                    - bonus_ms,
                 handover_ms: 0.0,
                 prefill_tokens: 0,
                 fetch_from: None,
@@ -294,7 +297,7 @@
         let (reading, now) = (&self.chooser.reading, self.now);
         let prefill_ms = upstream.prefill_ms(prefill_tokens, reading, now);
         let harm_ms = if also_decodes {
-            self.stream_harm_ms(upstream, prefill_ms)
+            self.stream_harm().of_reading_ms(upstream, prefill_ms)
         } else {
             0.0
         };
@@ -343,18 +346,13 @@
         domains
     }
 
-    /// Cost to the streams of an engine if it also reads a prompt for `prefill_ms`, in milliseconds.
-    ///
-    /// An engine reads between its decoding steps, so that a stream may pause for as long as all
-    /// prompts take that wait there. Less than the pause target does no harm; beyond, the streams that
-    /// run there, and the next one, are late.
-    fn stream_harm_ms(&self, upstream: &DirectUpstream, prefill_ms: f64) -> f64 {
-        let target_ms = self.request.pause_target.as_secs_f64() * 1_000.0;
-        let safe_ms = target_ms * SAFE_PAUSE_SHARE;
-        let queued_ms = upstream.queued_reading_ms(&self.chooser.reading, self.now);
-        let excess = (queued_ms + prefill_ms - safe_ms) / (target_ms - safe_ms).max(1.0);
-        let streams = upstream.running() + 1;
-        excess.clamp(0.0, 1.0) * f64::from(streams) * target_ms * LATE_STREAM_COST
+    fn stream_harm(&self) -> StreamHarm<'_> {
+        StreamHarm {
+            pause_target: self.request.pause_target,
+            reading: &self.chooser.reading,
+            pauses: self.chooser.observed_pauses(),
+            now: self.now,
+        }
     }
 
     /// Engine with the longest cached prefix of the prompt, as far as this entry knows. Engines of
--- a/crates/oriolecrank-routing/src/direct_chooser.rs
+++ b/crates/oriolecrank-routing/src/direct_chooser.rs
@@ -21,6 +21,8 @@
 
 use crate::choice_search::{Candidate, ChoiceSearch, LimitUse, RegionReach, serves_role};
 use crate::direct_upstream::{CallTiming, DirectUpstream, DispatchTicket, UpstreamLoad};
+use crate::engine::engine_status::EngineStatus;
+use crate::engine::event_pace::{PauseSample, ServicePauses};
 use crate::limit_report::{LimitReport, REPORT_LIFETIME};
 use crate::names::{DomainName, SoftwareVersion, UpstreamName};
 use crate::part_placement::{PartPlacements, PlacedParts};
@@ -28,6 +30,7 @@
 use crate::reading_speed::ServiceReading;
 use crate::request_rate::LimitStatement;
 use crate::route_document::EngineSpec;
+use crate::service_time::ServiceTime;
 use crate::upstream_directory::{
     EngineRole, LeavingUpstream, SILENT_AFTER, UpstreamAnnouncement, UpstreamReadiness,
 };
@@ -56,6 +59,8 @@
     pub queue_per_slot: f64,
     /// When requests leave the failure domain and the region.
     pub spill: SpillSettings,
+    /// Whether the choice takes the observed pauses of each engine's streams into account.
+    pub observe_pauses: bool,
     /// Ejection of failing upstreams.
     pub ejection: EjectionSettings,
 }
@@ -72,6 +77,7 @@
             silent_after: SILENT_AFTER,
             queue_per_slot: 3.0,
             spill: SpillSettings::default(),
+            observe_pauses: false,
             ejection: EjectionSettings {
                 // A crashed upstream fails all its requests, so three failures in a row are
                 // conclusive.
@@ -244,45 +250,8 @@
     service_time: ServiceTime,
     /// Reading speeds of the service's engines.
     pub(crate) reading: ServiceReading,
-}
-
-/// Mean service time of the plain requests of a service.
-///
-/// A mean above the timeout of a route keeps requests away, and with them the answers that would
-/// correct it. Without answers it therefore counts for [`ESTIMATE_LIFETIME`] only.
-#[derive(Debug, Clone, Copy)]
-struct ServiceTime {
-    mean_ms: f64,
-    /// Mean assumed without answers, in milliseconds.
-    initial_ms: f64,
-    /// Time of the last answer.
-    observed_at: TimePoint,
-}
-
-impl ServiceTime {
-    fn new(initial: Duration) -> Self {
-        let initial_ms = initial.as_secs_f64() * 1_000.0;
-        Self {
-            mean_ms: initial_ms,
-            initial_ms,
-            observed_at: TimePoint::default(),
-        }
-    }
-
-    fn record(&mut self, time: Duration, now: TimePoint) {
-        let time_ms = time.as_secs_f64() * 1_000.0;
-        let mean_ms = self.mean_ms(now);
-        self.mean_ms = mean_ms + (time_ms - mean_ms) * SERVICE_TIME_WEIGHT;
-        self.observed_at = now;
-    }
-
-    fn mean_ms(&self, now: TimePoint) -> f64 {
-        if now.since(self.observed_at) > ESTIMATE_LIFETIME {
-            self.mean_ms.min(self.initial_ms)
-        } else {
-            self.mean_ms
-        }
-    }
+    /// Pauses of the streams of the service's engines.
+    pauses: ServicePauses,
 }
 
 /// A request counts as on time if its answer is expected within this share of the time to its
@@ -293,9 +262,6 @@
 /// Time without an answer after which an estimate that keeps requests away is given up.
 pub(crate) const ESTIMATE_LIFETIME: Duration = Duration::from_secs(5);
 
-/// Weight of a new observation in the mean service time.
-const SERVICE_TIME_WEIGHT: f64 = 0.02;
-
 impl DirectChooser {
     /// Creates a chooser without upstreams.
     pub fn new(settings: ChooserSettings) -> Self {
@@ -310,6 +276,7 @@
             placements: PartPlacements::default(),
             service_time: ServiceTime::new(settings.initial_service_time),
             reading: ServiceReading::new(settings.initial_prefill_speed),
+            pauses: ServicePauses::default(),
             settings,
         }
     }
@@ -895,6 +862,33 @@
         true
     }
 
+    /// Records pauses between the events of a stream. Has no effect if another incarnation of the
+    /// upstream is known by now.
+    pub fn record_pauses(
+        &mut self,
+        upstream: &UpstreamAnnouncement,
+        sample: PauseSample,
+        now: TimePoint,
+    ) {
+        let known = self.upstreams.get_mut(&upstream.name);
+        let known = known.filter(|known| known.started_ms() == upstream.started_ms);
+        let Some(known) = known else { return };
+        let mean_ms = known.pace.mean_ms(now);
+        self.pauses.record(sample, mean_ms, now);
+        known.pace.record(sample, now);
+    }
+
+    /// What this entry knows of an upstream, for the log; `None` if it is unknown.
+    pub fn engine_status(&self, name: &str, now: TimePoint) -> Option<EngineStatus> {
+        let upstream = self.upstreams.get(name)?;
+        Some(upstream.engine_status(&self.reading, now))
+    }
+
+    /// Observed pauses of the service's streams; `None` if the settings ask for no estimate of them.
+    pub(crate) fn observed_pauses(&self) -> Option<&ServicePauses> {
+        self.settings.observe_pauses.then_some(&self.pauses)
+    }
+
     /// Mean service time of a plain request, in milliseconds.
     pub(crate) fn mean_service_ms(&self, now: TimePoint) -> f64 {
         self.service_time.mean_ms(now)
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::direct_chooser::ESTIMATE_LIFETIME;
+use crate::engine::event_pace::EventPace;
 use crate::limit_report::LimitReport;
 use crate::names::SoftwareVersion;
 use crate::part_cache::PartCache;
@@ -219,6 +220,8 @@
     pub(crate) pause: UpstreamPause,
     /// This incarnation has stated in an answer that it leaves, which is final.
     pub(crate) leaving: bool,
+    /// Time between the events of its streams.
+    pub(crate) pace: EventPace,
     /// Weight set by outlier ejection, between 0 (ejected) and 1.
     pub(crate) weight: f64,
 }
@@ -248,6 +251,7 @@
             limit: UpstreamLimit::default(),
             pause: UpstreamPause::default(),
             leaving: false,
+            pace: EventPace::default(),
             weight: 1.0,
         }
     }
--- a/crates/oriolecrank-routing/tests/routing/main.rs
+++ b/crates/oriolecrank-routing/tests/routing/main.rs
@@ -19,6 +19,7 @@
 mod silent_attempts;
 mod site_state;
 mod stream_origins;
+mod stream_pauses;
 mod suspect_quarantine;
 mod sync_targets;
 mod upstream_directory;
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -75,6 +75,7 @@
     PauseStated = 228, "An upstream asks for a pause: it wants no requests of this process for the stated time.";
     LeavingStated = 229, "An upstream states in an answer that it leaves; it gets no new requests.";
     OverloadChanged = 235, "The engines of a service have become overloaded, so that the shares of organisations bind, or are so no longer.";
+    StreamPaused = 238, "A stream paused for longer than its route allows; the upstream, the pause and the mean pause of the upstream are in the line. One line a stream.";
     UpstreamAnnounced = 300, "An upstream was announced to the control group.";
     AnnounceFailed = 301, "An announcement could not be delivered; it is repeated.";
     AgentSuperseded = 302, "A newer agent for the same upstream exists; this one refuses orders and requests.";
