--- a/crates/oriolecrank-routing/src/engine/stream_harm.rs
+++ b/crates/oriolecrank-routing/src/engine/stream_harm.rs
@@ -42,32 +42,21 @@
         let target_ms = self.target_ms();
         let safe_ms = target_ms * SAFE_PAUSE_SHARE;
         let excess = (reading_ms - safe_ms) / (target_ms - safe_ms).max(1.0);
-        let observed = self.ratio_to_target(upstream, reading_ms);
-        let observed = observed.and_then(|(pauses, ratio)| pauses.share_above(ratio));
-        let late_share = excess.clamp(0.0, 1.0).max(observed.unwrap_or(0.0));
-        late_share * f64::from(upstream.running() + 1) * target_ms * LATE_STREAM_COST
+        let streams = upstream.running() + 1;
+        excess.clamp(0.0, 1.0) * f64::from(streams) * target_ms * LATE_STREAM_COST
     }
 
     /// Cost of the pauses that a stream of `events` events is expected to have at an engine, in
-    /// milliseconds; 0 if nothing is known of them.
+    /// milliseconds; 0 if nothing is known of them. The mean pause of the engine contains the prompts
+    /// that it reads beside its streams.
     pub(crate) fn of_own_pauses_ms(&self, upstream: &DirectUpstream, events: u64) -> f64 {
-        let reading_ms = upstream.queued_reading_ms(self.reading, self.now);
-        let late_share = self
-            .ratio_to_target(upstream, reading_ms)
-            .and_then(|(pauses, ratio)| pauses.streams_above(ratio, events));
-        late_share.unwrap_or(0.0) * self.target_ms() * LATE_STREAM_COST
-    }
-
-    /// Ratio of the pause target to the expected pause at an engine that also reads for `reading_ms`.
-    fn ratio_to_target(
-        &self,
-        upstream: &DirectUpstream,
-        reading_ms: f64,
-    ) -> Option<(&ServicePauses, f64)> {
-        let pauses = self.pauses?;
-        let pause_ms = pauses.mean_ms(&upstream.pace, self.now)? + reading_ms;
-        let limit_ms = self.target_ms() * EXPECTED_PAUSE_SHARE;
-        Some((pauses, limit_ms / pause_ms.max(1.0)))
+        let target_ms = self.target_ms();
+        let late_share = self.pauses.and_then(|pauses| {
+            let mean_ms = pauses.mean_ms(&upstream.pace, self.now)?;
+            let ratio = target_ms * EXPECTED_PAUSE_SHARE / mean_ms.max(1.0);
+            pauses.streams_above(ratio, events.saturating_sub(1))
+        });
+        late_share.unwrap_or(0.0) * target_ms * LATE_STREAM_COST
     }
 
     fn target_ms(&self) -> f64 {
