--- a/crates/oriolecrank-gateway/src/answer_relay.rs
+++ b/crates/oriolecrank-gateway/src/answer_relay.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt as _;
 use oriolecrank_net::{AnswerBody, BodyAborted, BodySender};
 use oriolecrank_policy::outlier_ejection::UpstreamOutcome;
+use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
 use tokio::time::timeout;
 
--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -28,7 +28,6 @@
 /// request.
 const CACHE_AFFINITY_BONUS_MS: f64 = 4.0;
 
-
 /// Smallest cached prefix, in tokens, that is worth fetching from another engine.
 const MIN_FETCH_TOKENS: u64 = 512;
 
--- a/crates/oriolecrank-routing/tests/routing/stream_pauses.rs
+++ b/crates/oriolecrank-routing/tests/routing/stream_pauses.rs
@@ -85,6 +85,7 @@
         allow_remote_prefill: true,
         priority: 1,
         versions: VersionFilter::Any,
+        body_bytes: 0,
     };
     let mut counts = [0; 3];
     for _ in 0..60 {
