--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -351,6 +351,11 @@
         self.total_load().running
     }
 
+    /// Requests of all entries that have occupied their slots for long, as far as this entry knows.
+    pub(crate) fn long_running(&self, now: TimePoint) -> u32 {
+        self.local_long_running(now) + self.remote_load.long_running
+    }
+
     /// Time to read all prompts that wait at the engine, in milliseconds.
     pub(crate) fn queued_reading_ms(&self, reading: &ServiceReading, now: TimePoint) -> f64 {
         let load = self.local_load.combined_with(self.remote_load);
@@ -366,8 +371,7 @@
     /// expected to come free.
     fn slot_wait_ms(&self, slots: u32, now: TimePoint) -> f64 {
         let load = self.local_load.combined_with(self.remote_load);
-        let long_running = (self.local_long_running(now) + self.remote_load.long_running)
-            .min(slots.saturating_sub(1));
+        let long_running = self.long_running(now).min(slots.saturating_sub(1));
         let usable_slots = f64::from(slots.saturating_sub(long_running).max(1));
         let ahead = f64::from(load.running.saturating_sub(long_running)) + 1.0 - usable_slots;
         ahead.max(0.0) / usable_slots * self.slot_time_ms
--- a/crates/oriolecrank-routing/src/engine/event_pace.rs
+++ b/crates/oriolecrank-routing/src/engine/event_pace.rs
@@ -10,7 +10,7 @@
 
 /// Events whose pauses are recorded together. At the pace of the deployments they take several hundred
 /// milliseconds, the length of a time in which an engine is slow.
-const SAMPLE_EVENTS: u32 = 8;
+pub(crate) const SAMPLE_EVENTS: u32 = 8;
 
 /// Share of the earlier pauses that is kept with each new one. Their weight halves within 23 events.
 const KEPT_EVENT_SHARE: f64 = 0.97;
