--- a/crates/oriolecrank-routing/src/choice_search.rs
+++ b/crates/oriolecrank-routing/src/choice_search.rs
@@ -189,9 +189,9 @@
                     fetch_from: None,
                 });
             };
-            let (harm, events) = (self.stream_harm(), prompt.output_tokens);
-            let own_harm_ms = harm.of_own_pauses_ms(upstream, events)
-                + harm.of_reading_room_ms(upstream, slots, events);
+            let own_harm_ms = self
+                .stream_harm()
+                .of_own_pauses_ms(upstream, prompt.output_tokens);
             let Some((prefill_upstream, source)) = prefill_upstream else {
                 let direct = self.best_prefill_estimate(index, upstream, prompt, location, holder);
                 return Some(WorkEstimate {
--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -352,7 +352,7 @@
     }
 
     /// Requests of all entries that have occupied their slots for long, as far as this entry knows.
-    pub(crate) fn long_running(&self, now: TimePoint) -> u32 {
+    fn long_running(&self, now: TimePoint) -> u32 {
         self.local_long_running(now) + self.remote_load.long_running
     }
 
--- a/crates/oriolecrank-routing/src/engine/event_pace.rs
+++ b/crates/oriolecrank-routing/src/engine/event_pace.rs
@@ -10,7 +10,7 @@
 
 /// Events whose pauses are recorded together. At the pace of the deployments they take several hundred
 /// milliseconds, the length of a time in which an engine is slow.
-pub(crate) const SAMPLE_EVENTS: u32 = 8;
+const SAMPLE_EVENTS: u32 = 8;
 
 /// Share of the earlier pauses that is kept with each new one. Their weight halves within 23 events.
 const KEPT_EVENT_SHARE: f64 = 0.97;
@@ -185,7 +185,7 @@
     }
 
     /// Share of the samples with a pause above `ratio` times the mean; `None` if too few were observed.
-    fn share_above(&self, ratio: f64) -> Option<f64> {
+    pub fn share_above(&self, ratio: f64) -> Option<f64> {
         if self.samples < MIN_SAMPLES {
             return None;
         }
@@ -193,9 +193,9 @@
         Some((above / self.samples).min(1.0))
     }
 
-    /// Share of the streams with this number of pauses of which one exceeds `ratio` times the mean.
-    pub fn streams_above(&self, ratio: f64, pauses: u64) -> Option<f64> {
-        let samples = pauses as f64 / f64::from(SAMPLE_EVENTS);
+    /// Share of the streams with `events` events that pause for more than `ratio` times the mean.
+    pub fn streams_above(&self, ratio: f64, events: u64) -> Option<f64> {
+        let samples = events as f64 / f64::from(SAMPLE_EVENTS);
         let share = self.share_above(ratio)?;
         Some(1.0 - (1.0 - share).powf(samples))
     }
