--- a/crates/oriolecrank-routing/src/direct_upstream.rs
+++ b/crates/oriolecrank-routing/src/direct_upstream.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::direct_chooser::ESTIMATE_LIFETIME;
+use crate::engine::event_pace::EventPace;
 use crate::limit_report::LimitReport;
 use crate::names::SoftwareVersion;
 use crate::part_cache::PartCache;
@@ -219,6 +220,8 @@
     pub(crate) pause: UpstreamPause,
     /// This incarnation has stated in an answer that it leaves, which is final.
     pub(crate) leaving: bool,
+    /// Time between the events of its streams.
+    pub(crate) pace: EventPace,
     /// Weight set by outlier ejection, between 0 (ejected) and 1.
     pub(crate) weight: f64,
 }
@@ -248,6 +251,7 @@
             limit: UpstreamLimit::default(),
             pause: UpstreamPause::default(),
             leaving: false,
+            pace: EventPace::default(),
             weight: 1.0,
         }
     }
@@ -347,6 +351,11 @@
         self.total_load().running
     }
 
+    /// Requests of all entries that have occupied their slots for long, as far as this entry knows.
+    fn long_running(&self, now: TimePoint) -> u32 {
+        self.local_long_running(now) + self.remote_load.long_running
+    }
+
     /// Time to read all prompts that wait at the engine, in milliseconds.
     pub(crate) fn queued_reading_ms(&self, reading: &ServiceReading, now: TimePoint) -> f64 {
         let load = self.local_load.combined_with(self.remote_load);
@@ -362,8 +371,7 @@
     /// expected to come free.
     fn slot_wait_ms(&self, slots: u32, now: TimePoint) -> f64 {
         let load = self.local_load.combined_with(self.remote_load);
-        let long_running = (self.local_long_running(now) + self.remote_load.long_running)
-            .min(slots.saturating_sub(1));
+        let long_running = self.long_running(now).min(slots.saturating_sub(1));
         let usable_slots = f64::from(slots.saturating_sub(long_running).max(1));
         let ahead = f64::from(load.running.saturating_sub(long_running)) + 1.0 - usable_slots;
         ahead.max(0.0) / usable_slots * self.slot_time_ms
