Grant no rate to an entry whose requests cannot use it

Cause: in a burst over many entries, the part of a small quota's rate that each entry gets saves up less than one request. The tokens were lost, and the whole organisation got less than half of its quota. Also, what an entry saves up at its rate was counted twice. Change: an entry gets a rate only if it saves up two of its usual requests; EntryHolding::most is the larger of both sums, not their total.

--- a/crates/oriolecrank-policy/src/quota/quota_ledger.rs
+++ b/crates/oriolecrank-policy/src/quota/quota_ledger.rs
@@ -10,6 +10,9 @@
 /// Time of its rate that an entry may save up.
 pub const RATE_HOLD_TIME: Duration = Duration::from_secs(1);
 
+/// Requests that a rate has to save up for; below, few requests would find its tokens.
+pub const RATED_REQUESTS: f64 = 2.0;
+
 /// What an entry holds and wants.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LedgerAsk {
@@ -64,9 +67,10 @@
 }
 
 impl EntryHolding {
-    /// Upper bound of what the entry can hold at any time until it lapses.
+    /// Upper bound of what the entry can hold at any time until it lapses. At its own rate it adds
+    /// nothing to more tokens than it may save up at that rate.
     fn most(&self) -> f64 {
-        self.tokens + self.rate * RATE_HOLD_TIME.as_secs_f64()
+        self.tokens.max(self.rate * RATE_HOLD_TIME.as_secs_f64())
     }
 }
 
@@ -75,10 +79,10 @@
 /// In any window of length `w`, the entries charge at most `rate * w + most` tokens:
 ///
 /// - A token can be used if it is in `level`, or if an entry holds it. The sum is at most `most` at
-///   all times, because `level` is cut to `most` less all holdings. It grows by `rate` only: the rates of the entries
-///   are taken off that of `level`; a grant
-///   moves tokens from `level` to a holding, a return moves them back. What can be used at the begin of the window and what is
-///   added within it bound what is charged.
+///   all times, because `level` is cut to `most` less all holdings. It grows by `rate` only: the rates
+///   of the entries are taken off that of `level`; a grant moves tokens from `level` to a holding, a
+///   return moves them back. What can be used at the begin of the window and what is added within it
+///   bound what is charged.
 /// - A holding here is at least what its entry can use: the entry states what it holds, only its
 ///   newest ask counts, answers that it does not apply are lost, and it drops its tokens one lifetime
 ///   after it has sent its last answered ask, hence before its holding lapses here. What has lapsed
@@ -209,7 +213,7 @@
             },
         );
         self.cut_level();
-        let rate = self.next_rate(entry);
+        let rate = self.next_rate(entry, ask.usual);
         if let Some(holding) = self.holdings.get_mut(&entry) {
             // The entry keeps its former rate if this answer is lost.
             holding.rate = holding.rate.max(rate);
@@ -227,8 +231,9 @@
         })
     }
 
-    /// Rate for an entry: what it wants, at most its part of all rates by demand.
-    fn next_rate(&self, entry: u64) -> f64 {
+    /// Rate for an entry: what it wants, at most its part of all rates by demand. An entry whose part
+    /// saves up too few tokens for its usual requests gets none, because they would be lost.
+    fn next_rate(&self, entry: u64, usual_cost: u64) -> f64 {
         let Some(own) = self.holdings.get(&entry) else {
             return 0.0;
         };
@@ -240,6 +245,10 @@
         let room = (self.capacity.most_held() - self.held()).min(self.level);
         let room_rate = own.rate + room.max(0.0) / RATE_HOLD_TIME.as_secs_f64();
         let rate = own.wanted_rate.min(part).min(free_rate).min(room_rate);
+        let saved = rate * RATE_HOLD_TIME.as_secs_f64();
+        if saved < RATED_REQUESTS * usual_cost as f64 {
+            return 0.0;
+        }
         rate.max(0.0).floor()
     }
 
--- a/crates/oriolecrank-policy/src/quota/quota_share.rs
+++ b/crates/oriolecrank-policy/src/quota/quota_share.rs
@@ -4,7 +4,7 @@
 
 use oriolecrank_schema::TimePoint;
 
-use super::quota_ledger::{LedgerAnswer, LedgerAsk, RATE_HOLD_TIME};
+use super::quota_ledger::{LedgerAnswer, LedgerAsk, RATE_HOLD_TIME, RATED_REQUESTS};
 use super::quota_spec::{QuotaBounds, QuotaCapacity, QuotaSpec};
 use super::quota_table::VersionedSpec;
 
@@ -17,9 +17,6 @@
 /// Time constant with which demand and grants decay.
 const DEMAND_TIME: Duration = Duration::from_secs(1);
 
-/// Requests that a rate has to save up for; below, few requests would find its tokens.
-const RATED_REQUESTS: f64 = 2.0;
-
 /// Time constant of the demand for which an entry has a rate of its own.
 const STEADY_TIME: Duration = Duration::from_secs(4);
 
--- a/crates/oriolecrank-policy/tests/quota.rs
+++ b/crates/oriolecrank-policy/tests/quota.rs
@@ -445,3 +445,47 @@
         site.assert_bound();
     }
 }
+
+/// Guards against rates of entries that save up too few tokens for any of their requests: in a burst
+/// over many entries, most of a small quota was lost that way.
+#[test]
+fn a_burst_over_many_entries_uses_the_whole_quota() {
+    const RATE: f64 = 450_000.0;
+    const COSTS: [u64; 5] = [4_000, 6_000, 9_000, 14_000, 24_000];
+    const STEPS: usize = 400;
+    let mut site = Site::new(tokens(RATE, RATE), 31);
+    let mut waiting: Vec<(usize, u64, u32)> = Vec::new();
+    for round in 0..STEPS {
+        site.step();
+        let now = site.now;
+        waiting.retain_mut(|(index, cost, steps_left)| {
+            let share = &mut site.entries[*index].share;
+            let epoch = share.charge(*cost, now);
+            let charged = epoch.is_some_and(|epoch| share.spend(*cost, epoch, now));
+            if charged {
+                site.charges.push((now, *cost));
+            }
+            *steps_left -= 1;
+            let ended = charged || *steps_left == 0;
+            if ended {
+                site.entries[*index].share.end_wait(*cost);
+            }
+            !ended
+        });
+        // Three times the rate, evenly over the entries.
+        for number in 0..7 {
+            let index = (round * 7 + number) % 31;
+            let cost = COSTS[(round + number * 3) % 5];
+            let is_short = site.entries[index].share.is_short(now);
+            if is_short {
+                site.entries[index].share.record_demand(cost, now);
+            } else if !site.request(index, cost) {
+                waiting.push((index, cost, 2));
+            }
+        }
+    }
+    let used: u64 = site.charges.iter().map(|(_, cost)| cost).sum();
+    let seconds = (STEPS as u64 * STEP_MS) as f64 / 1_000.0;
+    assert!(used as f64 > 0.95 * RATE * seconds, "{used}");
+    site.assert_bound();
+}
