Count what an entry saves up before an answer beside the grant

Cause: EntryHolding::most took the larger of what an entry held and what it saves up at its rate, with the grant in the former. An entry goes on saving while the answer is on its way, so that it may hold both. Change: what was granted since the ask counts in addition.

--- a/crates/oriolecrank-policy/src/quota/quota_ledger.rs
+++ b/crates/oriolecrank-policy/src/quota/quota_ledger.rs
@@ -54,8 +54,10 @@
     first: u64,
     /// Newest ask that was answered.
     sequence: u64,
-    /// Upper bound of what the entry can use, without what it adds after its ask.
+    /// Upper bound of what the entry could use when it asked.
     tokens: f64,
+    /// What was granted since.
+    granted: f64,
     /// Upper bound of the rate at which the entry adds tokens.
     rate: f64,
     /// What the entry would like to hold.
@@ -68,9 +70,11 @@
 
 impl EntryHolding {
     /// Upper bound of what the entry can hold at any time until it lapses. At its own rate it adds
-    /// nothing to more tokens than it may save up at that rate.
+    /// nothing to more tokens than it may save up at that rate. It may have saved them up by the time
+    /// at which the grant arrives.
     fn most(&self) -> f64 {
-        self.tokens.max(self.rate * RATE_HOLD_TIME.as_secs_f64())
+        let saved = self.rate * RATE_HOLD_TIME.as_secs_f64();
+        self.tokens.max(saved) + self.granted
     }
 }
 
@@ -206,6 +210,7 @@
                 first,
                 sequence: ask.sequence,
                 tokens,
+                granted: 0.0,
                 rate: if renewed { ask.held_rate as f64 } else { 0.0 },
                 target: stated + ask.wanted as f64,
                 wanted_rate: ask.wanted_rate as f64,
@@ -222,7 +227,7 @@
         let granted = self.next_grant(entry, &ask);
         self.level -= granted;
         if let Some(holding) = self.holdings.get_mut(&entry) {
-            holding.tokens += granted;
+            holding.granted += granted;
         }
         Some(LedgerAnswer {
             renewed,
--- a/crates/oriolecrank-policy/tests/quota.rs
+++ b/crates/oriolecrank-policy/tests/quota.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use oriolecrank_policy::quota::{
-    LedgerAnswer, QuotaBounds, QuotaShare, QuotaSpec, QuotaTable, QuotaUnit, ShareAsk,
-    VersionedSpec,
+    LedgerAnswer, LedgerAsk, QuotaBounds, QuotaCapacity, QuotaLedger, QuotaShare, QuotaSpec,
+    QuotaTable, QuotaUnit, RATE_HOLD_TIME, ShareAsk, VersionedSpec,
 };
 use oriolecrank_schema::TimePoint;
 use proptest::prelude::*;
@@ -489,3 +489,41 @@
     assert!(used as f64 > 0.95 * RATE * seconds, "{used}");
     site.assert_bound();
 }
+
+/// Guards against a leader that forgets what an entry saves up at its own rate while an answer is on
+/// its way: the grant comes on top of it.
+#[test]
+fn what_an_entry_saves_up_before_an_answer_counts_beside_the_grant() {
+    let capacity = QuotaCapacity {
+        rate: 100_000.0,
+        most: 170_000.0,
+    };
+    let at = TimePoint::from_millis;
+    let mut ledger = QuotaLedger::without_predecessor(capacity, LIFETIME, at(10_000));
+    let ask = |sequence: u64, rate: u64, wanted: u64| LedgerAsk {
+        sequence,
+        base: sequence - 1,
+        held: 0,
+        returned: 0,
+        wanted,
+        needed: wanted,
+        usual: 100,
+        held_rate: rate,
+        wanted_rate: 60_000,
+    };
+    let rated = ledger
+        .answer(1, ask(1, 0, 0), at(20_000))
+        .expect("the first ask");
+    assert!(rated.rate > 0);
+    let first = ledger
+        .answer(1, ask(2, rated.rate, 200_000), at(20_050))
+        .expect("a newer ask");
+    let other = LedgerAsk {
+        wanted_rate: 0,
+        ..ask(1, 0, 200_000)
+    };
+    let second = ledger.answer(2, other, at(20_100)).expect("the first ask");
+    let saved = rated.rate as f64 * RATE_HOLD_TIME.as_secs_f64();
+    let usable = saved + (first.granted + second.granted) as f64;
+    assert!(usable <= capacity.most, "{usable} of {}", capacity.most);
+}
