Add review case 6: a crash after the client has left is not ascribed to its request

Cause: an attempt that its caller has left within 300 ms is not reported when its server crashes afterwards.

Change: review/6 sends a request that crashes servers 75 ms after its client has left.

--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -14,10 +14,11 @@
 
 pub fn play(case: &str, site: &mut Site, trouble: bool) -> Result<bool, String> {
     match case {
-        "6" => forgotten_crashes(site, trouble),
-        "7" => forgotten_refusals(site, trouble),
+        "6" => unseen_crashes(site, trouble),
+        "7" => forgotten_crashes(site, trouble),
         "8" => left_during_prefill(site, trouble),
-        "9" => forgotten_departure(site, trouble),
+        "9" => forgotten_refusals(site, trouble),
+        "10" => forgotten_departure(site, trouble),
         other => Err(format!("there is no case {other}")),
     }
 }
@@ -317,6 +318,8 @@
     beats: Mutex<Option<Arc<Beats>>>,
     /// Tells the server to exit for good.
     exits: AtomicBool,
+    /// Time from the begin of a poisoned request to the crash.
+    crash_delay: Duration,
     log: Arc<DeskLog>,
 }
 
@@ -337,7 +340,7 @@
     const DOWN: Duration = Duration::from_millis(2_500);
 
     /// Starts three servers, one in each zone.
-    fn start_three(site: &Site) -> (Vec<Arc<Self>>, Arc<DeskLog>) {
+    fn start_three(site: &Site, crash_delay: Duration) -> (Vec<Arc<Self>>, Arc<DeskLog>) {
         let log: Arc<DeskLog> = Arc::default();
         let servers = ["desk-a", "desk-b", "desk-c"]
             .into_iter()
@@ -349,6 +352,7 @@
                     zone,
                     beats: Mutex::default(),
                     exits: AtomicBool::new(false),
+                    crash_delay,
                     log: Arc::clone(&log),
                 });
                 let running = Arc::clone(&server);
@@ -446,6 +450,8 @@
                 .push((record.ms(), server.to_owned(), id.clone()));
             record.line(&format!("{server} runs {id}"));
             if message.text() == "poison" {
+                // The server does not notice that the connection closes meanwhile.
+                thread::sleep(self.crash_delay);
                 crashed.store(true, Ordering::Relaxed);
                 let others = close_all(connections, own);
                 record.line(&format!(
@@ -482,8 +488,9 @@
         .count()
 }
 
-/// Sends a once-only request to an entry; returns its status, 0 without an answer.
-fn book(record: &Record, address: SocketAddr, id: &str, body: &str) -> u16 {
+/// Sends a once-only request to an entry; returns its status, 0 without an answer. The client leaves
+/// after `patience`.
+fn book(record: &Record, address: SocketAddr, id: &str, body: &str, patience: Duration) -> u16 {
     let fields = [
         ("Host", "a.example"),
         ("X-Oriolecrank-Request-Id", id),
@@ -492,12 +499,14 @@
     ];
     let sent = request("POST", "/book/1", &fields, body);
     record.line(&format!("a client sends {id} ({body}) to {address}"));
-    let status =
-        call(address, &sent, Duration::from_millis(2_500), |_| {}).map_or(0, |got| got.status());
+    let status = call(address, &sent, patience, |_| {}).map_or(0, |got| got.status());
     record.line(&format!("the client of {id} got status {status}"));
     status
 }
 
+/// Time for which a client waits that does not leave early.
+const PATIENCE: Duration = Duration::from_millis(2_500);
+
 /// Time after which a calm machine is in touch again, in milliseconds.
 const CONTACT_MS: u128 = 4_000;
 
@@ -534,6 +543,7 @@
                     address,
                     &format!("{:016x}", (index as u64 + 1) << 32 | number),
                     "a booking",
+                    PATIENCE,
                 );
                 thread::sleep(Duration::from_millis(90));
             }
@@ -546,7 +556,7 @@
 fn poison(site: &Site, numbers: std::ops::Range<u64>, period: Duration, stop_when_refused: bool) {
     for number in numbers {
         let id = format!("{:016x}", 0xbad0_0000 + number);
-        let status = book(&site.record, site.front(1), &id, "poison");
+        let status = book(&site.record, site.front(1), &id, "poison", PATIENCE);
         if stop_when_refused && status == 503 {
             return;
         }
@@ -580,11 +590,11 @@
     Ok(())
 }
 
-/// Case 6: all processes of the core are killed after a request has crashed two servers.
+/// Case 7: all processes of the core are killed after a request has crashed two servers.
 fn forgotten_crashes(site: &mut Site, trouble: bool) -> Result<bool, String> {
     let record = Arc::clone(&site.record);
     start(site, &config(1, PLAIN_STREAM))?;
-    let (_servers, log) = DeskServer::start_three(site);
+    let (_servers, log) = DeskServer::start_three(site, Duration::ZERO);
     thread::sleep(Duration::from_secs(5));
     steady_bookings(site);
     poison(site, 0..2, Duration::from_millis(5_500), false);
@@ -598,11 +608,11 @@
     judge_crashes(&record, &log)
 }
 
-/// Case 7: all processes are killed after a request is refused because it has crashed three servers.
+/// Case 9: all processes are killed after a request is refused because it has crashed three servers.
 fn forgotten_refusals(site: &mut Site, trouble: bool) -> Result<bool, String> {
     let record = Arc::clone(&site.record);
     start(site, &config(1, PLAIN_STREAM))?;
-    let (_servers, log) = DeskServer::start_three(site);
+    let (_servers, log) = DeskServer::start_three(site, Duration::ZERO);
     thread::sleep(Duration::from_secs(5));
     steady_bookings(site);
     poison(site, 0..6, Duration::from_millis(5_000), true);
@@ -616,13 +626,13 @@
     judge_crashes(&record, &log)
 }
 
-/// Case 9: all processes are killed after a server has deregistered; a heartbeat of that server arrives
+/// Case 10: all processes are killed after a server has deregistered; a heartbeat of that server arrives
 /// late.
 fn forgotten_departure(site: &mut Site, trouble: bool) -> Result<bool, String> {
     const DRAIN_MS: u128 = 2_500;
     let record = Arc::clone(&site.record);
     start(site, &config(1, PLAIN_STREAM))?;
-    let (servers, log) = DeskServer::start_three(site);
+    let (servers, log) = DeskServer::start_three(site, Duration::ZERO);
     // All machines are in touch: nothing has been disturbed for longer than contactMs.
     thread::sleep(Duration::from_secs(6));
     let leaving = servers[0]
@@ -665,6 +675,7 @@
                     address,
                     &format!("{:016x}", 0xb00c_0000 + number),
                     "a booking",
+                    PATIENCE,
                 )
             })
         })
@@ -694,3 +705,25 @@
     ));
     Ok(late.is_empty())
 }
+
+/// Case 6: a request crashes servers shortly after its client has left.
+fn unseen_crashes(site: &mut Site, trouble: bool) -> Result<bool, String> {
+    let record = Arc::clone(&site.record);
+    start(site, &config(1, PLAIN_STREAM))?;
+    let (_servers, log) = DeskServer::start_three(site, Duration::from_millis(200));
+    thread::sleep(Duration::from_secs(6));
+    steady_bookings(site);
+    // Half of the objective of the route.
+    let patience = if trouble {
+        Duration::from_millis(125)
+    } else {
+        PATIENCE
+    };
+    for number in 0..9 {
+        let machine = (number % 3) as u8 + 1;
+        let id = format!("{:016x}", 0xbad0_0000_u64 + number);
+        book(&record, site.front(machine), &id, "poison", patience);
+        thread::sleep(Duration::from_secs(5));
+    }
+    judge_crashes(&record, &log)
+}
