--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -244,22 +244,6 @@
         Ok(())
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, signal: &str) {
-        if let Some(child) = &self.child {
-            let id = child.id().to_string();
-            let _ = Command::new("kill").args([signal, &id]).status();
-        }
-    }
-
-    /// Waits for the end of the process.
-    pub fn wait(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.wait();
-            STARTED.lock().unwrap().retain(|id| *id != child.id());
-        }
-    }
-
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -287,14 +271,12 @@
     network: [u8; 2],
     pub ports: Ports,
     pub programs: BTreeMap<String, Program>,
-    bounds: Vec<(String, String)>,
     bootstrap: bool,
 }
 
 impl Drop for Site {
     fn drop(&mut self) {
         for program in self.programs.values_mut() {
-            program.signal("-CONT");
             program.kill();
         }
         let _ = fs::remove_dir_all(&self.folder);
@@ -335,7 +317,6 @@
                     network,
                     ports,
                     programs: BTreeMap::new(),
-                    bounds: Vec::new(),
                     bootstrap: true,
                 });
             }
@@ -372,10 +353,6 @@
         }
     }
 
-    pub fn set_bound(&mut self, name: &str, value: &str) {
-        self.bounds.push((name.to_owned(), value.to_owned()));
-    }
-
     /// Fills in `deploy/node.toml` for a machine as the platform does.
     fn settings(&self, machine: u8, role: &str) -> io::Result<String> {
         let template = fs::read_to_string(self.root.join("deploy/node.toml"))?;
@@ -413,9 +390,6 @@
         ] {
             set(&format!("bounds.{name}"), value.to_owned());
         }
-        for (name, value) in &self.bounds {
-            values.insert(format!("bounds.{name}"), value.clone());
-        }
         let seeds: Vec<(String, String)> = (1..=3)
             .map(|host| (String::new(), self.control(host).to_string()))
             .collect();
@@ -455,10 +429,6 @@
         Ok(())
     }
 
-    pub fn log_of(&self, name: &str) -> String {
-        fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default()
-    }
-
     /// Sends a configuration until it is acknowledged, to each control instance in turn.
     pub fn configure(&self, body: &str) -> bool {
         for attempt in 0..60_u8 {
@@ -628,10 +598,6 @@
         })
     }
 
-    pub fn set_state(&self, state: &'static str) {
-        *self.state.lock().unwrap() = state;
-    }
-
     /// Stops the heartbeats and deregisters; returns whether that was acknowledged.
     pub fn deregister(&self) -> bool {
         self.running.store(false, Ordering::Relaxed);
@@ -678,9 +644,8 @@
         Err(_) => {
             guard.line("the case did not end in time");
             for id in STARTED.lock().unwrap().iter() {
-                let _ = Command::new("kill")
-                    .args(["-KILL", &id.to_string()])
-                    .status();
+                let kill = format!("kill -KILL {id}");
+                let _ = Command::new("sh").args(["-c", &kill]).status();
             }
             2
         }
