Accept the table [intake] in the settings of entries and agents

The entries of agents and the agents themselves know nothing of the memory and the descriptors of their process, so no limit for their clients can follow from them. The table has the keys, defaults and least values that the platform's programs already have.

--- a/crates/oriolecrank-agent/src/options.rs
+++ b/crates/oriolecrank-agent/src/options.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use oriolecrank_net::ClusterSecret;
+use oriolecrank_net::intake::IntakeSettings;
 use oriolecrank_net::logging::LogFormat;
 use oriolecrank_net::settings_file::{self, SettingsError, invalid_value};
 use oriolecrank_schema::control::UpstreamRole;
@@ -43,6 +44,8 @@
     pub checks_fencing: bool,
     /// Time limit of a graceful shutdown; answers still running afterwards are cut off.
     pub shutdown_limit: Duration,
+    /// Resources of the process, from which the limits for entries follow.
+    pub intake: IntakeSettings,
     /// Output format of the log.
     pub log_format: LogFormat,
 }
@@ -91,6 +94,7 @@
             capacity_blocks: settings.capacity_blocks,
             checks_fencing: settings.checks_fencing,
             shutdown_limit: Duration::from_millis(settings.shutdown_ms),
+            intake: settings.intake.unwrap_or_default().try_into()?,
             log_format: settings.log_format.into(),
         })
     }
--- a/crates/oriolecrank-agent/tests/agent/support.rs
+++ b/crates/oriolecrank-agent/tests/agent/support.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use oriolecrank_agent::{AgentOptions, AgentProcess};
 use oriolecrank_net::frame::{DataFrame, encode_frame};
+use oriolecrank_net::intake::IntakeSettings;
 use oriolecrank_net::logging::LogFormat;
 use oriolecrank_net::shutdown::{ShutdownSignal, ShutdownTrigger, shutdown_channel};
 use oriolecrank_net::{
@@ -150,6 +151,7 @@
             capacity_blocks: 64,
             checks_fencing: false,
             shutdown_limit: TEST_TIMEOUT,
+            intake: IntakeSettings::default(),
             log_format: LogFormat::Text,
         };
         let process = AgentProcess::bind(options).await.unwrap();
--- a/crates/oriolecrank-control/tests/group/failover.rs
+++ b/crates/oriolecrank-control/tests/group/failover.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use oriolecrank_entry::{EntryOptions, EntryProcess};
 use oriolecrank_net::HttpClient;
+use oriolecrank_net::intake::IntakeSettings;
 use oriolecrank_net::logging::LogFormat;
 use oriolecrank_net::shutdown::shutdown_channel;
 use oriolecrank_schema::control::{CommandOutcome, Query};
@@ -34,6 +35,7 @@
         max_body_bytes: 1_024,
         drain_notice: Duration::ZERO,
         shutdown_limit: Duration::from_secs(10),
+        intake: IntakeSettings::default(),
         log_format: LogFormat::Text,
     };
     let process = EntryProcess::bind(options).await.unwrap();
--- a/crates/oriolecrank-entry/src/options.rs
+++ b/crates/oriolecrank-entry/src/options.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use oriolecrank_net::ClusterSecret;
+use oriolecrank_net::intake::IntakeSettings;
 use oriolecrank_net::logging::LogFormat;
 use oriolecrank_net::settings_file::{self, SettingsError, invalid_value};
 use oriolecrank_schema::settings::EntrySettings;
@@ -40,6 +41,8 @@
     /// Time limit for unfinished answers after the listener was closed; answers still running
     /// afterwards are cut off.
     pub shutdown_limit: Duration,
+    /// Resources of the process, from which the limits for callers follow.
+    pub intake: IntakeSettings,
     /// Output format of the log.
     pub log_format: LogFormat,
 }
@@ -70,6 +73,7 @@
             max_body_bytes: settings.max_body_bytes as usize,
             drain_notice: Duration::from_millis(settings.drain_notice_ms),
             shutdown_limit: Duration::from_millis(settings.shutdown_ms),
+            intake: settings.intake.unwrap_or_default().try_into()?,
             log_format: settings.log_format.into(),
         })
     }
--- a/crates/oriolecrank-entry/tests/entry/harness.rs
+++ b/crates/oriolecrank-entry/tests/entry/harness.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use oriolecrank_entry::{EntryOptions, EntryProcess};
 use oriolecrank_fakes::{AgentCall, AgentStep, ControlScript, FakeAgent, FakeControl, FakeServer};
+use oriolecrank_net::intake::IntakeSettings;
 use oriolecrank_net::logging::LogFormat;
 use oriolecrank_net::shutdown::{ShutdownTrigger, shutdown_channel};
 use oriolecrank_net::{ClientResponse, ClusterSecret, HttpClient};
@@ -119,6 +120,7 @@
             max_body_bytes: setup.max_body_bytes,
             drain_notice: Duration::ZERO,
             shutdown_limit: Duration::from_secs(10),
+            intake: IntakeSettings::default(),
             log_format: LogFormat::Text,
         };
         let process = EntryProcess::bind(options).await.unwrap();
--- a/crates/oriolecrank-local/src/local_cluster.rs
+++ b/crates/oriolecrank-local/src/local_cluster.rs
@@ -9,6 +9,7 @@
 use oriolecrank_control::{ControlError, ControlOptions, ControlProcess, InitialMember};
 use oriolecrank_entry::{EntryError, EntryOptions, EntryProcess};
 use oriolecrank_fakes::{EngineOptions, FakeEngine, FakeLedger};
+use oriolecrank_net::intake::IntakeSettings;
 use oriolecrank_net::logging::LogFormat;
 use oriolecrank_net::shutdown::{ShutdownSignal, ShutdownTrigger, shutdown_channel};
 use oriolecrank_net::{ClusterSecret, ControlClient, HttpClient, HttpHandler, serve};
@@ -236,6 +237,7 @@
             capacity_blocks: 256,
             checks_fencing: false,
             shutdown_limit: Duration::from_secs(10),
+            intake: IntakeSettings::default(),
             log_format: LogFormat::Text,
         };
         let process = AgentProcess::bind(options).await?;
@@ -280,6 +282,7 @@
         drain_notice: Duration::ZERO,
         max_body_bytes: 4 * 1024 * 1024,
         shutdown_limit: Duration::from_secs(10),
+        intake: IntakeSettings::default(),
         log_format: LogFormat::Text,
     }
 }
--- a/crates/oriolecrank-net/src/intake/mod.rs
+++ b/crates/oriolecrank-net/src/intake/mod.rs
@@ -11,6 +11,10 @@
 mod connection_limits;
 mod head_stream;
 
+use oriolecrank_schema::settings::IntakeTable;
+
+use crate::settings_file::{SettingsError, invalid_value};
+
 pub use body_reader::{BodyBuffer, BodyError, BodyLimits, BodyPace, read_body_within};
 pub use byte_budget::{ByteBudget, ByteLease, NoRoom};
 pub(crate) use connection_limits::{ConnectionState, ConnectionTable};
@@ -89,3 +93,18 @@
         self.max_descriptors.saturating_sub(RESERVED_DESCRIPTORS)
     }
 }
+
+impl TryFrom<IntakeTable> for IntakeSettings {
+    type Error = SettingsError;
+
+    fn try_from(table: IntakeTable) -> Result<Self, SettingsError> {
+        let settings = Self {
+            memory_bytes: table.memory_mb.saturating_mul(1024 * 1024),
+            max_descriptors: table.max_descriptors,
+        };
+        match settings.shortfall() {
+            Some((key, least)) => Err(invalid_value(key, format!("must be at least {least}"))),
+            None => Ok(settings),
+        }
+    }
+}
