Show that many clients together end an entry and a control instance

A crowd of 400 clients, each of which holds little, makes an entry or a control instance of the platform with 64 MiB hold 73 to 118 MB: stalled bodies of 64 KiB, bodies in chunks, clients that ask before they send, large heads without an end, answers that are not read, and crowds that come back. An entry of agents holds 134 to 473 MB for crowds of 60 and 400 clients, because nothing limits the bodies of all clients together.

The tests run the programs on loopback, one at a time. They check resident memory and descriptors against the resources that the settings state, and one ordinary request while the crowd stays and after it.

--- a/crates/oriolecrank-fakes/src/fake_ledger.rs
+++ b/crates/oriolecrank-fakes/src/fake_ledger.rs
@@ -10,7 +10,7 @@
 use oriolecrank_net::{AnswerBody, BodyAborted, HttpHandler, empty_answer, read_body, text_answer};
 
 /// Maximum size of a request body, in bytes.
-const MAX_BODY_BYTES: usize = 1024 * 1024;
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
 /// Path that returns the number of entries as text.
 pub const COUNT_PATH: &str = "/admin/count";
--- a/crates/oriolecrank-local/tests/processes/cluster.rs
+++ b/crates/oriolecrank-local/tests/processes/cluster.rs
@@ -29,6 +29,8 @@
 /// Running programs, with their settings and data in a temporary folder.
 pub struct TestCluster {
     folder: TempDir,
+    /// Tables that the settings of each entry and each agent have besides.
+    tables: String,
     /// Addresses of the control instances, reserved because each instance's settings list those of
     /// all others before any of them runs.
     reserved: Vec<ReservedAddress>,
@@ -48,6 +50,8 @@
     pub engines: &'a [&'a [&'a str]],
     /// Extra command-line arguments of the fake ledger.
     pub ledger: &'a [&'a str],
+    /// Tables that the settings of each entry and each agent have besides.
+    pub tables: &'a str,
 }
 
 impl Default for ClusterPlan<'_> {
@@ -57,6 +61,7 @@
             entries: 1,
             engines: &[&[]],
             ledger: &[],
+            tables: "",
         }
     }
 }
@@ -68,6 +73,7 @@
         std::fs::write(folder.path().join("secret"), SECRET).unwrap();
         let mut cluster = Self {
             folder,
+            tables: plan.tables.to_owned(),
             reserved: Vec::new(),
             control: Vec::new(),
             agents: Vec::new(),
@@ -133,9 +139,10 @@
         let text = format!(
             "{}upstream = \"{kind}-{index}\"\nlisten = \"127.0.0.1:0\"\ncontrol = {}\n\
              service = \"{service}\"\nkind = \"{service_kind}\"\nmodel = \"demo\"\n\
-             upstream_address = \"{upstream}\"\n",
+             upstream_address = \"{upstream}\"\n{}",
             self.common_settings(),
             self.control_addresses(),
+            self.tables,
         );
         let program =
             self.start_program("oriolecrank-agent", &format!("agent-{kind}-{index}"), &text);
@@ -144,9 +151,10 @@
 
     fn start_entry(&mut self, index: usize) {
         let text = format!(
-            "{}name = \"entry-{index}\"\ncaller_listen = \"127.0.0.1:0\"\ncontrol = {}\n",
+            "{}name = \"entry-{index}\"\ncaller_listen = \"127.0.0.1:0\"\ncontrol = {}\n{}",
             self.common_settings(),
             self.control_addresses(),
+            self.tables,
         );
         let program = self.start_program("oriolecrank-entry", &format!("entry-{index}"), &text);
         self.entries.push(program);
--- a/crates/oriolecrank-local/tests/processes/program.rs
+++ b/crates/oriolecrank-local/tests/processes/program.rs
@@ -76,9 +76,14 @@
         Err(format!("{name} did not start: {outcome}; its log:\n{log}"))
     }
 
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal by its name without `SIG`, such as `TERM`.
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
+        let id = self.id().to_string();
         let status = Command::new("kill")
             .args([&format!("-{name}"), &id])
             .status()
