Keep the read buffer of a connection at its first size

hyper doubles the read buffer of a connection up to 64 KiB whenever one read fills it, and does not give it back. Only bodies of more than 4 KiB counted it in the budget, and large heads counted their bytes, not the buffers that hold them. Reads are now one byte shorter than the first buffer, so that it never doubles while a body is read. A head of 8 KiB or more counts the buffer that it needs and the one for its body, until the connection closes.

--- a/crates/oriolecrank-net/src/http_server.rs
+++ b/crates/oriolecrank-net/src/http_server.rs
@@ -39,7 +39,7 @@
     /// Maximum number of open connections. A further one takes the place of one on which no complete
     /// head has arrived, or is closed.
     pub max_connections: usize,
-    /// Counts the bytes of unfinished heads.
+    /// Counts the buffers of large heads.
     pub budget: ByteBudget,
 }
 
--- a/crates/oriolecrank-net/src/intake/head_stream.rs
+++ b/crates/oriolecrank-net/src/intake/head_stream.rs
@@ -1,4 +1,4 @@
-//! Counts the bytes of heads that have not ended.
+//! Bounds the memory of a connection besides that of bodies.
 
 use std::io;
 use std::pin::Pin;
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, ReadBuf, Take};
 use tokio::net::TcpStream;
 
 use crate::intake::byte_budget::{ByteBudget, ByteLease};
@@ -25,13 +25,32 @@
     }
 }
 
-/// A connection whose unfinished heads count in a budget. Reading fails when the budget has no room.
+/// Largest read from a connection, in bytes. The read buffer of the HTTP library begins with 8 KiB and
+/// doubles, up to the largest head, when a read fills it.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+
+/// Memory that a connection needs after a head of `bytes` bytes has arrived, besides its first buffers.
+///
+/// The read buffer has doubled until the head fitted, and keeps its size until the connection closes.
+/// The fields of a request keep the buffer of its head, so that its body needs a second one.
+const fn head_charge(bytes: usize) -> usize {
+    if bytes <= MAX_READ_BYTES {
+        0
+    } else {
+        2 * bytes.next_power_of_two()
+    }
+}
+
+/// A connection whose reads are short and whose large heads count in a budget. Reading fails when the
+/// budget has no room.
 #[derive(Debug)]
 pub(crate) struct HeadStream {
-    stream: TcpStream,
+    stream: Take<TcpStream>,
     in_head: HeadFlag,
     /// Bytes of the head that have arrived.
     head_bytes: usize,
+    /// Charge for the largest head so far.
+    charge: usize,
     lease: ByteLease,
 }
 
@@ -39,9 +58,10 @@
     pub(crate) fn new(stream: TcpStream, budget: &ByteBudget) -> (Self, HeadFlag) {
         let in_head = HeadFlag(Arc::new(AtomicBool::new(true)));
         let stream = Self {
-            stream,
+            stream: stream.take(MAX_READ_BYTES as u64),
             in_head: in_head.clone(),
             head_bytes: 0,
+            charge: 0,
             lease: budget.lease(),
         };
         (stream, in_head)
@@ -49,10 +69,18 @@
 
     /// Counts bytes that have arrived.
     fn count(&mut self, received: usize) -> io::Result<()> {
+        if !self.in_head.get() {
+            self.head_bytes = 0;
+            return Ok(());
+        }
         self.head_bytes += received;
-        self.lease
-            .resize(self.head_bytes)
-            .map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))
+        let charge = head_charge(self.head_bytes);
+        if charge > self.charge {
+            let resized = self.lease.resize(charge);
+            resized.map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))?;
+            self.charge = charge;
+        }
+        Ok(())
     }
 }
 
@@ -62,12 +90,8 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if !self.in_head.get() {
-            self.head_bytes = 0;
-            self.count(0)?;
-            return Pin::new(&mut self.stream).poll_read(context, buffer);
-        }
         let before = buffer.filled().len();
+        self.stream.set_limit(MAX_READ_BYTES as u64);
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
         Poll::Ready(self.count(buffer.filled().len() - before))
     }
@@ -79,7 +103,7 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        Pin::new(self.stream.get_mut()).poll_write(context, buffer)
     }
 
     fn poll_write_vectored(
@@ -87,18 +111,18 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        Pin::new(self.stream.get_mut()).poll_write_vectored(context, buffers)
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.get_ref().is_write_vectored()
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        Pin::new(self.stream.get_mut()).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        Pin::new(self.stream.get_mut()).poll_shutdown(context)
     }
 }
