Keep large bodies in memory mappings of their own

400 clients that send bodies in chunks, stalled before their end, made an entry with 64 MiB hold up to 86,768 KiB and a control instance 99,228 KiB, although all bodies together were below the budget of 24 MiB. Crowds that came back left 40,568 KiB after they had gone.

A body without a length was read into a heap buffer that doubled. Each size was left behind in the allocator, which keeps freed blocks for their size, in each thread. A body above 16 KiB now has an anonymous mapping (crate memmap2) of the largest size that it may reach. Pages are taken as bytes arrive and counted in steps of 16 KiB; they go back when the last copy is dropped. The read buffer is no longer charged with a body, because it keeps its first size.

--- a/crates/oriolecrank-net/src/intake/body_reader.rs
+++ b/crates/oriolecrank-net/src/intake/body_reader.rs
@@ -8,15 +8,9 @@
 use snafu::{OptionExt as _, ResultExt as _, Snafu, ensure};
 use tokio::time::{Instant, timeout_at};
 
+use crate::intake::body_memory::BodyMemory;
 use crate::intake::byte_budget::{ByteBudget, ByteLease, NoRoom};
 
-/// First allocation for a body without an announced length, in bytes.
-const FIRST_ALLOCATION_BYTES: usize = 4 * 1024;
-
-/// Bytes that the connection may hold beside the body while it is read: the default size limit of
-/// its read buffer.
-const READ_BUFFER_BYTES: usize = 64 * 1024;
-
 /// Slowest reading of a body that is waited for.
 #[derive(Debug, Clone, Copy)]
 pub struct BodyPace {
@@ -108,13 +102,14 @@
     let mut buffer = BodyBuffer::new(limits.bytes, budget);
     ensure!(hint.lower() <= buffer.largest as u64, TooLargeSnafu);
     if let Some(announced) = hint.exact() {
+        buffer.largest = announced as usize;
         buffer.reserve(announced as usize)?;
     }
     let started_at = Instant::now();
     let last_deadline = limits.time_limit.map(|limit| started_at + limit);
     let mut now = started_at;
     loop {
-        let received = buffer.bytes.len();
+        let received = buffer.memory.as_slice().len();
         let deadline = limits.pace.next_deadline(started_at, received, now);
         let deadline = last_deadline.map_or(deadline, |last| last.min(deadline));
         // Checked for bytes that are ready as well, so that a steady trickle ends too.
@@ -138,10 +133,12 @@
 /// connection in memory, however few bytes it has.
 #[derive(Debug)]
 pub struct BodyBuffer {
-    bytes: Vec<u8>,
+    memory: BodyMemory,
     /// Largest body, in bytes.
     largest: usize,
-    /// Counts the allocation, and the read buffer of the connection while the body is read.
+    /// Bytes for which the budget has room; at least those of `memory`.
+    reserved: usize,
+    /// Counts the memory of the reserved bytes.
     lease: ByteLease,
 }
 
@@ -149,49 +146,42 @@
     /// Creates a buffer for a body of at most `limit` bytes, and of at most what the budget has room
     /// for while it is empty.
     pub fn new(limit: usize, budget: &ByteBudget) -> Self {
-        let largest_held = budget.largest_item().saturating_sub(READ_BUFFER_BYTES);
         Self {
-            bytes: Vec::new(),
-            largest: limit.min(largest_held),
+            memory: BodyMemory::new(),
+            largest: limit.min(budget.largest_item()),
+            reserved: 0,
             lease: budget.lease(),
         }
     }
 
     /// Appends a copy of a frame. Fails if the body is too large or the budget has no room.
     pub fn append(&mut self, data: &[u8]) -> Result<(), BodyError> {
-        let size = self.bytes.len() + data.len();
+        let size = self.memory.as_slice().len() + data.len();
         ensure!(size <= self.largest, TooLargeSnafu);
-        if size > self.bytes.capacity() {
-            let grown = (2 * self.bytes.capacity()).max(FIRST_ALLOCATION_BYTES);
-            self.reserve(grown.max(size).min(self.largest))?;
+        if size > self.reserved {
+            self.reserve(size)?;
         }
-        self.bytes.extend_from_slice(data);
+        self.memory.append(data);
         Ok(())
     }
 
-    /// Makes room for a body of `size` bytes.
+    /// Makes room for `size` bytes in all.
     fn reserve(&mut self, size: usize) -> Result<(), BodyError> {
-        // The buffer of a connection grows with what arrives at once.
-        let read_buffer = if size > FIRST_ALLOCATION_BYTES {
-            size.min(READ_BUFFER_BYTES)
-        } else {
-            0
-        };
-        self.lease.resize(size + read_buffer).context(FullSnafu)?;
-        self.bytes.reserve_exact(size - self.bytes.len());
+        let charge = BodyMemory::charge(size, self.largest);
+        self.lease.resize(charge).context(FullSnafu)?;
+        let reserved = self.memory.reserve(size, self.largest);
+        reserved.map_err(|_| BodyError::Full { source: NoRoom })?;
+        self.reserved = charge;
         Ok(())
     }
 
     /// Body that was read. The budget counts it until its last clone is dropped.
-    pub fn into_bytes(mut self) -> Bytes {
-        let size = self.bytes.capacity();
-        if size == 0 {
+    pub fn into_bytes(self) -> Bytes {
+        if self.memory.as_slice().is_empty() {
             return Bytes::new();
         }
-        let shrunk = self.lease.resize(size);
-        debug_assert!(shrunk.is_ok(), "the lease counts at least the allocation");
         Bytes::from_owner(HeldBody {
-            bytes: self.bytes,
+            memory: self.memory,
             _lease: self.lease,
         })
     }
@@ -199,12 +189,12 @@
 
 /// A complete body with its share of the budget.
 struct HeldBody {
-    bytes: Vec<u8>,
+    memory: BodyMemory,
     _lease: ByteLease,
 }
 
 impl AsRef<[u8]> for HeldBody {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.memory.as_slice()
     }
 }
--- a/crates/oriolecrank-net/src/intake/mod.rs
+++ b/crates/oriolecrank-net/src/intake/mod.rs
@@ -5,6 +5,7 @@
 //! [`read_body_within`] reads a body under it. [`ConnectionTable`] bounds the connections of a
 //! listener.
 
+mod body_memory;
 mod body_reader;
 mod budget_metric;
 mod byte_budget;
