Leave the memory of the program out of the budgets of clients

The budgets were fractions of the whole memory, although the program itself takes 14 to 17 MB (release build) or 22 to 25 MB (debug build) without a client. On a small instance that left little for the buffers of connections: 400 stalled bodies of 64 KiB in chunks reached 64,680 KiB of 65,536.

The budgets are now fractions of what is left beyond 16 MiB, so 54 instead of 60 MiB with the defaults. A new test shows that a body of the legal size still has room with the least memory that the settings allow.

--- a/crates/oriolecrank-net/src/intake/mod.rs
+++ b/crates/oriolecrank-net/src/intake/mod.rs
@@ -24,6 +24,9 @@
 /// Descriptors that a process needs for files and for what it opens at its start.
 const RESERVED_DESCRIPTORS: u64 = 200;
 
+/// Memory that a process needs without clients, in bytes.
+const PROGRAM_BYTES: u64 = 16 * 1024 * 1024;
+
 /// Smallest memory with which the largest body that the platform's pages allow has room, in bytes.
 const MIN_MEMORY_BYTES: u64 = 32 * 1024 * 1024;
 
@@ -63,15 +66,20 @@
     }
 
     /// Budget for the requests of clients and the answers that are held for them: three eighths of
-    /// the memory. The rest is for the process itself, the buffers of connections and what the
-    /// allocator keeps.
+    /// the memory besides that of the program. The rest is for the buffers of connections and what
+    /// the allocator keeps.
     pub fn client_budget(&self) -> ByteBudget {
-        ByteBudget::new((self.memory_bytes / 8 * 3) as usize)
+        ByteBudget::new((self.shared_bytes() / 8 * 3) as usize)
     }
 
-    /// Budget for messages between instances, which no client uses: an eighth of the memory.
+    /// Budget for messages between instances, which no client uses: an eighth of the memory besides
+    /// that of the program.
     pub fn peer_budget(&self) -> ByteBudget {
-        ByteBudget::new((self.memory_bytes / 8) as usize)
+        ByteBudget::new((self.shared_bytes() / 8) as usize)
+    }
+
+    const fn shared_bytes(&self) -> u64 {
+        self.memory_bytes.saturating_sub(PROGRAM_BYTES)
     }
 
     /// Connections of clients: two thirds of the descriptors for sockets. Connections to upstreams
--- a/crates/oriolecrank-net/tests/intake.rs
+++ b/crates/oriolecrank-net/tests/intake.rs
@@ -125,3 +125,22 @@
     let read = read_body_within(body, BodyLimits::of_bytes(4 * MIB), &budget).await;
     assert_eq!(read.unwrap().len(), 4 * MIB);
 }
+
+/// Guards against settings with which one body of the legal size has no room in calm.
+#[tokio::test]
+async fn the_least_memory_has_room_for_a_legal_body() {
+    let least = IntakeSettings {
+        memory_bytes: 32 * MIB as u64,
+        ..IntakeSettings::default()
+    };
+    assert_eq!(least.shortfall(), None);
+    let (sender, body) = sent_body();
+    tokio::spawn(async move {
+        for _ in 0..64 {
+            sender.send(Bytes::from(vec![0; 65_536])).await.unwrap();
+        }
+    });
+    let limits = BodyLimits::of_bytes(4 * MIB);
+    let read = read_body_within(body, limits, &least.client_budget()).await;
+    assert_eq!(read.unwrap().len(), 4 * MIB);
+}
