Keep the read buffers of connections to servers small

The answers that it holds count in its budget, but not what it reads them with: the read buffer of each connection to a server doubles up to 400 KiB while a long answer arrives.

Connections to servers are now read in short pieces, as those of clients are.

--- a/crates/oriolecrank-net/src/http_client.rs
+++ b/crates/oriolecrank-net/src/http_client.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
+use crate::intake::BoundedStream;
 use crate::socket_options::set_tcp_options;
 
 /// Time and pool limits of an [`HttpClient`].
@@ -231,7 +232,7 @@
             if let Some(limit) = self.settings.tcp_user_timeout {
                 let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(limit));
             }
-            let opened = handshake(TokioIo::new(stream)).await;
+            let opened = handshake(TokioIo::new(BoundedStream::to_server(stream))).await;
             opened.map_err(|_| ConnectTimeoutSnafu { address }.build())
         };
         let Ok(opened) = timeout(self.settings.connect_timeout, open).await else {
--- a/crates/oriolecrank-net/src/http_server.rs
+++ b/crates/oriolecrank-net/src/http_server.rs
@@ -22,7 +22,7 @@
 use crate::answer_body::AnswerBody;
 use crate::cluster_secret::ClusterSecret;
 use crate::intake::{
-    BodyLimits, ByteBudget, ConnectionState, ConnectionTable, HeadStream, IntakeSettings,
+    BodyLimits, BoundedStream, ByteBudget, ConnectionState, ConnectionTable, IntakeSettings,
     read_body_within,
 };
 use crate::shutdown::ShutdownSignal;
@@ -132,7 +132,7 @@
 ) {
     // The connection works without these options; the time-outs of the peers still apply.
     let _ = set_tcp_options(&stream);
-    let (stream, in_head) = HeadStream::new(stream, &settings.budget);
+    let (stream, in_head) = BoundedStream::of_client(stream, &settings.budget);
     let served = Arc::clone(&state);
     let service = service_fn(move |request| {
         let handler = Arc::clone(&handler);
--- a/crates/oriolecrank-net/src/intake/head_stream.rs
+++ b/crates/oriolecrank-net/src/intake/bounded_stream.rs
@@ -41,11 +41,9 @@
     }
 }
 
-/// A connection whose reads are short and whose large heads count in a budget. Reading fails when the
-/// budget has no room.
+/// Counts the buffers of the heads of one connection in a budget.
 #[derive(Debug)]
-pub(crate) struct HeadStream {
-    stream: Take<TcpStream>,
+struct HeadMeter {
     in_head: HeadFlag,
     /// Bytes of the head that have arrived.
     head_bytes: usize,
@@ -54,20 +52,8 @@
     lease: ByteLease,
 }
 
-impl HeadStream {
-    pub(crate) fn new(stream: TcpStream, budget: &ByteBudget) -> (Self, HeadFlag) {
-        let in_head = HeadFlag(Arc::new(AtomicBool::new(true)));
-        let stream = Self {
-            stream: stream.take(MAX_READ_BYTES as u64),
-            in_head: in_head.clone(),
-            head_bytes: 0,
-            charge: 0,
-            lease: budget.lease(),
-        };
-        (stream, in_head)
-    }
-
-    /// Counts bytes that have arrived.
+impl HeadMeter {
+    /// Counts bytes that have arrived. Fails if the budget has no room.
     fn count(&mut self, received: usize) -> io::Result<()> {
         if !self.in_head.get() {
             self.head_bytes = 0;
@@ -84,7 +70,43 @@
     }
 }
 
-impl AsyncRead for HeadStream {
+/// A connection that is read in short pieces, so that its buffers stay small.
+#[derive(Debug)]
+pub(crate) struct BoundedStream {
+    stream: Take<TcpStream>,
+    /// Counts the heads of requests; `None` for a connection to a server, whose heads only the HTTP
+    /// library limits.
+    heads: Option<HeadMeter>,
+}
+
+impl BoundedStream {
+    /// Wraps a connection of a client. Large heads count in the budget; reading fails when it has no
+    /// room.
+    pub(crate) fn of_client(stream: TcpStream, budget: &ByteBudget) -> (Self, HeadFlag) {
+        let in_head = HeadFlag(Arc::new(AtomicBool::new(true)));
+        let heads = HeadMeter {
+            in_head: in_head.clone(),
+            head_bytes: 0,
+            charge: 0,
+            lease: budget.lease(),
+        };
+        let stream = Self {
+            heads: Some(heads),
+            ..Self::to_server(stream)
+        };
+        (stream, in_head)
+    }
+
+    /// Wraps a connection to a server.
+    pub(crate) fn to_server(stream: TcpStream) -> Self {
+        Self {
+            stream: stream.take(MAX_READ_BYTES as u64),
+            heads: None,
+        }
+    }
+}
+
+impl AsyncRead for BoundedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -93,11 +115,13 @@
         let before = buffer.filled().len();
         self.stream.set_limit(MAX_READ_BYTES as u64);
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        Poll::Ready(self.count(buffer.filled().len() - before))
+        let received = buffer.filled().len() - before;
+        let counted = self.heads.as_mut().map(|heads| heads.count(received));
+        Poll::Ready(counted.unwrap_or(Ok(())))
     }
 }
 
-impl AsyncWrite for HeadStream {
+impl AsyncWrite for BoundedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/oriolecrank-net/src/intake/mod.rs
+++ b/crates/oriolecrank-net/src/intake/mod.rs
@@ -7,19 +7,19 @@
 
 mod body_memory;
 mod body_reader;
+mod bounded_stream;
 mod budget_metric;
 mod byte_budget;
 mod connection_limits;
-mod head_stream;
 
 use oriolecrank_schema::settings::IntakeTable;
 
 use crate::settings_file::{SettingsError, invalid_value};
 
 pub use body_reader::{BodyBuffer, BodyError, BodyLimits, BodyPace, read_body_within};
+pub(crate) use bounded_stream::BoundedStream;
 pub use byte_budget::{ByteBudget, ByteLease, NoRoom};
 pub(crate) use connection_limits::{ConnectionState, ConnectionTable};
-pub(crate) use head_stream::HeadStream;
 
 /// Descriptors that a process needs for files and for what it opens at its start.
 const RESERVED_DESCRIPTORS: u64 = 200;
