Bound the bodies of all callers of an entry of agents

60 callers with a valid key that send bodies of 4 MiB and stop just short of their end made an entry of agents hold 325,128 KiB, in chunks 472,632 KiB, and bodies over the limit 431,668 KiB; 400 bodies of 64 KiB held 134,280 KiB. The instance of the tests has 65,536 KiB. Memory followed the number of callers, because each body was read under a budget of its own without a limit, and a stalled one was waited for for 30 s.

All bodies of callers now share one budget that follows from [intake], as on the platform, and so do the limits on the connections of the listeners. A body without room is refused with 503 no_room and Retry-After before it is read, one that stalls for 5 s with 408; both say not_run, and the connection is closed.

--- a/crates/oriolecrank-entry/src/caller_answer.rs
+++ b/crates/oriolecrank-entry/src/caller_answer.rs
@@ -4,7 +4,7 @@
 
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderName, HeaderValue, Response, StatusCode};
-use oriolecrank_net::AnswerBody;
+use oriolecrank_net::{AnswerBody, with_close};
 use oriolecrank_schema::data_path::{HeaderField, RunVerdict};
 use serde_json::json;
 
@@ -33,6 +33,8 @@
     pub message: String,
     /// Suggested delay before a retry, in seconds; `None` if no retry is suggested.
     pub retry_after_s: Option<u64>,
+    /// Whether the connection is closed, because the rest of the request was not read.
+    pub closes_connection: bool,
 }
 
 impl CallerError {
@@ -44,6 +46,7 @@
             verdict: RunVerdict::NotRun,
             message: message.into(),
             retry_after_s: None,
+            closes_connection: false,
         }
     }
 
@@ -62,6 +65,13 @@
         self
     }
 
+    /// Closes the connection after the answer.
+    #[must_use]
+    pub const fn closing(mut self) -> Self {
+        self.closes_connection = true;
+        self
+    }
+
     /// The failure as a JSON body.
     pub fn body(&self, request_id: &str) -> String {
         let verdict = self.verdict.to_string();
@@ -82,6 +92,9 @@
                 .headers_mut()
                 .insert(RETRY_AFTER, HeaderValue::from(seconds));
         }
+        if self.closes_connection {
+            response = with_close(response);
+        }
         response
     }
 
@@ -107,6 +120,7 @@
             verdict: error.verdict,
             message: error.message,
             retry_after_s: suggested.or(not_run.then_some(DEFAULT_RETRY_AFTER_S)),
+            closes_connection: false,
         }
     }
 }
--- a/crates/oriolecrank-entry/src/caller_body.rs
+++ b/crates/oriolecrank-entry/src/caller_body.rs
@@ -7,7 +7,7 @@
 use http::header::CONTENT_LENGTH;
 use http::request::Parts;
 use hyper::body::Incoming;
-use oriolecrank_net::intake::{BodyError, BodyLimits, BodyPace, ByteBudget, read_body_within};
+use oriolecrank_net::intake::{BodyError, BodyLimits, ByteBudget, read_body_within};
 
 use crate::caller_answer::CallerError;
 
@@ -15,11 +15,17 @@
 /// upstream.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Reads a body of at most `limit` bytes. Fails if it is larger, incomplete or too slow.
+/// Time after which a caller may return whose body found no room, in seconds. Stalled bodies are
+/// given up after a few seconds; ordinary ones end within one.
+const NO_ROOM_RETRY_S: u64 = 1;
+
+/// Reads a body of at most `limit` bytes. Fails if it is larger, incomplete or too slow, or if the
+/// budget has no room for it; the connection must then be closed.
 pub async fn read_caller_body(
     parts: &Parts,
     body: Incoming,
     limit: usize,
+    budget: &ByteBudget,
 ) -> Result<Bytes, CallerError> {
     let stated = parts.headers.get(CONTENT_LENGTH);
     let stated = stated.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
@@ -28,28 +34,28 @@
         return Err(too_large(limit));
     }
     let limits = BodyLimits {
-        bytes: limit,
-        pace: BodyPace {
-            stall_limit: BODY_TIMEOUT,
-            grace: BODY_TIMEOUT,
-            ..BodyPace::default()
-        },
         time_limit: Some(BODY_TIMEOUT),
+        ..BodyLimits::of_bytes(limit)
     };
-    // Only the size of each body is limited here, not that of all together.
-    let budget = ByteBudget::new(usize::MAX);
-    let read = read_body_within(body, limits, &budget).await;
+    let read = read_body_within(body, limits, budget).await;
     read.map_err(|error| match error {
-        BodyError::TooLarge | BodyError::Full { .. } => too_large(limit),
+        BodyError::TooLarge => too_large(limit.min(budget.largest_item())),
+        BodyError::Full { .. } => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let message = "the entry has no memory for the request body at present";
+            CallerError::not_run(status, "no_room", message)
+                .with_retry_after(NO_ROOM_RETRY_S)
+                .closing()
+        }
         BodyError::TooSlow => {
             let status = StatusCode::REQUEST_TIMEOUT;
             let message = "the request body was not received within the time limit";
-            CallerError::not_run(status, "body_timeout", message)
+            CallerError::not_run(status, "body_timeout", message).closing()
         }
         BodyError::Incomplete => {
             let status = StatusCode::BAD_REQUEST;
             let message = "the request body ended early or is malformed";
-            CallerError::not_run(status, "body_incomplete", message)
+            CallerError::not_run(status, "body_incomplete", message).closing()
         }
     })
 }
@@ -57,5 +63,5 @@
 fn too_large(limit: usize) -> CallerError {
     let status = StatusCode::PAYLOAD_TOO_LARGE;
     let message = format!("the request body is larger than the limit of {limit} bytes");
-    CallerError::not_run(status, "body_too_large", message)
+    CallerError::not_run(status, "body_too_large", message).closing()
 }
--- a/crates/oriolecrank-entry/src/caller_server.rs
+++ b/crates/oriolecrank-entry/src/caller_server.rs
@@ -65,7 +65,8 @@
         let state = self.state_snapshot();
         state.planner(&head, request_id).check_access()?;
         let limit = self.context.options.max_body_bytes;
-        let body = read_caller_body(&parts, body, limit).await?;
+        let budget = &self.context.client_budget;
+        let body = read_caller_body(&parts, body, limit, budget).await?;
         // `plan` checks the key again, because it may have been removed while the body arrived.
         let plan = self
             .state_snapshot()
--- a/crates/oriolecrank-entry/src/entry_context.rs
+++ b/crates/oriolecrank-entry/src/entry_context.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use oriolecrank_net::ControlClient;
+use oriolecrank_net::intake::ByteBudget;
 
 use crate::admission::AdmissionControl;
 use crate::attempt_stream::AgentTransport;
@@ -44,6 +45,8 @@
     pub retries: RetryGate,
     /// Suspects and the upstreams on which this entry runs them.
     pub suspects: Arc<SuspectGate>,
+    /// Memory for the bodies of requests.
+    pub client_budget: ByteBudget,
     /// Running reads that equal ones may join.
     pub coalescer: Arc<ReadCoalescer>,
 }
--- a/crates/oriolecrank-entry/src/process.rs
+++ b/crates/oriolecrank-entry/src/process.rs
@@ -6,7 +6,8 @@
 
 use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel};
 use oriolecrank_net::{
-    BootClock, ControlClient, HttpClient, OperatorListener, PeerGuard, ReadyFlag, serve,
+    BootClock, ControlClient, HttpClient, OperatorListener, PeerGuard, ReadyFlag, ServerSettings,
+    serve_with,
 };
 use oriolecrank_policy::admission::AdmissionSettings;
 use oriolecrank_policy::rate_limiter::LimiterSettings;
@@ -102,19 +103,32 @@
         let context = Arc::new(context(&options));
         let mut registry = Registry::default();
         context.metrics.register(&mut registry);
+        registry
+            .sub_registry_with_prefix("oriolecrank_entry")
+            .register_collector(Box::new(context.client_budget.clone()));
         let guard = PeerGuard::new(options.secret.clone());
         let ready = ReadyFlag::default();
         let operator = Arc::new(OperatorListener::new(registry, ready.clone(), guard));
         // The operator listener has its own shutdown signal, so that it answers readiness checks
         // until all answers are finished.
         let (operator_trigger, operator_signal) = shutdown_channel();
-        let operator = tokio::spawn(serve(operator_listener, operator, operator_signal));
+        let operator_settings = ServerSettings {
+            max_connections: options.intake.probe_connections(),
+            budget: options.intake.peer_budget(),
+            ..ServerSettings::default()
+        };
+        let operator = tokio::spawn(serve_with(
+            operator_settings,
+            operator_listener,
+            operator,
+            operator_signal,
+        ));
         ready.set(true);
         tracing::info!(event = LogEvent::ProcessStarted.number(), %address, "entry started");
         let server = Arc::new(CallerServer::new(Arc::clone(&context)));
         let follower = follower(&context);
         tokio::select! {
-            () = serve_callers(listener, server, shutdown, &options, &ready) => {}
+            () = serve_callers(listener, server, shutdown, &context, &ready) => {}
             () = follower.run() => {}
             () = context.usage.run(&context.control) => {}
             () = run_housekeeping(&context) => {}
@@ -143,9 +157,15 @@
     listener: TcpListener,
     server: Arc<CallerServer>,
     mut shutdown: ShutdownSignal,
-    options: &EntryOptions,
+    context: &EntryContext,
     ready: &ReadyFlag,
 ) {
+    let options = &context.options;
+    let settings = ServerSettings {
+        max_connections: options.intake.client_connections(),
+        budget: context.client_budget.clone(),
+        ..ServerSettings::default()
+    };
     let (trigger, signal) = shutdown_channel();
     let stop = async {
         shutdown.triggered().await;
@@ -165,7 +185,7 @@
         );
     };
     tokio::select! {
-        () = serve(listener, server, signal) => {}
+        () = serve_with(settings, listener, server, signal) => {}
         () = stop => {}
     }
 }
@@ -222,6 +242,7 @@
         metrics,
         retries: RetryGate::new(RetrySettings::default()),
         suspects: Arc::default(),
+        client_budget: options.intake.client_budget(),
         coalescer: Arc::new(ReadCoalescer::new(CoalescingSettings::default())),
         options: options.clone(),
     }
