Show that a body without room is refused before it is read

The refusal has to say that the request has not run and when to come back, and the connection must close, because the body is not read. One caller announces 30 MiB and sends nothing; the next one announces 20 MiB and gets 503 no_room with Retry-After: 1 before it sends a byte. Small requests are still served.

--- a/crates/oriolecrank-entry/tests/entry/callers.rs
+++ b/crates/oriolecrank-entry/tests/entry/callers.rs
@@ -286,6 +286,48 @@
     }
 }
 
+/// Guards against bodies that are accepted although all bodies together leave no room for them, and
+/// against refusals that promise less than the others.
+#[tokio::test]
+async fn a_body_without_room_is_refused_before_it_is_read() {
+    let agent = answering(JSON, "{}");
+    let entry = TestEntry::start(EntrySetup {
+        agents: vec![(agent.clone(), "desk")],
+        max_body_bytes: 64 * 1024 * 1024,
+        ..EntrySetup::default()
+    })
+    .await;
+    let head = format!(
+        "PUT /services/desk/notes HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {GROVE_KEY}\r\n"
+    );
+    // The announced length is reserved, although nothing of the body is sent.
+    let mut holder = TcpStream::connect(entry.address).await.unwrap();
+    let announced = format!("{head}content-length: 31457280\r\n\r\n");
+    holder.write_all(announced.as_bytes()).await.unwrap();
+    let reserved = "oriolecrank_entry_client_bytes 31457280";
+    while !entry
+        .get_from_operator("/metrics")
+        .await
+        .body
+        .contains(reserved)
+    {
+        tokio::task::yield_now().await;
+    }
+    let answer = send_raw(
+        &entry,
+        &format!("{head}content-length: 20971520\r\n\r\n"),
+        true,
+    )
+    .await;
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    for part in ["retry-after: 1", "connection: close", "no_room", "not_run"] {
+        assert!(answer.contains(part), "{part}: {answer}");
+    }
+    let reply = entry.send(get("/services/desk/public")).await;
+    assert_eq!(reply.status, 200, "small requests need no room");
+    drop(holder);
+}
+
 /// Guards against request smuggling by heads that two parsers may interpret differently.
 #[tokio::test]
 async fn ambiguous_framing_is_refused() {
