Send the body of a request to an agent without a copy

An entry of agents put the request and its body into one buffer, so each body that an agent did not read was in memory twice, and the second time outside the budget: 52,708 and 54,876 KiB with 60 whole bodies of 4 MiB for frozen agents, of 65,536 KiB that the instance has (debug build, x86-64).

The new test passes before the change as well; it guards against a step back.

--- a/crates/oriolecrank-entry/src/attempt_stream.rs
+++ b/crates/oriolecrank-entry/src/attempt_stream.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use oriolecrank_net::frame::encode_frame;
-use oriolecrank_net::{BootClock, ClusterSecret, FrameReader, HttpClient, peer_request};
+use oriolecrank_net::frame::encode_frame_start;
+use oriolecrank_net::{
+    BootClock, ClusterSecret, FrameReader, HttpClient, RequestBody, peer_request, peer_request_with,
+};
 use oriolecrank_policy::answer_assembly::{
     AnswerAssembly, AnswerHead, AnswerStep, AssemblySettings,
 };
@@ -173,12 +175,13 @@
     /// Sends the request. It may be sent again after a lost connection, because an agent runs each
     /// attempt only once.
     async fn send_run(&mut self) -> Result<(), AttemptError> {
-        let message = encode_frame(&self.request, &self.body);
-        let message = peer_request(&self.transport.secret, "/v1/run", message);
+        let start = encode_frame_start(&self.request, self.body.len());
+        let body = RequestBody::pieces(start, self.body.clone());
+        let message = peer_request_with(&self.transport.secret, "/v1/run", body);
         let sent = self
             .transport
             .client
-            .send(self.address, message, SILENCE_TIMEOUT)
+            .send_body(self.address, message, SILENCE_TIMEOUT)
             .await;
         let response = sent.map_err(|error| {
             AttemptError::new(error.verdict(), "agent_unreachable", error.to_string())
--- a/crates/oriolecrank-local/tests/crowds/main.rs
+++ b/crates/oriolecrank-local/tests/crowds/main.rs
@@ -180,6 +180,38 @@
     };
 }
 
+/// Guards against bodies that an entry holds twice while an agent does not read them.
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_bodies_for_frozen_agents_end_no_program() {
+    let _guard = RUNNING.lock().await;
+    let plan = ClusterPlan {
+        tables: TABLES,
+        ..ClusterPlan::default()
+    };
+    let cluster = TestCluster::start(plan).await;
+    for agent in &cluster.agents {
+        agent.signal("STOP");
+    }
+    let crowd = ClientCrowd {
+        clients: CROWD_CLIENTS,
+        head: LEDGER_HEAD,
+        shape: BodyShape::Announced {
+            announced: LEGAL_BODY_BYTES,
+            piece: SMALL_BODY_BYTES,
+        },
+        sent: LEGAL_BODY_BYTES,
+        ..ClientCrowd::default()
+    };
+    let clients = crowd.start(cluster.entries[0].address).await;
+    for agent in &cluster.agents {
+        agent.signal("CONT");
+    }
+    check_programs(&cluster, "while the crowd stays");
+    drop(clients);
+    check_request(&cluster).await;
+    check_programs(&cluster, "after the crowd");
+}
+
 /// Guards against limits that shut out a caller that keeps to the size limit.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_legal_body_is_served_in_calm() {
--- a/crates/oriolecrank-net/src/control_client.rs
+++ b/crates/oriolecrank-net/src/control_client.rs
@@ -184,10 +184,15 @@
 
 /// Builds an authenticated POST request to another process of the cluster.
 pub fn peer_request(secret: &ClusterSecret, path: &str, body: Bytes) -> Request<Full<Bytes>> {
+    peer_request_with(secret, path, Full::new(body))
+}
+
+/// Like [`peer_request`], with a body of another type.
+pub fn peer_request_with<B>(secret: &ClusterSecret, path: &str, body: B) -> Request<B> {
     Request::post(path)
         .header(http::header::HOST, "oriolecrank")
         .header(AUTHORIZATION, secret.header())
         .header(PROTOCOL_HEADER, PROTOCOL_VERSION.to_string())
-        .body(Full::new(body))
+        .body(body)
         .expect("path and headers are valid")
 }
--- a/crates/oriolecrank-net/src/frame.rs
+++ b/crates/oriolecrank-net/src/frame.rs
@@ -63,13 +63,24 @@
 /// Encodes one frame. The receiver rejects it if the header or the payload exceeds
 /// [`MAX_FRAME_PART`].
 pub fn encode_frame<T: Serialize>(header: &T, payload: &[u8]) -> Bytes {
+    let mut buffer = frame_start(header, payload.len(), payload.len());
+    buffer.put_slice(payload);
+    buffer.freeze()
+}
+
+/// Encodes a frame without its payload of `payload_len` bytes, which has to follow.
+pub fn encode_frame_start<T: Serialize>(header: &T, payload_len: usize) -> Bytes {
+    frame_start(header, payload_len, 0).freeze()
+}
+
+/// Start of a frame, in a buffer with room for `spare` more bytes.
+fn frame_start<T: Serialize>(header: &T, payload_len: usize, spare: usize) -> BytesMut {
     let header = codec::encode(header);
-    let mut buffer = BytesMut::with_capacity(PREFIX_BYTES + header.len() + payload.len());
+    let mut buffer = BytesMut::with_capacity(PREFIX_BYTES + header.len() + spare);
     buffer.put_u32(header.len() as u32);
-    buffer.put_u32(payload.len() as u32);
+    buffer.put_u32(payload_len as u32);
     buffer.put_slice(&header);
-    buffer.put_slice(payload);
-    buffer.freeze()
+    buffer
 }
 
 /// Removes one frame from the front of `buffer`. Returns `None` and leaves the buffer unchanged if
@@ -77,23 +88,51 @@
 pub fn decode_frame<T: DeserializeOwned>(
     buffer: &mut BytesMut,
 ) -> Result<Option<DataFrame<T>>, FrameError> {
-    if buffer.len() < PREFIX_BYTES {
+    let Some(FrameSizes { header, payload }) = FrameSizes::read(buffer)? else {
         return Ok(None);
-    }
-    let mut prefix = &buffer[..PREFIX_BYTES];
-    let header_len = prefix.get_u32() as usize;
-    let payload_len = prefix.get_u32() as usize;
-    let largest = header_len.max(payload_len);
-    ensure!(largest <= MAX_FRAME_PART, TooLargeSnafu { size: largest });
-    if buffer.len() < PREFIX_BYTES + header_len + payload_len {
-        return Ok(None);
-    }
+    };
     buffer.advance(PREFIX_BYTES);
-    let header = codec::decode(&buffer.split_to(header_len)).context(BadHeaderSnafu)?;
-    let payload = buffer.split_to(payload_len).freeze();
+    let header = codec::decode(&buffer.split_to(header)).context(BadHeaderSnafu)?;
+    let payload = buffer.split_to(payload).freeze();
     Ok(Some(DataFrame { header, payload }))
 }
 
+/// Decodes a frame that fills `bytes`, without a copy of its payload. Returns `None` if the frame is
+/// incomplete; ignores what follows it.
+pub fn decode_whole_frame<T: DeserializeOwned>(
+    bytes: &Bytes,
+) -> Result<Option<DataFrame<T>>, FrameError> {
+    let Some(FrameSizes { header, payload }) = FrameSizes::read(bytes)? else {
+        return Ok(None);
+    };
+    let start = PREFIX_BYTES + header;
+    let header = codec::decode(&bytes[PREFIX_BYTES..start]).context(BadHeaderSnafu)?;
+    let payload = bytes.slice(start..start + payload);
+    Ok(Some(DataFrame { header, payload }))
+}
+
+/// Sizes of the parts of a frame, in bytes.
+#[derive(Debug, Clone, Copy)]
+struct FrameSizes {
+    header: usize,
+    payload: usize,
+}
+
+impl FrameSizes {
+    /// Reads the sizes at the front of `bytes`; `None` if the frame is incomplete.
+    fn read(bytes: &[u8]) -> Result<Option<Self>, FrameError> {
+        let Some(mut prefix) = bytes.get(..PREFIX_BYTES) else {
+            return Ok(None);
+        };
+        let header = prefix.get_u32() as usize;
+        let payload = prefix.get_u32() as usize;
+        let largest = header.max(payload);
+        ensure!(largest <= MAX_FRAME_PART, TooLargeSnafu { size: largest });
+        let is_complete = bytes.len() >= PREFIX_BYTES + header + payload;
+        Ok(is_complete.then_some(Self { header, payload }))
+    }
+}
+
 /// Reads frames from the body of a response.
 #[derive(Debug)]
 pub struct FrameReader {
--- a/crates/oriolecrank-net/src/http_client.rs
+++ b/crates/oriolecrank-net/src/http_client.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::intake::BoundedStream;
+use crate::request_body::RequestBody;
 use crate::socket_options::set_tcp_options;
 
 /// Time and pool limits of an [`HttpClient`].
@@ -130,7 +131,7 @@
     }
 }
 
-type Connection = SendRequest<Full<Bytes>>;
+type Connection = SendRequest<RequestBody>;
 
 /// A pooled connection.
 #[derive(Debug)]
@@ -173,6 +174,17 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         time_limit: Duration,
+    ) -> Result<ClientResponse, SendError> {
+        let request = request.map(RequestBody::Whole);
+        self.send_body(address, request, time_limit).await
+    }
+
+    /// Like [`send`](Self::send), with a body that may have several pieces.
+    pub async fn send_body(
+        &self,
+        address: SocketAddr,
+        request: Request<RequestBody>,
+        time_limit: Duration,
     ) -> Result<ClientResponse, SendError> {
         let mut connection = match self.take_idle_connection(address) {
             Some(connection) => connection,
--- a/crates/oriolecrank-net/src/lib.rs
+++ b/crates/oriolecrank-net/src/lib.rs
@@ -27,6 +27,7 @@
 mod lossy_output;
 mod operator_listener;
 mod process_main;
+mod request_body;
 mod retry_after;
 pub mod settings_file;
 mod settings_watch;
@@ -36,7 +37,7 @@
 pub use answer_body::{AnswerBody, BodyAborted, BodyReceiver, BodySender};
 pub use boot_clock::BootClock;
 pub use cluster_secret::{ClusterSecret, SecretError};
-pub use control_client::{ControlClient, ControlError, peer_request};
+pub use control_client::{ControlClient, ControlError, peer_request, peer_request_with};
 pub use frame::{FrameError, FrameReader};
 pub use http_client::{ClientResponse, ClientSettings, HttpClient, SendError};
 pub use http_server::{
@@ -46,6 +47,7 @@
 pub use log_budget::{BudgetSettings, LogBudget};
 pub use operator_listener::{MetricsListener, OperatorListener, ReadyFlag};
 pub use process_main::{ProcessArguments, run_process};
+pub use request_body::RequestBody;
 pub use retry_after::{InvalidRetryAfter, requested_pause, retry_after};
 pub use settings_watch::watch_settings;
 pub use socket_options::set_tcp_options;
