Bound the bodies that an agent holds

60 whole bodies of 4 MiB for a service that does not answer made its agent hold 129,084 KiB, of 65,536 KiB that the instance has. The agent read each message under a budget of its own without a limit, and copied it once more to split it.

All bodies that an agent holds now share a budget that follows from its table [intake], until the last copy is dropped, and a message is split without a copy. A message without room is refused with 503 before it is read (event 114); the entry takes this as not run and tries another agent. The limits on connections follow from the table too.

--- a/crates/oriolecrank-agent/src/process.rs
+++ b/crates/oriolecrank-agent/src/process.rs
@@ -6,7 +6,8 @@
 
 use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel};
 use oriolecrank_net::{
-    BootClock, ControlClient, HttpClient, OperatorListener, PeerGuard, ReadyFlag, serve,
+    BootClock, ControlClient, HttpClient, OperatorListener, PeerGuard, ReadyFlag, ServerSettings,
+    serve_with,
 };
 use oriolecrank_policy::BlockCount;
 use oriolecrank_schema::control::{UpstreamPhase, UpstreamRecord};
@@ -86,6 +87,10 @@
         let metrics = AgentMetrics::default();
         let mut registry = Registry::with_prefix("oriolecrank");
         metrics.register(&mut registry);
+        let budget = options.intake.client_budget();
+        registry
+            .sub_registry_with_prefix("agent")
+            .register_collector(Box::new(budget.clone()));
         let operator = OperatorListener::new(registry, ready.clone(), guard.clone());
         let client = HttpClient::default();
         let control = ControlClient::new(client.clone(), options.secret.clone(), &options.control);
@@ -99,7 +104,17 @@
             metrics,
         ));
         let runner = Arc::new(OrderRunner::new(Arc::clone(&core), GateSettings::default()));
-        let server = RunServer::new(guard, Arc::clone(&core), Arc::clone(&runner));
+        let settings = ServerSettings {
+            max_connections: options.intake.client_connections(),
+            budget: budget.clone(),
+            ..ServerSettings::default()
+        };
+        let operator_settings = ServerSettings {
+            max_connections: options.intake.probe_connections(),
+            budget: options.intake.peer_budget(),
+            ..ServerSettings::default()
+        };
+        let server = RunServer::new(guard, Arc::clone(&core), Arc::clone(&runner), budget);
         let record = upstream_record(&options, address, incarnation);
         let mut announcer = UpstreamAnnouncer::new(control, record, Arc::clone(&core), runner);
         tracing::info!(event = LogEvent::ProcessStarted.number(), %address, "agent started");
@@ -139,8 +154,9 @@
         };
         let serve_until_shutdown = async {
             tokio::join!(
-                serve(listener, Arc::new(server), serve_shutdown.clone()),
-                serve(
+                serve_with(settings, listener, Arc::new(server), serve_shutdown.clone()),
+                serve_with(
+                    operator_settings,
                     operator_listener,
                     Arc::new(operator),
                     serve_shutdown.clone()
--- a/crates/oriolecrank-agent/src/run_server.rs
+++ b/crates/oriolecrank-agent/src/run_server.rs
@@ -3,19 +3,21 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
-use oriolecrank_net::frame::decode_frame;
+use oriolecrank_net::frame::decode_whole_frame;
+use oriolecrank_net::intake::{BodyError, BodyLimits, ByteBudget, read_body_within};
 use oriolecrank_net::{
-    AnswerBody, BootClock, HttpHandler, PeerGuard, empty_answer, message_answer, read_body,
-    text_answer,
+    AnswerBody, BootClock, HttpHandler, PeerGuard, empty_answer, message_answer, text_answer,
+    with_close,
 };
 use oriolecrank_policy::AttemptId;
 use oriolecrank_schema::codec;
 use oriolecrank_schema::data_path::{
     AckRequest, CancelRequest, ResumeRequest, RunEvent, RunRequest,
 };
+use oriolecrank_schema::event::LogEvent;
 
 use crate::agent_core::AgentCore;
 use crate::answer_stream::{AnswerStream, encode_event};
@@ -34,25 +36,29 @@
     guard: PeerGuard,
     core: Arc<AgentCore<U>>,
     runner: Arc<OrderRunner<U>>,
+    /// Memory for the bodies of requests.
+    budget: ByteBudget,
 }
 
 impl<U: UpstreamClient> RunServer<U> {
-    /// Creates a server that passes requests to `core` and orders to `runner`.
+    /// Creates a server that passes requests to `core` and orders to `runner`. The bodies of all
+    /// requests that the agent holds count in `budget`.
     pub const fn new(
         guard: PeerGuard,
         core: Arc<AgentCore<U>>,
         runner: Arc<OrderRunner<U>>,
+        budget: ByteBudget,
     ) -> Self {
         Self {
             guard,
             core,
             runner,
+            budget,
         }
     }
 
     fn run(&self, bytes: &Bytes) -> Response<AnswerBody> {
-        let mut buffer = BytesMut::from(&bytes[..]);
-        let frame = match decode_frame::<RunRequest>(&mut buffer) {
+        let frame = match decode_whole_frame::<RunRequest>(bytes) {
             Ok(Some(frame)) => frame,
             Ok(None) => return bad_request("the request body ends in the middle of a frame"),
             Err(error) => return bad_request(&error.to_string()),
@@ -168,8 +174,10 @@
             return empty_answer(StatusCode::METHOD_NOT_ALLOWED);
         }
         let (head, body) = request.into_parts();
-        let Some(bytes) = read_body(body, MAX_REQUEST_BYTES).await else {
-            return empty_answer(StatusCode::PAYLOAD_TOO_LARGE);
+        let limits = BodyLimits::of_bytes(MAX_REQUEST_BYTES);
+        let bytes = match read_body_within(body, limits, &self.budget).await {
+            Ok(bytes) => bytes,
+            Err(error) => return body_refusal(error),
         };
         match head.uri.path() {
             "/v1/run" => self.run(&bytes),
@@ -200,6 +208,22 @@
     }
 }
 
+/// Refuses a request whose body was not read; it has not run.
+fn body_refusal(error: BodyError) -> Response<AnswerBody> {
+    tracing::warn!(
+        event = LogEvent::BodyNotRead.number(),
+        %error,
+        "the body of a message was not read"
+    );
+    let status = match error {
+        BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::Full { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        BodyError::TooSlow => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Incomplete => StatusCode::BAD_REQUEST,
+    };
+    with_close(empty_answer(status))
+}
+
 fn bad_request(message: &str) -> Response<AnswerBody> {
     text_answer(StatusCode::BAD_REQUEST, message.to_owned())
 }
--- a/crates/oriolecrank-local/tests/crowds/main.rs
+++ b/crates/oriolecrank-local/tests/crowds/main.rs
@@ -60,7 +60,8 @@
 async fn check_crowd(crowd: ClientCrowd) {
     let _guard = RUNNING.lock().await;
     let plan = ClusterPlan {
-        tables: TABLES,
+        entry_tables: TABLES,
+        agent_tables: TABLES,
         ..ClusterPlan::default()
     };
     let cluster = TestCluster::start(plan).await;
@@ -76,6 +77,10 @@
     for entry in &cluster.entries {
         check_program(entry, "entry", moment);
     }
+    check_agents(cluster, moment);
+}
+
+fn check_agents(cluster: &TestCluster, moment: &str) {
     for agent in &cluster.agents {
         check_program(agent, "agent", moment);
     }
@@ -185,7 +190,8 @@
 async fn whole_bodies_for_frozen_agents_end_no_program() {
     let _guard = RUNNING.lock().await;
     let plan = ClusterPlan {
-        tables: TABLES,
+        entry_tables: TABLES,
+        agent_tables: TABLES,
         ..ClusterPlan::default()
     };
     let cluster = TestCluster::start(plan).await;
@@ -212,12 +218,49 @@
     check_programs(&cluster, "after the crowd");
 }
 
+/// Resources of an entry that passes on more than an agent can hold.
+const LARGE_TABLES: &str = "[intake]\nmemory_mb = 320\nmax_descriptors = 900\n";
+
+/// Guards against an agent that holds all that entries send it while its upstream does not answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn whole_bodies_for_a_frozen_service_end_no_agent() {
+    let _guard = RUNNING.lock().await;
+    let plan = ClusterPlan {
+        entry_tables: LARGE_TABLES,
+        agent_tables: TABLES,
+        ..ClusterPlan::default()
+    };
+    let cluster = TestCluster::start(plan).await;
+    for fake in &cluster.fakes {
+        fake.signal("STOP");
+    }
+    let crowd = ClientCrowd {
+        clients: CROWD_CLIENTS,
+        head: LEDGER_HEAD,
+        shape: BodyShape::Announced {
+            announced: LEGAL_BODY_BYTES,
+            piece: SMALL_BODY_BYTES,
+        },
+        sent: LEGAL_BODY_BYTES,
+        ..ClientCrowd::default()
+    };
+    let clients = crowd.start(cluster.entries[0].address).await;
+    check_agents(&cluster, "while the crowd stays");
+    for fake in &cluster.fakes {
+        fake.signal("CONT");
+    }
+    drop(clients);
+    check_request(&cluster).await;
+    check_agents(&cluster, "after the crowd");
+}
+
 /// Guards against limits that shut out a caller that keeps to the size limit.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_legal_body_is_served_in_calm() {
     let _guard = RUNNING.lock().await;
     let plan = ClusterPlan {
-        tables: TABLES,
+        entry_tables: TABLES,
+        agent_tables: TABLES,
         ..ClusterPlan::default()
     };
     let cluster = TestCluster::start(plan).await;
--- a/crates/oriolecrank-local/tests/processes/cluster.rs
+++ b/crates/oriolecrank-local/tests/processes/cluster.rs
@@ -29,8 +29,10 @@
 /// Running programs, with their settings and data in a temporary folder.
 pub struct TestCluster {
     folder: TempDir,
-    /// Tables that the settings of each entry and each agent have besides.
-    tables: String,
+    /// Tables that the settings of each entry have besides.
+    entry_tables: String,
+    /// Tables that the settings of each agent have besides.
+    agent_tables: String,
     /// Addresses of the control instances, reserved because each instance's settings list those of
     /// all others before any of them runs.
     reserved: Vec<ReservedAddress>,
@@ -50,8 +52,10 @@
     pub engines: &'a [&'a [&'a str]],
     /// Extra command-line arguments of the fake ledger.
     pub ledger: &'a [&'a str],
-    /// Tables that the settings of each entry and each agent have besides.
-    pub tables: &'a str,
+    /// Tables that the settings of each entry have besides.
+    pub entry_tables: &'a str,
+    /// Tables that the settings of each agent have besides.
+    pub agent_tables: &'a str,
 }
 
 impl Default for ClusterPlan<'_> {
@@ -61,7 +65,8 @@
             entries: 1,
             engines: &[&[]],
             ledger: &[],
-            tables: "",
+            entry_tables: "",
+            agent_tables: "",
         }
     }
 }
@@ -73,7 +78,8 @@
         std::fs::write(folder.path().join("secret"), SECRET).unwrap();
         let mut cluster = Self {
             folder,
-            tables: plan.tables.to_owned(),
+            entry_tables: plan.entry_tables.to_owned(),
+            agent_tables: plan.agent_tables.to_owned(),
             reserved: Vec::new(),
             control: Vec::new(),
             agents: Vec::new(),
@@ -142,7 +148,7 @@
              upstream_address = \"{upstream}\"\n{}",
             self.common_settings(),
             self.control_addresses(),
-            self.tables,
+            self.agent_tables,
         );
         let program =
             self.start_program("oriolecrank-agent", &format!("agent-{kind}-{index}"), &text);
@@ -154,7 +160,7 @@
             "{}name = \"entry-{index}\"\ncaller_listen = \"127.0.0.1:0\"\ncontrol = {}\n{}",
             self.common_settings(),
             self.control_addresses(),
-            self.tables,
+            self.entry_tables,
         );
         let program = self.start_program("oriolecrank-entry", &format!("entry-{index}"), &text);
         self.entries.push(program);
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -46,6 +46,7 @@
     PeerUnauthorised = 111, "A message without the cluster secret was refused.";
     PeerVersionRefused = 112, "A message with a malformed protocol version or a newer major one was refused.";
     ConnectionRefused = 113, "A connection was closed because too many are open at the listener.";
+    BodyNotRead = 114, "The body of a message to an agent was not read; the reason is in the line, and the request has not run.";
     DocumentInForce = 200, "A revision of the document is in force at this entry.";
     SubscriptionLost = 201, "The subscription to a control instance ended; it is opened again, at another instance if there is one.";
     StateStale = 202, "The state is older than the freshness lease; calls that need a key are refused.";
