Bound connections by memory as well as by descriptors

By hand, 2,500 of them made an entry with 160 MB hold 162 MB, and 2,500 bodies in chunks 170 MB (release build, x86-64).

Each connection may hold 56 KiB outside the budget: its first buffers, the fields of a request, a short body, a trailer, the task and the handler. Only descriptors bounded their number, 2,600 with the defaults, which is 142 MiB. Now half of the memory beyond 16 MiB bounds it too: 1,316 with the defaults, and 2,600 from 301 MiB on.

--- a/crates/oriolecrank-net/src/intake/byte_budget.rs
+++ b/crates/oriolecrank-net/src/intake/byte_budget.rs
@@ -35,6 +35,11 @@
         Self(Arc::new(BudgetState { capacity, used }))
     }
 
+    /// Largest number of bytes that may be held.
+    pub fn capacity(&self) -> usize {
+        self.0.capacity
+    }
+
     /// Bytes that are held now.
     pub fn used(&self) -> usize {
         self.0.used.load(Ordering::Relaxed)
--- a/crates/oriolecrank-net/src/intake/mod.rs
+++ b/crates/oriolecrank-net/src/intake/mod.rs
@@ -27,6 +27,10 @@
 /// Memory that a process needs without clients, in bytes.
 const PROGRAM_BYTES: u64 = 16 * 1024 * 1024;
 
+/// Memory that a connection of a client may hold outside the budget, in bytes: its first buffers and
+/// its task, the fields of a request, a body or a trailer that does not count, and the handler.
+const CONNECTION_BYTES: u64 = 56 * 1024;
+
 /// Smallest memory with which the largest body that the platform's pages allow has room, in bytes.
 const MIN_MEMORY_BYTES: u64 = 32 * 1024 * 1024;
 
@@ -66,8 +70,8 @@
     }
 
     /// Budget for the requests of clients and the answers that are held for them: three eighths of
-    /// the memory besides that of the program. The rest is for the buffers of connections and what
-    /// the allocator keeps.
+    /// the memory besides that of the program. Connections and messages between instances have the
+    /// rest.
     pub fn client_budget(&self) -> ByteBudget {
         ByteBudget::new((self.shared_bytes() / 8 * 3) as usize)
     }
@@ -82,10 +86,12 @@
         self.memory_bytes.saturating_sub(PROGRAM_BYTES)
     }
 
-    /// Connections of clients: two thirds of the descriptors for sockets. Connections to upstreams
-    /// and between instances use the rest.
-    pub const fn client_connections(&self) -> usize {
-        (self.socket_descriptors() / 3 * 2) as usize
+    /// Connections of clients: two thirds of the descriptors for sockets, and as many as fill half of
+    /// the memory besides that of the program. Connections to upstreams and between instances use the
+    /// rest.
+    pub fn client_connections(&self) -> usize {
+        let for_memory = self.shared_bytes() / 2 / CONNECTION_BYTES;
+        (self.socket_descriptors() / 3 * 2).min(for_memory) as usize
     }
 
     /// Connections of other instances: a sixth of the descriptors for sockets.
--- a/crates/oriolecrank-net/tests/intake.rs
+++ b/crates/oriolecrank-net/tests/intake.rs
@@ -144,3 +144,21 @@
     let read = read_body_within(body, limits, &least.client_budget()).await;
     assert_eq!(read.unwrap().len(), 4 * MIB);
 }
+
+/// Guards against connections, bodies and messages that together need more than the process has.
+#[test]
+fn all_limits_together_fit_into_the_memory() {
+    const CONNECTION_BYTES: u64 = 56 * 1024;
+    for memory_mib in [32, 64, 160, 320, 4_096] {
+        let settings = IntakeSettings {
+            memory_bytes: memory_mib * MIB as u64,
+            max_descriptors: 100_000,
+        };
+        let budgets = [settings.client_budget(), settings.peer_budget()];
+        let budgets: usize = budgets.iter().map(ByteBudget::capacity).sum();
+        let connections = settings.client_connections() as u64 * CONNECTION_BYTES;
+        let program = 16 * MIB as u64;
+        let needed = program + connections + budgets as u64;
+        assert!(needed <= settings.memory_bytes, "{memory_mib} MiB");
+    }
+}
