Count the answers that an entry of agents collects

400 callers that ask a service for answers of 1 MiB and do not read them made an entry with 65,536 KiB hold 333,076 KiB. The limits of an organisation do not prevent it: its permit ends when the answer is collected, not when it is sent. An answer was collected up to 4 MiB, and nothing bounded all of them.

Collected answers now share a budget, the eighth of the memory that other programs have for messages between instances. An answer without room is passed on as it arrives, as those above 4 MiB are, so it is not lost, but it can no longer be retried when its agent fails.

The fake ledger gives long answers when the query asks for them.

--- a/crates/oriolecrank-entry/src/answer_delivery.rs
+++ b/crates/oriolecrank-entry/src/answer_delivery.rs
@@ -1,8 +1,9 @@
 //! Runs calls and sends their answers to the callers.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{Response, StatusCode};
+use oriolecrank_net::intake::{BodyBuffer, ByteBudget};
 use oriolecrank_net::{AnswerBody, BodyAborted, BodySender};
 use oriolecrank_policy::answer_assembly::AnswerHead;
 use oriolecrank_schema::data_path::RunVerdict;
@@ -42,15 +43,25 @@
 pub enum CollectedAnswer {
     /// The answer is complete.
     Whole(WholeAnswer),
-    /// The answer is larger than [`MAX_COLLECTED_BYTES`]. Its rest has not been read.
+    /// The answer is larger than [`MAX_COLLECTED_BYTES`], or the entry has no memory for it. Its rest
+    /// has not been read.
     Large {
         /// Beginning of the body.
-        received: Bytes,
+        received: ReceivedPart,
         /// Attempt from which the rest is read.
         attempt: Box<RunningAttempt>,
     },
 }
 
+/// Beginning of an answer.
+#[derive(Debug)]
+pub struct ReceivedPart {
+    /// Bytes that were collected.
+    collected: Bytes,
+    /// Bytes after them, which were not collected any more.
+    last: Bytes,
+}
+
 /// Runs a call and sends its answer to the caller.
 ///
 /// # Errors
@@ -111,8 +122,9 @@
     runner: &mut CallRunner,
     mut attempt: RunningAttempt,
 ) -> Result<CollectedAnswer, AttemptError> {
+    let budget = runner.context().answer_budget.clone();
     loop {
-        let error = match collect_attempt(attempt).await {
+        let error = match collect_attempt(attempt, &budget).await {
             Ok(collected) => {
                 if let CollectedAnswer::Whole(_) = &collected.answer {
                     runner.record_success(&collected.upstream);
@@ -131,24 +143,33 @@
     upstream: oriolecrank_schema::document::UpstreamId,
 }
 
-async fn collect_attempt(mut attempt: RunningAttempt) -> Result<CollectedAttempt, AttemptError> {
+/// Collects an answer. The budget counts it until it has been sent, so that callers that do not read
+/// their answers do not use up the memory.
+async fn collect_attempt(
+    mut attempt: RunningAttempt,
+    budget: &ByteBudget,
+) -> Result<CollectedAttempt, AttemptError> {
     let upstream = attempt.upstream().clone();
-    let mut body = BytesMut::new();
+    let mut body = BodyBuffer::new(MAX_COLLECTED_BYTES, budget);
     loop {
-        match attempt.next().await? {
-            BodyPart::Bytes(bytes) => body.extend_from_slice(&bytes),
+        let bytes = match attempt.next().await? {
+            BodyPart::Bytes(bytes) => bytes,
             BodyPart::End => {
                 let answer = WholeAnswer {
                     head: attempt.head().clone(),
-                    body: body.freeze(),
+                    body: body.into_bytes(),
                 };
                 let answer = CollectedAnswer::Whole(answer);
                 return Ok(CollectedAttempt { answer, upstream });
             }
-        }
-        if body.len() > MAX_COLLECTED_BYTES {
+        };
+        if body.append(&bytes).is_err() {
+            let received = ReceivedPart {
+                collected: body.into_bytes(),
+                last: bytes,
+            };
             let answer = CollectedAnswer::Large {
-                received: body.freeze(),
+                received,
                 attempt: Box::new(attempt),
             };
             return Ok(CollectedAttempt { answer, upstream });
@@ -172,7 +193,7 @@
 /// caller is aborted, so that the caller can tell that the answer is incomplete.
 pub fn stream_rest(
     runner: CallRunner,
-    received: Bytes,
+    received: ReceivedPart,
     attempt: RunningAttempt,
     tracker: RequestTracker,
 ) -> Response<AnswerBody> {
@@ -184,12 +205,16 @@
 
 async fn forward_rest(
     mut runner: CallRunner,
-    received: Bytes,
+    received: ReceivedPart,
     mut attempt: RunningAttempt,
     mut tracker: RequestTracker,
     sender: BodySender,
 ) {
-    let mut next = received;
+    let ReceivedPart { collected, last } = received;
+    if !collected.is_empty() && sender.send(Ok(collected)).await.is_err() {
+        return;
+    }
+    let mut next = last;
     loop {
         if sender.send(Ok(next)).await.is_err() {
             return;
--- a/crates/oriolecrank-entry/src/entry_context.rs
+++ b/crates/oriolecrank-entry/src/entry_context.rs
@@ -47,6 +47,8 @@
     pub suspects: Arc<SuspectGate>,
     /// Memory for the bodies of requests.
     pub client_budget: ByteBudget,
+    /// Memory for answers that are collected before they are sent.
+    pub answer_budget: ByteBudget,
     /// Running reads that equal ones may join.
     pub coalescer: Arc<ReadCoalescer>,
 }
--- a/crates/oriolecrank-entry/src/process.rs
+++ b/crates/oriolecrank-entry/src/process.rs
@@ -243,6 +243,9 @@
         retries: RetryGate::new(RetrySettings::default()),
         suspects: Arc::default(),
         client_budget: options.intake.client_budget(),
+        // Callers' requests are the only messages that an entry receives, so the share of messages
+        // between instances is free.
+        answer_budget: options.intake.peer_budget(),
         coalescer: Arc::new(ReadCoalescer::new(CoalescingSettings::default())),
         options: options.clone(),
     }
--- a/crates/oriolecrank-fakes/src/fake_ledger.rs
+++ b/crates/oriolecrank-fakes/src/fake_ledger.rs
@@ -9,6 +9,12 @@
 use hyper::body::Incoming;
 use oriolecrank_net::{AnswerBody, BodyAborted, HttpHandler, empty_answer, read_body, text_answer};
 
+/// Query of the requests whose answers are long; they are not counted and write nothing.
+const LONG_QUERY: &str = "long";
+
+/// Size of a long answer, in bytes.
+const LONG_ANSWER_BYTES: usize = 1024 * 1024;
+
 /// Maximum size of a request body, in bytes.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
@@ -98,6 +104,9 @@
         if path == COUNT_PATH {
             return text_answer(StatusCode::OK, self.entries().len().to_string());
         }
+        if head.uri.query() == Some(LONG_QUERY) {
+            return text_answer(StatusCode::OK, "x".repeat(LONG_ANSWER_BYTES));
+        }
         if head.method != Method::POST {
             state.reads.fetch_add(1, Ordering::SeqCst);
             return text_answer(StatusCode::OK, format!("status of {path}"));
--- a/crates/oriolecrank-local/tests/crowds/main.rs
+++ b/crates/oriolecrank-local/tests/crowds/main.rs
@@ -55,6 +55,10 @@
 const LEDGER_HEAD: &str = "POST /services/ledger/entries HTTP/1.1\r\nhost: entry\r\n\
      authorization: Bearer example-key\r\n";
 
+/// Head of a non-idempotent request whose answer is long, with a valid key.
+const LONG_ANSWER_HEAD: &str = "POST /services/ledger/entries?long HTTP/1.1\r\nhost: entry\r\n\
+     authorization: Bearer example-key\r\ncontent-length: 0\r\n";
+
 /// Checks that a crowd leaves all programs running, within their memory and descriptors, and that an
 /// ordinary request is served while it stays and after it.
 async fn check_crowd(crowd: ClientCrowd) {
@@ -183,6 +187,12 @@
         sent: LEGAL_BODY_BYTES,
         ..ClientCrowd::default()
     };
+    unread_long_answers_end_no_program => ClientCrowd {
+        clients: MANY_CLIENTS,
+        head: LONG_ANSWER_HEAD,
+        shape: BodyShape::Unread { requests: 20 },
+        ..ClientCrowd::default()
+    };
 }
 
 /// Guards against bodies that an entry holds twice while an agent does not read them.
