Copy the payload of a frame out of the read buffer

With 400 callers that do not read long answers, an entry of agents still held 85,132 KiB (debug build, x86-64). Each piece of an answer was a slice of the buffer from which its frame was split, and so kept up to 64 KiB in memory while it waited for its caller, in up to 16 pieces for each caller.

The payload is now copied, so that the buffer can be used again, and of a large answer only two pieces wait.

--- a/crates/oriolecrank-entry/src/answer_delivery.rs
+++ b/crates/oriolecrank-entry/src/answer_delivery.rs
@@ -21,6 +21,9 @@
 /// the call can be run again after a failure without the caller noticing.
 const MAX_COLLECTED_BYTES: usize = 4 * 1024 * 1024;
 
+/// Chunks of a large answer that wait for its caller. They do not count in the budget.
+const LARGE_ANSWER_CHUNKS: usize = 2;
+
 /// A complete answer, held in memory.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WholeAnswer {
@@ -198,7 +201,7 @@
     tracker: RequestTracker,
 ) -> Response<AnswerBody> {
     let head = attempt.head().clone();
-    let (sender, body) = AnswerBody::stream();
+    let (sender, body) = AnswerBody::stream_of(LARGE_ANSWER_CHUNKS);
     tokio::spawn(forward_rest(runner, received, attempt, tracker, sender));
     upstream_answer(head.status, &head.headers, body)
 }
--- a/crates/oriolecrank-net/src/answer_body.rs
+++ b/crates/oriolecrank-net/src/answer_body.rs
@@ -66,7 +66,13 @@
 
     /// Creates a streamed body and its sender.
     pub fn stream() -> (BodySender, Self) {
-        let (sender, receiver) = mpsc::channel(STREAM_BUFFER_CHUNKS);
+        Self::stream_of(STREAM_BUFFER_CHUNKS)
+    }
+
+    /// Creates a streamed body that buffers at most `chunks` chunks, and its sender. For chunks that
+    /// are large.
+    pub fn stream_of(chunks: usize) -> (BodySender, Self) {
+        let (sender, receiver) = mpsc::channel(chunks);
         (
             sender,
             Self::Stream(BodyReceiver {
--- a/crates/oriolecrank-net/src/frame.rs
+++ b/crates/oriolecrank-net/src/frame.rs
@@ -84,7 +84,8 @@
 }
 
 /// Removes one frame from the front of `buffer`. Returns `None` and leaves the buffer unchanged if
-/// the frame is incomplete.
+/// the frame is incomplete. The payload is copied, because a slice would keep the whole buffer in
+/// memory for as long as a slow caller does not read it.
 pub fn decode_frame<T: DeserializeOwned>(
     buffer: &mut BytesMut,
 ) -> Result<Option<DataFrame<T>>, FrameError> {
@@ -93,7 +94,7 @@
     };
     buffer.advance(PREFIX_BYTES);
     let header = codec::decode(&buffer.split_to(header)).context(BadHeaderSnafu)?;
-    let payload = buffer.split_to(payload).freeze();
+    let payload = Bytes::copy_from_slice(&buffer.split_to(payload));
     Ok(Some(DataFrame { header, payload }))
 }
 
