Close connections with unfinished bodies for new clients

While 2,500 clients with unfinished trailers stayed, an entry and a control instance with 160 MB closed the connections of five of five ordinary clients: the listener was full, and only connections without a complete head made room.

A handler now says while it awaits the body of a request, and a full listener closes the oldest such connection for a new one. The request has not begun to run, so nothing is broken off. Requests that run and idle connections are kept.

--- a/crates/oriolecrank-entry/src/caller_body.rs
+++ b/crates/oriolecrank-entry/src/caller_body.rs
@@ -7,7 +7,7 @@
 use http::header::CONTENT_LENGTH;
 use http::request::Parts;
 use hyper::body::Incoming;
-use oriolecrank_net::intake::{BodyError, BodyLimits, ByteBudget, read_body_within};
+use oriolecrank_net::intake::{BodyAwaited, BodyError, BodyLimits, ByteBudget, read_body_within};
 
 use crate::caller_answer::CallerError;
 
@@ -37,7 +37,9 @@
         time_limit: Some(BODY_TIMEOUT),
         ..BodyLimits::of_bytes(limit)
     };
+    let awaited = BodyAwaited::new(&parts.extensions);
     let read = read_body_within(body, limits, budget).await;
+    drop(awaited);
     read.map_err(|error| match error {
         BodyError::TooLarge => too_large(limit.min(budget.largest_item())),
         BodyError::Full { .. } => {
--- a/crates/oriolecrank-gateway/src/caller_server.rs
+++ b/crates/oriolecrank-gateway/src/caller_server.rs
@@ -7,7 +7,7 @@
 use http::request::Parts as RequestParts;
 use http::{Request, Response};
 use hyper::body::Incoming;
-use oriolecrank_net::intake::{BodyError, BodyLimits, read_body_within};
+use oriolecrank_net::intake::{BodyAwaited, BodyError, BodyLimits, read_body_within};
 use oriolecrank_net::{AnswerBody, HttpHandler, with_close};
 use oriolecrank_routing::{
     CallKind, CallerOrganisation, RequestContent, RequestFingerprint, RouteTable,
@@ -95,7 +95,9 @@
             time_limit: Some(caller_timeout.min(route.timeout)),
             ..BodyLimits::of_bytes(table.limits().body_bytes)
         };
+        let awaited = BodyAwaited::new(&parts.extensions);
         let body = read_body_within(body, body_limits, &self.shared.client_budget).await;
+        drop(awaited);
         let body = body.map_err(body_failure)?;
         let service = route.draw_service(rand::rng().random()).clone();
         self.shared
--- a/crates/oriolecrank-gateway/src/site_server.rs
+++ b/crates/oriolecrank-gateway/src/site_server.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use hyper::body::Incoming;
-use oriolecrank_net::intake::{BodyError, BodyLimits, ByteBudget, read_body_within};
+use oriolecrank_net::intake::{BodyAwaited, BodyError, BodyLimits, ByteBudget, read_body_within};
 use oriolecrank_net::{AnswerBody, BootClock, HttpHandler, with_close};
 use oriolecrank_routing::{
     MergeEffect, RouteDocument, StoredDocument, UpstreamAnnouncement, UpstreamName,
@@ -170,7 +170,10 @@
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
         let (parts, body) = request.into_parts();
         let limits = BodyLimits::of_bytes(MAX_CALL_BYTES);
-        let body = match read_body_within(body, limits, &self.client_budget).await {
+        let awaited = BodyAwaited::new(&parts.extensions);
+        let read = read_body_within(body, limits, &self.client_budget).await;
+        drop(awaited);
+        let body = match read {
             Ok(body) => body,
             Err(error) => {
                 let path = parts.uri.path();
--- a/crates/oriolecrank-net/src/http_server.rs
+++ b/crates/oriolecrank-net/src/http_server.rs
@@ -23,7 +23,7 @@
 use crate::cluster_secret::ClusterSecret;
 use crate::intake::{
     BodyLimits, BoundedStream, ByteBudget, ConnectionState, ConnectionTable, IntakeSettings,
-    read_body_within,
+    RequestConnection, read_body_within,
 };
 use crate::shutdown::ShutdownSignal;
 use crate::socket_options::set_tcp_options;
@@ -36,8 +36,8 @@
     pub head_timeout: Duration,
     /// Size limit of the connection's read buffer, in bytes. Limits the size of request headers.
     pub head_bytes: usize,
-    /// Maximum number of open connections. A further one takes the place of one on which no complete
-    /// head has arrived, or is closed.
+    /// Maximum number of open connections. A further one takes the place of one whose request is
+    /// incomplete, or is closed.
     pub max_connections: usize,
     /// Counts the buffers of large heads.
     pub budget: ByteBudget,
@@ -134,11 +134,13 @@
     let _ = set_tcp_options(&stream);
     let (stream, in_head) = BoundedStream::of_client(stream, &settings.budget);
     let served = Arc::clone(&state);
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let handler = Arc::clone(&handler);
         let in_head = in_head.clone();
         in_head.set(false);
         served.mark_served();
+        let connection = RequestConnection(Arc::clone(&served));
+        request.extensions_mut().insert(connection);
         // Allocated for each request, because the connection keeps room for the whole future while it
         // is idle.
         Box::pin(async move {
@@ -165,7 +167,7 @@
             }
             () = state.closing.notified() => {
                 let event = LogEvent::ConnectionRefused.number();
-                tracing::warn!(event, %peer, "closed a connection without a request: too many are open");
+                tracing::warn!(event, %peer, "closed a connection without a complete request: too many are open");
                 return;
             }
             () = shutdown.triggered(), if !stopping => {
--- a/crates/oriolecrank-net/src/intake/connection_limits.rs
+++ b/crates/oriolecrank-net/src/intake/connection_limits.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use http::Extensions;
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 
@@ -11,6 +12,8 @@
 pub(crate) struct ConnectionState {
     /// Whether a complete head has arrived on it.
     has_served: AtomicBool,
+    /// Whether the body of a request is awaited on it.
+    awaits_body: AtomicBool,
     /// Tells the connection to close.
     pub(crate) closing: Notify,
 }
@@ -21,15 +24,52 @@
         self.has_served.store(true, Ordering::Relaxed);
     }
 
-    fn has_served(&self) -> bool {
-        self.has_served.load(Ordering::Relaxed)
+    /// Records whether the body of a request is awaited.
+    fn set_awaits_body(&self, awaits_body: bool) {
+        self.awaits_body.store(awaits_body, Ordering::Relaxed);
+    }
+
+    /// Whether nothing that arrived on the connection has begun to run or still does: its first head
+    /// or the body of a request is incomplete.
+    fn is_incomplete(&self) -> bool {
+        !self.has_served.load(Ordering::Relaxed) || self.awaits_body.load(Ordering::Relaxed)
+    }
+}
+
+/// The connection of a request, among the extensions of the request.
+#[derive(Debug, Clone)]
+pub(crate) struct RequestConnection(pub(crate) Arc<ConnectionState>);
+
+/// Says that the body of a request is being read, until it is dropped. Meanwhile the request has not
+/// begun to run, so the listener may close its connection to admit another one.
+#[derive(Debug)]
+pub struct BodyAwaited(Option<Arc<ConnectionState>>);
+
+impl BodyAwaited {
+    /// Begins to await the body of the request with these extensions.
+    pub fn new(extensions: &Extensions) -> Self {
+        let connection = extensions.get::<RequestConnection>();
+        let state = connection.map(|RequestConnection(state)| Arc::clone(state));
+        if let Some(state) = &state {
+            state.set_awaits_body(true);
+        }
+        Self(state)
+    }
+}
+
+impl Drop for BodyAwaited {
+    fn drop(&mut self) {
+        if let Some(state) = &self.0 {
+            state.set_awaits_body(false);
+        }
     }
 }
 
 /// Connections of a listener, at most a fixed number.
 ///
-/// A new connection takes the place of the oldest one on which no complete head has arrived yet, so
-/// that clients that send unfinished heads, or nothing, do not shut others out.
+/// A new connection takes the place of the oldest one on which no complete head has arrived yet, or
+/// the body of a request is incomplete, so that clients that send unfinished requests, or nothing, do
+/// not shut others out.
 #[derive(Debug)]
 pub(crate) struct ConnectionTable {
     limit: usize,
@@ -54,8 +94,8 @@
             self.open.retain(|_, state| Arc::strong_count(state) > 1);
         }
         if self.open.len() >= self.limit {
-            let unserved = self.open.iter().filter(|(_, state)| !state.has_served());
-            let oldest = *unserved.map(|(number, _)| number).min()?;
+            let incomplete = self.open.iter().filter(|(_, state)| state.is_incomplete());
+            let oldest = *incomplete.map(|(number, _)| number).min()?;
             if let Some(state) = self.open.swap_remove(&oldest) {
                 state.closing.notify_one();
             }
--- a/crates/oriolecrank-net/src/intake/mod.rs
+++ b/crates/oriolecrank-net/src/intake/mod.rs
@@ -19,7 +19,8 @@
 pub use body_reader::{BodyBuffer, BodyError, BodyLimits, BodyPace, read_body_within};
 pub(crate) use bounded_stream::BoundedStream;
 pub use byte_budget::{ByteBudget, ByteLease, NoRoom};
-pub(crate) use connection_limits::{ConnectionState, ConnectionTable};
+pub use connection_limits::BodyAwaited;
+pub(crate) use connection_limits::{ConnectionState, ConnectionTable, RequestConnection};
 
 /// Descriptors that a process needs for files and for what it opens at its start.
 const RESERVED_DESCRIPTORS: u64 = 200;
