--- a/crates/oriolecrank-net/src/intake/connection_limits.rs
+++ b/crates/oriolecrank-net/src/intake/connection_limits.rs
@@ -29,8 +29,8 @@
         self.awaits_body.store(awaits_body, Ordering::Relaxed);
     }
 
-    /// Whether nothing that arrived on the connection has begun to run or still does: its first head
-    /// or the body of a request is incomplete.
+    /// Whether the first head or the body of a request is incomplete, so that closing the connection
+    /// breaks off nothing that runs.
     fn is_incomplete(&self) -> bool {
         !self.has_served.load(Ordering::Relaxed) || self.awaits_body.load(Ordering::Relaxed)
     }
