Keep the default number of connections of a listener

The limit by memory reached listeners without settings of their own as well: a control instance of agents would have admitted 1,316 connections instead of 2,600, and at the size that the system is designed for it has 2,010 subscribers.

The default of a listener is 2,600 again; only programs with a table [intake] derive it from their memory.

--- a/crates/oriolecrank-net/src/http_server.rs
+++ b/crates/oriolecrank-net/src/http_server.rs
@@ -48,12 +48,16 @@
         Self {
             head_timeout: Duration::from_secs(10),
             head_bytes: 64 * 1024,
-            max_connections: IntakeSettings::default().client_connections(),
+            max_connections: DEFAULT_MAX_CONNECTIONS,
             budget: IntakeSettings::default().client_budget(),
         }
     }
 }
 
+/// Connections of a listener without settings of its own: two thirds of 3,900 descriptors for sockets.
+/// A control instance has about 2,010 subscribers at the size that the system is designed for.
+const DEFAULT_MAX_CONNECTIONS: usize = 2_600;
+
 /// Pause after a failed accept, for example when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
--- a/crates/oriolecrank-net/tests/full_listener.rs
+++ b/crates/oriolecrank-net/tests/full_listener.rs
@@ -88,6 +88,13 @@
     String::from_utf8_lossy(&bytes[..length]).into_owned()
 }
 
+/// Guards against a default that closes connections of a control instance's subscribers, of which there
+/// are 2,010 at the size that the system is designed for.
+#[test]
+fn a_default_listener_admits_all_subscribers() {
+    assert!(ServerSettings::default().max_connections >= 2_600);
+}
+
 /// Guards against crowds of unfinished bodies that shut out ordinary clients.
 #[tokio::test]
 async fn an_unfinished_body_makes_room_for_another_client() {
