Count each head of a connection on its own

The counter started again only when bytes arrived while a request was handled, which no request without a body causes.

The end of a head is now recorded when its request begins, and the next read starts again. The new test fails before the change and passes with it.

--- a/crates/oriolecrank-net/src/intake/bounded_stream.rs
+++ b/crates/oriolecrank-net/src/intake/bounded_stream.rs
@@ -13,15 +13,37 @@
 
 /// Whether a connection is waiting for the end of a head.
 #[derive(Debug, Clone)]
-pub(crate) struct HeadFlag(Arc<AtomicBool>);
+pub(crate) struct HeadFlag(Arc<HeadPhase>);
+
+#[derive(Debug)]
+struct HeadPhase {
+    in_head: AtomicBool,
+    /// Whether a head has ended since the last read.
+    has_ended: AtomicBool,
+}
 
 impl HeadFlag {
+    fn new() -> Self {
+        Self(Arc::new(HeadPhase {
+            in_head: AtomicBool::new(true),
+            has_ended: AtomicBool::new(false),
+        }))
+    }
+
     pub(crate) fn set(&self, in_head: bool) {
-        self.0.store(in_head, Ordering::Relaxed);
+        if !in_head {
+            self.0.has_ended.store(true, Ordering::Relaxed);
+        }
+        self.0.in_head.store(in_head, Ordering::Relaxed);
     }
 
     fn get(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.0.in_head.load(Ordering::Relaxed)
+    }
+
+    /// Whether a head has ended since the last call.
+    fn take_ended(&self) -> bool {
+        self.0.has_ended.swap(false, Ordering::Relaxed)
     }
 }
 
@@ -55,8 +77,10 @@
 impl HeadMeter {
     /// Counts bytes that have arrived. Fails if the budget has no room.
     fn count(&mut self, received: usize) -> io::Result<()> {
-        if !self.in_head.get() {
+        if self.in_head.take_ended() {
             self.head_bytes = 0;
+        }
+        if !self.in_head.get() {
             return Ok(());
         }
         self.head_bytes += received;
@@ -83,7 +107,7 @@
     /// Wraps a connection of a client. Large heads count in the budget; reading fails when it has no
     /// room.
     pub(crate) fn of_client(stream: TcpStream, budget: &ByteBudget) -> (Self, HeadFlag) {
-        let in_head = HeadFlag(Arc::new(AtomicBool::new(true)));
+        let in_head = HeadFlag::new();
         let heads = HeadMeter {
             in_head: in_head.clone(),
             head_bytes: 0,
--- a/crates/oriolecrank-net/tests/full_listener.rs
+++ b/crates/oriolecrank-net/tests/full_listener.rs
@@ -123,3 +123,33 @@
     server.release.notify_one();
     assert_eq!(first_line(&mut running).await, "HTTP/1.1 200 OK");
 }
+
+/// Guards against heads of many requests on one connection that count as one large head.
+#[tokio::test]
+async fn many_small_heads_on_one_connection_use_no_budget() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let server = Arc::new(SlowServer {
+        begun: Semaphore::new(0),
+        release: Notify::new(),
+    });
+    let budget = ByteBudget::new(1 << 20);
+    let settings = ServerSettings {
+        budget: budget.clone(),
+        ..ServerSettings::default()
+    };
+    let (_trigger, signal) = shutdown_channel();
+    tokio::spawn(serve_with(settings, listener, server, signal));
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = format!(
+        "GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n",
+        "y".repeat(300)
+    );
+    let mut answer = [0; 4_096];
+    for _ in 0..200 {
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let read = timeout(EVENT_TIMEOUT, stream.read(&mut answer)).await;
+        assert!(read.unwrap().unwrap() > 0, "the connection stays open");
+    }
+    assert_eq!(budget.used(), 0);
+}
