Review case 14: a ready entry closes all new connections

Cause: connections that clients keep are never closed to make room, and readiness does not know of it. Change: a script with stand-ins and the claim; no program is changed.

--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -537,6 +537,16 @@
             .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// Memory that a process uses, in MB.
+    fn memory_of(&self, name: &str) -> u64 {
+        let children = self.children.lock();
+        let id = children.map_or(0, |children| children.get(name).map_or(0, Child::id));
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS"));
+        let used = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
+        used.unwrap_or(0) / 1024
+    }
+
     /// The platform's quota of processor time: a process runs until it has used `share` of a tenth of
     /// a second, and then not at all for the rest of it.
     fn keep_quota(&self, name: &str, share: f64, done: &AtomicBool) {
@@ -1074,6 +1084,7 @@
         "leaving" => leaving_server(record),
         "routes" => many_routes(record),
         "parts" => prompt_parts(record),
+        "kept" => kept_connections(record),
         _ => Err(format!("no such case: {case}")),
     }
 }
@@ -1261,6 +1272,107 @@
     })
 }
 
+/// RECOVER: an entry whose clients keep their connections says that it is ready and closes new ones.
+fn kept_connections(record: &Record) -> Any<Verdict> {
+    /// `contactMs`.
+    const CONTACT: Duration = Duration::from_millis(4_000);
+    /// Clients that try to connect, and how long.
+    const NEW_CLIENTS: usize = 10;
+    const TRIED: Duration = Duration::from_millis(8_000);
+    let kept = if trouble() { 2_400 } else { 100 };
+    let site = Site::start(record, 1)?;
+    let controls = site.controls();
+    let ledger = Server::new(&site, 120, "i-ledger", PLAIN, "");
+    let listener = TcpListener::bind(ledger.address).map_err(|error| error.to_string())?;
+    let own = ledger.clone();
+    serve(listener, Arc::default(), move |request, stream| {
+        answer(stream, 200, &own.stamp(request), b"seen")?;
+        Ok(true)
+    });
+    site.order(7, &document(7, "huka270"), ms(15_000))?;
+    ledger.announce(controls);
+    site.await_ready(1, ms(10_000))?;
+    thread::sleep(ms(3_000));
+    let mut open: Vec<Reader> = Vec::new();
+    for number in 0..kept {
+        let fields = [
+            field("X-Oriolecrank-Request-Id", format!("{number:08x}")),
+            field("X-Oriolecrank-Deadline-Ms", 2_500),
+            field("X-Api-Key", KEY),
+        ];
+        let sent = (|| -> io::Result<Option<Reader>> {
+            let mut stream = connect(site.entry(1), ms(1_000))?;
+            stream.write_all(&encode_request("GET", "/sewi118/2f", HOST, &fields, b""))?;
+            let mut reader = Reader::new(stream);
+            let Some(mut answer) = reader.head()? else {
+                return Ok(None);
+            };
+            reader.body(&mut answer, true, |_| {})?;
+            Ok((answer.status() == 200).then_some(reader))
+        })();
+        if let Ok(Some(reader)) = sent {
+            open.push(reader);
+        }
+    }
+    record.line(&format!(
+        "{} of {kept} clients are served and keep their connection; the entry uses {} MB",
+        open.len(),
+        site.memory_of("entry-1")
+    ));
+    let begin = Instant::now();
+    // Ends of requests on new connections: seconds since the begin, and the status.
+    let tries: Mutex<Vec<(f64, u16)>> = Mutex::default();
+    let probes: Mutex<Vec<u16>> = Mutex::default();
+    thread::scope(|scope| {
+        let (site, tries, probes) = (&site, &tries, &probes);
+        for client in 0..NEW_CLIENTS {
+            scope.spawn(move || {
+                let mut number = 0;
+                while begin.elapsed() < TRIED {
+                    let id = format!("f{client:02}{number:05x}");
+                    let key = [field("X-Api-Key", KEY)];
+                    let to = site.entry(1);
+                    let outcome = ask(record, to, "GET", "/sewi118/2f", &id, &key, b"", ms(2_500));
+                    if let Ok(mut tries) = tries.lock() {
+                        tries.push((begin.elapsed().as_secs_f64(), outcome.status));
+                    }
+                    number += 1;
+                    thread::sleep(ms(500));
+                }
+            });
+        }
+        scope.spawn(move || {
+            while begin.elapsed() < TRIED {
+                let answer = call(site.ready(1), "GET", "/ready", &[], b"", ms(1_000));
+                let status = answer.map_or(0, |answer| answer.status());
+                record.line(&format!(
+                    "platform: the entry says {status} to the question whether it is ready"
+                ));
+                if let Ok(mut probes) = probes.lock() {
+                    probes.push(status);
+                }
+                thread::sleep(ms(1_000));
+            }
+        });
+    });
+    let tries = tries.lock().map_err(|error| error.to_string())?;
+    let probes = probes.lock().map_err(|error| error.to_string())?;
+    let served = tries.iter().filter(|(_, status)| *status == 200).count();
+    let always_ready = probes.iter().all(|status| *status == 200);
+    let text = format!(
+        "{} kept connections: {served} of {} requests on new connections served in {} s, ready each time: {always_ready}",
+        open.len(),
+        tries.len(),
+        TRIED.as_secs()
+    );
+    let broken = served == 0 && always_ready && TRIED > CONTACT;
+    Ok(if broken {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    })
+}
+
 /// CONFIG: an entry spends all its time on the parts of prompts that it takes for evicted.
 fn prompt_parts(record: &Record) -> Any<Verdict> {
     /// Requests a second that reach the entry, and for how many seconds.
