--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -715,19 +715,9 @@
 
 // ---------------------------------------------------------------------------------- servers
 
-/// What a server saw of a request.
-#[derive(Debug, Clone)]
-struct Arrival {
-    at: Instant,
-    server: String,
-    request: String,
-    status: u16,
-}
-
 /// What all servers share.
 #[derive(Clone, Default)]
 struct Servers {
-    arrivals: Arc<Mutex<Vec<Arrival>>>,
     /// Prompts that engines keep, by handle.
     handles: Arc<Mutex<HashMap<String, String>>>,
     next_handle: Arc<AtomicU64>,
@@ -822,13 +812,6 @@
         });
     }
 
-    /// Deregisters; returns when that was acknowledged.
-    fn deregister(&self, controls: &[SocketAddr]) -> Option<(SocketAddr, Instant)> {
-        self.silent.store(true, Ordering::Relaxed);
-        let body = format!(r#"{{"born":{}}}"#, self.born);
-        self.tell(controls, "deregister", &body, 12)
-    }
-
     /// Fields of each answer to a request.
     fn stamp(&self, request: &Message) -> Vec<(String, String)> {
         let id = request.field("x-oriolecrank-request-id").unwrap_or("");
@@ -898,7 +881,6 @@
         stream: &mut TcpStream,
         reading: &Mutex<()>,
     ) -> io::Result<bool> {
-        let at = Instant::now();
         if request.word(0) == "DELETE" {
             answer(stream, 200, &[], b"")?;
             return Ok(true);
@@ -911,14 +893,6 @@
         } else {
             200
         };
-        if let Ok(mut arrivals) = self.servers.arrivals.lock() {
-            arrivals.push(Arrival {
-                at,
-                server: self.server.id.clone(),
-                request: id.to_owned(),
-                status,
-            });
-        }
         if status != 200 {
             self.note(request, prefill, status);
             return self.server.refuse(request, stream, status);
@@ -1053,6 +1027,8 @@
 const KEY: &str = "2b9wu3fexd9dnn2ctnfz";
 /// Service of the model servers.
 const ENGINES: &str = "huvo11a";
+/// Another service of plain servers.
+const OTHER: &str = "xano55b";
 /// Service of the plain servers.
 const PLAIN: &str = "wuno96b";
 
@@ -1081,7 +1057,7 @@
 
 fn run_case(case: &str, record: &Record) -> Any<Verdict> {
     match case {
-        "leaving" => leaving_server(record),
+        "heartbeat" => partial_heartbeat(record),
         "routes" => many_routes(record),
         "parts" => prompt_parts(record),
         "kept" => kept_connections(record),
@@ -1089,112 +1065,6 @@
     }
 }
 
-/// DRAIN: a server deregisters while the prompt of a request that it is to run is read elsewhere.
-fn leaving_server(record: &Record) -> Any<Verdict> {
-    const DRAIN: Duration = Duration::from_millis(2_500);
-    let site = Site::start(record, 2)?;
-    let servers = Servers::default();
-    let controls = site.controls();
-    let engine = |server: &Server, tokens_per_ms| Engine {
-        server: server.clone(),
-        servers: servers.clone(),
-        record: record.clone(),
-        tokens_per_ms,
-        events: 30,
-        pause: ms(50),
-    };
-    let reader = Server::new(&site, 101, "i-reader", ENGINES, "prefill");
-    let old = Server::new(&site, 102, "i-old", ENGINES, "decode");
-    engine(&reader, 300).start()?;
-    engine(&old, 150).start()?;
-    site.order(7, &document(7, "huka270"), ms(15_000))?;
-    reader.announce(controls.clone());
-    old.announce(controls.clone());
-    for index in 1..=2 {
-        site.await_ready(index, ms(10_000))?;
-    }
-    thread::sleep(ms(3_000));
-    let chat = |id: &str, index: usize, tokens: u64| {
-        let fields = [
-            field("X-Api-Key", KEY),
-            field("X-Oriolecrank-Model", "m"),
-            field("X-Oriolecrank-Token-Count", format!("{tokens},80")),
-            field(
-                "X-Oriolecrank-Prefix-Hash",
-                format!("5c1e{id}:{},{id}:200", tokens - 200),
-            ),
-        ];
-        let address = site.entry(index);
-        ask(
-            record,
-            address,
-            "POST",
-            "/pufi791/2f",
-            id,
-            &fields,
-            b"prompt",
-            ms(15_000),
-        )
-    };
-    let first = chat("00000001", 1, 2_000);
-    if first.status != 200 {
-        return Err(format!("the first request was answered {}", first.status));
-    }
-    // A long prompt, which the engine for prompts reads for four seconds.
-    let outcomes = thread::scope(|scope| {
-        let long = scope.spawn(|| chat("00000002", 1, 1_140_000));
-        thread::sleep(ms(400));
-        // Its successor starts first, as in a release.
-        let new = Server::new(&site, 103, "i-new", ENGINES, "decode");
-        engine(&new, 150).start().ok();
-        new.announce(controls.clone());
-        thread::sleep(ms(300));
-        let mut acknowledged = None;
-        if trouble() {
-            acknowledged = old.deregister(&controls);
-            if let Some((by, at)) = acknowledged {
-                let after = at.duration_since(record.start).as_secs_f64();
-                record.line(&format!(
-                    "control {by} acknowledged at {after:.3} that i-old is gone"
-                ));
-                // It serves on for the drain time and some seconds, and exits.
-                let old = old.clone();
-                thread::spawn(move || {
-                    thread::sleep(DRAIN + ms(2_000));
-                    old.ended.store(true, Ordering::Relaxed);
-                });
-            }
-        }
-        (long.join().ok(), acknowledged)
-    });
-    let (Some(long), acknowledged) = outcomes else {
-        return Err("a client failed".to_owned());
-    };
-    let Some((_, at)) = acknowledged else {
-        if trouble() {
-            return Err("the deregistration was not acknowledged".to_owned());
-        }
-        return Ok(Verdict::Held(format!(
-            "answered {}, complete {}",
-            long.status, long.complete
-        )));
-    };
-    let arrivals = servers.arrivals.lock().map_err(|error| error.to_string())?;
-    let late = arrivals.iter().find(|arrival| {
-        arrival.server == "i-old" && arrival.status != 421 && arrival.at > at + DRAIN
-    });
-    Ok(match late {
-        Some(arrival) => Verdict::Broken(format!(
-            "request {} reached i-old {:.3} s after it was acknowledged that i-old is gone; its client got {} events, complete {}",
-            arrival.request,
-            arrival.at.duration_since(at).as_secs_f64(),
-            long.events,
-            long.complete
-        )),
-        None => Verdict::Held(format!("no request reached i-old later, answered {}", long.status)),
-    })
-}
-
 /// Fault: control processes need more memory than they have while the configuration grows.
 fn many_routes(record: &Record) -> Any<Verdict> {
     /// Routes that one change adds, as `big_config` does at most.
@@ -1373,6 +1243,93 @@
     })
 }
 
+/// ROUTE: a heartbeat without two of its fields moves a server to another service.
+fn partial_heartbeat(record: &Record) -> Any<Verdict> {
+    let site = Site::start(record, 2)?;
+    let controls = site.controls();
+    let ledger = Server::new(&site, 101, "i-ledger", PLAIN, "");
+    let view = Server::new(&site, 102, "i-view", OTHER, "");
+    let runs: Arc<Mutex<Vec<(String, String)>>> = Arc::default();
+    for server in [&ledger, &view] {
+        let listener = TcpListener::bind(server.address).map_err(|error| error.to_string())?;
+        let (own, runs, lines) = (server.clone(), Arc::clone(&runs), record.clone());
+        serve(listener, Arc::default(), move |request, stream| {
+            if own.is_misdirected(request) {
+                return own.refuse(request, stream, 421);
+            }
+            let id = request.field("x-oriolecrank-request-id").unwrap_or("");
+            lines.line(&format!("server {}: runs {} {id}", own.id, request.word(1)));
+            if let Ok(mut runs) = runs.lock() {
+                runs.push((own.id.clone(), request.word(1).to_owned()));
+            }
+            answer(stream, 200, &own.stamp(request), own.id.as_bytes())?;
+            Ok(true)
+        });
+    }
+    let routes = document(7, "huka270").replace(
+        r#"{"name":"r-view","#,
+        &format!(
+            r#"{{"name":"r-other","host":"{HOST}","pathPrefix":"/other55/","kind":"idempotent","timeoutMs":2500,"latencyTargetMs":250,"priority":2,"service":"{OTHER}","maxAttempts":2,"public":false}},{{"name":"r-view","#
+        ),
+    );
+    let services = routes.replace(
+        r#""services":["#,
+        &format!(r#""services":[{{"name":"{OTHER}","healthPath":"/healthz","maxConns":130}},"#),
+    );
+    site.order(7, &services, ms(15_000))?;
+    ledger.announce(controls.clone());
+    view.announce(controls.clone());
+    for index in 1..=2 {
+        site.await_ready(index, ms(10_000))?;
+    }
+    thread::sleep(ms(3_000));
+    let key = [field("X-Api-Key", KEY)];
+    for number in 0..4_usize {
+        let (id, to) = (format!("a{number:07x}"), site.entry(number % 2 + 1));
+        ask(record, to, "GET", "/other55/2f", &id, &key, b"", ms(2_500));
+    }
+    if trouble() {
+        let sequence = ledger.sequence.load(Ordering::Relaxed) + 50;
+        // Without `version` and `coldLeftMs`.
+        let body = format!(
+            r#"{{"service":"{OTHER}","address":"{}","zone":"{}","slots":6,"state":"ready","seq":{sequence},"born":{}}}"#,
+            ledger.address, ledger.zone, ledger.born
+        );
+        let path = format!("/instances/{}/heartbeat", ledger.id);
+        let json = [field("Content-Type", "application/json")];
+        let sent = call(
+            controls[0],
+            "POST",
+            &path,
+            &json,
+            body.as_bytes(),
+            ms(1_000),
+        );
+        let status = sent.map_or(0, |answer| answer.status());
+        record.line(&format!("another writer: {body} answered {status}"));
+    }
+    thread::sleep(ms(2_500));
+    for number in 0..40_usize {
+        let (id, to) = (format!("b{number:07x}"), site.entry(number % 2 + 1));
+        ask(record, to, "GET", "/other55/2f", &id, &key, b"", ms(2_500));
+        thread::sleep(ms(50));
+    }
+    let runs = runs.lock().map_err(|error| error.to_string())?;
+    let wrong = runs
+        .iter()
+        .filter(|(server, path)| server == "i-ledger" && path.starts_with("/other55/"));
+    let wrong = wrong.count();
+    let text = format!(
+        "{wrong} of {} requests of {OTHER} ran at a server of {PLAIN}",
+        runs.len()
+    );
+    Ok(if wrong > 0 {
+        Verdict::Broken(text)
+    } else {
+        Verdict::Held(text)
+    })
+}
+
 /// CONFIG: an entry spends all its time on the parts of prompts that it takes for evicted.
 fn prompt_parts(record: &Record) -> Any<Verdict> {
     /// Requests a second that reach the entry, and for how many seconds.
