--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -1334,7 +1334,7 @@
 fn prompt_parts(record: &Record) -> Any<Verdict> {
     /// Requests a second that reach the entry, and for how many seconds.
     const RATE: f64 = 60.0;
-    const SECONDS: f64 = 75.0;
+    const SECONDS: f64 = 95.0;
     /// Length of the parts in which prompts are listed, in tokens.
     const PART: u64 = 16;
     const CLIENTS: u64 = 200;
