--- a/crates/oriolecrank-consensus/src/lib.rs
+++ b/crates/oriolecrank-consensus/src/lib.rs
@@ -43,7 +43,7 @@
 pub use numbers::{DiskTag, LogIndex, MembershipVersion, ReadContext, Term};
 pub use ready::{
     FoundingProgress, FoundingTag, FoundingTags, HardState, LeaderAuthority, LogRecord,
-    MemberProgress, NodeStatus, PreviousLeader, ReadOutcome, ReadyBatch, RoleName,
+    MemberProgress, NodeMemory, NodeStatus, PreviousLeader, ReadOutcome, ReadyBatch, RoleName,
 };
 pub use settings::RaftSettings;
 pub use snapshot::Snapshot;
--- a/crates/oriolecrank-consensus/src/node.rs
+++ b/crates/oriolecrank-consensus/src/node.rs
@@ -13,10 +13,11 @@
 use crate::membership::Membership;
 use crate::message::{MessageBody, PeerMessage};
 use crate::numbers::{DiskTag, LogIndex, Term};
+use crate::peer_progress::SendMode;
 use crate::raft_log::RaftLog;
 use crate::ready::{
-    FoundingTags, HardState, LogRecord, NodeStatus, PreviousLeader, ReadOutcome, ReadyBatch,
-    RoleName,
+    FoundingTags, HardState, LogRecord, NodeMemory, NodeStatus, PreviousLeader, ReadOutcome,
+    ReadyBatch, RoleName,
 };
 use crate::settings::RaftSettings;
 use crate::snapshot::{PartialSnapshot, Snapshot};
@@ -209,6 +210,42 @@
         }
     }
 
+    /// Bytes that the node keeps in memory.
+    pub fn memory(&self) -> NodeMemory {
+        let incoming = self.incoming_snapshot.as_ref();
+        NodeMemory {
+            log: self.log.bytes(),
+            uncommitted: self
+                .log
+                .bytes_between(self.commit_index, self.log.last_index()),
+            snapshots: self.held_snapshots().map(|held| held.data.len()).sum(),
+            incoming: incoming.map_or(0, |partial| partial.data.capacity()),
+        }
+    }
+
+    /// Number of entries up to and including `until` that fit into `max_bytes`, counted backwards.
+    pub fn trailing_entries(&self, until: LogIndex, max_bytes: usize) -> u64 {
+        self.log.trailing_entries(until, max_bytes)
+    }
+
+    /// Newest snapshot, and each older one that is sent to a member, once.
+    fn held_snapshots(&self) -> impl Iterator<Item = &Arc<Snapshot>> {
+        let transfers = self.leader_state().into_iter().flat_map(|state| {
+            let modes = state.peers.values().map(|peer| &peer.mode);
+            modes.filter_map(|mode| match mode {
+                SendMode::Snapshot(transfer) => Some(&transfer.snapshot),
+                SendMode::Probe { .. } | SendMode::Replicate => None,
+            })
+        });
+        let mut held: Vec<&Arc<Snapshot>> = self.log.snapshot().into_iter().collect();
+        for snapshot in transfers {
+            if !held.iter().any(|known| Arc::ptr_eq(known, snapshot)) {
+                held.push(snapshot);
+            }
+        }
+        held.into_iter()
+    }
+
     /// Time before which [`tick`](Self::tick) has nothing to do.
     pub fn next_tick(&self) -> TimePoint {
         match &self.role {
--- a/crates/oriolecrank-consensus/src/raft_log.rs
+++ b/crates/oriolecrank-consensus/src/raft_log.rs
@@ -18,6 +18,11 @@
     base: (LogIndex, Term),
     /// Entries `base + 1 ..` without gaps.
     entries: VecDeque<LogEntry>,
+    /// For each of `entries`, the size of it and of all entries before it that this log has held, in
+    /// bytes.
+    end_offsets: VecDeque<u64>,
+    /// The same for the entry at the base.
+    base_offset: u64,
     /// Membership at the base, followed by those in `entries` in log order; never empty.
     memberships: Vec<LoggedMembership>,
     /// Last index returned by `take_unwritten`.
@@ -40,6 +45,8 @@
             snapshot: None,
             base: (LogIndex(0), Term(0)),
             entries: VecDeque::new(),
+            end_offsets: VecDeque::new(),
+            base_offset: 0,
             memberships: vec![founding],
             writing_index: LogIndex(0),
             synced_index: LogIndex(0),
@@ -95,6 +102,43 @@
         self.entries.get(position as usize)
     }
 
+    fn end_offset(&self, index: LogIndex) -> u64 {
+        let count = index.0.saturating_sub(self.base.0.0);
+        let Some(last) = count.checked_sub(1) else {
+            return self.base_offset;
+        };
+        let offset = self.end_offsets.get(last as usize);
+        *offset
+            .or(self.end_offsets.back())
+            .unwrap_or(&self.base_offset)
+    }
+
+    /// Size of the entries after `after` up to and including `until`, as far as they are in memory, in
+    /// bytes.
+    pub(crate) fn bytes_between(&self, after: LogIndex, until: LogIndex) -> usize {
+        let bytes = self
+            .end_offset(until)
+            .saturating_sub(self.end_offset(after));
+        bytes as usize
+    }
+
+    /// Size of all entries in memory, in bytes.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes_between(self.base.0, self.last_index())
+    }
+
+    /// Number of entries up to and including `until` that fit into `max_bytes`, counted backwards.
+    pub(crate) fn trailing_entries(&self, until: LogIndex, max_bytes: usize) -> u64 {
+        let end = self.end_offset(until);
+        let count = until.0.saturating_sub(self.base.0.0) as usize;
+        let fits = |start: u64| end.saturating_sub(start) <= max_bytes as u64;
+        if fits(self.base_offset) {
+            return count as u64;
+        }
+        let kept_from = self.end_offsets.partition_point(|start| !fits(*start)) + 1;
+        count.saturating_sub(kept_from) as u64
+    }
+
     /// Current membership: the last one in the log, committed or not.
     pub(crate) fn membership(&self) -> &LoggedMembership {
         self.memberships
@@ -121,6 +165,8 @@
                 membership: membership.clone(),
             });
         }
+        let end_offset = self.end_offset(self.last_index()) + entry.size() as u64;
+        self.end_offsets.push_back(end_offset);
         self.entries.push_back(entry);
     }
 
@@ -128,6 +174,7 @@
     pub(crate) fn truncate(&mut self, index: LogIndex) {
         let remaining = index.0.saturating_sub(self.base.0.0 + 1);
         self.entries.truncate(remaining as usize);
+        self.end_offsets.truncate(remaining as usize);
         let last_index = self.last_index();
         while self.memberships.len() > 1 && self.membership().index > last_index {
             self.memberships.pop();
@@ -186,7 +233,10 @@
             return;
         };
         let membership = self.membership_at(base).clone();
-        self.entries.drain(..(base.0 - self.base.0.0) as usize);
+        self.base_offset = self.end_offset(base);
+        let dropped = (base.0 - self.base.0.0) as usize;
+        self.entries.drain(..dropped);
+        self.end_offsets.drain(..dropped);
         self.memberships.retain(|logged| logged.index > base);
         self.memberships.insert(
             0,
@@ -213,6 +263,7 @@
 
     fn reset_to(&mut self, snapshot: Arc<Snapshot>) {
         self.entries.clear();
+        self.end_offsets.clear();
         self.memberships = vec![LoggedMembership {
             index: snapshot.index,
             membership: snapshot.membership.clone(),
--- a/crates/oriolecrank-consensus/src/ready.rs
+++ b/crates/oriolecrank-consensus/src/ready.rs
@@ -158,6 +158,19 @@
     pub last_contact: Option<TimePoint>,
 }
 
+/// Bytes that a node keeps in memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct NodeMemory {
+    /// Entries of the log, including uncommitted ones.
+    pub log: usize,
+    /// Entries that are not committed yet; part of `log`.
+    pub uncommitted: usize,
+    /// Newest snapshot, and older ones that are still sent to members.
+    pub snapshots: usize,
+    /// Received part of a snapshot that is not complete yet.
+    pub incoming: usize,
+}
+
 impl ReadyBatch {
     /// Whether there is nothing to do.
     pub fn is_empty(&self) -> bool {
--- a/crates/oriolecrank-control/src/lib.rs
+++ b/crates/oriolecrank-control/src/lib.rs
@@ -27,6 +27,7 @@
 mod capacity_settings;
 mod cluster_label;
 mod command_replica;
+mod control_memory;
 mod control_metrics;
 mod group_membership;
 mod guarded_client;
@@ -71,6 +72,7 @@
 pub use capacity_settings::{CapacitySettings, CapacitySources};
 pub use cluster_label::ClusterLabel;
 pub use command_replica::CommandReplica;
+pub use control_memory::ControlMemory;
 pub use control_metrics::{ControlMetrics, GaugeValues};
 pub use group_membership::GroupMembership;
 pub use guarded_client::{GuardedAnswer, GuardedError, VerdictError, send_guarded};
--- a/crates/oriolecrank-control/src/peer_ingress.rs
+++ b/crates/oriolecrank-control/src/peer_ingress.rs
@@ -1,5 +1,6 @@
 //! Receiving side of the messages between control instances.
 
+use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use oriolecrank_consensus::{InstanceId, PeerMessage};
@@ -47,6 +48,8 @@
             return refusal;
         }
         let body = read_body(request.into_body(), MAX_BATCH_BYTES).await;
+        let mut lease = self.replica.memory().received.lease();
+        lease.count(body.as_ref().map_or(0, Bytes::len));
         let batch = body.map(|body| codec::decode::<peer::PeerBatch>(&body));
         let Some(Ok(batch)) = batch else {
             return empty_answer(StatusCode::BAD_REQUEST);
@@ -59,7 +62,7 @@
                 .record_sender(InstanceId::new(&first.from), address);
         }
         let messages = batch.messages.into_iter().map(PeerMessage::from).collect();
-        self.replica.deliver(messages);
+        self.replica.deliver(messages, lease);
         empty_answer(StatusCode::NO_CONTENT)
     }
 }
--- a/crates/oriolecrank-control/src/peer_transport.rs
+++ b/crates/oriolecrank-control/src/peer_transport.rs
@@ -7,11 +7,13 @@
 use bytes::Bytes;
 use indexmap::IndexMap;
 use oriolecrank_consensus::{EntryBody, InstanceId, Membership, MessageBody, PeerMessage};
+use oriolecrank_net::intake::ByteLease;
 use oriolecrank_net::{ClusterSecret, HttpClient, peer_request};
 use oriolecrank_schema::{codec, peer};
 use tokio::runtime::Handle;
 use tokio::sync::{Semaphore, mpsc};
 
+use crate::control_memory::ControlMemory;
 use crate::peer_directory::PeerDirectory;
 use crate::peer_sender::PeerSender;
 
@@ -49,7 +51,7 @@
 }
 
 /// Posts batches of messages; shared by all queues.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct BatchPoster {
     cluster: String,
     /// Address of this instance, to which the receivers send their replies.
@@ -57,6 +59,8 @@
     client: HttpClient,
     secret: ClusterSecret,
     directory: PeerDirectory,
+    /// Counts the batches under way to each member.
+    memory: ControlMemory,
 }
 
 impl PeerTransport {
@@ -75,6 +79,7 @@
             client,
             secret,
             directory,
+            memory: ControlMemory::default(),
         };
         Self {
             poster: Arc::new(poster),
@@ -83,6 +88,19 @@
         }
     }
 
+    /// Counts the batches under way in `memory`.
+    #[must_use]
+    pub fn within(self, memory: ControlMemory) -> Self {
+        let poster = BatchPoster {
+            memory,
+            ..self.poster.as_ref().clone()
+        };
+        Self {
+            poster: Arc::new(poster),
+            ..self
+        }
+    }
+
     fn queue(&mut self, id: &InstanceId) -> &mpsc::Sender<PeerMessage> {
         let (poster, runtime) = (&self.poster, &self.runtime);
         self.queues.entry(id.clone()).or_insert_with(|| {
@@ -115,6 +133,7 @@
     /// Sends the messages of one queue until the queue is closed.
     async fn run_queue(self: Arc<Self>, to: InstanceId, mut queue: mpsc::Receiver<PeerMessage>) {
         let permits = Arc::new(Semaphore::new(BATCHES_IN_FLIGHT));
+        let budget = self.memory.batches_to(&to);
         while let Some(first) = queue.recv().await {
             let permit = Arc::clone(&permits).acquire_owned().await;
             let batch = take_batch(first, &mut queue);
@@ -122,21 +141,24 @@
                 continue;
             };
             let poster = Arc::clone(&self);
+            let lease = budget.lease();
             tokio::spawn(async move {
-                poster.post(address, batch).await;
+                poster.post(address, batch, lease).await;
                 drop(permit);
             });
         }
     }
 
     /// Posts a batch. A failure is only logged, because the replicas resend what is needed.
-    async fn post(&self, address: SocketAddr, messages: Vec<PeerMessage>) {
+    async fn post(&self, address: SocketAddr, messages: Vec<PeerMessage>, mut lease: ByteLease) {
         let batch = peer::PeerBatch {
             cluster: self.cluster.clone(),
             address: self.address.to_string(),
             messages: messages.into_iter().map(Into::into).collect(),
         };
         let body = Bytes::from(codec::encode(&batch));
+        // The batch and its encoded form.
+        lease.count(2 * body.len());
         let transfer_time = Duration::from_secs_f64(body.len() as f64 / MIN_TRANSFER_RATE);
         let request = peer_request(&self.secret, PEER_PATH, body);
         let head_timeout = RESPONSE_TIMEOUT + transfer_time;
--- a/crates/oriolecrank-control/src/replica.rs
+++ b/crates/oriolecrank-control/src/replica.rs
@@ -10,10 +10,12 @@
     PeerMessage, RaftSettings,
 };
 use oriolecrank_net::BootClock;
+use oriolecrank_net::intake::ByteLease;
 use snafu::ensure;
 use tokio::sync::{Semaphore, oneshot, watch};
 use tokio::time::timeout;
 
+use crate::control_memory::ControlMemory;
 use crate::replica_error::{
     Applied, BarrierError, BarrierStoppedSnafu, BarrierTimeoutSnafu, ChangeError,
     ChangeStoppedSnafu, ChangeUnknownSnafu, OutcomeUnknownSnafu, OverloadedSnafu, ProposeError,
@@ -56,6 +58,8 @@
     pub propose_timeout: Duration,
     /// Time limit of a read barrier.
     pub barrier_timeout: Duration,
+    /// Memory of the instance, in which the replica counts what it keeps.
+    pub memory: ControlMemory,
 }
 
 impl Default for ReplicaSettings {
@@ -72,6 +76,7 @@
             trailing_bytes: 8 * 1024 * 1024,
             propose_timeout: Duration::from_secs(5),
             barrier_timeout: Duration::from_secs(1),
+            memory: ControlMemory::default(),
         }
     }
 }
@@ -117,6 +122,7 @@
     pub(crate) phase: watch::Receiver<ReplicaPhase>,
     /// One permit for each KiB that further proposals may take.
     pub(crate) proposal_memory: Arc<Semaphore>,
+    pub(crate) memory: ControlMemory,
     pub(crate) propose_timeout: Duration,
     pub(crate) barrier_timeout: Duration,
 }
@@ -130,6 +136,7 @@
             status: self.status.clone(),
             phase: self.phase.clone(),
             proposal_memory: Arc::clone(&self.proposal_memory),
+            memory: self.memory.clone(),
             propose_timeout: self.propose_timeout,
             barrier_timeout: self.barrier_timeout,
         }
@@ -146,11 +153,14 @@
         else {
             return OverloadedSnafu.fail();
         };
+        let mut lease = self.memory.proposals.lease();
+        lease.count(size);
         let (reply, outcome) = oneshot::channel();
         let input = ReplicaInput::Propose {
             data,
             reply,
             permit,
+            lease,
         };
         match self.inputs.try_send(input) {
             Ok(()) => {}
@@ -228,11 +238,20 @@
         status.node.membership.member(leader).cloned()
     }
 
-    /// Hands messages of other members to the replica. They are dropped while its input queue is
-    /// full.
-    pub fn deliver(&self, messages: Vec<PeerMessage>) {
-        // The senders resend what is needed.
-        let _ = self.inputs.try_send(ReplicaInput::Messages(messages));
+    /// Memory of the instance, by holder.
+    pub const fn memory(&self) -> &ControlMemory {
+        &self.memory
+    }
+
+    /// Hands messages of other members to the replica; `lease` counts them until they are handled.
+    /// They are dropped while its input queue is full; then returns false, and the senders resend what
+    /// is needed.
+    pub fn deliver(&self, messages: Vec<PeerMessage>, lease: ByteLease) -> bool {
+        let input = ReplicaInput::Messages {
+            messages,
+            _lease: lease,
+        };
+        self.inputs.try_send(input).is_ok()
     }
 
     /// Asks the replica to stop; [`stopped`](Self::stopped) waits until it has. `false` if the
--- a/crates/oriolecrank-control/src/replica_input.rs
+++ b/crates/oriolecrank-control/src/replica_input.rs
@@ -1,6 +1,7 @@
 //! Inputs of a replica's thread.
 
 use oriolecrank_consensus::{EntryPosition, LogIndex, MembershipRequest, PeerMessage};
+use oriolecrank_net::intake::ByteLease;
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
 
 use crate::replica_error::{Applied, BarrierError, ChangeError, ProposeError};
@@ -17,13 +18,19 @@
 /// Message from a handle to the replica's thread.
 #[derive(Debug)]
 pub(crate) enum ReplicaInput<O> {
-    Messages(Vec<PeerMessage>),
+    Messages {
+        messages: Vec<PeerMessage>,
+        /// Counts the messages until they are handled.
+        _lease: ByteLease,
+    },
     Propose {
         data: Vec<u8>,
         reply: ProposeReply<O>,
         /// Memory that the proposal counts for; released once its result is known or its caller no
         /// longer waits.
         permit: OwnedSemaphorePermit,
+        /// Counts the data until then.
+        lease: ByteLease,
     },
     Change {
         request: MembershipRequest,
--- a/crates/oriolecrank-control/src/replica_thread.rs
+++ b/crates/oriolecrank-control/src/replica_thread.rs
@@ -13,6 +13,7 @@
     StorageError,
 };
 use oriolecrank_net::BootClock;
+use oriolecrank_net::intake::ByteLease;
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::event::LogEvent;
 use rand::rngs::StdRng;
@@ -20,6 +21,7 @@
 use snafu::ResultExt;
 use tokio::sync::watch;
 
+use crate::control_memory::ControlMemory;
 use crate::peer_sender::PeerSender;
 use crate::replica::{
     ReplicaHandle, ReplicaPhase, ReplicaSettings, ReplicaStatus, ReplicaView, proposal_memory,
@@ -58,6 +60,23 @@
     role: RoleName,
     founding: FoundingProgress,
     view: ReplicaView,
+    leases: ReplicaLeases,
+}
+
+/// What the replica counts in the memory of the instance.
+struct ReplicaLeases {
+    /// Log entries besides those of pending proposals, which have leases of their own.
+    log: ByteLease,
+    snapshots: ByteLease,
+}
+
+impl ReplicaLeases {
+    fn new(memory: &ControlMemory) -> Self {
+        Self {
+            log: memory.log.lease(),
+            snapshots: memory.snapshots.lease(),
+        }
+    }
 }
 
 /// Opens the data folder and starts a replica on a thread of its own.
@@ -105,8 +124,11 @@
         proposal_memory: proposal_memory(),
         propose_timeout: settings.propose_timeout,
         barrier_timeout: settings.barrier_timeout,
+        memory: settings.memory.clone(),
     };
+    let leases = ReplicaLeases::new(&settings.memory);
     let thread = ReplicaThread {
+        leases,
         settings,
         node,
         storage,
@@ -170,6 +192,7 @@
     fn run_passes(&mut self) -> Result<(), StorageError> {
         loop {
             self.publish();
+            self.count_memory();
             let wait = self.node.next_tick().since(BootClock.now());
             let first = match self.inputs.recv_timeout(wait.max(MIN_WAIT)) {
                 Ok(input) => Some(input),
@@ -193,12 +216,21 @@
         }
     }
 
+    /// Counts what the node keeps.
+    fn count_memory(&mut self) {
+        let memory = self.node.memory();
+        let pending = self.settings.memory.proposals.used();
+        self.leases.log.count(memory.log.saturating_sub(pending));
+        let snapshots = memory.snapshots + memory.incoming;
+        self.leases.snapshots.count(snapshots);
+    }
+
     /// Passes inputs to the node; returns false if one of them asks the replica to stop.
     fn take_inputs(&mut self, inputs: Vec<ReplicaInput<M::Output>>, now: TimePoint) -> bool {
         let mut readers: Vec<ReadReply> = Vec::new();
         for input in inputs {
             match input {
-                ReplicaInput::Messages(messages) => {
+                ReplicaInput::Messages { messages, .. } => {
                     for message in messages {
                         self.node.step(message, now);
                     }
@@ -207,11 +239,13 @@
                     data,
                     reply,
                     permit,
+                    lease,
                 } => match self.node.propose(data.into(), now) {
                     Ok(position) => {
                         let waiter = EntryWaiter::Proposal {
                             reply,
                             _permit: permit,
+                            _lease: lease,
                         };
                         self.entries.add(position, waiter);
                     }
@@ -311,17 +345,11 @@
     /// Number of applied entries that stay in memory, so that members that lag a little need no
     /// snapshot.
     fn trailing_entries(&self) -> u64 {
-        let applied = self
+        let settings = &self.settings;
+        let fitting = self
             .node
-            .log_entries()
-            .filter(|entry| entry.index <= self.applied);
-        let sizes: Vec<usize> = applied.map(LogEntry::size).collect();
-        let mut bytes = 0;
-        let fitting = sizes.iter().rev().take_while(|size| {
-            bytes += **size;
-            bytes <= self.settings.trailing_bytes
-        });
-        (fitting.count() as u64).min(self.settings.trailing_entries)
+            .trailing_entries(self.applied, settings.trailing_bytes);
+        fitting.min(settings.trailing_entries)
     }
 
     fn store_snapshot(
--- a/crates/oriolecrank-control/src/replica_waiters.rs
+++ b/crates/oriolecrank-control/src/replica_waiters.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use oriolecrank_consensus::{EntryPosition, LogIndex, ReadContext, ReadOutcome, Term};
+use oriolecrank_net::intake::ByteLease;
 use tokio::sync::OwnedSemaphorePermit;
 
 use crate::replica_error::{Applied, BarrierError, ChangeError, ProposeError};
@@ -15,6 +16,8 @@
         reply: ProposeReply<O>,
         /// Memory that the proposal counts for; released when the waiter is dropped.
         _permit: OwnedSemaphorePermit,
+        /// Counts the data until then.
+        _lease: ByteLease,
     },
     Change(ChangeReply),
 }
--- a/crates/oriolecrank-gateway/src/control_session.rs
+++ b/crates/oriolecrank-gateway/src/control_session.rs
@@ -9,8 +9,8 @@
 
 use oriolecrank_consensus::{DiskFiles, InstanceId, LogStorage, Member, MemberRole, StorageError};
 use oriolecrank_control::{
-    PeerDirectory, PeerIngress, PeerTransport, ReplicaError, ReplicaHandle, ReplicaPhase,
-    ReplicaSettings, start_replica,
+    ControlMemory, PeerDirectory, PeerIngress, PeerTransport, ReplicaError, ReplicaHandle,
+    ReplicaPhase, ReplicaSettings, start_replica,
 };
 use oriolecrank_net::shutdown::ShutdownSignal;
 use oriolecrank_net::{
@@ -75,6 +75,8 @@
     pub(crate) dialect: Arc<D>,
     pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
     pub(crate) metrics: ControlMetrics,
+    /// Memory of the process, by holder.
+    pub(crate) memory: ControlMemory,
     /// Since when the data folder cannot be used; `None` if it could be used before this session.
     pub(crate) unusable_since: Option<TimePoint>,
 }
@@ -99,10 +101,11 @@
             client.clone(),
             options.secret.clone(),
             directory.clone(),
-        );
-        let site = SharedSite::new();
+        )
+        .within(self.memory.clone());
+        let site = SharedSite::new(&self.memory);
         let replica = match start_replica(
-            replica_settings(options),
+            replica_settings(options, self.memory.clone()),
             SiteMachine(site.clone()),
             transport,
         ) {
@@ -137,10 +140,10 @@
             publisher: publisher.clone(),
             tables: Arc::clone(&tables),
             clock: Arc::clone(&clock),
-            documents: DocumentCache::default(),
+            documents: DocumentCache::new(&self.memory),
             quota: QuotaGranter::new(options.quota),
         };
-        let client_budget = options.intake.client_budget();
+        let client_budget = self.memory.clients.clone();
         let site_server = SiteServer {
             dialect: Arc::clone(&self.dialect),
             publisher: publisher.clone(),
@@ -148,6 +151,7 @@
             gossip: SiteGossip::start(options.cluster.clone(), publisher.clone(), &mut tasks),
             clock: Arc::clone(&clock),
             client_budget: client_budget.clone(),
+            memory: self.memory.clone(),
         };
         let parts = SessionParts {
             client,
@@ -355,7 +359,7 @@
 
 /// Settings of the replica. Only founding members bootstrap the group with the list of founders;
 /// any other instance waits until the leader adds it.
-fn replica_settings(options: &ControlSiteOptions) -> ReplicaSettings {
+fn replica_settings(options: &ControlSiteOptions, memory: ControlMemory) -> ReplicaSettings {
     let is_founder = options.founders.contains(&options.internal_listen);
     let founders = options.founders.iter().filter(|_| is_founder);
     let founders = founders.map(|address| Member {
@@ -374,6 +378,7 @@
         trailing_entries: 128,
         trailing_bytes: 2 * 1024 * 1024,
         propose_timeout: Duration::from_millis(2_500),
+        memory,
         ..ReplicaSettings::default()
     }
 }
--- a/crates/oriolecrank-gateway/src/control_site.rs
+++ b/crates/oriolecrank-gateway/src/control_site.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriolecrank_control::ReplicaError;
+use oriolecrank_control::{ControlMemory, ReplicaError};
 use oriolecrank_net::intake::IntakeSettings;
 use oriolecrank_net::shutdown::{ShutdownSignal, shutdown_channel};
 use oriolecrank_net::{BootClock, ClusterSecret, MetricsListener, ServerSettings, serve_with};
@@ -27,6 +27,7 @@
 use crate::control_metrics::ControlMetrics;
 use crate::control_session::{ControlSession, SessionEnd};
 use crate::dialect::{OrderDialect, SiteDialect, UsageDialect};
+use crate::memory_report::report_memory;
 use crate::role_orders::RoleOrderSettings;
 use crate::usage_reporter::UsageReportSettings;
 
@@ -106,8 +107,10 @@
     mut shutdown: ShutdownSignal,
 ) -> Result<(), ControlSiteError> {
     let metrics = ControlMetrics::default();
+    let memory = ControlMemory::new(&options.intake);
     let mut tasks = JoinSet::new();
-    serve_metrics(&options, &metrics, &mut tasks).await?;
+    serve_metrics(&options, &metrics, &memory, &mut tasks).await?;
+    tasks.spawn(report_memory(memory.holders().clone()));
     let mut unusable_since = None;
     loop {
         let session = ControlSession {
@@ -115,6 +118,7 @@
             dialect: Arc::clone(&dialect),
             seeds: seeds.clone(),
             metrics: metrics.clone(),
+            memory: memory.clone(),
             unusable_since,
         };
         let delay = match session.run(shutdown.clone()).await? {
@@ -151,6 +155,7 @@
 async fn serve_metrics(
     options: &ControlSiteOptions,
     metrics: &ControlMetrics,
+    memory: &ControlMemory,
     tasks: &mut JoinSet<()>,
 ) -> Result<(), ControlSiteError> {
     let Some(address) = options.metrics_listen else {
@@ -158,6 +163,7 @@
     };
     let mut registry = Registry::with_prefix("oriolecrank_gateway_control");
     metrics.register(&mut registry);
+    registry.register_collector(Box::new(memory.holders().clone()));
     let listener = listen(address).await?;
     let settings = ServerSettings {
         max_connections: options.intake.probe_connections(),
--- a/crates/oriolecrank-gateway/src/document_transfer.rs
+++ b/crates/oriolecrank-gateway/src/document_transfer.rs
@@ -7,6 +7,8 @@
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
+use oriolecrank_control::ControlMemory;
+use oriolecrank_net::intake::ByteLease;
 use oriolecrank_routing::StoredDocument;
 use oriolecrank_schema::codec;
 use serde::{Deserialize, Serialize};
@@ -82,20 +84,39 @@
 }
 
 /// Encoded answer with the newest document, which many entries ask for at about the same time.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct DocumentCache {
-    /// Version and encoded answer. Taken alone and never held across an await.
-    newest: Mutex<Option<(u64, Bytes)>>,
+    /// Taken alone and never held across an await.
+    newest: Mutex<CachedAnswer>,
+}
+
+/// Answer for one version.
+#[derive(Debug)]
+struct CachedAnswer {
+    /// Version and encoded answer.
+    answer: Option<(u64, Bytes)>,
+    /// Counts the answer.
+    lease: ByteLease,
 }
 
 impl DocumentCache {
+    pub(crate) fn new(memory: &ControlMemory) -> Self {
+        let cached = CachedAnswer {
+            answer: None,
+            lease: memory.documents.lease(),
+        };
+        Self {
+            newest: Mutex::new(cached),
+        }
+    }
+
     /// Encoded [`DocumentAnswer`] with the given document.
     pub(crate) fn answer_with(&self, document: &StoredDocument) -> Bytes {
         let mut newest = self
             .newest
             .lock()
             .expect("no holder of the document cache lock panics");
-        if let Some((version, answer)) = &*newest
+        if let Some((version, answer)) = &newest.answer
             && *version == document.version
         {
             return answer.clone();
@@ -103,7 +124,8 @@
         let answer = Bytes::from(codec::encode(&DocumentAnswer {
             document: Some(TransferredDocument::compress(document)),
         }));
-        *newest = Some((document.version, answer.clone()));
+        newest.lease.count(answer.len());
+        newest.answer = Some((document.version, answer.clone()));
         answer
     }
 }
--- a/crates/oriolecrank-gateway/src/lib.rs
+++ b/crates/oriolecrank-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod fair_share;
 mod group_repair;
 mod internal_server;
+mod memory_report;
 mod plain_body;
 mod prefilled_prompt;
 mod quota;
--- a/crates/oriolecrank-gateway/src/site_machine.rs
+++ b/crates/oriolecrank-gateway/src/site_machine.rs
@@ -1,9 +1,10 @@
 //! The replicated site state of one control instance and its state machine.
 
-use std::sync::{Arc, RwLock, RwLockReadGuard, RwLockWriteGuard};
+use std::sync::{Arc, Mutex, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
 use oriolecrank_consensus::{LogIndex, Term};
-use oriolecrank_control::StateMachine;
+use oriolecrank_control::{ControlMemory, StateMachine};
+use oriolecrank_net::intake::ByteLease;
 use oriolecrank_routing::{SiteCommand, SiteOutcome, SiteState};
 use oriolecrank_schema::codec;
 use tokio::sync::watch;
@@ -21,17 +22,20 @@
     departure_revision: watch::Sender<u64>,
     /// Revision of the refused suspects.
     refusal_revision: watch::Sender<u64>,
+    /// Counts the stored document. Taken alone and never held across an await.
+    lease: Arc<Mutex<ByteLease>>,
 }
 
 impl SharedSite {
     /// An empty state without a document.
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(memory: &ControlMemory) -> Self {
         Self {
             state: Arc::default(),
             version: watch::Sender::new(0),
             origin_revision: watch::Sender::new(0),
             departure_revision: watch::Sender::new(0),
             refusal_revision: watch::Sender::new(0),
+            lease: Arc::new(Mutex::new(memory.documents.lease())),
         }
     }
 
@@ -75,6 +79,12 @@
         publish(&self.origin_revision, state.streams().admitted().revision);
         publish(&self.departure_revision, state.departures().revision());
         publish(&self.refusal_revision, state.suspects().revision());
+        let stored = state.document().map_or(0, |document| document.source.len());
+        let mut lease = self
+            .lease
+            .lock()
+            .expect("no holder of the lock of the lease panics");
+        lease.count(stored);
     }
 }
 
--- a/crates/oriolecrank-gateway/src/site_server.rs
+++ b/crates/oriolecrank-gateway/src/site_server.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{Request, Response};
 use hyper::body::Incoming;
+use oriolecrank_control::ControlMemory;
 use oriolecrank_net::intake::{BodyAwaited, BodyError, BodyLimits, ByteBudget, read_body_within};
 use oriolecrank_net::{AnswerBody, BootClock, HttpHandler, with_close};
 use oriolecrank_routing::{
@@ -25,6 +26,19 @@
 /// the replicated log has the same limit.
 const MAX_CALL_BYTES: usize = 4 * 1024 * 1024;
 
+/// Largest body whose decoded form is not counted, in bytes: that of an upstream's announcement.
+const UNCOUNTED_BYTES: usize = 4 * 1024;
+
+/// Memory for one decoded object of a document besides its strings, in bytes: above that of a route,
+/// the largest one, and of its entry in the check for duplicates.
+const OBJECT_BYTES: usize = 640;
+
+/// Upper bound of the memory that a document takes while it is decoded and checked.
+fn decoded_bytes(source: &[u8]) -> usize {
+    let objects = source.iter().filter(|byte| **byte == b'{').count();
+    source.len() + objects * OBJECT_BYTES
+}
+
 /// HTTP handler for the calls of operators and upstreams.
 #[derive(Debug)]
 pub(crate) struct SiteServer<D> {
@@ -35,6 +49,8 @@
     pub(crate) clock: Arc<SiteClock>,
     /// Memory for the bodies of calls.
     pub(crate) client_budget: ByteBudget,
+    /// Memory of the process, by holder.
+    pub(crate) memory: ControlMemory,
 }
 
 impl<D: SiteDialect> SiteServer<D> {
@@ -232,6 +248,11 @@
                 return with_close(self.dialect.encode_site_reply(body_refusal(error)));
             }
         };
+        // Counted while the call is answered, because the decoded document lives as long.
+        let mut decoding = self.memory.decoding.lease();
+        if body.len() > UNCOUNTED_BYTES {
+            decoding.count(decoded_bytes(&body));
+        }
         let call = self.dialect.decode_site_call(&parts, &body);
         // On the heap, so that a call whose body is still read does not take memory for its answer.
         let reply = Box::pin(self.answer(call, body)).await;
--- a/crates/oriolecrank-net/src/intake/mod.rs
+++ b/crates/oriolecrank-net/src/intake/mod.rs
@@ -11,6 +11,7 @@
 mod budget_metric;
 mod byte_budget;
 mod connection_limits;
+mod memory_holders;
 
 use oriolecrank_schema::settings::IntakeTable;
 
@@ -21,6 +22,7 @@
 pub use byte_budget::{ByteBudget, ByteLease, NoRoom};
 pub use connection_limits::BodyAwaited;
 pub(crate) use connection_limits::{ConnectionState, ConnectionTable, RequestConnection};
+pub use memory_holders::{HolderUse, MemoryHolders};
 
 /// Descriptors that a process needs for files and for what it opens at its start.
 const RESERVED_DESCRIPTORS: u64 = 200;
@@ -83,7 +85,8 @@
         ByteBudget::new((self.shared_bytes() / 8) as usize)
     }
 
-    const fn shared_bytes(&self) -> u64 {
+    /// Memory besides that of the program, in bytes.
+    pub const fn shared_bytes(&self) -> u64 {
         self.memory_bytes.saturating_sub(PROGRAM_BYTES)
     }
 
--- a/crates/oriolecrank-net/tests/intake.rs
+++ b/crates/oriolecrank-net/tests/intake.rs
@@ -7,8 +7,9 @@
 use http_body::Frame;
 use http_body_util::Full;
 use oriolecrank_net::intake::{
-    BodyError, BodyLimits, ByteBudget, IntakeSettings, read_body_within,
+    BodyError, BodyLimits, ByteBudget, IntakeSettings, MemoryHolders, read_body_within,
 };
+use prometheus_client::registry::Registry;
 use tokio::sync::mpsc;
 
 const MIB: usize = 1024 * 1024;
@@ -162,3 +163,51 @@
         assert!(needed <= settings.memory_bytes, "{memory_mib} MiB");
     }
 }
+
+/// Guards against holders that together keep more than the process has, and against bytes that stay
+/// counted in the whole after a part has refused them or given them back.
+#[test]
+fn a_part_refuses_what_its_whole_has_no_room_for() {
+    let holders = MemoryHolders::new(4 * MIB);
+    let (first, second) = (
+        holders.part("first", 3 * MIB),
+        holders.part("second", 3 * MIB),
+    );
+    let mut large = first.lease();
+    large.resize(2 * MIB).unwrap();
+    let mut other = second.lease();
+    assert!(other.resize(2 * MIB).is_err(), "the whole has no room");
+    assert_eq!((second.used(), holders.whole().used()), (0, 2 * MIB));
+    drop(large);
+    other.resize(2 * MIB).unwrap();
+    assert_eq!((first.used(), holders.whole().used()), (0, 2 * MIB));
+    assert_eq!(
+        first.take_peak(),
+        2 * MIB,
+        "the peak is kept until it is read"
+    );
+    assert_eq!(first.take_peak(), 0);
+}
+
+/// Guards against a process whose memory cannot be explained: the metrics name each holder, and the
+/// member that it holds bytes for.
+#[test]
+fn the_metrics_show_what_each_holder_keeps() {
+    let holders = MemoryHolders::new(4 * MIB);
+    let mut log = holders.part("log", MIB).lease();
+    let mut batch = holders.member_part("batches", MIB, "c2").lease();
+    log.count(700);
+    batch.count(900);
+    let mut registry = Registry::default();
+    registry.register_collector(Box::new(holders.clone()));
+    let mut text = String::new();
+    prometheus_client::encoding::text::encode(&mut text, &registry).unwrap();
+    for line in [
+        r#"held_bytes{holder="log",member=""} 700"#,
+        r#"held_bytes{holder="batches",member=""} 900"#,
+        r#"held_bytes{holder="batches",member="c2"} 900"#,
+        r#"held_limit_bytes{holder="log",member=""} 1048576"#,
+    ] {
+        assert!(text.lines().any(|shown| shown == line), "{line} in {text}");
+    }
+}
--- a/crates/oriolecrank-schema/src/event.rs
+++ b/crates/oriolecrank-schema/src/event.rs
@@ -47,6 +47,7 @@
     PeerVersionRefused = 112, "A message with a malformed protocol version or a newer major one was refused.";
     ConnectionRefused = 113, "A connection was closed because too many are open at the listener.";
     BodyNotRead = 114, "The body of a message to an agent was not read; the reason is in the line, and the request has not run.";
+    MemoryHeld = 115, "What a control instance holds has crossed an eighth of the memory that it may hold, upwards or downwards; the bytes of each holder and their peaks are in the line.";
     DocumentInForce = 200, "A revision of the document is in force at this entry.";
     SubscriptionLost = 201, "The subscription to a control instance ended; it is opened again, at another instance if there is one.";
     StateStale = 202, "The state is older than the freshness lease; calls that need a key are refused.";
