--- a/crates/oriolecrank-consensus/src/follower.rs
+++ b/crates/oriolecrank-consensus/src/follower.rs
@@ -5,12 +5,14 @@
 use oriolecrank_schema::TimePoint;
 
 use crate::instance_id::InstanceId;
-use crate::log_entry::LogEntry;
+use crate::log_entry::{EntryBody, LogEntry};
 use crate::message::{
-    AppendReply, AppendRequest, MessageBody, RoundMark, SnapshotChunk, SnapshotReply,
+    AppendReply, AppendRequest, EntryChunk, EntryChunkReply, MessageBody, RoundMark, SnapshotChunk,
+    SnapshotReply,
 };
 use crate::node::{NodeRole, RaftNode};
 use crate::numbers::{LogIndex, Term};
+use crate::partial_entry::PartialEntry;
 use crate::ready::PreviousLeader;
 use crate::snapshot::{PartialSnapshot, Snapshot};
 
@@ -71,6 +73,72 @@
         self.send_append_reply(from, mark, Some(previous_index), match_index, true);
     }
 
+    pub(crate) fn handle_entry_chunk(
+        &mut self,
+        from: InstanceId,
+        term: Term,
+        chunk: &EntryChunk,
+        now: TimePoint,
+    ) {
+        if !self.accept_leader(&from, term, chunk.mark, now) {
+            return;
+        }
+        let (mark, previous_index) = (chunk.mark, chunk.previous_index);
+        let index = previous_index.next();
+        if previous_index < self.commit_index {
+            let commit_index = self.commit_index;
+            self.send_append_reply(from, mark, Some(previous_index), commit_index, true);
+            return;
+        }
+        if self.log.term_at(previous_index) != Some(chunk.previous_term) {
+            let hint = self.conflict_hint(previous_index);
+            self.send_append_reply(from, mark, Some(previous_index), hint, false);
+            return;
+        }
+        let commit = chunk.commit;
+        if self.log.term_at(index) != Some(chunk.term)
+            && let Some(next_offset) = self.collect_entry_chunk(index, chunk)
+        {
+            let reply = EntryChunkReply {
+                mark,
+                index,
+                next_offset,
+            };
+            self.send(from, MessageBody::EntryChunkReply(reply));
+            return;
+        }
+        self.commit_index = self.commit_index.max(commit.min(index));
+        self.send_append_reply(from, mark, Some(previous_index), index, true);
+    }
+
+    /// Adds a chunk of the entry at `index`. Returns the offset of the next one, or `None` once the
+    /// entry is complete and in the log.
+    fn collect_entry_chunk(&mut self, index: LogIndex, chunk: &EntryChunk) -> Option<u64> {
+        let key = (index, chunk.term, chunk.total);
+        let same_entry = |partial: &PartialEntry| partial.key() == key;
+        let partial = self.incoming_entry.take().filter(same_entry);
+        let mut partial = partial.unwrap_or_else(|| PartialEntry {
+            index,
+            term: chunk.term,
+            total: chunk.total,
+            data: Vec::with_capacity(chunk.total as usize),
+        });
+        if chunk.offset == partial.data.len() as u64 {
+            partial.data.extend_from_slice(&chunk.data);
+        }
+        let received = partial.data.len() as u64;
+        if received < chunk.total {
+            self.incoming_entry = Some(partial);
+            return Some(received);
+        }
+        self.append_entries(vec![LogEntry {
+            index,
+            term: chunk.term,
+            body: EntryBody::Data(partial.data.into()),
+        }]);
+        None
+    }
+
     fn append_entries(&mut self, entries: Vec<LogEntry>) {
         for entry in entries {
             match self.log.term_at(entry.index) {
@@ -86,6 +154,12 @@
             }
             self.log.push(entry);
         }
+        // An entry in its place, or after it, has come by another way.
+        let last_index = self.log.last_index();
+        self.incoming_entry = self
+            .incoming_entry
+            .take()
+            .filter(|partial| partial.index > last_index);
     }
 
     /// Index at which the leader should look next for a matching entry: before all entries of the
@@ -116,6 +190,7 @@
             accepted,
             previous_index: previous_index.unwrap_or_default(),
             match_index,
+            takes_chunks: true,
         };
         self.send(to, MessageBody::AppendReply(reply));
     }
@@ -154,6 +229,8 @@
 
     /// Adds a chunk of a snapshot; installs the snapshot and returns true once it is complete.
     fn collect_chunk(&mut self, chunk: SnapshotChunk) -> bool {
+        // A snapshot replaces the entries whose transfer it has overtaken.
+        self.incoming_entry = None;
         let same_snapshot =
             |partial: &PartialSnapshot| (partial.index, partial.term) == (chunk.index, chunk.term);
         let mut partial = self
@@ -163,7 +240,7 @@
             .unwrap_or(PartialSnapshot {
                 index: chunk.index,
                 term: chunk.term,
-                data: Vec::new(),
+                data: Vec::with_capacity(chunk.total as usize),
             });
         if chunk.offset == partial.data.len() as u64 {
             partial.data.extend_from_slice(&chunk.data);
--- a/crates/oriolecrank-consensus/src/leader_replies.rs
+++ b/crates/oriolecrank-consensus/src/leader_replies.rs
@@ -3,10 +3,10 @@
 use oriolecrank_schema::TimePoint;
 
 use crate::instance_id::InstanceId;
-use crate::message::{AppendReply, RoundMark, SnapshotReply};
+use crate::message::{AppendReply, EntryChunkReply, RoundMark, SnapshotReply};
 use crate::node::RaftNode;
 use crate::numbers::Term;
-use crate::peer_progress::{PeerProgress, SendMode};
+use crate::peer_progress::{ChunkReply, EntryTransfer, PeerProgress, SendMode};
 
 impl RaftNode {
     /// Records a reply and returns the progress of its sender; `None` if the reply is of another
@@ -35,6 +35,7 @@
         let Some(peer) = self.record_reply_from(from, term, reply.mark) else {
             return;
         };
+        peer.takes_chunks = reply.takes_chunks;
         if reply.accepted {
             peer.record_match(reply.match_index);
         } else {
@@ -44,6 +45,34 @@
         self.confirm_reads();
     }
 
+    pub(crate) fn handle_entry_chunk_reply(
+        &mut self,
+        from: &InstanceId,
+        term: Term,
+        reply: EntryChunkReply,
+        now: TimePoint,
+    ) {
+        let max_bytes = self.settings.max_chunk_bytes;
+        let Some(peer) = self.record_reply_from(from, term, reply.mark) else {
+            return;
+        };
+        if let Some(transfer) = peer.entry_transfer
+            && transfer.index == reply.index
+        {
+            let chunk_reply = ChunkReply {
+                sent: reply.mark.sent,
+                next_offset: reply.next_offset,
+                known_offset: transfer.offset,
+            };
+            if peer.record_chunk_reply(chunk_reply, max_bytes, now) {
+                let offset = reply.next_offset;
+                peer.entry_transfer = Some(EntryTransfer { offset, ..transfer });
+            }
+        }
+        self.advance_commit(now);
+        self.confirm_reads();
+    }
+
     pub(crate) fn handle_snapshot_reply(
         &mut self,
         from: &InstanceId,
@@ -51,14 +80,23 @@
         reply: SnapshotReply,
         now: TimePoint,
     ) {
+        let max_bytes = self.settings.max_chunk_bytes;
         let Some(peer) = self.record_reply_from(from, term, reply.mark) else {
             return;
         };
-        if let SendMode::Snapshot(transfer) = &mut peer.mode
+        if let SendMode::Snapshot(transfer) = &peer.mode
             && transfer.snapshot.index == reply.index
         {
-            transfer.offset = reply.next_offset;
-            transfer.awaiting_reply = false;
+            let chunk_reply = ChunkReply {
+                sent: reply.mark.sent,
+                next_offset: reply.next_offset,
+                known_offset: transfer.offset,
+            };
+            if peer.record_chunk_reply(chunk_reply, max_bytes, now)
+                && let SendMode::Snapshot(transfer) = &mut peer.mode
+            {
+                transfer.offset = reply.next_offset;
+            }
         }
         self.advance_commit(now);
         self.confirm_reads();
--- a/crates/oriolecrank-consensus/src/lib.rs
+++ b/crates/oriolecrank-consensus/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`Membership`] and [`MembershipRequest`] describe the members of the group and a
 //!   requested change.
 
+mod chunk_pace;
 mod election;
 mod follower;
 mod founding;
@@ -20,6 +21,7 @@
 mod message;
 mod node;
 mod numbers;
+mod partial_entry;
 mod peer_progress;
 mod raft_log;
 mod read_queue;
@@ -36,8 +38,8 @@
 pub use membership::{LoggedMembership, Member, MemberRole, Membership};
 pub use membership_change::{MAX_MEMBERS, MAX_VOTERS, MembershipError, MembershipRequest};
 pub use message::{
-    AppendReply, AppendRequest, FoundingReply, MessageBody, PeerMessage, RoundMark, SnapshotChunk,
-    SnapshotReply, VoteReply, VoteRequest,
+    AppendReply, AppendRequest, EntryChunk, EntryChunkReply, FoundingReply, MessageBody,
+    PeerMessage, RoundMark, SnapshotChunk, SnapshotReply, VoteReply, VoteRequest,
 };
 pub use node::{RaftNode, StoredState};
 pub use numbers::{DiskTag, LogIndex, MembershipVersion, ReadContext, Term};
--- a/crates/oriolecrank-consensus/src/log_entry.rs
+++ b/crates/oriolecrank-consensus/src/log_entry.rs
@@ -43,6 +43,14 @@
 }
 
 impl LogEntry {
+    /// Size of the command, in bytes; 0 for an entry without one.
+    pub fn data_bytes(&self) -> usize {
+        match &self.body {
+            EntryBody::Data(data) => data.len(),
+            EntryBody::Noop | EntryBody::Membership(_) => 0,
+        }
+    }
+
     /// Approximate size in memory and on the wire, in bytes.
     pub fn size(&self) -> usize {
         /// Encoded size of index, term and field tags, in bytes.
--- a/crates/oriolecrank-consensus/src/message.rs
+++ b/crates/oriolecrank-consensus/src/message.rs
@@ -37,7 +37,11 @@
     Append(AppendRequest),
     /// Reply to an append request.
     AppendReply(AppendReply),
-    /// Chunk of a snapshot; also serves as a heartbeat.
+    /// Chunk of an entry that is too large for an append request.
+    EntryChunk(EntryChunk),
+    /// Reply to a chunk of an entry that is not complete yet.
+    EntryChunkReply(EntryChunkReply),
+    /// Chunk of a snapshot.
     Snapshot(SnapshotChunk),
     /// Reply to a snapshot chunk.
     SnapshotReply(SnapshotReply),
@@ -111,6 +115,40 @@
     pub previous_index: LogIndex,
     /// Highest index known to match; if not accepted, the index that the leader should try next.
     pub match_index: LogIndex,
+    /// Whether the follower takes chunks of entries; older versions do not.
+    pub takes_chunks: bool,
+}
+
+/// Chunk of the data of an entry that is too large for an append request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EntryChunk {
+    /// Round and send time of this chunk.
+    pub mark: RoundMark,
+    /// Index of the entry before the one that the chunk belongs to.
+    pub previous_index: LogIndex,
+    /// Term of that entry.
+    pub previous_term: Term,
+    /// Term of the entry that the chunk belongs to.
+    pub term: Term,
+    /// Commit index of the leader.
+    pub commit: LogIndex,
+    /// Offset of `data` in the data of the entry, in bytes.
+    pub offset: u64,
+    /// Size of the data of the entry, in bytes.
+    pub total: u64,
+    /// Bytes of the data from `offset` on.
+    pub data: Arc<[u8]>,
+}
+
+/// Reply to a chunk of an entry that is not complete yet; a complete one gets an [`AppendReply`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EntryChunkReply {
+    /// Round and send time of the chunk.
+    pub mark: RoundMark,
+    /// Index of the entry.
+    pub index: LogIndex,
+    /// Offset of the next chunk that the receiver needs, in bytes.
+    pub next_offset: u64,
 }
 
 /// Chunk of a snapshot.
--- a/crates/oriolecrank-consensus/src/node.rs
+++ b/crates/oriolecrank-consensus/src/node.rs
@@ -13,6 +13,7 @@
 use crate::membership::Membership;
 use crate::message::{MessageBody, PeerMessage};
 use crate::numbers::{DiskTag, LogIndex, Term};
+use crate::partial_entry::PartialEntry;
 use crate::peer_progress::SendMode;
 use crate::raft_log::RaftLog;
 use crate::ready::{
@@ -81,6 +82,8 @@
     election_deadline: TimePoint,
     /// Snapshot of which not all chunks have arrived.
     pub(crate) incoming_snapshot: Option<PartialSnapshot>,
+    /// Entry of which not all chunks have arrived.
+    pub(crate) incoming_entry: Option<PartialEntry>,
     /// Received snapshot that the next batch hands to the driver.
     pub(crate) installed_snapshot: Option<Arc<Snapshot>>,
     /// Records for the next batch, besides hard state and entries.
@@ -127,6 +130,7 @@
             started_at: now,
             election_deadline: now,
             incoming_snapshot: None,
+            incoming_entry: None,
             installed_snapshot: None,
             records: Vec::new(),
             messages: Vec::new(),
@@ -212,14 +216,16 @@
 
     /// Bytes that the node keeps in memory.
     pub fn memory(&self) -> NodeMemory {
-        let incoming = self.incoming_snapshot.as_ref();
+        let snapshot = self.incoming_snapshot.as_ref();
+        let entry = self.incoming_entry.as_ref();
         NodeMemory {
             log: self.log.bytes(),
             uncommitted: self
                 .log
                 .bytes_between(self.commit_index, self.log.last_index()),
             snapshots: self.held_snapshots().map(|held| held.data.len()).sum(),
-            incoming: incoming.map_or(0, |partial| partial.data.capacity()),
+            incoming_snapshot: snapshot.map_or(0, |partial| partial.data.capacity()),
+            incoming_entry: entry.map_or(0, |partial| partial.data.capacity()),
         }
     }
 
@@ -287,6 +293,10 @@
             MessageBody::VoteReply(reply) => self.handle_vote_reply(from, reply, now),
             MessageBody::Append(request) => self.handle_append(from, term, request, now),
             MessageBody::AppendReply(reply) => self.handle_append_reply(&from, term, reply, now),
+            MessageBody::EntryChunk(chunk) => self.handle_entry_chunk(from, term, &chunk, now),
+            MessageBody::EntryChunkReply(reply) => {
+                self.handle_entry_chunk_reply(&from, term, reply, now);
+            }
             MessageBody::Snapshot(chunk) => self.handle_snapshot(from, term, chunk, now),
             MessageBody::SnapshotReply(reply) => {
                 self.handle_snapshot_reply(&from, term, reply, now);
--- a/crates/oriolecrank-consensus/src/peer_progress.rs
+++ b/crates/oriolecrank-consensus/src/peer_progress.rs
@@ -4,8 +4,9 @@
 
 use oriolecrank_schema::TimePoint;
 
+use crate::chunk_pace::ChunkPace;
 use crate::message::{RoundMark, SnapshotChunk};
-use crate::numbers::LogIndex;
+use crate::numbers::{LogIndex, Term};
 use crate::snapshot::Snapshot;
 
 /// Replication progress of one member, as tracked by the leader.
@@ -22,6 +23,24 @@
     pub(crate) acked_round: u64,
     /// Send time, by the leader's clock, of the newest message that the member has replied to.
     pub(crate) acked_sent_at: Option<TimePoint>,
+    /// Whether the member takes chunks of entries, as its replies say.
+    pub(crate) takes_chunks: bool,
+    /// Entry at `next_index` of which a part was sent; `None` if its transfer has not begun.
+    pub(crate) entry_transfer: Option<EntryTransfer>,
+    /// Pace of the chunks of entries and snapshots.
+    pub(crate) pace: ChunkPace,
+    /// Large entry that was last sent as a whole, because the member takes no chunks, and the time
+    /// before which it is not sent again.
+    pub(crate) whole_entry: Option<(LogIndex, TimePoint)>,
+}
+
+/// Transfer of a large entry to one member.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct EntryTransfer {
+    pub(crate) index: LogIndex,
+    pub(crate) term: Term,
+    /// Bytes of the data that the member has.
+    pub(crate) offset: u64,
 }
 
 /// How the leader sends the log to a member.
@@ -43,12 +62,11 @@
 pub(crate) struct SnapshotTransfer {
     pub(crate) snapshot: Arc<Snapshot>,
     pub(crate) offset: u64,
-    pub(crate) awaiting_reply: bool,
 }
 
 impl PeerProgress {
     /// `last_index` is the end of the leader's log.
-    pub(crate) const fn new(last_index: LogIndex) -> Self {
+    pub(crate) fn new(last_index: LogIndex) -> Self {
         Self {
             match_index: LogIndex(0),
             next_index: LogIndex(if last_index.0 == 0 { 1 } else { last_index.0 }),
@@ -58,6 +76,10 @@
             sent_commit_index: LogIndex(0),
             acked_round: 0,
             acked_sent_at: None,
+            takes_chunks: false,
+            entry_transfer: None,
+            pace: ChunkPace::default(),
+            whole_entry: None,
         }
     }
 
@@ -72,10 +94,18 @@
     pub(crate) fn record_match(&mut self, index: LogIndex) {
         self.match_index = self.match_index.max(index);
         self.next_index = self.next_index.max(self.match_index.next());
+        let is_complete = |transfer: &EntryTransfer| transfer.index <= index;
+        if self.entry_transfer.as_ref().is_some_and(is_complete) {
+            self.entry_transfer = None;
+            self.pace.end_transfer();
+        }
         match &self.mode {
             SendMode::Snapshot(transfer) if self.match_index < transfer.snapshot.index => {}
             SendMode::Replicate => {}
             SendMode::Probe { .. } | SendMode::Snapshot(_) => {
+                if matches!(self.mode, SendMode::Snapshot(_)) {
+                    self.pace.end_transfer();
+                }
                 self.next_index = self.match_index.next();
                 self.mode = SendMode::Replicate;
             }
@@ -94,6 +124,32 @@
             awaiting_reply: false,
         };
     }
+
+    /// Records how much the member has of what is sent in chunks; `offset` is that of the transfer.
+    /// Returns false for a reply to an earlier chunk that says nothing new.
+    pub(crate) fn record_chunk_reply(
+        &mut self,
+        reply: ChunkReply,
+        max_bytes: usize,
+        now: TimePoint,
+    ) -> bool {
+        let is_news = reply.next_offset > reply.known_offset || self.pace.awaits(reply.sent);
+        if is_news {
+            self.pace.record_reply(reply.sent, max_bytes, now);
+        }
+        is_news
+    }
+}
+
+/// Reply to a chunk, beside what the leader knew before.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ChunkReply {
+    /// When the chunk was sent.
+    pub(crate) sent: TimePoint,
+    /// Bytes that the member has.
+    pub(crate) next_offset: u64,
+    /// Bytes that it had according to earlier replies.
+    pub(crate) known_offset: u64,
 }
 
 impl SnapshotTransfer {
@@ -101,32 +157,22 @@
         Self {
             snapshot,
             offset: 0,
-            awaiting_reply: false,
         }
     }
 
-    /// Returns the next chunk; `None` while the last one is unacknowledged, unless `resend` is set.
-    ///
-    /// The caller fills in `mark`.
-    pub(crate) fn next_chunk(&mut self, resend: bool, max_bytes: usize) -> Option<SnapshotChunk> {
-        if self.awaiting_reply && !resend {
-            return None;
-        }
-        self.awaiting_reply = true;
+    /// Returns the chunk after what the member has.
+    pub(crate) fn next_chunk(&self, mark: RoundMark, max_bytes: usize) -> SnapshotChunk {
         let snapshot = &self.snapshot;
         let start = (self.offset as usize).min(snapshot.data.len());
         let end = (start + max_bytes).min(snapshot.data.len());
-        Some(SnapshotChunk {
-            mark: RoundMark {
-                round: 0,
-                sent: TimePoint::default(),
-            },
+        SnapshotChunk {
+            mark,
             index: snapshot.index,
             term: snapshot.term,
             membership: snapshot.membership.clone(),
             offset: start as u64,
             total: snapshot.data.len() as u64,
             data: snapshot.data[start..end].into(),
-        })
+        }
     }
 }
--- a/crates/oriolecrank-consensus/src/raft_log.rs
+++ b/crates/oriolecrank-consensus/src/raft_log.rs
@@ -184,14 +184,14 @@
     }
 
     /// Entries from `first` on with a total size of at most `max_bytes`, but at least one if there
-    /// are any.
+    /// are any; none if `max_bytes` is 0.
     pub(crate) fn entries_from(&self, first: LogIndex, max_bytes: usize) -> Vec<LogEntry> {
         let mut selected = Vec::new();
         let mut size = 0;
         let mut index = first;
         while let Some(entry) = self.entry(index) {
             size += entry.size();
-            if !selected.is_empty() && size > max_bytes {
+            if size > max_bytes && (max_bytes == 0 || !selected.is_empty()) {
                 break;
             }
             selected.push(entry.clone());
--- a/crates/oriolecrank-consensus/src/ready.rs
+++ b/crates/oriolecrank-consensus/src/ready.rs
@@ -167,8 +167,10 @@
     pub uncommitted: usize,
     /// Newest snapshot, and older ones that are still sent to members.
     pub snapshots: usize,
-    /// Received part of a snapshot that is not complete yet.
-    pub incoming: usize,
+    /// Memory for a snapshot of which not all chunks have arrived.
+    pub incoming_snapshot: usize,
+    /// Memory for an entry of which not all chunks have arrived.
+    pub incoming_entry: usize,
 }
 
 impl ReadyBatch {
--- a/crates/oriolecrank-consensus/src/settings.rs
+++ b/crates/oriolecrank-consensus/src/settings.rs
@@ -18,16 +18,20 @@
     /// Length of the leader lease, counted from the send time of the messages that a quorum has
     /// acknowledged.
     pub lease_duration: Duration,
-    /// Largest total size of the entries in one append request, in bytes; a single larger entry is
-    /// still sent.
+    /// Largest total size of the entries in one append request, in bytes. A larger entry is sent in
+    /// chunks, and as a whole only to members of older versions.
     pub max_append_bytes: usize,
-    /// Largest size of a snapshot chunk, in bytes.
+    /// Largest size of a chunk of a snapshot or of an entry, in bytes.
     pub max_chunk_bytes: usize,
     /// A member gets no further entries while at least this many of those sent to it are
     /// unacknowledged. The last request before that may exceed the number.
     pub max_inflight_entries: u64,
+    /// The same limit in bytes.
+    pub max_inflight_bytes: usize,
     /// Largest number of uncommitted entries; further proposals are rejected.
     pub max_uncommitted_entries: u64,
+    /// Largest total size of the uncommitted entries, in bytes. A single larger one is accepted.
+    pub max_uncommitted_bytes: usize,
     /// A member counts as caught up if it lacks at most this many entries.
     pub max_caught_up_lag: u64,
 }
@@ -39,10 +43,12 @@
             min_election_timeout: Duration::from_millis(500),
             max_election_timeout: Duration::from_secs(1),
             lease_duration: Duration::from_millis(400),
-            max_append_bytes: 1024 * 1024,
+            max_append_bytes: 256 * 1024,
             max_chunk_bytes: 256 * 1024,
             max_inflight_entries: 4_096,
+            max_inflight_bytes: 1024 * 1024,
             max_uncommitted_entries: 16_384,
+            max_uncommitted_bytes: 16 * 1024 * 1024,
             max_caught_up_lag: 64,
         }
     }
--- a/crates/oriolecrank-consensus/src/wire.rs
+++ b/crates/oriolecrank-consensus/src/wire.rs
@@ -11,8 +11,8 @@
 use crate::log_entry::{EntryBody, LogEntry};
 use crate::membership::{Member, MemberRole, Membership};
 use crate::message::{
-    AppendReply, AppendRequest, FoundingReply, MessageBody, PeerMessage, RoundMark, SnapshotChunk,
-    SnapshotReply, VoteReply, VoteRequest,
+    AppendReply, AppendRequest, EntryChunk, EntryChunkReply, FoundingReply, MessageBody,
+    PeerMessage, RoundMark, SnapshotChunk, SnapshotReply, VoteReply, VoteRequest,
 };
 use crate::numbers::{DiskTag, LogIndex, MembershipVersion, ReadContext, Term};
 use crate::ready::{FoundingTag, FoundingTags, HardState, LogRecord};
@@ -259,6 +259,7 @@
             accepted: reply.accepted,
             previous_index: reply.previous_index.0,
             match_index: reply.match_index.0,
+            takes_chunks: reply.takes_chunks,
         }
     }
 }
@@ -270,6 +271,57 @@
             accepted: reply.accepted,
             previous_index: LogIndex(reply.previous_index),
             match_index: LogIndex(reply.match_index),
+            takes_chunks: reply.takes_chunks,
+        }
+    }
+}
+
+impl From<EntryChunk> for peer::EntryChunk {
+    fn from(chunk: EntryChunk) -> Self {
+        Self {
+            mark: chunk.mark.into(),
+            previous_index: chunk.previous_index.0,
+            previous_term: chunk.previous_term.0,
+            term: chunk.term.0,
+            commit: chunk.commit.0,
+            offset: chunk.offset,
+            total: chunk.total,
+            data: chunk.data.to_vec().into(),
+        }
+    }
+}
+
+impl From<peer::EntryChunk> for EntryChunk {
+    fn from(chunk: peer::EntryChunk) -> Self {
+        Self {
+            mark: chunk.mark.into(),
+            previous_index: LogIndex(chunk.previous_index),
+            previous_term: Term(chunk.previous_term),
+            term: Term(chunk.term),
+            commit: LogIndex(chunk.commit),
+            offset: chunk.offset,
+            total: chunk.total,
+            data: Arc::from(chunk.data.into_vec()),
+        }
+    }
+}
+
+impl From<EntryChunkReply> for peer::EntryChunkReply {
+    fn from(reply: EntryChunkReply) -> Self {
+        Self {
+            mark: reply.mark.into(),
+            index: reply.index.0,
+            next_offset: reply.next_offset,
+        }
+    }
+}
+
+impl From<peer::EntryChunkReply> for EntryChunkReply {
+    fn from(reply: peer::EntryChunkReply) -> Self {
+        Self {
+            mark: reply.mark.into(),
+            index: LogIndex(reply.index),
+            next_offset: reply.next_offset,
         }
     }
 }
@@ -331,6 +383,8 @@
             MessageBody::VoteReply(reply) => Self::VoteReply(reply.into()),
             MessageBody::Append(request) => Self::Append(request.into()),
             MessageBody::AppendReply(reply) => Self::AppendReply(reply.into()),
+            MessageBody::EntryChunk(chunk) => Self::EntryChunk(chunk.into()),
+            MessageBody::EntryChunkReply(reply) => Self::EntryChunkReply(reply.into()),
             MessageBody::Snapshot(chunk) => Self::Snapshot(chunk.into()),
             MessageBody::SnapshotReply(reply) => Self::SnapshotReply(reply.into()),
             MessageBody::Read(context) => Self::Read(peer::ReadRequest { context: context.0 }),
@@ -359,6 +413,8 @@
             peer::PeerBody::VoteReply(reply) => Self::VoteReply(reply.into()),
             peer::PeerBody::Append(request) => Self::Append(request.into()),
             peer::PeerBody::AppendReply(reply) => Self::AppendReply(reply.into()),
+            peer::PeerBody::EntryChunk(chunk) => Self::EntryChunk(chunk.into()),
+            peer::PeerBody::EntryChunkReply(reply) => Self::EntryChunkReply(reply.into()),
             peer::PeerBody::Snapshot(chunk) => Self::Snapshot(chunk.into()),
             peer::PeerBody::SnapshotReply(reply) => Self::SnapshotReply(reply.into()),
             peer::PeerBody::Read(read) => Self::Read(ReadContext(read.context)),
--- a/crates/oriolecrank-consensus/tests/core_rules.rs
+++ b/crates/oriolecrank-consensus/tests/core_rules.rs
@@ -114,6 +114,7 @@
         accepted: true,
         previous_index: LogIndex(0),
         match_index: LogIndex(index),
+        takes_chunks: true,
     })
 }
 
--- a/crates/oriolecrank-consensus/tests/support/group.rs
+++ b/crates/oriolecrank-consensus/tests/support/group.rs
@@ -21,6 +21,12 @@
 /// Bytes added to each snapshot, so that a transfer takes several chunks.
 const SNAPSHOT_PADDING: usize = 300;
 
+/// Every so many proposals, one is too large for an append request and is sent in chunks.
+const LARGE_ENTRY_INTERVAL: u64 = 5;
+
+/// Size of such a proposal, in bytes: four chunks.
+const LARGE_ENTRY_BYTES: usize = 500;
+
 /// Delay before an instance opens its data folder again after a failure, in ms, as the processes have it.
 const FAILED_DISK_DELAY_MS: u64 = 1_500;
 
@@ -393,7 +399,11 @@
     /// Proposes a new value; `None` if the instance rejects it.
     pub fn propose(&mut self, id: &InstanceId) -> Option<EntryPosition> {
         self.next_value += 1;
-        let data: Arc<[u8]> = self.next_value.to_be_bytes().as_slice().into();
+        let mut data = self.next_value.to_be_bytes().to_vec();
+        if self.next_value.is_multiple_of(LARGE_ENTRY_INTERVAL) {
+            data.resize(LARGE_ENTRY_BYTES, 0);
+        }
+        let data: Arc<[u8]> = data.into();
         self.propose_data(id, data)
     }
 
--- a/crates/oriolecrank-control/src/peer_transport.rs
+++ b/crates/oriolecrank-control/src/peer_transport.rs
@@ -196,6 +196,7 @@
             });
             data.sum()
         }
+        MessageBody::EntryChunk(chunk) => chunk.data.len(),
         MessageBody::Snapshot(chunk) => chunk.data.len(),
         _ => 0,
     }
--- a/crates/oriolecrank-control/src/replica_thread.rs
+++ b/crates/oriolecrank-control/src/replica_thread.rs
@@ -220,8 +220,9 @@
     fn count_memory(&mut self) {
         let memory = self.node.memory();
         let pending = self.settings.memory.proposals.used();
-        self.leases.log.count(memory.log.saturating_sub(pending));
-        let snapshots = memory.snapshots + memory.incoming;
+        let log = memory.log.saturating_sub(pending) + memory.incoming_entry;
+        self.leases.log.count(log);
+        let snapshots = memory.snapshots + memory.incoming_snapshot;
         self.leases.snapshots.count(snapshots);
     }
 
--- a/crates/oriolecrank-gateway/src/memory_report.rs
+++ b/crates/oriolecrank-gateway/src/memory_report.rs
@@ -41,7 +41,7 @@
         let (used, peak) = (holders.whole().used(), holders.whole().take_peak());
         let capacity = holders.whole().capacity();
         let level = peak / (capacity / LEVELS).max(1);
-        let uses = holders.take_uses();
+        let held = holders.take_uses();
         if level != logged_level {
             logged_level = level;
             tracing::info!(
@@ -49,7 +49,7 @@
                 used,
                 peak,
                 capacity,
-                holders = %HolderList(&uses),
+                holders = %HolderList(&held),
                 "the memory that this process holds has changed much"
             );
         }
--- a/crates/oriolecrank-gateway/src/site_server.rs
+++ b/crates/oriolecrank-gateway/src/site_server.rs
@@ -35,7 +35,7 @@
 
 /// Upper bound of the memory that a document takes while it is decoded and checked.
 fn decoded_bytes(source: &[u8]) -> usize {
-    let objects = source.iter().filter(|byte| **byte == b'{').count();
+    let objects = source.split(|byte| *byte == b'{').count() - 1;
     source.len() + objects * OBJECT_BYTES
 }
 
--- a/crates/oriolecrank-net/src/intake/byte_budget.rs
+++ b/crates/oriolecrank-net/src/intake/byte_budget.rs
@@ -40,6 +40,7 @@
     }
 
     /// Creates a part of this budget with a limit of its own. What is held in it counts in both.
+    #[must_use]
     pub fn part(&self, capacity: usize) -> Self {
         Self::with_whole(capacity, Some(self.clone()))
     }
