Bound what control instances send to and receive from each other

Cause: up to four batches of 2 MiB and more were under way to each member, each with a decoded and an encoded copy, and heartbeats waited for one of these four places. The internal address read bodies of up to 8 MiB outside any budget, and decoded messages waited for the replica uncounted. Proposals were bounded by 64 MiB whatever memory the process had.

A batch counts in the part of its member and is dropped when there is no room, as the replica repeats what is needed. Bodies and messages that are received count until the replica has handled them; without room the sender gets 503.

A new test shows a heartbeat that passes a large message to a member that does not read.

--- a/crates/oriolecrank-control/src/peer_ingress.rs
+++ b/crates/oriolecrank-control/src/peer_ingress.rs
@@ -1,10 +1,10 @@
 //! Receiving side of the messages between control instances.
 
-use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use oriolecrank_consensus::{InstanceId, PeerMessage};
-use oriolecrank_net::{AnswerBody, PeerGuard, empty_answer, read_body};
+use oriolecrank_net::intake::{BodyError, BodyLimits, read_body_within};
+use oriolecrank_net::{AnswerBody, PeerGuard, empty_answer, with_close};
 use oriolecrank_schema::{codec, peer};
 
 use crate::peer_directory::PeerDirectory;
@@ -42,18 +42,30 @@
 
     /// Answers `POST /v1/peer`: 204 if the messages are accepted, 401 without the cluster secret,
     /// 426 for an unsupported protocol version, 400 if the body is not a batch or too large, 409
-    /// for a batch of another cluster.
+    /// for a batch of another cluster, 503 if there is no room for the messages now.
     pub async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         if let Some(refusal) = self.guard.refusal(request.headers()) {
             return refusal;
         }
-        let body = read_body(request.into_body(), MAX_BATCH_BYTES).await;
-        let mut lease = self.replica.memory().received.lease();
-        lease.count(body.as_ref().map_or(0, Bytes::len));
-        let batch = body.map(|body| codec::decode::<peer::PeerBatch>(&body));
-        let Some(Ok(batch)) = batch else {
+        let budget = &self.replica.memory().received;
+        let limits = BodyLimits::of_bytes(MAX_BATCH_BYTES);
+        let body = match read_body_within(request.into_body(), limits, budget).await {
+            Ok(body) => body,
+            Err(BodyError::Full { .. }) => {
+                return with_close(empty_answer(StatusCode::SERVICE_UNAVAILABLE));
+            }
+            Err(_) => return with_close(empty_answer(StatusCode::BAD_REQUEST)),
+        };
+        let Ok(batch) = codec::decode::<peer::PeerBatch>(&body) else {
             return empty_answer(StatusCode::BAD_REQUEST);
         };
+        // The messages take the place of the body.
+        let size = body.len();
+        drop(body);
+        let mut lease = budget.lease();
+        if lease.resize(size).is_err() {
+            return empty_answer(StatusCode::SERVICE_UNAVAILABLE);
+        }
         if batch.cluster != self.cluster {
             return empty_answer(StatusCode::CONFLICT);
         }
@@ -62,7 +74,10 @@
                 .record_sender(InstanceId::new(&first.from), address);
         }
         let messages = batch.messages.into_iter().map(PeerMessage::from).collect();
-        self.replica.deliver(messages, lease);
-        empty_answer(StatusCode::NO_CONTENT)
+        if self.replica.deliver(messages, lease) {
+            empty_answer(StatusCode::NO_CONTENT)
+        } else {
+            empty_answer(StatusCode::SERVICE_UNAVAILABLE)
+        }
     }
 }
--- a/crates/oriolecrank-control/src/replica.rs
+++ b/crates/oriolecrank-control/src/replica.rs
@@ -12,7 +12,7 @@
 use oriolecrank_net::BootClock;
 use oriolecrank_net::intake::ByteLease;
 use snafu::ensure;
-use tokio::sync::{Semaphore, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
 
 use crate::control_memory::ControlMemory;
@@ -27,9 +27,9 @@
 /// would delay heartbeats.
 pub const MAX_ENTRY_BYTES: usize = 4 * 1024 * 1024;
 
-/// Largest total size of the pending proposals, in KiB. More would bring a control instance close
-/// to its memory limit of 256 MB.
-const MAX_PENDING_KIB: usize = 64 * 1024;
+/// Memory that a proposal takes besides its data, in bytes. Above the size of items that a budget
+/// does not count, so that a crowd of small proposals is bounded too.
+const PROPOSAL_OVERHEAD_BYTES: usize = 4 * 1024 + 1;
 
 /// Settings of a replica.
 #[derive(Debug, Clone)]
@@ -120,8 +120,6 @@
     pub(crate) authority: Arc<Mutex<Option<LeaderAuthority>>>,
     pub(crate) status: watch::Receiver<ReplicaStatus>,
     pub(crate) phase: watch::Receiver<ReplicaPhase>,
-    /// One permit for each KiB that further proposals may take.
-    pub(crate) proposal_memory: Arc<Semaphore>,
     pub(crate) memory: ControlMemory,
     pub(crate) propose_timeout: Duration,
     pub(crate) barrier_timeout: Duration,
@@ -135,7 +133,6 @@
             authority: Arc::clone(&self.authority),
             status: self.status.clone(),
             phase: self.phase.clone(),
-            proposal_memory: Arc::clone(&self.proposal_memory),
             memory: self.memory.clone(),
             propose_timeout: self.propose_timeout,
             barrier_timeout: self.barrier_timeout,
@@ -149,19 +146,14 @@
     pub async fn propose(&self, data: Vec<u8>) -> Result<Applied<O>, ProposeError> {
         let (size, limit) = (data.len(), MAX_ENTRY_BYTES);
         ensure!(size <= limit, TooLargeSnafu { size, limit });
-        let Ok(permit) = Arc::clone(&self.proposal_memory).try_acquire_many_owned(kibibytes(size))
-        else {
-            return OverloadedSnafu.fail();
-        };
         let mut lease = self.memory.proposals.lease();
-        lease.count(size);
+        // Counted from the first byte on, to allow for the overhead of a proposal.
+        ensure!(
+            lease.resize(size + PROPOSAL_OVERHEAD_BYTES).is_ok(),
+            OverloadedSnafu
+        );
         let (reply, outcome) = oneshot::channel();
-        let input = ReplicaInput::Propose {
-            data,
-            reply,
-            permit,
-            lease,
-        };
+        let input = ReplicaInput::Propose { data, reply, lease };
         match self.inputs.try_send(input) {
             Ok(()) => {}
             Err(TrySendError::Full(_)) => return OverloadedSnafu.fail(),
@@ -272,14 +264,3 @@
         phase.clone()
     }
 }
-
-/// Permits for the memory of pending proposals, one for each KiB.
-pub(crate) fn proposal_memory() -> Arc<Semaphore> {
-    Arc::new(Semaphore::new(MAX_PENDING_KIB))
-}
-
-/// Memory that a proposal with `bytes` of data counts for, in KiB. Always more than the data, to
-/// allow for the overhead of a proposal.
-fn kibibytes(bytes: usize) -> u32 {
-    (bytes / 1024 + 1) as u32
-}
--- a/crates/oriolecrank-control/src/replica_input.rs
+++ b/crates/oriolecrank-control/src/replica_input.rs
@@ -2,7 +2,7 @@
 
 use oriolecrank_consensus::{EntryPosition, LogIndex, MembershipRequest, PeerMessage};
 use oriolecrank_net::intake::ByteLease;
-use tokio::sync::{OwnedSemaphorePermit, oneshot};
+use tokio::sync::oneshot;
 
 use crate::replica_error::{Applied, BarrierError, ChangeError, ProposeError};
 
@@ -26,10 +26,7 @@
     Propose {
         data: Vec<u8>,
         reply: ProposeReply<O>,
-        /// Memory that the proposal counts for; released once its result is known or its caller no
-        /// longer waits.
-        permit: OwnedSemaphorePermit,
-        /// Counts the data until then.
+        /// Counts the data until the result is known or the caller no longer waits.
         lease: ByteLease,
     },
     Change {
--- a/crates/oriolecrank-control/src/replica_thread.rs
+++ b/crates/oriolecrank-control/src/replica_thread.rs
@@ -23,9 +23,7 @@
 
 use crate::control_memory::ControlMemory;
 use crate::peer_sender::PeerSender;
-use crate::replica::{
-    ReplicaHandle, ReplicaPhase, ReplicaSettings, ReplicaStatus, ReplicaView, proposal_memory,
-};
+use crate::replica::{ReplicaHandle, ReplicaPhase, ReplicaSettings, ReplicaStatus, ReplicaView};
 use crate::replica_error::{ChangeError, ProposeError, ReplicaError, SpawnSnafu, StorageSnafu};
 use crate::replica_input::{ReadReply, ReplicaInput};
 use crate::replica_waiters::{EntryWaiter, EntryWaiters, ReadWaiters};
@@ -121,7 +119,6 @@
         authority: Arc::clone(&authority),
         status: status_receiver,
         phase: phase_receiver,
-        proposal_memory: proposal_memory(),
         propose_timeout: settings.propose_timeout,
         barrier_timeout: settings.barrier_timeout,
         memory: settings.memory.clone(),
@@ -236,22 +233,18 @@
                         self.node.step(message, now);
                     }
                 }
-                ReplicaInput::Propose {
-                    data,
-                    reply,
-                    permit,
-                    lease,
-                } => match self.node.propose(data.into(), now) {
-                    Ok(position) => {
-                        let waiter = EntryWaiter::Proposal {
-                            reply,
-                            _permit: permit,
-                            _lease: lease,
-                        };
-                        self.entries.add(position, waiter);
+                ReplicaInput::Propose { data, reply, lease } => {
+                    match self.node.propose(data.into(), now) {
+                        Ok(position) => {
+                            let waiter = EntryWaiter::Proposal {
+                                reply,
+                                _lease: lease,
+                            };
+                            self.entries.add(position, waiter);
+                        }
+                        Err(refused) => drop(reply.send(Err(refused.into()))),
                     }
-                    Err(refused) => drop(reply.send(Err(refused.into()))),
-                },
+                }
                 ReplicaInput::Change { request, reply } => {
                     match self.node.propose_membership(&request, now) {
                         Ok(position) => self.entries.add(position, EntryWaiter::Change(reply)),
--- a/crates/oriolecrank-control/src/replica_waiters.rs
+++ b/crates/oriolecrank-control/src/replica_waiters.rs
@@ -4,7 +4,6 @@
 
 use oriolecrank_consensus::{EntryPosition, LogIndex, ReadContext, ReadOutcome, Term};
 use oriolecrank_net::intake::ByteLease;
-use tokio::sync::OwnedSemaphorePermit;
 
 use crate::replica_error::{Applied, BarrierError, ChangeError, ProposeError};
 use crate::replica_input::{ChangeReply, ProposeReply, ReadReply};
@@ -14,9 +13,7 @@
 pub(crate) enum EntryWaiter<O> {
     Proposal {
         reply: ProposeReply<O>,
-        /// Memory that the proposal counts for; released when the waiter is dropped.
-        _permit: OwnedSemaphorePermit,
-        /// Counts the data until then.
+        /// Counts the data until the waiter is dropped.
         _lease: ByteLease,
     },
     Change(ChangeReply),
--- a/crates/oriolecrank-control/tests/peer_transport.rs
+++ b/crates/oriolecrank-control/tests/peer_transport.rs
@@ -6,7 +6,7 @@
     AppendRequest, EntryBody, InstanceId, LogEntry, LogIndex, Member, MemberRole, Membership,
     MessageBody, PeerMessage, RoundMark, Term,
 };
-use oriolecrank_control::{PeerDirectory, PeerSender as _, PeerTransport};
+use oriolecrank_control::{ControlMemory, PeerDirectory, PeerSender as _, PeerTransport};
 use oriolecrank_net::{ClusterSecret, HttpClient};
 use oriolecrank_schema::TimePoint;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -83,3 +83,51 @@
         "the connection was given up before the response"
     );
 }
+
+/// Reads a request from a connection and returns the size of its head and body; does not answer.
+async fn read_some(connection: &mut tokio::net::TcpStream) -> usize {
+    let mut buffer = vec![0; 4 * 1024];
+    connection.read(&mut buffer).await.unwrap()
+}
+
+/// Guards against heartbeats that wait behind a large message to a member that reads slowly, and
+/// against copies of large messages that pile up for it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_heartbeat_passes_large_messages_and_one_of_these_is_under_way() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let follower = InstanceId::new("follower");
+    let memory = ControlMemory::default();
+    let transport = PeerTransport::new(
+        "test".to_owned(),
+        "127.0.0.1:1".parse().unwrap(),
+        HttpClient::default(),
+        ClusterSecret::new("a-secret-of-the-test").unwrap(),
+        PeerDirectory::default(),
+    );
+    let mut transport = transport.within(memory.clone());
+    transport.set_members(&Membership::founding(vec![Member {
+        id: follower.clone(),
+        address: address.to_string(),
+        role: MemberRole::Voter,
+    }]));
+    transport.send(vec![append_request(&follower); 4]);
+    // The first connection carries a large message and is read no further.
+    let (mut large, _) = listener.accept().await.unwrap();
+    assert!(read_some(&mut large).await > 0);
+    let mut heartbeat = append_request(&follower);
+    if let MessageBody::Append(request) = &mut heartbeat.body {
+        request.entries.clear();
+    }
+    transport.send(vec![heartbeat]);
+    let (mut small, _) = timeout(Duration::from_secs(10), listener.accept())
+        .await
+        .expect("the heartbeat waits behind the large message")
+        .unwrap();
+    assert!(read_some(&mut small).await < 1_024, "not the heartbeat");
+    let held = memory.batches_to(&follower).used();
+    assert!(
+        (ENTRY_BYTES..2 * ENTRY_BYTES).contains(&held),
+        "{held} bytes are under way"
+    );
+}
--- a/crates/oriolecrank-schema/src/codec.rs
+++ b/crates/oriolecrank-schema/src/codec.rs
@@ -19,6 +19,19 @@
     rmp_serde::to_vec_named(message).expect("wire types always encode into memory")
 }
 
+/// Like [`encode`], into a buffer with room for `size` bytes from the start. For messages whose size
+/// is known to be large: a growing buffer takes up to three times the message while it is copied.
+pub fn encode_sized<T: Serialize>(message: &T, size: usize) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(size);
+    encode_into(message, &mut bytes);
+    bytes
+}
+
+/// Appends an encoded message to a buffer.
+pub fn encode_into<T: Serialize>(message: &T, bytes: &mut Vec<u8>) {
+    rmp_serde::encode::write_named(bytes, message).expect("wire types always encode into memory");
+}
+
 /// Decodes a message; unknown fields are ignored.
 ///
 /// # Errors
