Keep what a control instance holds of large documents within its memory

Cause: each order kept its body, its decoded form and a copy of its text until it was acknowledged, and the command of each went into the log, also when the same version was on its way already because the operator had repeated it. Sizes of the log, of proposals and of calls did not follow from the memory of the process.

Change: DocumentQueue lets one document at a time into the log and keeps the newest one after it; calls with other versions keep none and are answered when a version at least as high is committed. A document that is on its way stays so when its caller leaves. The decoded form is counted before it is made and ends with the check; a body is shared instead of copied. The largest document, the tail of the log, uncommitted entries and the connections of both listeners follow from the memory (ControlMemory), and a document that takes long to spread has time in proportion to its size. Each file and batch of the storage is encoded into one buffer.

--- a/crates/oriolecrank-consensus/src/storage/frame.rs
+++ b/crates/oriolecrank-consensus/src/storage/frame.rs
@@ -6,6 +6,9 @@
 //! written, so it is corruption and not a torn write. Corruption of the very last frame cannot be
 //! distinguished from a torn write.
 
+use oriolecrank_schema::codec;
+use serde::Serialize;
+
 /// First bytes of every frame; the search for later frames checks only positions with these bytes.
 const MAGIC: [u8; 4] = *b"orl1";
 
@@ -23,14 +26,19 @@
     Invalid,
 }
 
-/// Appends a frame with the payload to `output`.
-pub(super) fn write_frame(output: &mut Vec<u8>, payload: &[u8]) {
+/// Encodes a record as a frame of about `size` bytes, in a single buffer.
+pub(super) fn encode_frame<R: Serialize>(record: &R, size: usize) -> Vec<u8> {
+    let mut frame = Vec::with_capacity(HEADER_BYTES + size);
+    frame.resize(HEADER_BYTES, 0);
+    codec::encode_into(record, &mut frame);
+    let payload = &frame[HEADER_BYTES..];
     let length = u32::try_from(payload.len()).expect("a frame is far smaller than 4 GiB");
     let length = length.to_be_bytes();
-    output.extend_from_slice(&MAGIC);
-    output.extend_from_slice(&length);
-    output.extend_from_slice(&checksum(length, payload).to_be_bytes());
-    output.extend_from_slice(payload);
+    let crc = checksum(length, payload).to_be_bytes();
+    frame[..4].copy_from_slice(&MAGIC);
+    frame[4..8].copy_from_slice(&length);
+    frame[8..HEADER_BYTES].copy_from_slice(&crc);
+    frame
 }
 
 /// Reads the frame at an offset.
--- a/crates/oriolecrank-consensus/src/storage/log_storage.rs
+++ b/crates/oriolecrank-consensus/src/storage/log_storage.rs
@@ -9,7 +9,7 @@
 
 use super::file_operations::{DiskFiles, FileOperations, LogFile};
 use super::folder_identity::{FolderIdentity, FolderRequest};
-use super::frame::{FrameRead, read_frame, write_frame};
+use super::frame::{FrameRead, encode_frame, read_frame};
 use super::log_replay::replay;
 use super::storage_error::{
     CorruptSnafu, EarlierFailureSnafu, FileFailedSnafu, FolderLockedSnafu, ForeignFolderSnafu,
@@ -30,6 +30,8 @@
     log: F::File,
     /// Records that have not been written yet.
     pending: Vec<peer::StorageRecord>,
+    /// Approximate size of `pending`, in bytes.
+    pending_bytes: usize,
     /// A write or sync failed; every further one is rejected.
     failed: bool,
     _lock: F::Lock,
@@ -75,6 +77,7 @@
             folder: folder.to_owned(),
             log,
             pending: Vec::new(),
+            pending_bytes: 0,
             failed: false,
             _lock: lock,
         };
@@ -92,11 +95,12 @@
     /// The removal must be committed: the old identity neither votes nor acknowledges entries any
     /// more.
     pub fn mark_removed(files: &F, folder: &Path) -> Result<(), StorageError> {
-        write_file(files, folder, REMOVED_FILE, &RemovalRecord {})
+        write_file(files, folder, REMOVED_FILE, &RemovalRecord {}, 0)
     }
 
     /// Buffers records, which the next [`sync`](Self::sync) makes durable.
     pub fn append(&mut self, records: Vec<LogRecord>) {
+        self.pending_bytes += records.iter().map(record_bytes).sum::<usize>();
         self.pending.extend(records.into_iter().map(Into::into));
     }
 
@@ -108,8 +112,8 @@
             return Ok(());
         }
         let records = std::mem::take(&mut self.pending);
-        let mut bytes = Vec::new();
-        write_frame(&mut bytes, &codec::encode(&peer::StorageFrame { records }));
+        let size = std::mem::take(&mut self.pending_bytes);
+        let bytes = encode_frame(&peer::StorageFrame { records }, size);
         let path = self.folder.join(LOG_FILE);
         let result = write_and_sync(&mut self.log, &path, &bytes);
         self.failed = result.is_err();
@@ -129,6 +133,7 @@
     ) -> Result<(), StorageError> {
         ensure!(!self.failed, EarlierFailureSnafu);
         self.pending.clear();
+        self.pending_bytes = 0;
         let state = StoredState {
             hard_state: hard_state.clone(),
             founding,
@@ -144,6 +149,7 @@
             &self.folder,
             SNAPSHOT_FILE,
             &peer::SnapshotRecord::from(snapshot),
+            snapshot.data.len(),
         )?;
         self.log = rewrite_log(&self.files, &self.folder, &state)?;
         self.failed = false;
@@ -177,7 +183,7 @@
         ..request.clone()
     };
     let identity = peer::FolderIdentity::from(&request.new_identity());
-    write_file(files, folder, IDENTITY_FILE, &identity)?;
+    write_file(files, folder, IDENTITY_FILE, &identity, 0)?;
     let marker = folder.join(REMOVED_FILE);
     file_result("remove", &marker, files.remove_file(&marker))?;
     file_result("sync", folder, files.sync_folder(folder))
@@ -220,11 +226,11 @@
             data: Vec::new().into(),
         };
         let record = peer::SnapshotRecord::from(&snapshot);
-        write_file(files, folder, SNAPSHOT_FILE, &record)?;
+        write_file(files, folder, SNAPSHOT_FILE, &record, 0)?;
     }
     rewrite_log(files, folder, &StoredState::default())?;
     let record = peer::FolderIdentity::from(&identity);
-    write_file(files, folder, IDENTITY_FILE, &record)?;
+    write_file(files, folder, IDENTITY_FILE, &record, 0)?;
     Ok(identity)
 }
 
@@ -251,8 +257,10 @@
     let mut records = vec![LogRecord::HardState(state.hard_state.clone())];
     records.extend(state.founding.clone().map(LogRecord::Founding));
     records.extend(state.entries.iter().cloned().map(LogRecord::Entry));
+    let size = records.iter().map(record_bytes).sum();
     let records = records.into_iter().map(Into::into).collect();
-    replace_file(files, folder, LOG_FILE, &peer::StorageFrame { records })
+    let frame = peer::StorageFrame { records };
+    replace_file(files, folder, LOG_FILE, &frame, size)
 }
 
 /// Reads a file of one frame. Such files are renamed into place when complete, so an invalid frame
@@ -287,20 +295,32 @@
     folder: &Path,
     name: &str,
     record: &R,
+    size: usize,
 ) -> Result<(), StorageError> {
-    replace_file(files, folder, name, record).map(drop)
+    replace_file(files, folder, name, record, size).map(drop)
 }
 
-/// Writes a file of one frame under a temporary name, syncs it and renames it into place.
+/// Approximate size of a record in the log file, in bytes.
+fn record_bytes(record: &LogRecord) -> usize {
+    /// Size of a record without an entry.
+    const SMALL_BYTES: usize = 64;
+    match record {
+        LogRecord::Entry(entry) => SMALL_BYTES + entry.size(),
+        LogRecord::HardState(_) | LogRecord::Founding(_) => SMALL_BYTES,
+    }
+}
+
+/// Writes a file of one frame of about `size` bytes under a temporary name, syncs it and renames it
+/// into place.
 fn replace_file<F: FileOperations, R: Serialize>(
     files: &F,
     folder: &Path,
     name: &str,
     record: &R,
+    size: usize,
 ) -> Result<F::File, StorageError> {
     let temporary = folder.join(format!("{name}.new"));
-    let mut bytes = Vec::new();
-    write_frame(&mut bytes, &codec::encode(record));
+    let bytes = encode_frame(record, size);
     let mut file = file_result("create", &temporary, files.create(&temporary))?;
     write_and_sync(&mut file, &temporary, &bytes)?;
     let path = folder.join(name);
--- a/crates/oriolecrank-control/src/control_memory.rs
+++ b/crates/oriolecrank-control/src/control_memory.rs
@@ -6,6 +6,14 @@
 /// Holder of the bytes under way to a member.
 const BATCHES: &str = "batches";
 
+/// Memory that a connection of a client may hold outside the budget, in bytes, as in
+/// [`IntakeSettings`].
+const CLIENT_CONNECTION_BYTES: usize = 56 * 1024;
+
+/// Memory that a connection of another instance holds outside the budget, in bytes: its buffers and
+/// its task. Other instances send heads and bodies of the usual sizes.
+const PEER_CONNECTION_BYTES: usize = 16 * 1024;
+
 /// Largest document, in bytes: room for a document with some thousand routes.
 const MAX_DOCUMENT_BYTES: usize = 4 * 1024 * 1024;
 
@@ -71,6 +79,22 @@
         (self.unit / 9 * 4).min(MAX_DOCUMENT_BYTES)
     }
 
+    /// Largest total size of the entries that are not committed yet, in bytes: two documents, the one on
+    /// its way and one that a leader before this one has left.
+    pub const fn uncommitted_bytes(&self) -> usize {
+        self.unit
+    }
+
+    /// Connections of clients for which there is memory.
+    pub const fn client_connections(&self) -> usize {
+        2 * self.unit / CLIENT_CONNECTION_BYTES
+    }
+
+    /// Connections of other instances for which there is memory.
+    pub const fn peer_connections(&self) -> usize {
+        self.unit / PEER_CONNECTION_BYTES
+    }
+
     /// Part for the bytes under way to a member.
     pub fn batches_to(&self, member: &InstanceId) -> ByteBudget {
         self.holders
@@ -81,14 +105,4 @@
     pub fn forget_batches_to(&self, member: &InstanceId) {
         self.holders.remove_member(BATCHES, member.as_str());
     }
-
-    /// Bytes for the connections of clients.
-    pub const fn client_connection_bytes(&self) -> usize {
-        2 * self.unit
-    }
-
-    /// Bytes for the connections of other instances.
-    pub const fn peer_connection_bytes(&self) -> usize {
-        self.unit
-    }
 }
--- a/crates/oriolecrank-control/src/replica.rs
+++ b/crates/oriolecrank-control/src/replica.rs
@@ -23,9 +23,8 @@
 };
 use crate::replica_input::ReplicaInput;
 
-/// Largest data of one log entry, in bytes. An entry is sent and synced as a whole, so a larger one
-/// would delay heartbeats.
-pub const MAX_ENTRY_BYTES: usize = 4 * 1024 * 1024;
+/// Largest data of one log entry, in bytes: a document of the largest size and what its command adds.
+pub const MAX_ENTRY_BYTES: usize = 4 * 1024 * 1024 + 1024;
 
 /// Memory that a proposal takes besides its data, in bytes. Above the size of items that a budget
 /// does not count, so that a crowd of small proposals is bounded too.
@@ -144,6 +143,15 @@
     /// Commits `data` and applies it to the state machine of this instance; returns the result of
     /// the state machine. At most [`MAX_ENTRY_BYTES`].
     pub async fn propose(&self, data: Vec<u8>) -> Result<Applied<O>, ProposeError> {
+        self.propose_within(data, Duration::ZERO).await
+    }
+
+    /// Like [`propose`](Self::propose), with `transfer_time` more for data that takes long to spread.
+    pub async fn propose_within(
+        &self,
+        data: Vec<u8>,
+        transfer_time: Duration,
+    ) -> Result<Applied<O>, ProposeError> {
         let (size, limit) = (data.len(), MAX_ENTRY_BYTES);
         ensure!(size <= limit, TooLargeSnafu { size, limit });
         let mut lease = self.memory.proposals.lease();
@@ -159,7 +167,7 @@
             Err(TrySendError::Full(_)) => return OverloadedSnafu.fail(),
             Err(TrySendError::Disconnected(_)) => return ProposeStoppedSnafu.fail(),
         }
-        match timeout(self.propose_timeout, outcome).await {
+        match timeout(self.propose_timeout + transfer_time, outcome).await {
             Ok(Ok(result)) => result,
             Ok(Err(_)) | Err(_) => OutcomeUnknownSnafu.fail(),
         }
--- a/crates/oriolecrank-control/tests/peer_transport.rs
+++ b/crates/oriolecrank-control/tests/peer_transport.rs
@@ -84,12 +84,6 @@
     );
 }
 
-/// Reads a request from a connection and returns the size of its head and body; does not answer.
-async fn read_some(connection: &mut tokio::net::TcpStream) -> usize {
-    let mut buffer = vec![0; 4 * 1024];
-    connection.read(&mut buffer).await.unwrap()
-}
-
 /// Guards against heartbeats that wait behind a large message to a member that reads slowly, and
 /// against copies of large messages that pile up for it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -114,7 +108,8 @@
     transport.send(vec![append_request(&follower); 4]);
     // The first connection carries a large message and is read no further.
     let (mut large, _) = listener.accept().await.unwrap();
-    assert!(read_some(&mut large).await > 0);
+    let mut buffer = vec![0; 4 * 1024];
+    assert!(large.read(&mut buffer).await.unwrap() > 0);
     let mut heartbeat = append_request(&follower);
     if let MessageBody::Append(request) = &mut heartbeat.body {
         request.entries.clear();
@@ -124,7 +119,8 @@
         .await
         .expect("the heartbeat waits behind the large message")
         .unwrap();
-    assert!(read_some(&mut small).await < 1_024, "not the heartbeat");
+    let received = small.read(&mut buffer).await.unwrap();
+    assert!((1..1_024).contains(&received), "not the heartbeat");
     let held = memory.batches_to(&follower).used();
     assert!(
         (ENTRY_BYTES..2 * ENTRY_BYTES).contains(&held),
--- a/crates/oriolecrank-gateway/src/control_link.rs
+++ b/crates/oriolecrank-gateway/src/control_link.rs
@@ -60,6 +60,18 @@
         codec::decode(&bytes).context(InvalidAnswerSnafu)
     }
 
+    /// Like [`call`](Self::call), for a message that is encoded already.
+    pub(crate) async fn call_encoded<A: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        message: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<A, LinkError> {
+        let bytes = self.send_encoded(address, path, message, timeout).await?;
+        codec::decode(&bytes).context(InvalidAnswerSnafu)
+    }
+
     /// Sends a message whose answer has no body.
     pub(crate) async fn notify<T: Serialize>(
         &self,
@@ -98,8 +110,18 @@
         message: &T,
         timeout: Duration,
     ) -> Result<Bytes, LinkError> {
-        let body = Bytes::from(codec::encode(message));
-        let request = peer_request(&self.secret, path, body);
+        let message = codec::encode(message);
+        self.send_encoded(address, path, message, timeout).await
+    }
+
+    async fn send_encoded(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        message: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<Bytes, LinkError> {
+        let request = peer_request(&self.secret, path, Bytes::from(message));
         let answer = self.client.send(address, request, timeout).await;
         let answer = answer.context(FailedSnafu)?;
         let status = answer.status();
--- a/crates/oriolecrank-gateway/src/control_session.rs
+++ b/crates/oriolecrank-gateway/src/control_session.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use oriolecrank_consensus::{DiskFiles, InstanceId, LogStorage, Member, MemberRole, StorageError};
+use oriolecrank_consensus::{
+    DiskFiles, InstanceId, LogStorage, Member, MemberRole, RaftSettings, StorageError,
+};
 use oriolecrank_control::{
     ControlMemory, PeerDirectory, PeerIngress, PeerTransport, ReplicaError, ReplicaHandle,
     ReplicaPhase, ReplicaSettings, start_replica,
@@ -30,6 +32,7 @@
 use crate::control_metrics::{ControlMetrics, SiteGaugeValues};
 use crate::control_site::{ControlSiteError, ControlSiteOptions, ReplicaSnafu, listen};
 use crate::dialect::{OrderDialect, SiteDialect, UsageDialect};
+use crate::document_queue::DocumentQueue;
 use crate::document_transfer::DocumentCache;
 use crate::group_repair::GroupRepair;
 use crate::internal_server::InternalServer;
@@ -120,6 +123,7 @@
                 client: client.clone(),
                 secret: options.secret.clone(),
             },
+            documents: DocumentQueue::default(),
             read_term: Arc::default(),
         };
         let fair_share = options.fair_share.unwrap_or_default();
@@ -143,14 +147,13 @@
             documents: DocumentCache::new(&self.memory),
             quota: QuotaGranter::new(options.quota),
         };
-        let client_budget = self.memory.clients.clone();
         let site_server = SiteServer {
             dialect: Arc::clone(&self.dialect),
             publisher: publisher.clone(),
             tables: Arc::clone(&tables),
             gossip: SiteGossip::start(options.cluster.clone(), publisher.clone(), &mut tasks),
             clock: Arc::clone(&clock),
-            client_budget: client_budget.clone(),
+            client_budget: self.memory.clients.clone(),
             memory: self.memory.clone(),
         };
         let parts = SessionParts {
@@ -171,16 +174,8 @@
             internal,
             site_server,
             internal_server,
-            operator_settings: ServerSettings {
-                max_connections: options.intake.client_connections(),
-                budget: client_budget,
-                ..ServerSettings::default()
-            },
-            internal_settings: ServerSettings {
-                max_connections: options.intake.peer_connections(),
-                budget: options.intake.peer_budget(),
-                ..ServerSettings::default()
-            },
+            operator_settings: operator_settings(options, &self.memory),
+            internal_settings: internal_settings(options, &self.memory),
             removed,
             data_folder: &options.data_folder,
         };
@@ -357,6 +352,26 @@
     }
 }
 
+/// Limits of the listener for operators and upstreams.
+fn operator_settings(options: &ControlSiteOptions, memory: &ControlMemory) -> ServerSettings {
+    let for_descriptors = options.intake.client_connections();
+    ServerSettings {
+        max_connections: for_descriptors.min(memory.client_connections()),
+        budget: memory.clients.clone(),
+        ..ServerSettings::default()
+    }
+}
+
+/// Limits of the listener for entries and other control instances.
+fn internal_settings(options: &ControlSiteOptions, memory: &ControlMemory) -> ServerSettings {
+    let for_descriptors = options.intake.peer_connections();
+    ServerSettings {
+        max_connections: for_descriptors.min(memory.peer_connections()),
+        budget: memory.received.clone(),
+        ..ServerSettings::default()
+    }
+}
+
 /// Settings of the replica. Only founding members bootstrap the group with the list of founders;
 /// any other instance waits until the leader adds it.
 fn replica_settings(options: &ControlSiteOptions, memory: ControlMemory) -> ReplicaSettings {
@@ -374,9 +389,13 @@
         founders: founders.collect(),
         // Documents are large compared with a disk of 64 MB, of which the log may use only a part.
         snapshot_entries: 512,
-        snapshot_bytes: 4 * 1024 * 1024,
+        snapshot_bytes: memory.largest_document(),
         trailing_entries: 128,
-        trailing_bytes: 2 * 1024 * 1024,
+        trailing_bytes: memory.largest_document() / 2,
+        raft: RaftSettings {
+            max_uncommitted_bytes: memory.uncommitted_bytes(),
+            ..RaftSettings::default()
+        },
         propose_timeout: Duration::from_millis(2_500),
         memory,
         ..ReplicaSettings::default()
--- a/crates/oriolecrank-gateway/src/document_transfer.rs
+++ b/crates/oriolecrank-gateway/src/document_transfer.rs
@@ -67,7 +67,7 @@
         };
         Ok(StoredDocument {
             version: self.version,
-            source,
+            source: source.into(),
         })
     }
 }
--- a/crates/oriolecrank-gateway/src/internal_server.rs
+++ b/crates/oriolecrank-gateway/src/internal_server.rs
@@ -10,11 +10,14 @@
 use hyper::body::Incoming;
 use oriolecrank_consensus::InstanceId;
 use oriolecrank_control::{PEER_PATH, PeerIngress};
+use oriolecrank_net::intake::{BodyError, BodyLimits, read_body_within};
 use oriolecrank_net::{
-    AnswerBody, BootClock, HttpHandler, PeerGuard, empty_answer, message_answer, read_body,
-    text_answer,
+    AnswerBody, BootClock, HttpHandler, PeerGuard, empty_answer, message_answer, text_answer,
+    with_close,
+};
+use oriolecrank_routing::{
+    CrashSuspect, SiteCommand, SiteOutcome, StoredDocument, SuspectVerdicts,
 };
-use oriolecrank_routing::{CrashSuspect, SiteCommand, SiteOutcome, SuspectVerdicts};
 use oriolecrank_schema::codec::{self, CodecError};
 use oriolecrank_schema::control::JoinRequest;
 use tokio::time::{sleep, timeout};
@@ -26,8 +29,9 @@
 use crate::site_gossip::apply_batch;
 use crate::site_messages::{
     DEPARTURE_PATH, DOCUMENT_PATH, DepartureRequest, DocumentAnswer, DocumentRequest, GOSSIP_PATH,
-    GossipBatch, JOIN_PATH, ORIGIN_PATH, OriginAnswer, OriginRequest, PUBLISH_PATH, RecordsAnswer,
-    STREAMS_PATH, SUSPECTS_PATH, SYNC_PATH, StreamRecords, SuspectReports, SyncAnswer, SyncRequest,
+    GossipBatch, JOIN_PATH, ORIGIN_PATH, OriginAnswer, OriginRequest, PUBLISH_PATH, PublishAnswer,
+    PublishRequest, RecordsAnswer, STREAMS_PATH, SUSPECTS_PATH, SYNC_PATH, StreamRecords,
+    SuspectReports, SyncAnswer, SyncRequest,
 };
 use crate::site_publisher::SitePublisher;
 use crate::site_tables::SiteTables;
@@ -76,16 +80,16 @@
     async fn answer_message(
         &self,
         path: &str,
-        body: &Bytes,
+        body: Bytes,
     ) -> Result<Response<AnswerBody>, CodecError> {
+        if path == PUBLISH_PATH {
+            return self.answer_publish(body).await;
+        }
+        let body = &body;
         let answer = match path {
             SYNC_PATH => message_answer(&self.answer_sync(codec::decode(body)?).await),
             DOCUMENT_PATH => self.answer_document(&codec::decode(body)?),
             GOSSIP_PATH => self.answer_gossip(codec::decode(body)?),
-            PUBLISH_PATH => {
-                let request = codec::decode(body)?;
-                message_answer(&self.publisher.commit(request).await)
-            }
             DEPARTURE_PATH => {
                 let request: DepartureRequest = codec::decode(body)?;
                 let departure = request.departure;
@@ -109,6 +113,23 @@
         Ok(answer)
     }
 
+    /// Commits a document of another instance. It counts as a received message for as long as it is
+    /// kept, in place of the body that it came in.
+    async fn answer_publish(&self, body: Bytes) -> Result<Response<AnswerBody>, CodecError> {
+        let PublishRequest { document } = codec::decode(&body)?;
+        drop(body);
+        let mut lease = self.publisher.replica.memory().received.lease();
+        if lease.resize(document.source.len()).is_err() {
+            return Ok(message_answer(&PublishAnswer::Unavailable));
+        }
+        let document = StoredDocument {
+            version: document.version,
+            source: lease.hold(document.source.into()),
+        };
+        let answer = self.publisher.publish_forwarded(document).await;
+        Ok(message_answer(&answer))
+    }
+
     fn answer_streams(&self, records: StreamRecords) -> RecordsAnswer {
         if self.publisher.replica.authority().is_none() {
             return RecordsAnswer::NotLeader;
@@ -326,10 +347,16 @@
             return refusal;
         }
         let (parts, body) = request.into_parts();
-        let Some(body) = read_body(body, MAX_MESSAGE_BYTES).await else {
-            return empty_answer(StatusCode::PAYLOAD_TOO_LARGE);
+        let limits = BodyLimits::of_bytes(MAX_MESSAGE_BYTES);
+        let budget = &self.publisher.replica.memory().received;
+        let body = match read_body_within(body, limits, budget).await {
+            Ok(body) => body,
+            Err(BodyError::Full { .. }) => {
+                return with_close(empty_answer(StatusCode::SERVICE_UNAVAILABLE));
+            }
+            Err(_) => return with_close(empty_answer(StatusCode::PAYLOAD_TOO_LARGE)),
         };
-        match self.answer_message(parts.uri.path(), &body).await {
+        match self.answer_message(parts.uri.path(), body).await {
             Ok(answer) => answer,
             Err(error) => text_answer(StatusCode::BAD_REQUEST, error.to_string()),
         }
--- a/crates/oriolecrank-gateway/src/lib.rs
+++ b/crates/oriolecrank-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod crash;
 mod dialect;
 mod document_fetcher;
+mod document_queue;
 mod document_transfer;
 mod entry_metrics;
 mod entry_shared;
--- a/crates/oriolecrank-gateway/src/site_machine.rs
+++ b/crates/oriolecrank-gateway/src/site_machine.rs
@@ -51,6 +51,13 @@
         self.version.subscribe()
     }
 
+    /// Waits until a document of this version, or a newer one, is committed.
+    pub(crate) async fn wait_for_version(&self, version: u64) {
+        let mut committed = self.subscribe_version();
+        // The sender lives as long as this state.
+        let _ = committed.wait_for(|committed| *committed >= version).await;
+    }
+
     /// Subscribes to the revision of the admitted origins of streams.
     pub(crate) fn subscribe_origins(&self) -> watch::Receiver<u64> {
         self.origin_revision.subscribe()
--- a/crates/oriolecrank-gateway/src/site_publisher.rs
+++ b/crates/oriolecrank-gateway/src/site_publisher.rs
@@ -8,12 +8,13 @@
 use std::time::Duration;
 
 use oriolecrank_consensus::RoleName;
-use oriolecrank_control::ReplicaHandle;
+use oriolecrank_control::{ProposeError, ReplicaHandle};
 use oriolecrank_routing::{SiteCommand, SiteOutcome, StoredDocument, UpstreamDeparture};
 use oriolecrank_schema::codec;
 use tokio::time::{sleep, timeout};
 
 use crate::control_link::ControlLink;
+use crate::document_queue::{DocumentQueue, LogPlace};
 use crate::site_machine::SharedSite;
 use crate::site_messages::{
     DEPARTURE_PATH, DepartureRequest, PUBLISH_PATH, PublishAnswer, PublishRequest,
@@ -23,6 +24,13 @@
 /// the rest of their own timeout for that.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Slowest way of a document through the group that is waited for, in bytes per second: five copies
+/// over a link of 10 Mbit/s.
+const MIN_COMMIT_RATE: f64 = 250_000.0;
+
+/// Largest size of a forwarded document besides its content, in bytes.
+const REQUEST_HEAD_BYTES: usize = 64;
+
 /// Longest wait of a new leader for the end of its log, well below the timeout of a sync.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -38,56 +46,131 @@
     pub(crate) replica: ReplicaHandle<SiteOutcome>,
     pub(crate) site: SharedSite,
     pub(crate) link: ControlLink,
+    /// Documents on their way into the log.
+    pub(crate) documents: DocumentQueue,
     /// Last term in which this instance led and its state contained all that was committed before; 0
     /// before the first one.
     pub(crate) read_term: Arc<AtomicU64>,
 }
 
 impl SitePublisher {
-    /// Commits a document that passed its checks; true once it, or a newer one, is committed.
+    /// Commits a document that passed its checks; true once it, or a newer one, is committed. At a
+    /// follower the leader commits it.
     pub(crate) async fn publish(&self, document: StoredDocument) -> bool {
-        if self.is_version_committed(document.version) {
+        let version = document.version;
+        let Some(place) = self.enter(version).await else {
+            drop(document);
+            return self.await_version(version).await;
+        };
+        if self.is_version_committed(version) {
             return true;
         }
-        let request = PublishRequest { document };
         match self.leader() {
-            LeaderLocation::Local => self.commit(request).await == PublishAnswer::Committed,
-            LeaderLocation::Remote(address) => {
-                let link = &self.link;
-                let answer: Result<PublishAnswer, _> = link
-                    .call(address, PUBLISH_PATH, &request, LEADER_TIMEOUT)
-                    .await;
-                match answer {
-                    Ok(answer) => answer == PublishAnswer::Committed,
-                    Err(error) => {
-                        tracing::warn!(
-                            event = LogEvent::DocumentNotCommitted.number(),
-                            %address,
-                            %error,
-                            "the leader did not confirm a document; the outcome is unknown"
-                        );
-                        false
-                    }
-                }
-            }
+            LeaderLocation::Local => self.commit(document, place).await,
+            LeaderLocation::Remote(address) => self.forward(document, address).await,
             LeaderLocation::Unknown => false,
         }
     }
 
-    /// Commits a document at the leader, which must be this instance.
-    pub(crate) async fn commit(&self, request: PublishRequest) -> PublishAnswer {
-        let version = request.document.version;
-        match self.propose(&SiteCommand::Publish(request.document)).await {
-            Some(outcome) => {
+    /// Commits a document of another instance at the leader, which must be this instance.
+    pub(crate) async fn publish_forwarded(&self, document: StoredDocument) -> PublishAnswer {
+        let version = document.version;
+        let is_committed = match self.enter(version).await {
+            Some(_) if self.is_version_committed(version) => true,
+            Some(place) => self.commit(document, place).await,
+            None => {
+                drop(document);
+                self.await_version(version).await
+            }
+        };
+        if is_committed {
+            PublishAnswer::Committed
+        } else {
+            PublishAnswer::Unavailable
+        }
+    }
+
+    /// Waits until the document of a version may go into the log; `None` if it need not, because it or
+    /// a newer one is committed or on its way.
+    async fn enter(&self, version: u64) -> Option<LogPlace> {
+        if self.is_version_committed(version) {
+            return None;
+        }
+        self.documents.enter(version).await
+    }
+
+    /// Waits until a version, or a newer one, is committed; false if none is on its way any more.
+    async fn await_version(&self, version: u64) -> bool {
+        let is_released = tokio::select! {
+            () = self.site.wait_for_version(version) => false,
+            () = self.documents.wait_released(version) => true,
+        };
+        // This instance may apply the entry a little later than the leader.
+        let applied = timeout(READ_TIMEOUT, self.site.wait_for_version(version));
+        !is_released || applied.await.is_ok()
+    }
+
+    /// Has the leader commit a document. Large ones may take longer, as long as the operator waits.
+    async fn forward(&self, document: StoredDocument, address: SocketAddr) -> bool {
+        let size = document.source.len();
+        let transfer_time = Duration::from_secs_f64(size as f64 / MIN_COMMIT_RATE);
+        let limit = LEADER_TIMEOUT + transfer_time;
+        let message = codec::encode_sized(&PublishRequest { document }, size + REQUEST_HEAD_BYTES);
+        let link = &self.link;
+        let answer: Result<PublishAnswer, _> = link
+            .call_encoded(address, PUBLISH_PATH, message, limit)
+            .await;
+        match answer {
+            Ok(answer) => answer == PublishAnswer::Committed,
+            Err(error) => {
+                tracing::warn!(
+                    event = LogEvent::DocumentNotCommitted.number(),
+                    %address,
+                    %error,
+                    "the leader did not confirm a document; the outcome is unknown"
+                );
+                false
+            }
+        }
+    }
+
+    /// Commits a document at the leader, which must be this instance. The place is kept until the
+    /// outcome is known, also if the caller leaves, so that no second copy goes into the log.
+    async fn commit(&self, document: StoredDocument, place: LogPlace) -> bool {
+        let version = document.version;
+        let transfer_time = Duration::from_secs_f64(document.source.len() as f64 / MIN_COMMIT_RATE);
+        let data = SiteCommand::Publish(document).encode();
+        let replica = self.replica.clone();
+        let committing = tokio::spawn(async move {
+            let leaving = replica.wait_for_status(|status| status.node.role != RoleName::Leader);
+            let committed = tokio::select! {
+                committed = replica.propose_within(data, transfer_time) => committed,
+                _ = leaving => Err(ProposeError::OutcomeUnknown),
+            };
+            drop(place);
+            committed
+        });
+        match committing.await {
+            Ok(Ok(applied)) => {
                 tracing::info!(
                     event = LogEvent::DocumentAccepted.number(),
                     version,
-                    ?outcome,
+                    outcome = ?applied.output,
                     "a document, or a newer one, is committed"
                 );
-                PublishAnswer::Committed
+                true
+            }
+            Ok(Err(error)) => {
+                tracing::warn!(
+                    event = LogEvent::DocumentNotCommitted.number(),
+                    version,
+                    %error,
+                    "a document was not committed, or its outcome is unknown"
+                );
+                false
             }
-            None => PublishAnswer::Unavailable,
+            // The runtime stops.
+            Err(_) => false,
         }
     }
 
@@ -140,7 +223,7 @@
     /// Commits a command at the leader, which must be this instance; `None` if it was not committed
     /// or the outcome is unknown.
     pub(crate) async fn propose(&self, command: &SiteCommand) -> Option<SiteOutcome> {
-        match self.replica.propose(codec::encode(command)).await {
+        match self.replica.propose(command.encode()).await {
             Ok(applied) => Some(applied.output),
             Err(error) => {
                 tracing::warn!(
--- a/crates/oriolecrank-gateway/src/site_server.rs
+++ b/crates/oriolecrank-gateway/src/site_server.rs
@@ -5,14 +5,15 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http::request::Parts as RequestParts;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use oriolecrank_control::ControlMemory;
 use oriolecrank_net::intake::{BodyAwaited, BodyError, BodyLimits, ByteBudget, read_body_within};
 use oriolecrank_net::{AnswerBody, BootClock, HttpHandler, with_close};
 use oriolecrank_routing::{
-    MergeEffect, RouteDocument, StoredDocument, UpstreamAnnouncement, UpstreamDeparture,
-    UpstreamName, UpstreamReadiness,
+    MergeEffect, StoredDocument, UpstreamAnnouncement, UpstreamDeparture, UpstreamName,
+    UpstreamReadiness,
 };
 
 use crate::caller_server::NO_ROOM_DELAY;
@@ -22,13 +23,6 @@
 use crate::site_publisher::SitePublisher;
 use crate::site_tables::SiteTables;
 
-/// Largest body of a call, in bytes: room for a document with some thousand routes. A command in
-/// the replicated log has the same limit.
-const MAX_CALL_BYTES: usize = 4 * 1024 * 1024;
-
-/// Largest body whose decoded form is not counted, in bytes: that of an upstream's announcement.
-const UNCOUNTED_BYTES: usize = 4 * 1024;
-
 /// Memory for one decoded object of a document besides its strings, in bytes: above that of a route,
 /// the largest one, and of its entry in the check for duplicates.
 const OBJECT_BYTES: usize = 640;
@@ -39,6 +33,15 @@
     source.len() + objects * OBJECT_BYTES
 }
 
+/// A decoded call; a document has passed its checks.
+#[derive(Debug)]
+enum CheckedCall {
+    /// Publishes the document of the body, with this version.
+    Publish(u64),
+    /// Any other call.
+    Other(SiteCall),
+}
+
 /// HTTP handler for the calls of operators and upstreams.
 #[derive(Debug)]
 pub(crate) struct SiteServer<D> {
@@ -54,9 +57,15 @@
 }
 
 impl<D: SiteDialect> SiteServer<D> {
-    async fn answer(&self, call: SiteCall, body: Bytes) -> SiteReply {
+    async fn answer(&self, call: CheckedCall, body: Bytes) -> SiteReply {
+        match call {
+            CheckedCall::Publish(version) => self.publish(version, body).await,
+            CheckedCall::Other(call) => self.answer_other(call).await,
+        }
+    }
+
+    async fn answer_other(&self, call: SiteCall) -> SiteReply {
         match call {
-            SiteCall::Publish(document) => self.publish(&document, body).await,
             SiteCall::Read => self.read().await,
             SiteCall::Announce(announcement) => self.announce(announcement).await,
             SiteCall::Depart { name, started_ms } => self.depart(&name, started_ms).await,
@@ -68,11 +77,27 @@
                 );
                 SiteReply::Invalid(reason)
             }
-            SiteCall::Unknown => SiteReply::Unknown,
+            // A document takes the other way.
+            SiteCall::Publish(_) | SiteCall::Unknown => SiteReply::Unknown,
         }
     }
 
-    async fn publish(&self, document: &RouteDocument, body: Bytes) -> SiteReply {
+    /// Decodes a call and checks a document. The decoded document, which takes several times the memory
+    /// of its text, does not outlive this function.
+    fn decode(&self, parts: &RequestParts, body: &Bytes) -> Result<CheckedCall, SiteReply> {
+        let mut lease = self.memory.decoding.lease();
+        if lease.resize(decoded_bytes(body)).is_err() {
+            tracing::warn!(
+                event = LogEvent::CallRefused.number(),
+                bytes = body.len(),
+                "a document with too many objects for the memory of this instance was refused"
+            );
+            return Err(SiteReply::TooLarge);
+        }
+        let document = match self.dialect.decode_site_call(parts, body) {
+            SiteCall::Publish(document) => document,
+            call => return Ok(CheckedCall::Other(call)),
+        };
         let version = document.version;
         if let Err(error) = document.check() {
             tracing::warn!(
@@ -81,11 +106,15 @@
                 %error,
                 "a document failed its checks and was refused"
             );
-            return SiteReply::Invalid(error.to_string());
+            return Err(SiteReply::Invalid(error.to_string()));
         }
+        Ok(CheckedCall::Publish(version))
+    }
+
+    async fn publish(&self, version: u64, body: Bytes) -> SiteReply {
         let stored = StoredDocument {
             version,
-            source: body.to_vec(),
+            source: body,
         };
         if self.publisher.publish(stored).await {
             tracing::info!(
@@ -117,7 +146,7 @@
         }
         let state = self.publisher.site.read();
         state.document().map_or(SiteReply::Unavailable, |document| {
-            SiteReply::Document(document.source.clone().into())
+            SiteReply::Document(document.source.clone())
         })
     }
 
@@ -230,10 +259,10 @@
 
 impl<D: SiteDialect> HttpHandler for SiteServer<D> {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> Response<AnswerBody> {
-        let (parts, body) = request.into_parts();
-        let limits = BodyLimits::of_bytes(MAX_CALL_BYTES);
+        let (parts, mut body) = request.into_parts();
+        let limits = BodyLimits::of_bytes(self.memory.largest_document());
         let awaited = BodyAwaited::new(&parts.extensions);
-        let read = read_body_within(body, limits, &self.client_budget).await;
+        let read = read_body_within(&mut body, limits, &self.client_budget).await;
         drop(awaited);
         let body = match read {
             Ok(body) => body,
@@ -248,12 +277,10 @@
                 return with_close(self.dialect.encode_site_reply(body_refusal(error)));
             }
         };
-        // Counted while the call is answered, because the decoded document lives as long.
-        let mut decoding = self.memory.decoding.lease();
-        if body.len() > UNCOUNTED_BYTES {
-            decoding.count(decoded_bytes(&body));
-        }
-        let call = self.dialect.decode_site_call(&parts, &body);
+        let call = match self.decode(&parts, &body) {
+            Ok(call) => call,
+            Err(refusal) => return self.dialect.encode_site_reply(refusal),
+        };
         // On the heap, so that a call whose body is still read does not take memory for its answer.
         let reply = Box::pin(self.answer(call, body)).await;
         self.dialect.encode_site_reply(reply)
--- a/crates/oriolecrank-net/src/intake/byte_budget.rs
+++ b/crates/oriolecrank-net/src/intake/byte_budget.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use bytes::Bytes;
 use snafu::{OptionExt as _, Snafu};
 
 /// Largest item that needs no room, in bytes. Heartbeats and most calls fit, so that no crowd shuts
@@ -149,6 +150,14 @@
         Ok(())
     }
 
+    /// Ties the lease to the bytes that it counts, until their last clone is dropped.
+    pub fn hold(self, bytes: Vec<u8>) -> Bytes {
+        Bytes::from_owner(LeasedBytes {
+            bytes,
+            _lease: self,
+        })
+    }
+
     /// Changes the size of the item to one that is bounded elsewhere, also beyond the limit. Small
     /// items count as well.
     pub fn count(&mut self, bytes: usize) {
@@ -173,3 +182,15 @@
         self.release(self.charge);
     }
 }
+
+/// Bytes with the lease that counts them.
+struct LeasedBytes {
+    bytes: Vec<u8>,
+    _lease: ByteLease,
+}
+
+impl AsRef<[u8]> for LeasedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/oriolecrank-routing/src/site_state.rs
+++ b/crates/oriolecrank-routing/src/site_state.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 
+use bytes::Bytes;
 use oriolecrank_schema::TimePoint;
 use oriolecrank_schema::codec::{self, CodecError};
 use serde::{Deserialize, Serialize};
@@ -19,16 +20,21 @@
 /// due within two windows of the end.
 const MAX_CLOSED_WINDOWS: usize = 64;
 
+/// Typical size of an encoded state besides the document, in bytes.
+const SMALL_PARTS_BYTES: usize = 64 * 1024;
+
 /// A route document as it was submitted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredDocument {
     /// Version of the document.
     pub version: u64,
-    /// Submitted bytes, which a read returns unchanged.
-    #[serde(with = "serde_bytes")]
-    pub source: Vec<u8>,
+    /// Submitted bytes, which a read returns unchanged. Clones share them.
+    pub source: Bytes,
 }
 
+/// Largest size of an encoded command with a document besides the document, in bytes.
+const COMMAND_HEAD_BYTES: usize = 64;
+
 /// A usage window whose counts are final.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClosedWindow {
@@ -126,6 +132,18 @@
     suspects: SuspectQuarantine,
 }
 
+impl SiteCommand {
+    /// Encodes the command for the log.
+    pub fn encode(&self) -> Vec<u8> {
+        match self {
+            Self::Publish(document) => {
+                codec::encode_sized(self, document.source.len() + COMMAND_HEAD_BYTES)
+            }
+            _ => codec::encode(self),
+        }
+    }
+}
+
 impl SiteState {
     /// Applies a command, if it is newer than the state.
     pub fn apply(&mut self, command: SiteCommand) -> SiteOutcome {
@@ -226,7 +244,9 @@
 
     /// Encodes the state for a snapshot.
     pub fn encode(&self) -> Vec<u8> {
-        codec::encode(self)
+        let document = self.document.as_ref();
+        let size = document.map_or(0, |document| document.source.len());
+        codec::encode_sized(self, size + SMALL_PARTS_BYTES)
     }
 
     /// Decodes a state; fails if the bytes are not a complete state.
--- a/crates/oriolecrank-routing/tests/routing/site_state.rs
+++ b/crates/oriolecrank-routing/tests/routing/site_state.rs
@@ -10,7 +10,7 @@
 fn publish(version: u64, source: &str) -> SiteCommand {
     SiteCommand::Publish(StoredDocument {
         version,
-        source: source.into(),
+        source: source.to_owned().into(),
     })
 }
 
@@ -28,7 +28,7 @@
     assert_eq!(state.apply(publish(7, "first")), SiteOutcome::Applied);
     assert_eq!(state.apply(publish(7, "other")), SiteOutcome::Superseded);
     assert_eq!(state.apply(publish(6, "older")), SiteOutcome::Superseded);
-    assert_eq!(state.document().unwrap().source, b"first");
+    assert_eq!(&state.document().unwrap().source[..], b"first");
 }
 
 #[test]
--- a/crates/oriolecrank-routing/tests/schedule_support/site_model.rs
+++ b/crates/oriolecrank-routing/tests/schedule_support/site_model.rs
@@ -262,7 +262,10 @@
             return;
         };
         let source = version.to_be_bytes().to_vec();
-        let command = SiteCommand::Publish(StoredDocument { version, source });
+        let command = SiteCommand::Publish(StoredDocument {
+            version,
+            source: source.into(),
+        });
         if let Some(position) = self.propose(&leader, &command) {
             self.pending_documents
                 .push(PendingDocument { position, version });
