Answer an operator whose call is refused before it was read

What operators saw: a configuration above the limit got no answer. An operator that writes its whole call before it reads found the connection reset and repeated the call for ever.

Cause: the refusal was sent and the connection closed with unread bytes, which resets it. Now the rest of the body is read and discarded beside the answer, up to 32 MiB and 10 s.

--- a/crates/oriolecrank-gateway/src/site_server.rs
+++ b/crates/oriolecrank-gateway/src/site_server.rs
@@ -9,7 +9,9 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use oriolecrank_control::ControlMemory;
-use oriolecrank_net::intake::{BodyAwaited, BodyError, BodyLimits, ByteBudget, read_body_within};
+use oriolecrank_net::intake::{
+    BodyAwaited, BodyError, BodyLimits, ByteBudget, DiscardLimits, discard_body, read_body_within,
+};
 use oriolecrank_net::{AnswerBody, BootClock, HttpHandler, with_close};
 use oriolecrank_routing::{
     MergeEffect, StoredDocument, UpstreamAnnouncement, UpstreamDeparture, UpstreamName,
@@ -274,6 +276,11 @@
                     %error,
                     "the body of a call was not read"
                 );
+                if matches!(error, BodyError::TooLarge | BodyError::Full { .. }) {
+                    // An operator that writes its whole call before it reads would else find the
+                    // connection reset, and never learn why.
+                    tokio::spawn(discard_body(body, DiscardLimits::default()));
+                }
                 return with_close(self.dialect.encode_site_reply(body_refusal(error)));
             }
         };
--- a/crates/oriolecrank-net/src/intake/body_reader.rs
+++ b/crates/oriolecrank-net/src/intake/body_reader.rs
@@ -129,6 +129,39 @@
     }
 }
 
+/// Limits for the rest of a body that is read and discarded.
+#[derive(Debug, Clone, Copy)]
+pub struct DiscardLimits {
+    /// Largest number of bytes.
+    pub bytes: usize,
+    /// Longest time.
+    pub time: Duration,
+}
+
+impl Default for DiscardLimits {
+    fn default() -> Self {
+        Self {
+            bytes: 32 * 1024 * 1024,
+            time: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Reads the rest of a refused body and keeps nothing of it, so that the client can read the refusal:
+/// closing a connection with unread bytes resets it.
+pub async fn discard_body<B>(mut body: B, limits: DiscardLimits)
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let deadline = Instant::now() + limits.time;
+    let mut discarded = 0;
+    while discarded <= limits.bytes
+        && let Ok(Some(Ok(frame))) = timeout_at(deadline, body.frame()).await
+    {
+        discarded += frame.data_ref().map_or(0, Bytes::len);
+    }
+}
+
 /// A body that is being read. Frames are copied, because each keeps the whole read buffer of the
 /// connection in memory, however few bytes it has.
 #[derive(Debug)]
--- a/crates/oriolecrank-net/src/intake/mod.rs
+++ b/crates/oriolecrank-net/src/intake/mod.rs
@@ -17,7 +17,9 @@
 
 use crate::settings_file::{SettingsError, invalid_value};
 
-pub use body_reader::{BodyBuffer, BodyError, BodyLimits, BodyPace, read_body_within};
+pub use body_reader::{
+    BodyBuffer, BodyError, BodyLimits, BodyPace, DiscardLimits, discard_body, read_body_within,
+};
 pub(crate) use bounded_stream::BoundedStream;
 pub use byte_budget::{ByteBudget, ByteLease, NoRoom};
 pub use connection_limits::BodyAwaited;
