Count the requests of other processes to a control instance

They now count as received messages, like those of members, and get 503 without room. The reader without a budget, which only stand-ins and tests use any more, is bounded by its own limit.

--- a/crates/oriolecrank-control/src/peer_ingress.rs
+++ b/crates/oriolecrank-control/src/peer_ingress.rs
@@ -3,7 +3,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use oriolecrank_consensus::{InstanceId, PeerMessage};
-use oriolecrank_net::intake::{BodyError, BodyLimits, read_body_within};
+use oriolecrank_net::intake::{BodyError, BodyLimits, ByteBudget, read_body_within};
 use oriolecrank_net::{AnswerBody, PeerGuard, empty_answer, with_close};
 use oriolecrank_schema::{codec, peer};
 
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Budget for messages of other instances.
+    pub const fn received_budget(&self) -> &ByteBudget {
+        &self.replica.memory().received
+    }
+
     /// Answers `POST /v1/peer`: 204 if the messages are accepted, 401 without the cluster secret,
     /// 426 for an unsupported protocol version, 400 if the body is not a batch or too large, 409
     /// for a batch of another cluster, 503 if there is no room for the messages now.
@@ -47,7 +52,7 @@
         if let Some(refusal) = self.guard.refusal(request.headers()) {
             return refusal;
         }
-        let budget = &self.replica.memory().received;
+        let budget = self.received_budget();
         let limits = BodyLimits::of_bytes(MAX_BATCH_BYTES);
         let body = match read_body_within(request.into_body(), limits, budget).await {
             Ok(body) => body,
--- a/crates/oriolecrank-control/src/request_server.rs
+++ b/crates/oriolecrank-control/src/request_server.rs
@@ -7,9 +7,10 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use oriolecrank_net::intake::{BodyError, BodyLimits, read_body_within};
 use oriolecrank_net::{
     AnswerBody, ClusterSecret, HttpClient, HttpHandler, PeerGuard, empty_answer, message_answer,
-    peer_request, read_body, text_answer,
+    peer_request, text_answer, with_close,
 };
 use oriolecrank_schema::codec::{self, CodecError};
 use oriolecrank_schema::control::{Command, CommandOutcome, PingRequest, Query, QueryResult};
@@ -159,8 +160,13 @@
             return empty_answer(StatusCode::METHOD_NOT_ALLOWED);
         }
         let (head, body) = request.into_parts();
-        let Some(bytes) = read_body(body, MAX_REQUEST_BYTES).await else {
-            return empty_answer(StatusCode::PAYLOAD_TOO_LARGE);
+        let limits = BodyLimits::of_bytes(MAX_REQUEST_BYTES);
+        let bytes = match read_body_within(body, limits, self.ingress.received_budget()).await {
+            Ok(bytes) => bytes,
+            Err(BodyError::Full { .. }) => {
+                return with_close(empty_answer(StatusCode::SERVICE_UNAVAILABLE));
+            }
+            Err(_) => return with_close(empty_answer(StatusCode::PAYLOAD_TOO_LARGE)),
         };
         let forwarded = head.headers.contains_key(FORWARDED_HEADER);
         let path = head.uri.path();
--- a/crates/oriolecrank-net/src/http_server.rs
+++ b/crates/oriolecrank-net/src/http_server.rs
@@ -212,10 +212,11 @@
 }
 
 /// Reads a request body of at most `limit` bytes; `None` if it is larger or arrives too slowly, or if
-/// the connection breaks before its end. Only for clients that are trusted to send few bodies at a
-/// time; for others, use [`read_body_within`](crate::intake::read_body_within).
+/// the connection breaks before its end. Nothing bounds the sum of several bodies, so this is only for
+/// stand-ins and tests; otherwise, use [`read_body_within`](crate::intake::read_body_within).
 pub async fn read_body(body: Incoming, limit: usize) -> Option<Bytes> {
-    let budget = ByteBudget::new(usize::MAX);
+    // The largest item of a budget leaves a quarter of it.
+    let budget = ByteBudget::new(limit.saturating_mul(2));
     read_body_within(body, BodyLimits::of_bytes(limit), &budget)
         .await
         .ok()
