Move the messages with entries to a file of their own

The leader's file held progress, elections, proposals and the choice between whole entries, chunks and heartbeats. EntrySender now has the latter.

--- a/crates/oriolecrank-consensus/src/lib.rs
+++ b/crates/oriolecrank-consensus/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod chunk_pace;
 mod election;
+mod entry_sender;
 mod follower;
 mod founding;
 mod instance_id;
