Give up forwarding a document when another instance leads

Found by reading: a follower that forwards a document to a leader which hangs or is cut off kept its place in front of the log for up to 17 s, and later versions waited behind it. It now gives up once another instance leads, and the operator repeats the call. Memory reserved for a transfer in chunks no longer follows an announced size without a limit.

--- a/crates/oriolecrank-consensus/src/follower.rs
+++ b/crates/oriolecrank-consensus/src/follower.rs
@@ -121,7 +121,7 @@
             index,
             term: chunk.term,
             total: chunk.total,
-            data: Vec::with_capacity(chunk.total as usize),
+            data: Vec::with_capacity(reserved_bytes(chunk.total)),
         });
         if chunk.offset == partial.data.len() as u64 {
             partial.data.extend_from_slice(&chunk.data);
@@ -240,7 +240,7 @@
             .unwrap_or(PartialSnapshot {
                 index: chunk.index,
                 term: chunk.term,
-                data: Vec::with_capacity(chunk.total as usize),
+                data: Vec::with_capacity(reserved_bytes(chunk.total)),
             });
         if chunk.offset == partial.data.len() as u64 {
             partial.data.extend_from_slice(&chunk.data);
@@ -266,6 +266,13 @@
     }
 }
 
+/// Memory to reserve for a transfer of `total` bytes; a wrong announcement must not use up the memory.
+fn reserved_bytes(total: u64) -> usize {
+    /// Far above the size of any document.
+    const MAX_RESERVED_BYTES: u64 = 16 * 1024 * 1024;
+    total.min(MAX_RESERVED_BYTES) as usize
+}
+
 /// Whether the entries follow the previous index without gaps.
 fn is_contiguous(request: &AppendRequest) -> bool {
     let expected = request.previous_index.0 + 1..;
--- a/crates/oriolecrank-gateway/src/site_publisher.rs
+++ b/crates/oriolecrank-gateway/src/site_publisher.rs
@@ -110,16 +110,30 @@
         !is_released || applied.await.is_ok()
     }
 
-    /// Has the leader commit a document. Large ones may take longer, as long as the operator waits.
+    /// Waits until an instance with another address than `address` leads.
+    async fn wait_for_other_leader(&self, address: SocketAddr) {
+        let replaced = self.replica.wait_for_status(|status| {
+            let node = &status.node;
+            let leader = node.leader.as_ref();
+            let leader = leader.and_then(|id| node.membership.member(id));
+            leader.is_some_and(|leader| leader.address.parse() != Ok(address))
+        });
+        replaced.await;
+    }
+
+    /// Has the leader commit a document. Large ones may take longer, as long as the operator waits and
+    /// no other instance leads.
     async fn forward(&self, document: StoredDocument, address: SocketAddr) -> bool {
         let size = document.source.len();
         let transfer_time = Duration::from_secs_f64(size as f64 / MIN_COMMIT_RATE);
         let limit = LEADER_TIMEOUT + transfer_time;
         let message = codec::encode_sized(&PublishRequest { document }, size + REQUEST_HEAD_BYTES);
         let link = &self.link;
-        let answer: Result<PublishAnswer, _> = link
-            .call_encoded(address, PUBLISH_PATH, message, limit)
-            .await;
+        let call = link.call_encoded::<PublishAnswer>(address, PUBLISH_PATH, message, limit);
+        let answer = tokio::select! {
+            answer = call => answer,
+            () = self.wait_for_other_leader(address) => return false,
+        };
         match answer {
             Ok(answer) => answer == PublishAnswer::Committed,
             Err(error) => {
