--- a/crates/oriolecrank-consensus/src/peer_progress.rs
+++ b/crates/oriolecrank-consensus/src/peer_progress.rs
@@ -125,8 +125,8 @@
         };
     }
 
-    /// Records how much the member has of what is sent in chunks; `offset` is that of the transfer.
-    /// Returns false for a reply to an earlier chunk that says nothing new.
+    /// Records the reply to a chunk of an entry or a snapshot. Returns false if it is the reply to an
+    /// earlier chunk and the member has no more than the leader knows; the transfer then stays as it is.
     pub(crate) fn record_chunk_reply(
         &mut self,
         reply: ChunkReply,
