Decode a document of the largest size in the part that is set aside for it

Cause: large items leave a quarter of a budget to small ones, and only documents use this part. Documents are decoded one at a time, so one may use all of it now.

--- a/crates/oriolecrank-gateway/src/site_server.rs
+++ b/crates/oriolecrank-gateway/src/site_server.rs
@@ -87,8 +87,11 @@
     /// Decodes a call and checks a document. The decoded document, which takes several times the memory
     /// of its text, does not outlive this function.
     fn decode(&self, parts: &RequestParts, body: &Bytes) -> Result<CheckedCall, SiteReply> {
+        // One document is decoded at a time, so it may use the whole part.
+        let decoded = decoded_bytes(body);
         let mut lease = self.memory.decoding.lease();
-        if lease.resize(decoded_bytes(body)).is_err() {
+        lease.count(decoded);
+        if decoded > self.memory.decoding.capacity() {
             tracing::warn!(
                 event = LogEvent::CallRefused.number(),
                 bytes = body.len(),
